--- /dev/null
+++ b/cmd/zinnialadder/ctl.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinnialadder/zinnialadder/internal/settings"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// catalogueFile is a catalogue.File that settings.Load can read.
+type catalogueFile struct{ catalogue.File }
+
+func (f *catalogueFile) Check() error { return f.File.Check() }
+
+func ctlCmd() *cobra.Command {
+	var base, author string
+	cmd := &cobra.Command{
+		Use:   "ctl",
+		Short: "Edit and read the catalogue and its audit trail",
+	}
+	cmd.PersistentFlags().StringVar(&base, "platform", "http://127.0.0.1:7000", "platform base URL")
+	cmd.PersistentFlags().StringVar(&author, "author", os.Getenv("USER"), "name recorded in the audit trail")
+	client := func() *platform.Client { return platform.NewClient(base, nil) }
+
+	var file string
+	apply := &cobra.Command{
+		Use:   "apply",
+		Short: "Make the catalogue hold a file's pools and entries",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var f catalogueFile
+			if err := settings.Load(file, &f); err != nil {
+				return err
+			}
+			out, err := catalogue.Sync(cmd.Context(), client(), f.File, authorOr(author), time.Now())
+			for _, o := range out {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s\tversion %d\tchanged %t\n", o.Key, o.Version, o.Changed)
+			}
+			return err
+		},
+	}
+	apply.Flags().StringVar(&file, "file", "", "catalogue file (JSON with comments)")
+	_ = apply.MarkFlagRequired("file")
+
+	show := &cobra.Command{
+		Use:   "show",
+		Short: "Print the catalogue as stored",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			snap, err := catalogue.Read(cmd.Context(), client())
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd, snap)
+		},
+	}
+
+	audit := &cobra.Command{
+		Use:   "audit",
+		Short: "Print every accepted change of the catalogue",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			changes, err := catalogue.Audit(cmd.Context(), client())
+			if err != nil {
+				return err
+			}
+			for _, c := range changes {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s\t%s\tgeneration %d\tby %s\n  before: %s\n  after:  %s\n",
+					c.At.Format(time.RFC3339), c.Key, c.Generation, c.Author, orNone(c.Before), c.After)
+			}
+			return nil
+		},
+	}
+
+	drain := &cobra.Command{
+		Use:   "drain POOL ADDRESS",
+		Short: "Mark an upstream as leaving, so it gets no new work",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := catalogue.SetUpstreamState(cmd.Context(), client(), args[0], args[1], catalogue.Leaving, authorOr(author), time.Now())
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s in %s is leaving\n", args[1], args[0])
+			}
+			return err
+		},
+	}
+	cmd.AddCommand(apply, show, audit, drain)
+	return cmd
+}
+
+func authorOr(a string) string {
+	if a == "" {
+		return "unknown"
+	}
+	return a
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
+
+func printJSON(cmd *cobra.Command, v any) error {
+	enc := json.NewEncoder(cmd.OutOrStdout())
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/cmd/zinnialadder/main.go
@@ -0,0 +1,89 @@
+// Command zinnialadder runs the programs of zinnialadder: entry instances,
+// the operators' tool, and the stand-ins for the platform, engines,
+// trainers and plain services that tests and demos use.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/internal/settings"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:           "zinnialadder",
+		Short:         "A rollout service for reinforcement learning",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(entryCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), demoCmd(), loadCmd())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
+		os.Exit(1)
+	}
+}
+
+// signalContext returns a context that ends on SIGINT or SIGTERM.
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// newLogger returns the logger for a program of the given role.
+func newLogger(role string, c settings.Common) *log.Logger {
+	l := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Prefix: role})
+	if lvl, err := log.ParseLevel(c.LogLevel); err == nil && c.LogLevel != "" {
+		l.SetLevel(lvl)
+	}
+	return l.With("data_centre", c.DataCentre)
+}
+
+// shutdownGrace bounds how long a stand-in waits for its requests at exit.
+const shutdownGrace = 10 * time.Second
+
+// serve serves h on ln until ctx ends, then shuts down gracefully.
+func serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-gctx.Done()
+		sctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+		defer cancel()
+		return srv.Shutdown(sctx)
+	})
+	return g.Wait()
+}
+
+// listenAndServe is serve on a new listener at addr.
+func listenAndServe(ctx context.Context, logger *log.Logger, addr string, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen %s: %w", addr, err)
+	}
+	logger.Info("serving", "listen", ln.Addr().String())
+	err = serve(ctx, ln, h)
+	logger.Info("stopped")
+	return err
+}
+
+func settingsFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVar(path, "settings", "", "settings file (JSON with comments)")
+	_ = cmd.MarkFlagRequired("settings")
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,92 @@
+// Package httpjson reads and writes the JSON bodies of the HTTP protocols
+// that zinnialadder speaks, with size limits and strict field checks.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// MaxBody is the largest request body, in bytes, that Decode accepts.
+const MaxBody = 1 << 20
+
+// ErrTooLarge is returned by Decode for a body over MaxBody.
+var ErrTooLarge = errors.New("httpjson: body too large")
+
+// Decode reads one JSON value from r's body into v, refusing unknown
+// fields, trailing data and bodies over MaxBody bytes.
+func Decode(w http.ResponseWriter, r *http.Request, v any) error {
+	body := http.MaxBytesReader(w, r.Body, MaxBody)
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		var mb *http.MaxBytesError
+		if errors.As(err, &mb) {
+			return ErrTooLarge
+		}
+		return fmt.Errorf("malformed JSON: %w", err)
+	}
+	if dec.More() {
+		return errors.New("malformed JSON: trailing data after the value")
+	}
+	return nil
+}
+
+// Write sends v as a JSON answer with the given status.
+func Write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// StatusError is an answer whose status was not the one expected.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Body)
+}
+
+// Do sends in (nil for no body) to url with method and decodes a JSON answer
+// into out (nil to discard it). An answer outside 2xx is a *StatusError.
+func Do(ctx context.Context, c *http.Client, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+		return &StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(b))}
+	}
+	if out == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,197 @@
+// Package site starts a whole zinnialadder site inside one process on
+// loopback: the platform, engine, trainer and service stand-ins and some
+// entry instances. The demo and the tests use it; real deployments run each
+// part as its own process.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/service/servicetest"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer/trainertest"
+)
+
+// Config says what a Site holds.
+type Config struct {
+	Engines int
+	Engine  enginetest.Config // applied to every engine
+	Entries int
+	Entry   entry.Config // ID, Listen and Platform are set per instance
+	Logger  *log.Logger  // default: discard
+	Clock   clock.Clock
+}
+
+// Site is a running site. Close it when done.
+type Site struct {
+	Platform    *platformtest.Server
+	PlatformURL string
+	Engines     []*enginetest.Server
+	EngineAddrs []string
+	Trainer     *trainertest.Server
+	TrainerAddr string
+	Service     *servicetest.Server
+	ServiceAddr string
+	Entries     []*entry.Instance
+
+	cancel  context.CancelFunc
+	entryCx []context.CancelFunc
+	group   *errgroup.Group
+	cfg     Config
+}
+
+// Start starts a site as cfg says and waits until every entry instance has
+// read the empty catalogue.
+func Start(cfg Config) (*Site, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = log.New(io.Discard)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g, gctx := errgroup.WithContext(ctx)
+	s := &Site{cancel: cancel, group: g, cfg: cfg, Platform: platformtest.New(),
+		Trainer: new(trainertest.Server), Service: new(servicetest.Server)}
+	var err error
+	if s.PlatformURL, err = s.serve(gctx, s.Platform.Handler()); err != nil {
+		return nil, err
+	}
+	s.PlatformURL = "http://" + s.PlatformURL
+	if s.TrainerAddr, err = s.serve(gctx, s.Trainer.Handler()); err != nil {
+		return nil, err
+	}
+	if s.ServiceAddr, err = s.serve(gctx, s.Service.Handler()); err != nil {
+		return nil, err
+	}
+	for i := 0; i < cfg.Engines; i++ {
+		ec := cfg.Engine
+		ec.Name = fmt.Sprintf("engine-%d", i)
+		e := enginetest.New(ec)
+		addr, err := s.serve(gctx, e.Handler())
+		if err != nil {
+			return nil, err
+		}
+		s.Engines, s.EngineAddrs = append(s.Engines, e), append(s.EngineAddrs, addr)
+	}
+	for i := 0; i < cfg.Entries; i++ {
+		if err := s.StartEntry(fmt.Sprintf("entry-%d", i)); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// StartEntry starts one more entry instance with the given ID.
+func (s *Site) StartEntry(id string) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ec := s.cfg.Entry
+	ec.ID, ec.Listener, ec.DataCentre = id, ln, "loopback"
+	ec.Platform = platform.NewClient(s.PlatformURL, nil)
+	ec.Logger = s.cfg.Logger.With("id", id)
+	ec.Clock = s.cfg.Clock
+	in, err := entry.New(ec)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.Entries, s.entryCx = append(s.Entries, in), append(s.entryCx, cancel)
+	s.group.Go(func() error { return in.Run(ctx) })
+	return nil
+}
+
+// StopEntry shuts entry instance i down gracefully and waits for it.
+func (s *Site) StopEntry(i int) { s.entryCx[i]() }
+
+// Apply stores f in the catalogue and waits until every entry instance
+// has applied it.
+func (s *Site) Apply(f catalogue.File) error {
+	c := platform.NewClient(s.PlatformURL, nil)
+	out, err := catalogue.Sync(context.Background(), c, f, "site", time.Now())
+	if err != nil {
+		return err
+	}
+	return s.WaitApplied(out, 10*time.Second)
+}
+
+// WaitApplied waits until every running entry instance has applied the
+// row versions in out, or the time allowed has passed.
+func (s *Site) WaitApplied(out []catalogue.Outcome, within time.Duration) error {
+	deadline := time.Now().Add(within)
+	for _, in := range s.Entries {
+		for !applied(in.View(), out) {
+			if time.Now().After(deadline) {
+				return errors.New("site: catalogue not applied in time")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func applied(v *entry.View, out []catalogue.Outcome) bool {
+	for _, o := range out {
+		if v.Versions[o.Key] < o.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// Close stops everything the site started.
+func (s *Site) Close() {
+	for _, c := range s.entryCx {
+		c()
+	}
+	s.cancel()
+	_ = s.group.Wait()
+}
+
+func (s *Site) serve(ctx context.Context, h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.group.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	s.group.Go(func() error {
+		<-ctx.Done()
+		srv.Close()
+		return nil
+	})
+	return ln.Addr().String(), nil
+}
+
+// EnginePool returns a pool of all the site's engines, live.
+func (s *Site) EnginePool(name string) catalogue.Pool {
+	p := catalogue.Pool{Name: name, Kind: catalogue.Engines}
+	for _, a := range s.EngineAddrs {
+		p.Upstreams = append(p.Upstreams, catalogue.Upstream{Address: a, DataCentre: "loopback", State: catalogue.Live})
+	}
+	return p
+}
+
+// ServicePool returns a pool of the site's service, live.
+func (s *Site) ServicePool(name string) catalogue.Pool {
+	return catalogue.Pool{Name: name, Kind: catalogue.Services,
+		Upstreams: []catalogue.Upstream{{Address: s.ServiceAddr, DataCentre: "loopback", State: catalogue.Live}}}
+}
--- /dev/null
+++ b/pkg/catalogue/catalogue.go
@@ -0,0 +1,140 @@
+// Package catalogue holds the operators' catalogue: entries, each with an
+// owner, a class and limits, and the pools of upstreams they are served by.
+// The catalogue lives in the platform's table, one row per entry or pool;
+// every accepted edit is a compare-and-set that also writes an audit record.
+package catalogue
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+)
+
+// Class says who calls an entry and so how its requests are ranked.
+type Class string
+
+// The classes of the brief's callers.
+const (
+	Interactive Class = "interactive" // desk agents and families on live calls
+	Background  Class = "background"  // internal services: ledger sync, merge checks
+	Training    Class = "training"    // trainers' rollouts; answers become samples
+)
+
+// Priority returns the engine priority of requests of class c.
+func (c Class) Priority() engine.Priority {
+	switch c {
+	case Interactive:
+		return engine.PriorityInteractive
+	case Background:
+		return engine.PriorityBackground
+	default:
+		return engine.PriorityTraining
+	}
+}
+
+// Kind is the kind of upstream a pool holds.
+type Kind string
+
+// The kinds of upstream.
+const (
+	Engines  Kind = "engines"  // model engines
+	Services Kind = "services" // plain services
+)
+
+// Limits bound the use of one entry.
+type Limits struct {
+	MaxInFlight int `json:"max_in_flight"` // requests at once, per entry instance
+	MaxTokens   int `json:"max_tokens"`    // tokens per generation
+}
+
+// Entry is one catalogue entry.
+type Entry struct {
+	Name    string `json:"name"`
+	Owner   string `json:"owner"` // the customer whose callers may use it
+	Class   Class  `json:"class"`
+	Pool    string `json:"pool"`
+	Limits  Limits `json:"limits"`
+	Trainer string `json:"trainer,omitempty"` // address samples go to, for Training
+	// MaxVersionLag is how many weight versions behind the pool's newest
+	// a sample's oldest version may be: 1 allows the previous version.
+	MaxVersionLag uint64 `json:"max_version_lag"`
+	Generation    uint64 `json:"generation"` // edits accepted so far
+}
+
+// UpstreamState says whether an upstream takes new work.
+type UpstreamState string
+
+// The states of an upstream.
+const (
+	Live    UpstreamState = "live"
+	Leaving UpstreamState = "leaving" // finishing its work; takes no new work
+)
+
+// Upstream is one engine or service instance.
+type Upstream struct {
+	Address    string        `json:"address"`
+	DataCentre string        `json:"data_centre"`
+	State      UpstreamState `json:"state"`
+}
+
+// Pool is a set of upstreams of one kind.
+type Pool struct {
+	Name       string     `json:"name"`
+	Kind       Kind       `json:"kind"`
+	Upstreams  []Upstream `json:"upstreams"`
+	Generation uint64     `json:"generation"`
+}
+
+// Change is the audit record of one accepted edit.
+type Change struct {
+	Key        string    `json:"key"`
+	Generation uint64    `json:"generation"`
+	Author     string    `json:"author"`
+	At         time.Time `json:"at"`
+	Before     string    `json:"before"` // JSON of the value replaced; empty if new
+	After      string    `json:"after"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+// Check reports the first problem with e, naming the field.
+func (e Entry) Check() error {
+	switch {
+	case !namePattern.MatchString(e.Name):
+		return fmt.Errorf("entry name %q: want lower-case letters, digits, '-' or '_'", e.Name)
+	case !namePattern.MatchString(e.Owner):
+		return fmt.Errorf("entry %s: owner %q is not a valid customer name", e.Name, e.Owner)
+	case e.Class != Interactive && e.Class != Background && e.Class != Training:
+		return fmt.Errorf("entry %s: class %q: want interactive, background or training", e.Name, e.Class)
+	case !namePattern.MatchString(e.Pool):
+		return fmt.Errorf("entry %s: pool %q is not a valid pool name", e.Name, e.Pool)
+	case e.Limits.MaxInFlight <= 0:
+		return fmt.Errorf("entry %s: limits.max_in_flight must be positive", e.Name)
+	case e.Limits.MaxTokens <= 0:
+		return fmt.Errorf("entry %s: limits.max_tokens must be positive", e.Name)
+	case e.Class == Training && e.Trainer == "":
+		return fmt.Errorf("entry %s: class training needs a trainer address", e.Name)
+	}
+	return nil
+}
+
+// Check reports the first problem with p, naming the field.
+func (p Pool) Check() error {
+	if !namePattern.MatchString(p.Name) {
+		return fmt.Errorf("pool name %q: want lower-case letters, digits, '-' or '_'", p.Name)
+	}
+	if p.Kind != Engines && p.Kind != Services {
+		return fmt.Errorf("pool %s: kind %q: want engines or services", p.Name, p.Kind)
+	}
+	for i, u := range p.Upstreams {
+		if u.Address == "" || u.DataCentre == "" {
+			return fmt.Errorf("pool %s: upstreams[%d] needs address and data_centre", p.Name, i)
+		}
+		if u.State != Live && u.State != Leaving {
+			return fmt.Errorf("pool %s: upstreams[%d].state %q: want live or leaving", p.Name, i, u.State)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/catalogue/file.go
@@ -0,0 +1,138 @@
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// File is a catalogue as operators write it.
+type File struct {
+	Pools   []Pool  `json:"pools"`
+	Entries []Entry `json:"entries"`
+}
+
+// Check reports the first problem with f: a bad item, a repeated name, or
+// an entry whose pool is not in f.
+func (f File) Check() error {
+	pools := map[string]bool{}
+	for _, p := range f.Pools {
+		if err := p.Check(); err != nil {
+			return err
+		}
+		if pools[p.Name] {
+			return fmt.Errorf("pool %s is given twice", p.Name)
+		}
+		pools[p.Name] = true
+	}
+	entries := map[string]bool{}
+	for _, e := range f.Entries {
+		if err := e.Check(); err != nil {
+			return err
+		}
+		if entries[e.Name] {
+			return fmt.Errorf("entry %s is given twice", e.Name)
+		}
+		entries[e.Name] = true
+		if !pools[e.Pool] {
+			return fmt.Errorf("entry %s: pool %q is not in the file", e.Name, e.Pool)
+		}
+	}
+	return nil
+}
+
+// Outcome is what Sync did with one item.
+type Outcome struct {
+	Key     string
+	Changed bool
+	Version uint64 // row version now
+}
+
+// Sync makes the table hold every item of f, changing only those that
+// differ, each by a compare-and-set on the version it read. It stops at the
+// first failure, which may be ErrConflict if another operator got there
+// between the read and the write.
+func Sync(ctx context.Context, c *platform.Client, f File, author string, now time.Time) ([]Outcome, error) {
+	var out []Outcome
+	for _, p := range f.Pools {
+		o, err := syncItem(ctx, c, PoolPrefix+p.Name, p, author, now)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, o)
+	}
+	for _, e := range f.Entries {
+		o, err := syncItem(ctx, c, EntryPrefix+e.Name, e, author, now)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, o)
+	}
+	return out, nil
+}
+
+func syncItem(ctx context.Context, c *platform.Client, key string, v any, author string, now time.Time) (Outcome, error) {
+	row, err := c.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Outcome{}, err
+	}
+	if err == nil && sameItem(row.Value, v) {
+		return Outcome{Key: key, Version: row.Version}, nil
+	}
+	got, err := Apply(ctx, c, Edit{Key: key, ExpectVersion: row.Version, Value: v, Author: author, At: now})
+	if err != nil {
+		return Outcome{}, err
+	}
+	return Outcome{Key: key, Changed: true, Version: got.Version}, nil
+}
+
+// sameItem reports whether stored equals v but for its generation.
+func sameItem(stored json.RawMessage, v any) bool {
+	fresh := reflect.New(reflect.TypeOf(v))
+	if json.Unmarshal(stored, fresh.Interface()) != nil {
+		return false
+	}
+	got := fresh.Elem()
+	want := reflect.New(reflect.TypeOf(v)).Elem()
+	want.Set(reflect.ValueOf(v))
+	got.FieldByName("Generation").SetUint(0)
+	want.FieldByName("Generation").SetUint(0)
+	return reflect.DeepEqual(got.Interface(), want.Interface())
+}
+
+// SetUpstreamState changes the state of the upstream at addr in pool, by a
+// compare-and-set on the pool's row, retrying when another edit won.
+func SetUpstreamState(ctx context.Context, c *platform.Client, pool, addr string, st UpstreamState, author string, now time.Time) (Pool, error) {
+	const tries = 5
+	key := PoolPrefix + pool
+	for i := 0; i < tries; i++ {
+		row, err := c.Get(ctx, key)
+		if err != nil {
+			return Pool{}, fmt.Errorf("pool %s: %w", pool, err)
+		}
+		var p Pool
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			return Pool{}, fmt.Errorf("pool %s: %w", pool, err)
+		}
+		found := false
+		for j := range p.Upstreams {
+			if p.Upstreams[j].Address == addr {
+				p.Upstreams[j].State, found = st, true
+			}
+		}
+		if !found {
+			return Pool{}, fmt.Errorf("pool %s has no upstream %s", pool, addr)
+		}
+		_, err = Apply(ctx, c, Edit{Key: key, ExpectVersion: row.Version, Value: p, Author: author, At: now})
+		if errors.Is(err, ErrConflict) {
+			continue
+		}
+		return p, err
+	}
+	return Pool{}, fmt.Errorf("pool %s: %w after %d tries", pool, ErrConflict, tries)
+}
--- /dev/null
+++ b/pkg/catalogue/store.go
@@ -0,0 +1,166 @@
+package catalogue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// Key prefixes of the catalogue's rows in the platform's table.
+const (
+	EntryPrefix = "catalogue/entry/"
+	PoolPrefix  = "catalogue/pool/"
+	AuditPrefix = "audit/"
+)
+
+// Snapshot is the catalogue as read at one moment, with the row version of
+// each item so that a reader can apply only newer ones.
+type Snapshot struct {
+	Entries  map[string]Entry
+	Pools    map[string]Pool
+	Versions map[string]uint64 // row key → row version
+}
+
+// Read scans the whole catalogue from the table.
+func Read(ctx context.Context, c *platform.Client) (Snapshot, error) {
+	rows, err := c.Scan(ctx, "catalogue/")
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Decode(rows)
+}
+
+// Decode builds a Snapshot from catalogue rows.
+func Decode(rows []platform.Row) (Snapshot, error) {
+	s := Snapshot{Entries: map[string]Entry{}, Pools: map[string]Pool{}, Versions: map[string]uint64{}}
+	for _, r := range rows {
+		s.Versions[r.Key] = r.Version
+		switch {
+		case strings.HasPrefix(r.Key, EntryPrefix):
+			var e Entry
+			if err := json.Unmarshal(r.Value, &e); err != nil {
+				return Snapshot{}, fmt.Errorf("catalogue: row %s: %w", r.Key, err)
+			}
+			s.Entries[e.Name] = e
+		case strings.HasPrefix(r.Key, PoolPrefix):
+			var p Pool
+			if err := json.Unmarshal(r.Value, &p); err != nil {
+				return Snapshot{}, fmt.Errorf("catalogue: row %s: %w", r.Key, err)
+			}
+			s.Pools[p.Name] = p
+		}
+	}
+	return s, nil
+}
+
+// Edit is one operator's change to one catalogue item.
+type Edit struct {
+	Key           string // EntryPrefix+name or PoolPrefix+name
+	ExpectVersion uint64 // the row version the author edited; 0 for a new item
+	Value         any    // an Entry or a Pool
+	Author        string
+	At            time.Time
+}
+
+// ErrConflict is returned by Apply when the item changed since the author
+// read it; nothing was written.
+var ErrConflict = errors.New("catalogue: changed since read")
+
+// Apply checks and writes e together with its audit record, in one
+// transaction. The generation of the value is set to one past the one it
+// replaces.
+func Apply(ctx context.Context, c *platform.Client, e Edit) (platform.Row, error) {
+	before, gen, err := current(ctx, c, e)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	value, err := withGeneration(e.Value, gen+1)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	after, _ := json.Marshal(value)
+	item, err := platform.Put(e.Key, e.ExpectVersion, value)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	change := Change{Key: e.Key, Generation: gen + 1, Author: e.Author, At: e.At, Before: before, After: string(after)}
+	audit, err := platform.Put(fmt.Sprintf("%s%s/%08d", AuditPrefix, e.Key, gen+1), 0, change)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	rows, err := c.Commit(ctx, item, audit)
+	var ce *platform.ConflictError
+	if errors.As(err, &ce) {
+		return platform.Row{}, fmt.Errorf("%w: %s is at version %d, not %d", ErrConflict, e.Key, ce.Current.Version, e.ExpectVersion)
+	}
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return rows[0], nil
+}
+
+// current returns the JSON and generation of the row e replaces, checking
+// that its version is still e.ExpectVersion.
+func current(ctx context.Context, c *platform.Client, e Edit) (string, uint64, error) {
+	row, err := c.Get(ctx, e.Key)
+	if errors.Is(err, platform.ErrNotFound) {
+		if e.ExpectVersion != 0 {
+			return "", 0, fmt.Errorf("%w: %s no longer exists", ErrConflict, e.Key)
+		}
+		return "", 0, nil
+	}
+	if err != nil {
+		return "", 0, err
+	}
+	if row.Version != e.ExpectVersion {
+		return "", 0, fmt.Errorf("%w: %s is at version %d, not %d", ErrConflict, e.Key, row.Version, e.ExpectVersion)
+	}
+	var g struct {
+		Generation uint64 `json:"generation"`
+	}
+	if err := json.Unmarshal(row.Value, &g); err != nil {
+		return "", 0, fmt.Errorf("catalogue: row %s: %w", e.Key, err)
+	}
+	return string(row.Value), g.Generation, nil
+}
+
+func withGeneration(v any, gen uint64) (any, error) {
+	switch x := v.(type) {
+	case Entry:
+		if err := x.Check(); err != nil {
+			return nil, err
+		}
+		x.Generation = gen
+		return x, nil
+	case Pool:
+		if err := x.Check(); err != nil {
+			return nil, err
+		}
+		x.Generation = gen
+		return x, nil
+	default:
+		return nil, fmt.Errorf("catalogue: cannot store %T", v)
+	}
+}
+
+// Audit returns every accepted change, oldest first per item.
+func Audit(ctx context.Context, c *platform.Client) ([]Change, error) {
+	rows, err := c.Scan(ctx, AuditPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Change, 0, len(rows))
+	for _, r := range rows {
+		var ch Change
+		if err := json.Unmarshal(r.Value, &ch); err != nil {
+			return nil, fmt.Errorf("catalogue: audit row %s: %w", r.Key, err)
+		}
+		out = append(out, ch)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/engine/enginetest/server.go
@@ -0,0 +1,233 @@
+// Package enginetest is a stand-in for a model engine. It emits fake tokens
+// at a set rate from a fixed number of batch slots, stamps each chunk with
+// the weight version loaded at that moment, obeys load orders (checking
+// fencing numbers or not, as configured), and records which versions served
+// each request so that tests can check sample labels against it.
+package enginetest
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+)
+
+// Config configures a Server.
+type Config struct {
+	Name          string        // used in token text
+	Slots         int           // streams generated at once; others queue
+	TokenInterval time.Duration // time between tokens of one stream
+	WeightVersion uint64        // version loaded at start
+	ChecksFencing bool          // refuse load orders with a stale fencing number
+}
+
+// Faults are the failures the stand-in is told to show.
+type Faults struct {
+	CutAfter   int  `json:"cut_after"`   // close streams after this many tokens (0: never)
+	Silent     bool `json:"silent"`      // accept requests, then never answer nor close
+	RefuseLoad bool `json:"refuse_load"` // fail load orders partway
+}
+
+// Server is the stand-in. Call New.
+type Server struct {
+	cfg   Config
+	slots chan struct{}
+
+	mu       sync.Mutex
+	version  uint64
+	fencing  uint64
+	active   int
+	queued   int
+	faults   Faults
+	records  map[string][]uint64 // request ID → versions that produced tokens
+	requests int64
+}
+
+// New returns a Server configured by cfg.
+func New(cfg Config) *Server {
+	if cfg.Slots <= 0 {
+		cfg.Slots = 8
+	}
+	return &Server{
+		cfg:     cfg,
+		slots:   make(chan struct{}, cfg.Slots),
+		version: cfg.WeightVersion,
+		records: map[string][]uint64{},
+	}
+}
+
+// Handler returns the engine protocol, with POST /v1/faults and
+// GET /v1/records/{id} for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", s.generate)
+	mux.HandleFunc("POST /v1/load", s.load)
+	mux.HandleFunc("GET /v1/load", s.report)
+	mux.HandleFunc("POST /v1/faults", s.setFaults)
+	mux.HandleFunc("GET /v1/records/{id}", s.record)
+	return mux
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+}
+
+// Versions returns the weight versions that produced tokens for requestID,
+// in order, without repeats.
+func (s *Server) Versions(requestID string) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]uint64(nil), s.records[requestID]...)
+}
+
+// Requests returns how many generate requests the stand-in has accepted.
+func (s *Server) Requests() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// Version returns the weight version loaded now.
+func (s *Server) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var req engine.GenerateRequest
+	if err := httpjson.Decode(w, r, &req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.requests++
+	s.queued++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		s.dequeue(false)
+		return
+	}
+	s.dequeue(true)
+	defer func() {
+		<-s.slots
+		s.mu.Lock()
+		s.active--
+		s.mu.Unlock()
+	}()
+	s.stream(w, r, req)
+}
+
+func (s *Server) dequeue(started bool) {
+	s.mu.Lock()
+	s.queued--
+	if started {
+		s.active++
+	}
+	s.mu.Unlock()
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, req engine.GenerateRequest) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	flusher, _ := w.(http.Flusher)
+	enc := json.NewEncoder(w)
+	ticker := time.NewTicker(max(s.cfg.TokenInterval, time.Microsecond))
+	defer ticker.Stop()
+	for i := 0; i < req.MaxTokens; i++ {
+		select {
+		case <-ticker.C:
+		case <-r.Context().Done():
+			return
+		}
+		v, cut := s.tokenVersion(req.RequestID, i)
+		if cut {
+			panic(http.ErrAbortHandler) // the connection drops mid-stream
+		}
+		_ = enc.Encode(engine.Chunk{Index: i, Text: token(req.Prompt, i), WeightVersion: v})
+		if flusher != nil {
+			flusher.Flush()
+		}
+	}
+	_ = enc.Encode(engine.Chunk{Index: req.MaxTokens, Done: true, WeightVersion: s.Version()})
+}
+
+// tokenVersion records that the current version produced token i of id,
+// and reports whether the stream is to be cut here.
+func (s *Server) tokenVersion(id string, i int) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.CutAfter > 0 && i >= s.faults.CutAfter {
+		return 0, true
+	}
+	rec := s.records[id]
+	if len(rec) == 0 || rec[len(rec)-1] != s.version {
+		s.records[id] = append(rec, s.version)
+	}
+	return s.version, false
+}
+
+// token returns the fake token i for prompt: a word that depends on both,
+// so that answers to different requests differ.
+func token(prompt string, i int) string {
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%s/%d", prompt, i)
+	return fmt.Sprintf("t%08x ", h.Sum32())
+}
+
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	var o engine.LoadOrder
+	if err := httpjson.Decode(w, r, &o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.ChecksFencing && o.Fencing < s.fencing {
+		http.Error(w, fmt.Sprintf("fencing %d is older than %d", o.Fencing, s.fencing), http.StatusConflict)
+		return
+	}
+	if s.faults.RefuseLoad {
+		http.Error(w, "weight swap failed partway", http.StatusInternalServerError)
+		return
+	}
+	s.fencing = max(s.fencing, o.Fencing)
+	s.version = o.Version
+	httpjson.Write(w, http.StatusOK, engine.LoadReport{WeightVersion: s.version})
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	rep := engine.LoadReport{Active: s.active, Queued: s.queued, WeightVersion: s.version,
+		ChecksFencing: s.cfg.ChecksFencing, At: time.Now()}
+	s.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, rep)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := httpjson.Decode(w, r, &f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) record(w http.ResponseWriter, r *http.Request) {
+	httpjson.Write(w, http.StatusOK, s.Versions(r.PathValue("id")))
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,163 @@
+// Package entry is an entry instance: it answers callers over HTTP, picks
+// the upstream for each request from the catalogue, forwards it, returns
+// the whole answer with a verdict, and turns training answers into
+// samples delivered to their trainers.
+//
+// Callers first ask GET /v1/route which instance to use, cache the answer
+// until its expires_at, and connect there themselves; no balancer stands
+// in front.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+)
+
+const memberPrefix = "member/"
+
+// Config configures an Instance.
+type Config struct {
+	ID         string // unique among entry instances
+	DataCentre string
+	Listen     string // caller-facing HTTP address, such as "127.0.0.1:7400"
+	Advertise  string // address callers are told to use; default Listen
+	PeerListen string // address of the peer protocol; empty for none
+	// Listener, if set, is used in place of listening on Listen.
+	Listener net.Listener
+
+	Platform *platform.Client
+	Clock    clock.Clock      // default clock.System
+	Logger   *log.Logger      // default log.Default()
+	Metrics  metrics.Registry // default a new registry
+
+	Tick            time.Duration // control loop period; default 100ms
+	Refresh         time.Duration // catalogue and membership reads; default 1s
+	LeaseTTL        time.Duration // membership lease; default 5s
+	ReportInterval  time.Duration // engine load reports; default 1s
+	PlatformTimeout time.Duration // per platform call; default 2s
+	UpstreamTimeout time.Duration // per upstream request without a caller deadline; default 60s
+	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
+}
+
+func (c *Config) setDefaults() {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	def(&c.Tick, 100*time.Millisecond)
+	def(&c.Refresh, time.Second)
+	def(&c.LeaseTTL, 5*time.Second)
+	def(&c.ReportInterval, time.Second)
+	def(&c.PlatformTimeout, 2*time.Second)
+	def(&c.UpstreamTimeout, 60*time.Second)
+	def(&c.RouteTTL, 30*time.Second)
+	if c.Listener != nil {
+		c.Listen = c.Listener.Addr().String()
+	}
+	if c.Advertise == "" {
+		c.Advertise = c.Listen
+	}
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	if c.Logger == nil {
+		c.Logger = log.Default()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+}
+
+// Instance is a running entry instance. Create it with New and start it
+// with Run.
+type Instance struct {
+	cfg    Config
+	self   Member
+	timing timing
+	view   atomic.Pointer[View]
+	events chan event
+	group  *errgroup.Group
+	http   *http.Client
+	policy route.Policy
+	load   inFlight
+	peers  *peers
+	stats  *counters
+}
+
+// New checks cfg and returns an Instance that is not yet serving.
+func New(cfg Config) (*Instance, error) {
+	cfg.setDefaults()
+	if cfg.ID == "" || cfg.DataCentre == "" || cfg.Listen == "" || cfg.Platform == nil {
+		return nil, errors.New("entry: ID, DataCentre, Listen and Platform are required")
+	}
+	in := &Instance{
+		cfg:    cfg,
+		self:   Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
+		timing: timing{refresh: cfg.Refresh, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3, reports: cfg.ReportInterval},
+		events: make(chan event, 64),
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
+		policy: route.Policy{Slack: 2},
+		stats:  newCounters(cfg.Metrics),
+	}
+	in.view.Store(newState(in.self, in.timing).view)
+	in.peers = newPeers(in)
+	return in, nil
+}
+
+// Run serves until ctx ends, then drains: it stops taking new requests,
+// tells callers to move, and waits for requests in flight to finish.
+func (in *Instance) Run(ctx context.Context) error {
+	ln := in.cfg.Listener
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", in.cfg.Listen); err != nil {
+			return fmt.Errorf("entry: listen %s: %w", in.cfg.Listen, err)
+		}
+	}
+	srv := &http.Server{Handler: in.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	ctlCtx, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	g, gctx := errgroup.WithContext(ctlCtx)
+	in.group = g
+	g.Go(func() error { return in.control(gctx) })
+	g.Go(func() error { return in.peers.serve(gctx) })
+	g.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	in.cfg.Logger.Info("serving", "id", in.cfg.ID, "listen", ln.Addr().String(), "data_centre", in.cfg.DataCentre)
+	<-ctx.Done()
+	in.drain(srv)
+	stopControl()
+	return g.Wait()
+}
+
+// Addr returns the caller-facing address of the instance.
+func (in *Instance) Addr() string { return in.cfg.Advertise }
+
+// drain stops new work and waits for requests in flight.
+func (in *Instance) drain(srv *http.Server) {
+	in.events <- drainBegun{}
+	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.total())
+	_ = srv.Shutdown(context.Background())
+	in.cfg.Logger.Info("shutdown done")
+}
+
+// View returns the control state traffic is using now.
+func (in *Instance) View() *View { return in.view.Load() }
--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,111 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// startSite starts a site with the given engines and entry instances and a
+// catalogue of one training entry and one service entry for customer minho.
+func startSite(t testing.TB, engines, entries int, ec enginetest.Config) *site.Site {
+	t.Helper()
+	if ec.TokenInterval == 0 {
+		ec.TokenInterval = time.Millisecond
+	}
+	s, err := site.Start(site.Config{Engines: engines, Entries: entries, Engine: ec,
+		Entry: entry.Config{Refresh: 50 * time.Millisecond, Tick: 10 * time.Millisecond, ReportInterval: 50 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	f := catalogue.File{
+		Pools: []catalogue.Pool{s.EnginePool("assistant-pool"), s.ServicePool("desk-app")},
+		Entries: []catalogue.Entry{
+			{Name: "drafts", Owner: "minho", Class: catalogue.Training, Pool: "assistant-pool",
+				Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 256}, Trainer: s.TrainerAddr, MaxVersionLag: 1},
+			{Name: "plans", Owner: "minho", Class: catalogue.Interactive, Pool: "desk-app",
+				Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 1}},
+		},
+	}
+	if err := s.Apply(f); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// generate sends req to the instance at addr and returns the answer's
+// status, its text and its last event.
+func generate(t testing.TB, addr string, req entry.GenerateRequest) (int, string, entry.Event) {
+	t.Helper()
+	b, _ := json.Marshal(req)
+	resp, err := http.Post("http://"+addr+"/v1/generate", "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var text bytes.Buffer
+	var last entry.Event
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		last = entry.Event{}
+		if err := json.Unmarshal(sc.Bytes(), &last); err != nil {
+			t.Fatalf("bad event %q: %v", sc.Bytes(), err)
+		}
+		text.WriteString(last.Text)
+	}
+	return resp.StatusCode, text.String(), last
+}
+
+func TestGenerateLabelsAndDeliversOnce(t *testing.T) {
+	s := startSite(t, 3, 2, enginetest.Config{WeightVersion: 4})
+	req := entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "r1", Prompt: "hello", MaxTokens: 20}
+	status, text, last := generate(t, s.Entries[0].Addr(), req)
+	if status != http.StatusOK || !last.Done || last.Tokens != 20 || text == "" {
+		t.Fatalf("status %d, last %+v", status, last)
+	}
+	if len(last.WeightVersions) != 1 || last.WeightVersions[0] != 4 {
+		t.Fatalf("labels %v, want [4]", last.WeightVersions)
+	}
+	got := s.Trainer.Received()
+	if len(got) != 1 || got[0].Deliveries != 1 || got[0].Sample.ID != last.SampleID || got[0].Sample.Text != text {
+		t.Fatalf("trainer holds %+v", got)
+	}
+}
+
+func TestBadInputIsRefusedNotRun(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{})
+	cases := map[string]struct {
+		body string
+		want int
+	}{
+		"malformed":        {`{"customer":`, http.StatusBadRequest},
+		"unknown field":    {`{"customer":"minho","bogus":1}`, http.StatusBadRequest},
+		"unknown entry":    {`{"customer":"minho","entry":"nope","request_id":"a","max_tokens":1}`, http.StatusNotFound},
+		"other's entry":    {`{"customer":"rodokmen","entry":"drafts","request_id":"a","max_tokens":1}`, http.StatusNotFound},
+		"over token limit": {`{"customer":"minho","entry":"drafts","request_id":"a","max_tokens":9999}`, http.StatusBadRequest},
+		"oversized":        {`{"customer":"` + string(bytes.Repeat([]byte("a"), 2<<20)) + `"}`, http.StatusRequestEntityTooLarge},
+	}
+	for name, c := range cases {
+		resp, err := http.Post("http://"+s.Entries[0].Addr()+"/v1/generate", "application/json", bytes.NewBufferString(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != c.want || resp.Header.Get(verdict.Header) != "not_run" {
+			t.Errorf("%s: status %d verdict %q, want %d not_run", name, resp.StatusCode, resp.Header.Get(verdict.Header), c.want)
+		}
+	}
+	if n := s.Engines[0].Requests(); n != 0 {
+		t.Errorf("engine saw %d requests for refused input", n)
+	}
+}
--- /dev/null
+++ b/pkg/entry/route.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// RouteAnswer tells a caller which entry instance to use and until when it
+// may keep using it without asking again.
+type RouteAnswer struct {
+	Address    string    `json:"address"`
+	ID         string    `json:"id"`
+	DataCentre string    `json:"data_centre"`
+	ExpiresAt  time.Time `json:"expires_at"`
+}
+
+// serveRoute answers GET /v1/route?customer=C&key=K. The same customer and
+// key map to the same live instance while membership holds, by rendezvous
+// hashing, so a caller's requests meet the same caches.
+func (in *Instance) serveRoute(w http.ResponseWriter, r *http.Request) {
+	customer, key := r.URL.Query().Get("customer"), r.URL.Query().Get("key")
+	if customer == "" {
+		in.fail(w, verdict.BadRequest("route: customer is required"))
+		return
+	}
+	members := in.View().routable()
+	if len(members) == 0 {
+		members = []Member{in.self} // membership not read yet: answer for ourselves
+		if in.View().Draining {
+			in.fail(w, verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now().Add(time.Second), errNoInstance))
+			return
+		}
+	}
+	i := route.Rendezvous(members, func(m Member) string { return m.ID }, customer+"/"+key)
+	m := members[i]
+	expires := in.cfg.Clock.Now().Add(in.cfg.RouteTTL)
+	httpjson.Write(w, http.StatusOK, RouteAnswer{Address: m.Address, ID: m.ID, DataCentre: m.DataCentre, ExpiresAt: expires})
+}
--- /dev/null
+++ b/pkg/entry/server.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Handler returns the caller-facing HTTP handler:
+//
+//	GET  /v1/route      which instance a caller should use (RouteAnswer)
+//	POST /v1/generate   a GenerateRequest; answers newline-delimited Events
+//	POST /v1/call       a CallRequest to a plain service; answers a CallAnswer
+//	GET  /metrics       counters, as JSON
+//	GET  /healthz       200 while serving, 503 while draining
+func (in *Instance) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/route", in.serveRoute)
+	mux.HandleFunc("POST /v1/generate", in.serveGenerate)
+	mux.HandleFunc("POST /v1/call", in.serveCall)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(in.cfg.Metrics, w)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if in.View().Draining {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+			return
+		}
+		w.Write([]byte("ok\n"))
+	})
+	return mux
+}
+
+// ErrorAnswer is the body of an answer that is not a success.
+type ErrorAnswer struct {
+	Error   string          `json:"error"`
+	Verdict verdict.Verdict `json:"verdict"`
+}
+
+// fail answers err with its verdict, status and Retry-After at once.
+func (in *Instance) fail(w http.ResponseWriter, err error) {
+	ve := asVerdictError(err)
+	if ve.Verdict == verdict.NotRun {
+		in.stats.refused.Inc(1)
+	} else {
+		in.stats.failed.Inc(1)
+	}
+	w.Header().Set(verdict.Header, ve.Verdict.String())
+	if s, ok := ve.RetryAfter(in.cfg.Clock.Now()); ok {
+		w.Header().Set("Retry-After", s)
+	}
+	httpjson.Write(w, ve.Status, ErrorAnswer{Error: ve.Err.Error(), Verdict: ve.Verdict})
+}
+
+func asVerdictError(err error) *verdict.Error {
+	var ve *verdict.Error
+	if errors.As(err, &ve) {
+		return ve
+	}
+	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, err)
+}
+
+// decode reads a request body, mapping bad input to a 4xx NotRun error.
+func decode(w http.ResponseWriter, r *http.Request, v any) error {
+	if err := httpjson.Decode(w, r, v); err != nil {
+		if errors.Is(err, httpjson.ErrTooLarge) {
+			return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, err)
+		}
+		return verdict.BadRequest("%v", err)
+	}
+	return nil
+}
+
+// counters are the instance's metrics.
+type counters struct {
+	requests, refused, failed, upstreamErrors, resumed metrics.Counter
+	samples, samplesStale, deliveryRetries             metrics.Counter
+	latency                                            metrics.Timer
+}
+
+func newCounters(r metrics.Registry) *counters {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	return &counters{
+		requests: c("requests"), refused: c("refused"), failed: c("failed"),
+		upstreamErrors: c("upstream_errors"), resumed: c("streams_resumed"),
+		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"),
+		deliveryRetries: c("delivery_retries"),
+		latency:         metrics.GetOrRegisterTimer("request_latency", r),
+	}
+}
+
+// inFlight counts requests in flight by key (an upstream address or an
+// entry name). It is traffic state, shared by request goroutines.
+type inFlight struct {
+	m sync.Map // key → *atomic.Int64
+}
+
+func (f *inFlight) counter(key string) *atomic.Int64 {
+	if c, ok := f.m.Load(key); ok {
+		return c.(*atomic.Int64)
+	}
+	c, _ := f.m.LoadOrStore(key, new(atomic.Int64))
+	return c.(*atomic.Int64)
+}
+
+// acquire adds one to key unless that would pass limit (0: no limit).
+func (f *inFlight) acquire(key string, limit int) bool {
+	c := f.counter(key)
+	if n := c.Add(1); limit > 0 && n > int64(limit) {
+		c.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (f *inFlight) release(key string) { f.counter(key).Add(-1) }
+
+func (f *inFlight) get(key string) int64 { return f.counter(key).Load() }
+
+func (f *inFlight) total() int64 {
+	var n int64
+	f.m.Range(func(k, v any) bool {
+		if s, ok := k.(string); ok && len(s) > 6 && s[:6] == "entry:" {
+			n += v.(*atomic.Int64).Load()
+		}
+		return true
+	})
+	return n
+}
+
+func writeJSONLine(w http.ResponseWriter, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	b = append(b, '\n')
+	if _, err := w.Write(b); err != nil {
+		return err
+	}
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/lease/lease.go
@@ -0,0 +1,81 @@
+// Package lease keeps leases in the platform's table. A lease is a row whose
+// value names its holder and expiry; the row's version is the lease's
+// fencing number, which grows with every acquisition and renewal, so an
+// upstream can refuse orders from a holder whose lease has since lapsed.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// Lease is a lease as read from or written to the table.
+type Lease struct {
+	Name      string          `json:"-"`
+	Holder    string          `json:"holder"`
+	ExpiresAt time.Time       `json:"expires_at"`
+	Data      json.RawMessage `json:"data,omitempty"` // the holder's own data, such as its address
+	Fencing   uint64          `json:"-"`              // the row version
+}
+
+// ErrHeld is returned by Acquire when another holder's lease has not expired.
+var ErrHeld = errors.New("lease: held by another")
+
+// Table is the part of the platform protocol that leases use.
+type Table interface {
+	Get(ctx context.Context, key string) (platform.Row, error)
+	Commit(ctx context.Context, ops ...platform.Op) ([]platform.Row, error)
+}
+
+// Acquire takes or renews the lease name for holder until expiresAt, with
+// data stored beside it. It returns the lease with its new fencing number,
+// ErrHeld if another holder's lease is unexpired at now, or an error of the
+// platform.
+func Acquire(ctx context.Context, t Table, name, holder string, now, expiresAt time.Time, data json.RawMessage) (Lease, error) {
+	var expect uint64
+	row, err := t.Get(ctx, name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return Lease{}, err
+	default:
+		cur, err := Decode(row)
+		if err != nil {
+			return Lease{}, err
+		}
+		if cur.Holder != holder && now.Before(cur.ExpiresAt) {
+			return cur, ErrHeld
+		}
+		expect = row.Version
+	}
+	l := Lease{Name: name, Holder: holder, ExpiresAt: expiresAt, Data: data}
+	op, err := platform.Put(name, expect, l)
+	if err != nil {
+		return Lease{}, err
+	}
+	rows, err := t.Commit(ctx, op)
+	if err != nil {
+		return Lease{}, fmt.Errorf("lease %s: %w", name, err)
+	}
+	l.Fencing = rows[0].Version
+	return l, nil
+}
+
+// Decode reads a Lease from its row.
+func Decode(row platform.Row) (Lease, error) {
+	var l Lease
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		return Lease{}, fmt.Errorf("lease %s: %w", row.Key, err)
+	}
+	l.Name = row.Key
+	l.Fencing = row.Version
+	return l, nil
+}
+
+// Live reports whether l is held at now.
+func (l Lease) Live(now time.Time) bool { return now.Before(l.ExpiresAt) }
--- /dev/null
+++ b/pkg/platform/client.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+)
+
+// Client speaks to one platform endpoint. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client for the platform at base, such as
+// "http://127.0.0.1:7000". A nil hc means http.DefaultClient.
+func NewClient(base string, hc *http.Client) *Client {
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	return &Client{base: base, http: hc}
+}
+
+// Get returns the row at key, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var r Row
+	err := c.do(ctx, http.MethodGet, "/v1/rows/"+url.PathEscape(key), nil, &r)
+	return r, err
+}
+
+// Scan returns every row whose key starts with prefix, in key order.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
+	var r ScanResult
+	err := c.do(ctx, http.MethodGet, "/v1/rows?prefix="+url.QueryEscape(prefix), nil, &r)
+	return r.Rows, err
+}
+
+// Commit applies ops atomically. A failed condition is a *ConflictError; an
+// ErrUnavailable means the outcome is unknown.
+func (c *Client) Commit(ctx context.Context, ops ...Op) ([]Row, error) {
+	var r TxnResult
+	err := c.do(ctx, http.MethodPost, "/v1/commit", Txn{Ops: ops}, &r)
+	return r.Rows, err
+}
+
+// PutObject stores data under name, replacing any object there.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	return c.do(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), data, nil)
+}
+
+// GetObject returns the object stored under name, or ErrNotFound.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	var b []byte
+	err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil, &b)
+	return b, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	err := httpjson.Do(ctx, c.http, method, c.base+path, in, out)
+	if err == nil {
+		return nil
+	}
+	var se *httpjson.StatusError
+	if !errors.As(err, &se) {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	switch se.Status {
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return decodeConflict(se.Body)
+	case http.StatusBadRequest:
+		return fmt.Errorf("platform: refused: %s", se.Body)
+	default:
+		return fmt.Errorf("%w: %v", ErrUnavailable, se)
+	}
+}
--- /dev/null
+++ b/pkg/platform/conflict.go
@@ -0,0 +1,14 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+func decodeConflict(body string) error {
+	var c Conflict
+	if err := json.Unmarshal([]byte(body), &c); err != nil {
+		return fmt.Errorf("platform: unreadable conflict answer: %w", err)
+	}
+	return &ConflictError{Conflict: c}
+}
--- /dev/null
+++ b/pkg/service/service.go
@@ -0,0 +1,61 @@
+// Package service speaks to plain services, the back ends that are not
+// model engines. Some of their calls may not be repeated.
+//
+// The protocol is HTTP with JSON bodies:
+//
+//	POST /v1/calls/{method}   any JSON body; Idempotency-Key names the call
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+)
+
+// KeyHeader names a call so that a service and zinnialadder can tell a
+// repeat from a new call.
+const KeyHeader = "Idempotency-Key"
+
+// Client speaks to one service at an address such as "127.0.0.1:7201".
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client for the service at addr. A nil hc means
+// http.DefaultClient.
+func NewClient(addr string, hc *http.Client) *Client {
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	return &Client{base: "http://" + addr, http: hc}
+}
+
+// Call invokes method with body under key and returns the answer's body.
+// An error from the transport means the call may have run; an answer
+// outside 2xx is an *httpjson.StatusError and ran.
+func (c *Client) Call(ctx context.Context, method, key string, body json.RawMessage) (json.RawMessage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/calls/"+method, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(KeyHeader, key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxBody))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode/100 != 2 {
+		return nil, &httpjson.StatusError{Status: resp.StatusCode, Body: string(b)}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/pkg/trainer/trainer.go
@@ -0,0 +1,63 @@
+// Package trainer delivers training samples to trainers.
+//
+// The protocol is HTTP with JSON bodies:
+//
+//	POST /v1/samples   a Group; answers an Ack
+//
+// A trainer treats Sample.ID as the key of the sample: a sample delivered
+// again under the same ID is acknowledged and not learned twice.
+package trainer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+)
+
+// Sample is one rollout: the tokens a request produced, labelled with every
+// weight version that produced them, oldest first.
+type Sample struct {
+	ID             string   `json:"id"`
+	Customer       string   `json:"customer"`
+	Entry          string   `json:"entry"`
+	Group          string   `json:"group,omitempty"`
+	WeightVersions []uint64 `json:"weight_versions"`
+	Tokens         int      `json:"tokens"`
+	Text           string   `json:"text"`
+}
+
+// Group is a batch of samples sent together.
+type Group struct {
+	Samples []Sample `json:"samples"`
+}
+
+// Ack lists the IDs the trainer holds after a delivery: New were learned
+// now, Duplicate had been learned before.
+type Ack struct {
+	New       []string `json:"new"`
+	Duplicate []string `json:"duplicate"`
+}
+
+// Client speaks to one trainer at an address such as "127.0.0.1:7301".
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client for the trainer at addr. A nil hc means
+// http.DefaultClient.
+func NewClient(addr string, hc *http.Client) *Client {
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	return &Client{base: "http://" + addr, http: hc}
+}
+
+// Deliver sends g and returns the trainer's Ack. An error means the
+// delivery's outcome is unknown; delivering again is safe.
+func (c *Client) Deliver(ctx context.Context, g Group) (Ack, error) {
+	var a Ack
+	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/samples", g, &a)
+	return a, err
+}
--- /dev/null
+++ b/pkg/trainer/trainertest/server.go
@@ -0,0 +1,92 @@
+// Package trainertest is a stand-in for a trainer. It records every
+// delivery of every sample so that tests can see duplicates and labels.
+package trainertest
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer"
+)
+
+// Received is what the stand-in holds of one sample ID.
+type Received struct {
+	Sample     trainer.Sample `json:"sample"`
+	Deliveries int            `json:"deliveries"`
+}
+
+// Server is the stand-in. Its zero value is ready to use.
+type Server struct {
+	mu       sync.Mutex
+	received map[string]*Received
+	dropAcks int
+}
+
+// Handler returns the trainer protocol, with GET /v1/received for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/samples", s.deliver)
+	mux.HandleFunc("GET /v1/received", func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, s.Received())
+	})
+	return mux
+}
+
+// DropAcks makes the stand-in learn the next n deliveries but lose the
+// replies, as a lost acknowledgement looks.
+func (s *Server) DropAcks(n int) {
+	s.mu.Lock()
+	s.dropAcks = n
+	s.mu.Unlock()
+}
+
+// Received returns every sample held, by ID.
+func (s *Server) Received() []Received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Received, 0, len(s.received))
+	for _, r := range s.received {
+		out = append(out, *r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sample.ID < out[j].Sample.ID })
+	return out
+}
+
+func (s *Server) deliver(w http.ResponseWriter, r *http.Request) {
+	var g trainer.Group
+	if err := httpjson.Decode(w, r, &g); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ack, lose := s.learn(g)
+	if lose {
+		http.Error(w, "ack lost", http.StatusGatewayTimeout)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, ack)
+}
+
+func (s *Server) learn(g trainer.Group) (trainer.Ack, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.received == nil {
+		s.received = map[string]*Received{}
+	}
+	ack := trainer.Ack{New: []string{}, Duplicate: []string{}}
+	for _, smp := range g.Samples {
+		if rec, ok := s.received[smp.ID]; ok {
+			rec.Deliveries++
+			ack.Duplicate = append(ack.Duplicate, smp.ID)
+			continue
+		}
+		s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1}
+		ack.New = append(ack.New, smp.ID)
+	}
+	if s.dropAcks > 0 {
+		s.dropAcks--
+		return ack, true
+	}
+	return ack, false
+}
