--- /dev/null
+++ b/internal/capacity/project.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Target is the size that letter 1 names.
+type Target struct {
+	Nodes          int     // entry instances
+	Engines        int     // model engines
+	Entries        int     // catalogue entries (assumed; the letter names none)
+	RequestsPerSec float64 // at the peak, whole site
+	PoolSize       int     // engines a request chooses among
+	ChangesPerDay  float64 // catalogue changes
+}
+
+// Letter1 is the letter's size, with the assumptions marked in CAPACITY.md.
+var Letter1 = Target{Nodes: 370, Engines: 4800, Entries: 2000, RequestsPerSec: 5200, PoolSize: 64, ChangesPerDay: 3400}
+
+// Budget is the letter's control budget per node.
+type Budget struct {
+	CorePercent float64
+	MemoryMB    float64
+	WireKBps    float64
+}
+
+// Letter1Budget is 1.2% of a core, 32 MB and 7 KB a second per node.
+var Letter1Budget = Budget{CorePercent: 1.2, MemoryMB: 32, WireKBps: 7}
+
+// Mechanism is how often a node does each piece of control work.
+type Mechanism struct {
+	Name string
+	// Catalogue reads: full scans per second, and the share of rows each reads.
+	CatalogueScansPerSec float64
+	CatalogueShare       float64
+	MemberScansPerSec    float64
+	HeartbeatsPerSec     float64
+	// Engines whose load reports a node reads, and how often.
+	EnginesPolled   float64
+	ReportsPerSec   float64
+	HintBytesPerSec float64 // peer hints sent and received
+}
+
+// Today is the mechanism that runs now: full catalogue and membership
+// scans every second, a heartbeat every 5/3 s, and every engine of the
+// catalogue's pools polled every second.
+func Today(t Target) Mechanism {
+	return Mechanism{Name: "today", CatalogueScansPerSec: 1, CatalogueShare: 1, MemberScansPerSec: 1,
+		HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: float64(t.Engines), ReportsPerSec: 1}
+}
+
+// Planned is the mechanism CAPACITY.md proposes: a one-row revision read
+// every 2 s with a full read only of what changed, hints between peers,
+// a membership scan every 30 s (departures come sooner as peer hints),
+// heartbeats every 5 s, and load reports only for the engines of the pools
+// a node is routed (1/30 of them), each read every 20 s; between reads,
+// load comes in-band on the streams.
+func Planned(t Target) Mechanism {
+	changesPerSec := t.ChangesPerDay / 86400
+	return Mechanism{Name: "planned",
+		CatalogueScansPerSec: 0.5 + changesPerSec, CatalogueShare: 1 / float64(t.Entries),
+		MemberScansPerSec: 1.0 / 30, HeartbeatsPerSec: 0.2,
+		EnginesPolled: float64(t.Engines) / 30, ReportsPerSec: 1.0 / 20,
+		HintBytesPerSec: changesPerSec * 8 * 64}
+}
+
+// Cost is one node's control cost.
+type Cost struct {
+	CorePercent float64
+	MemoryMB    float64
+	WireKBps    float64
+	Lines       []CostLine
+}
+
+// CostLine is one mechanism's share of a Cost.
+type CostLine struct {
+	What        string
+	CorePercent float64
+	WireKBps    float64
+	MemoryMB    float64
+}
+
+// Project returns a node's control cost at t under m, from slopes.
+func Project(slopes []Slope, t Target, m Mechanism) Cost {
+	by := map[string]Slope{}
+	for _, s := range slopes {
+		by[s.Name] = s
+	}
+	rows := float64(t.Entries) * m.CatalogueShare
+	if m.CatalogueShare < 1 {
+		rows = 1 // the revision row, or the one changed row
+	}
+	upstreams := float64(t.Engines) * m.CatalogueShare
+	if m.CatalogueShare < 1 {
+		upstreams = 16
+	}
+	reqPerNode := t.RequestsPerSec / float64(t.Nodes)
+	lines := []CostLine{
+		per("catalogue entries", by["catalogue scan"], rows, m.CatalogueScansPerSec, float64(t.Entries)),
+		per("pools", by["pool scan"], upstreams, m.CatalogueScansPerSec, float64(t.Engines)),
+		per("membership", by["membership scan"], float64(t.Nodes), m.MemberScansPerSec, float64(t.Nodes)),
+		per("heartbeat", by["membership heartbeat"], 0, m.HeartbeatsPerSec, 0),
+		per("load reports", by["engine load report"], 0, m.ReportsPerSec*m.EnginesPolled, 0),
+		per("engine choice", by["engine choice"], float64(t.PoolSize), reqPerNode, 0),
+		{What: "peer hints", WireKBps: m.HintBytesPerSec / 1000},
+	}
+	c := Cost{Lines: lines}
+	for _, l := range lines {
+		c.CorePercent += l.CorePercent
+		c.WireKBps += l.WireKBps
+		c.MemoryMB += l.MemoryMB
+	}
+	return c
+}
+
+// per is the cost of an operation over items, done rate times a second,
+// holding held items in memory.
+func per(what string, s Slope, items, rate, held float64) CostLine {
+	ns := s.CPUFixed + s.CPUPerItem*items
+	wire := s.WireFixed + s.WirePerItem*items
+	return CostLine{What: what, CorePercent: ns * rate / float64(time.Second) * 100,
+		WireKBps: wire * rate / 1000, MemoryMB: s.HeapPerItem * held / 1e6}
+}
+
+// WriteReport writes the slopes and both projections as Markdown.
+func WriteReport(w io.Writer, slopes []Slope, t Target, b Budget) {
+	fmt.Fprintf(w, "## Measured slopes\n\n| work | item | sizes | CPU fixed | CPU per item | wire per item | heap per item |\n|---|---|---|---|---|---|---|\n")
+	for _, s := range slopes {
+		sizes := "one size"
+		if len(s.Points) > 0 {
+			sizes = fmt.Sprint(Sizes)
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %.0f ns | %.1f ns | %.1f B | %.1f B |\n",
+			s.Name, s.Item, sizes, s.CPUFixed, s.CPUPerItem, s.WirePerItem, s.HeapPerItem)
+	}
+	for _, m := range []Mechanism{Today(t), Planned(t)} {
+		c := Project(slopes, t, m)
+		fmt.Fprintf(w, "\n## Per node at %d nodes, %d engines: mechanism %q\n\n| part | core %% | KB/s | MB |\n|---|---|---|---|\n",
+			t.Nodes, t.Engines, m.Name)
+		for _, l := range c.Lines {
+			fmt.Fprintf(w, "| %s | %.4f | %.2f | %.2f |\n", l.What, l.CorePercent, l.WireKBps, l.MemoryMB)
+		}
+		fmt.Fprintf(w, "| **total** | **%.3f** (budget %.1f) | **%.1f** (budget %.0f) | **%.1f** (budget %.0f) |\n",
+			c.CorePercent, b.CorePercent, c.WireKBps, b.WireKBps, c.MemoryMB, b.MemoryMB)
+	}
+}
--- a/pkg/service/servicetest/server.go
+++ b/pkg/service/servicetest/server.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/service"
@@ -24,7 +23,6 @@
 type Server struct {
 	mu         sync.Mutex
 	executions map[string]int
-	delay      time.Duration
 	loseReply  int
 }
 
