entry: bound load-report reads per node and read a revision row before scanning

Load reports are read round robin, at most ReportBudget (20) per round.

Ruled out: sharding report reads between instances by rendezvous hash, which needs the peer link to share the loads (not built yet); longer report intervals alone, which still grow with the engine count.

--- a/internal/capacity/project.go
+++ b/internal/capacity/project.go
@@ -32,9 +32,10 @@
 // Mechanism is how often a node does each piece of control work.
 type Mechanism struct {
 	Name string
-	// Catalogue reads: full scans per second, and the share of rows each reads.
+	// Catalogue reads: whole scans per second, and one-row reads (the
+	// revision row, or the one item that changed) per second.
 	CatalogueScansPerSec float64
-	CatalogueShare       float64
+	RowReadsPerSec       float64
 	MemberScansPerSec    float64
 	HeartbeatsPerSec     float64
 	// Engines whose load reports a node reads, and how often.
@@ -43,14 +44,24 @@
 	HintBytesPerSec float64 // peer hints sent and received
 }
 
-// Today is the mechanism that runs now: full catalogue and membership
-// scans every second, a heartbeat every 5/3 s, and every engine of the
-// catalogue's pools polled every second.
-func Today(t Target) Mechanism {
-	return Mechanism{Name: "today", CatalogueScansPerSec: 1, CatalogueShare: 1, MemberScansPerSec: 1,
+// First is the mechanism of the first commit: whole catalogue and
+// membership scans every second, a heartbeat every 5/3 s, and every engine
+// of the catalogue's pools polled every second.
+func First(t Target) Mechanism {
+	return Mechanism{Name: "first", CatalogueScansPerSec: 1, MemberScansPerSec: 1,
 		HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: float64(t.Engines), ReportsPerSec: 1}
 }
 
+// Today is the mechanism that runs now: the revision row read every
+// second with a whole scan when it moved and every 60 s, membership
+// scanned every second, a heartbeat every 5/3 s, and 20 load reports read
+// a second, round robin.
+func Today(t Target) Mechanism {
+	changesPerSec := t.ChangesPerDay / 86400
+	return Mechanism{Name: "today", CatalogueScansPerSec: 1.0/60 + changesPerSec, RowReadsPerSec: 1,
+		MemberScansPerSec: 1, HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: 20, ReportsPerSec: 1}
+}
+
 // Planned is the mechanism CAPACITY.md proposes: a one-row revision read
 // every 2 s with a full read only of what changed, hints between peers,
 // a membership scan every 30 s (departures come sooner as peer hints),
@@ -60,7 +71,7 @@
 func Planned(t Target) Mechanism {
 	changesPerSec := t.ChangesPerDay / 86400
 	return Mechanism{Name: "planned",
-		CatalogueScansPerSec: 0.5 + changesPerSec, CatalogueShare: 1 / float64(t.Entries),
+		RowReadsPerSec:    0.5 + 2*changesPerSec,
 		MemberScansPerSec: 1.0 / 30, HeartbeatsPerSec: 0.2,
 		EnginesPolled: float64(t.Engines) / 30, ReportsPerSec: 1.0 / 20,
 		HintBytesPerSec: changesPerSec * 8 * 64}
@@ -88,18 +99,11 @@
 	for _, s := range slopes {
 		by[s.Name] = s
 	}
-	rows := float64(t.Entries) * m.CatalogueShare
-	if m.CatalogueShare < 1 {
-		rows = 1 // the revision row, or the one changed row
-	}
-	upstreams := float64(t.Engines) * m.CatalogueShare
-	if m.CatalogueShare < 1 {
-		upstreams = 16
-	}
 	reqPerNode := t.RequestsPerSec / float64(t.Nodes)
 	lines := []CostLine{
-		per("catalogue entries", by["catalogue scan"], rows, m.CatalogueScansPerSec, float64(t.Entries)),
-		per("pools", by["pool scan"], upstreams, m.CatalogueScansPerSec, float64(t.Engines)),
+		per("catalogue entries", by["catalogue scan"], float64(t.Entries), m.CatalogueScansPerSec, float64(t.Entries)),
+		per("pools", by["pool scan"], float64(t.Engines), m.CatalogueScansPerSec, float64(t.Engines)),
+		per("catalogue one-row reads", oneRow(by["catalogue scan"]), 0, m.RowReadsPerSec, 0),
 		per("membership", by["membership scan"], float64(t.Nodes), m.MemberScansPerSec, float64(t.Nodes)),
 		per("heartbeat", by["membership heartbeat"], 0, m.HeartbeatsPerSec, 0),
 		per("load reports", by["engine load report"], 0, m.ReportsPerSec*m.EnginesPolled, 0),
@@ -115,6 +119,11 @@
 	return c
 }
 
+// oneRow is the cost of reading a single row, from the scan's slope.
+func oneRow(s Slope) Slope {
+	return Slope{CPUFixed: s.CPUPerItem, WireFixed: s.WirePerItem + 150}
+}
+
 // per is the cost of an operation over items, done rate times a second,
 // holding held items in memory.
 func per(what string, s Slope, items, rate, held float64) CostLine {
@@ -135,7 +144,7 @@
 		fmt.Fprintf(w, "| %s | %s | %s | %.0f ns | %.1f ns | %.1f B | %.1f B |\n",
 			s.Name, s.Item, sizes, s.CPUFixed, s.CPUPerItem, s.WirePerItem, s.HeapPerItem)
 	}
-	for _, m := range []Mechanism{Today(t), Planned(t)} {
+	for _, m := range []Mechanism{First(t), Today(t), Planned(t)} {
 		c := Project(slopes, t, m)
 		fmt.Fprintf(w, "\n## Per node at %d nodes, %d engines: mechanism %q\n\n| part | core %% | KB/s | MB |\n|---|---|---|---|\n",
 			t.Nodes, t.Engines, m.Name)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -46,7 +46,9 @@
 	Tick            time.Duration // control loop period; default 100ms
 	Refresh         time.Duration // catalogue and membership reads; default 1s
 	LeaseTTL        time.Duration // membership lease; default 5s
-	ReportInterval  time.Duration // engine load reports; default 1s
+	ReportInterval  time.Duration // period of load report rounds; default 1s
+	ReportBudget    int           // load reports read per round; default 20
+	FullScan        time.Duration // whole catalogue read even if unchanged; default 60s
 	PlatformTimeout time.Duration // per platform call; default 2s
 	UpstreamTimeout time.Duration // per upstream request without a caller deadline; default 60s
 	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
@@ -65,6 +67,10 @@
 	def(&c.PlatformTimeout, 2*time.Second)
 	def(&c.UpstreamTimeout, 60*time.Second)
 	def(&c.RouteTTL, 30*time.Second)
+	def(&c.FullScan, time.Minute)
+	if c.ReportBudget == 0 {
+		c.ReportBudget = 20
+	}
 	if c.Listener != nil {
 		c.Listen = c.Listener.Addr().String()
 	}
@@ -105,9 +111,10 @@
 		return nil, errors.New("entry: ID, DataCentre, Listen and Platform are required")
 	}
 	in := &Instance{
-		cfg:    cfg,
-		self:   Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
-		timing: timing{refresh: cfg.Refresh, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3, reports: cfg.ReportInterval},
+		cfg:  cfg,
+		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
+		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
+			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget},
 		events: make(chan event, 64),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		policy: route.Policy{Slack: 2},
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 )
@@ -64,8 +68,7 @@
 func (in *Instance) do(ctx context.Context, eff effect) event {
 	switch e := eff.(type) {
 	case readCatalogue:
-		rows, err := in.cfg.Platform.Scan(ctx, "catalogue/")
-		return catalogueRead{rows: rows, err: err}
+		return in.readCatalogue(ctx, e.known)
 	case readMembers:
 		rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
 		return membersRead{rows: rows, at: in.cfg.Clock.Now(), err: err}
@@ -82,6 +85,24 @@
 	return nil
 }
 
+// readCatalogue reads the revision row and, if it moved past known (or
+// known is 0), the whole catalogue.
+func (in *Instance) readCatalogue(ctx context.Context, known uint64) event {
+	var revision uint64
+	row, err := in.cfg.Platform.Get(ctx, catalogue.RevisionKey)
+	switch {
+	case err == nil:
+		revision = row.Version
+		if known != 0 && revision == known {
+			return catalogueRead{revision: revision, unchanged: true}
+		}
+	case !errors.Is(err, platform.ErrNotFound):
+		return catalogueRead{err: err}
+	}
+	rows, err := in.cfg.Platform.Scan(ctx, "catalogue/")
+	return catalogueRead{revision: revision, rows: rows, at: in.cfg.Clock.Now(), err: err}
+}
+
 // post hands ev to the control goroutine unless ctx has ended.
 func (in *Instance) post(ctx context.Context, ev event) {
 	if ev == nil {
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,8 +20,11 @@
 type (
 	tick          struct{ at time.Time }
 	catalogueRead struct {
-		rows []platform.Row
-		err  error
+		revision  uint64 // version of the revision row; 0 if absent
+		unchanged bool   // the revision row had not moved; rows not read
+		rows      []platform.Row
+		at        time.Time
+		err       error
 	}
 	membersRead struct {
 		rows []platform.Row
@@ -53,9 +57,11 @@
 type effect interface{ isEffect() }
 
 type (
-	readCatalogue struct{}
-	readMembers   struct{}
-	heartbeat     struct {
+	readCatalogue struct {
+		known uint64 // revision row version applied; 0 forces a scan
+	}
+	readMembers struct{}
+	heartbeat   struct {
 		expiresAt time.Time
 		draining  bool
 	}
@@ -78,10 +84,12 @@
 
 // timing holds the periods of the control loop.
 type timing struct {
-	refresh  time.Duration // catalogue and membership reads
-	leaseTTL time.Duration
-	renew    time.Duration // heartbeat period, well under leaseTTL
-	reports  time.Duration // load report reads
+	refresh      time.Duration // catalogue revision and membership reads
+	fullScan     time.Duration // a whole catalogue read even if unchanged
+	leaseTTL     time.Duration
+	renew        time.Duration // heartbeat period, well under leaseTTL
+	reports      time.Duration // period of load report rounds
+	reportBudget int           // load report reads per round, at most
 }
 
 // state is the control state, owned by the control goroutine alone.
@@ -92,11 +100,15 @@
 	pending map[string]bool // effect kinds in flight, so none is doubled
 
 	nextRefresh   time.Time
+	nextFullScan  time.Time
 	nextHeartbeat time.Time
 	nextReports   time.Time
 	leaseHeld     bool
 	platformOK    bool
-	revision      uint64 // highest catalogue row version applied
+	revision      uint64   // highest catalogue row version applied
+	revisionRow   uint64   // version of the revision row last applied
+	engines       []string // every engine address in the catalogue, sorted
+	reportCursor  int      // next index into engines to read a report of
 }
 
 func newState(self Member, t timing) state {
@@ -144,7 +156,11 @@
 	if !now.Before(s.nextRefresh) && !s.pending["catalogue"] {
 		s.pending = with(s.pending, "catalogue", "members")
 		s.nextRefresh = now.Add(s.timing.refresh)
-		effs = append(effs, readCatalogue{}, readMembers{})
+		known := s.revisionRow
+		if !now.Before(s.nextFullScan) {
+			known, s.nextFullScan = 0, now.Add(s.timing.fullScan)
+		}
+		effs = append(effs, readCatalogue{known: known}, readMembers{})
 	}
 	if !now.Before(s.nextHeartbeat) && !s.pending["heartbeat"] {
 		s.pending = with(s.pending, "heartbeat")
@@ -153,27 +169,54 @@
 	}
 	if !now.Before(s.nextReports) {
 		s.nextReports = now.Add(s.timing.reports)
-		for _, p := range s.view.Pools {
-			if p.Kind != catalogue.Engines {
-				continue
-			}
-			for _, u := range p.Upstreams {
-				if !s.pending["report:"+u.Address] {
-					s.pending = with(s.pending, "report:"+u.Address)
-					effs = append(effs, readReport{addr: u.Address})
-				}
-			}
+		s, effs = s.reportRound(effs)
+	}
+	return s, effs
+}
+
+// reportRound asks for the next reportBudget engines' load reports, round
+// robin, so a node's report reads stay bounded however many engines the
+// catalogue holds; between reads, a node's own requests in flight carry
+// the load signal.
+func (s state) reportRound(effs []effect) (state, []effect) {
+	n := min(s.timing.reportBudget, len(s.engines))
+	for i := 0; i < n; i++ {
+		addr := s.engines[(s.reportCursor+i)%len(s.engines)]
+		if !s.pending["report:"+addr] {
+			s.pending = with(s.pending, "report:"+addr)
+			effs = append(effs, readReport{addr: addr})
 		}
 	}
+	if n > 0 {
+		s.reportCursor = (s.reportCursor + n) % len(s.engines)
+	}
 	return s, effs
 }
 
+// engineAddrs returns every engine address of pools, sorted, once each.
+func engineAddrs(pools map[string]catalogue.Pool) []string {
+	var out []string
+	for _, p := range pools {
+		if p.Kind != catalogue.Engines {
+			continue
+		}
+		for _, u := range p.Upstreams {
+			out = append(out, u.Address)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func (s state) onCatalogue(e catalogueRead) (state, []effect) {
 	s.pending = without(s.pending, "catalogue")
 	if e.err != nil {
 		return s.platformDown(e.err)
 	}
 	s, effs := s.platformUp()
+	if e.unchanged {
+		return s, effs
+	}
 	snap, err := catalogue.Decode(e.rows)
 	if err != nil {
 		return s, append(effs, logChange{msg: "catalogue unreadable", kv: []any{"err", err}})
@@ -195,9 +238,11 @@
 			v.Pools[name] = snap.Pools[name]
 		}
 	}
+	s.revisionRow = max(s.revisionRow, e.revision)
 	if changed == 0 {
 		return s, effs
 	}
+	s.engines = engineAddrs(v.Pools)
 	s.view = v
 	return s, append(effs, publish{v},
 		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
