entry: move on from silent engines; deliver a sample whose record reply was lost

Cause (two failures, each with a test that failed first): 1. TestSilentEngineDoesNotHoldTheCaller: an engine that accepts a stream and then sends nothing held the caller for the whole upstream timeout (60 s), then answered may_have_run. Nothing watched for silence on an open connection. 2. TestSampleDeliveredOnceWhenRecordReplyLost: when the platform committed the sample's delivery record but lost the reply, deliver gave up, so the sample never reached the trainer (zero deliveries, not one).

Change: each engine attempt has an idle timer (IdleTimeout, default 5 s), reset on every chunk; when it fires the attempt's context is cancelled, which drops the connection, and the generation resumes on another engine from the tokens already relayed. A record write whose outcome is unknown no longer stops the send: the trainer keys samples by ID, so a second send is not learned twice; the record is deleted on acknowledgement, so the rows left are exactly those to deliver again. The platform stand-in can aim lost replies at a key prefix, so the test is deterministic.

Ruled out: a shorter upstream timeout (it would cut long generations that are streaming); retrying the record write until it answers (the platform can be down for long periods while the trainer is up).

--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -13,44 +13,47 @@
 
 const deliveryPrefix = "delivery/"
 
-// Delivery is the record of one sample in the platform's table. It is
-// created before the first send, so a sample is never produced twice under
-// one ID, and marked Acked once the trainer holds it.
+// Delivery is the record of one sample awaiting its trainer's
+// acknowledgement, in the platform's table. It is created before the first
+// send and deleted once the trainer holds the sample, so that the rows
+// present are exactly the samples to deliver again after a failure. The
+// trainer keys samples by ID, so a second send is never learned twice.
 type Delivery struct {
-	Sample  trainer.Sample `json:"sample"`
-	Trainer string         `json:"trainer"`
-	Acked   bool           `json:"acked"`
-	Holder  string         `json:"holder"` // entry instance that created it
+	Sample    trainer.Sample `json:"sample"`
+	Trainer   string         `json:"trainer"`
+	Holder    string         `json:"holder"` // entry instance that created it
+	CreatedAt time.Time      `json:"created_at"`
 }
 
 // deliveryTries bounds the sends of one sample on the request path; a
 // sample still unacknowledged after them stays recorded for redelivery.
 const deliveryTries = 3
 
-// errAlreadyRecorded is returned when a sample's ID already has a record:
-// another request with the same ID made it, so this one sends nothing.
-var errAlreadyRecorded = errors.New("sample already recorded")
-
-// deliver records smp and sends it to the entry's trainer until acked.
+// deliver records smp and sends it to the entry's trainer until acked. A
+// sample whose record exists already, made by another request with the
+// same ID, is sent by whoever holds that record, not again here.
 func (in *Instance) deliver(ctx context.Context, e catalogue.Entry, smp trainer.Sample) error {
+	d := Delivery{Sample: smp, Trainer: e.Trainer, Holder: in.cfg.ID, CreatedAt: in.cfg.Clock.Now()}
 	key := deliveryPrefix + smp.ID
-	op, err := platform.Put(key, 0, Delivery{Sample: smp, Trainer: e.Trainer, Holder: in.cfg.ID})
+	op, err := platform.Put(key, 0, d)
 	if err != nil {
 		return err
 	}
-	rows, err := in.cfg.Platform.Commit(ctx, op)
+	_, err = in.cfg.Platform.Commit(ctx, op)
 	var ce *platform.ConflictError
-	if errors.As(err, &ce) {
-		return errAlreadyRecorded
+	switch {
+	case errors.As(err, &ce):
+		return nil
+	case err != nil:
+		// The record may or may not have been written. Send all the same:
+		// the trainer keys samples by ID, and a record left behind is swept.
+		in.cfg.Logger.Debug("sample record outcome unknown; sending", "sample", smp.ID, "err", err)
 	}
-	if err != nil {
-		return fmt.Errorf("record sample: %w", err)
-	}
-	return in.send(ctx, rows[0], Delivery{Sample: smp, Trainer: e.Trainer, Holder: in.cfg.ID})
+	return in.send(ctx, key, d)
 }
 
-// send delivers the recorded sample d, then marks its row acked.
-func (in *Instance) send(ctx context.Context, row platform.Row, d Delivery) error {
+// send delivers the recorded sample d, then deletes its record.
+func (in *Instance) send(ctx context.Context, key string, d Delivery) error {
 	tc := trainer.NewClient(d.Trainer, in.http)
 	var err error
 	for try := 0; try < deliveryTries; try++ {
@@ -70,11 +73,19 @@
 		return fmt.Errorf("deliver %s: %w", d.Sample.ID, err)
 	}
 	in.stats.samples.Inc(1)
-	d.Acked = true
-	op, err := platform.Put(row.Key, row.Version, d)
+	return in.forget(ctx, key)
+}
+
+// forget deletes the record at key, reading its version first, since a
+// lost reply may have hidden it from the writer.
+func (in *Instance) forget(ctx context.Context, key string) error {
+	row, err := in.cfg.Platform.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
 	if err != nil {
-		return err
+		return fmt.Errorf("forget %s: %w", key, err)
 	}
-	_, err = in.cfg.Platform.Commit(ctx, op)
+	_, err = in.cfg.Platform.Commit(ctx, platform.Op{Key: key, ExpectVersion: row.Version, Delete: true})
 	return err
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -51,7 +53,10 @@
 	FullScan        time.Duration // whole catalogue read even if unchanged; default 60s
 	PlatformTimeout time.Duration // per platform call; default 2s
 	UpstreamTimeout time.Duration // per upstream request without a caller deadline; default 60s
-	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
+	// IdleTimeout is how long an engine stream may send nothing before the
+	// connection is taken for dead and the generation moves on; default 5s.
+	IdleTimeout time.Duration
+	RouteTTL    time.Duration // how long callers may cache a route answer; default 30s
 }
 
 func (c *Config) setDefaults() {
@@ -68,6 +73,7 @@
 	def(&c.UpstreamTimeout, 60*time.Second)
 	def(&c.RouteTTL, 30*time.Second)
 	def(&c.FullScan, time.Minute)
+	def(&c.IdleTimeout, 5*time.Second)
 	if c.ReportBudget == 0 {
 		c.ReportBudget = 20
 	}
@@ -101,7 +107,11 @@
 	policy route.Policy
 	load   inFlight
 	peers  *peers
-	stats  *counters
+	// life tells this process from earlier ones with the same ID, and
+	// attempts numbers its claims on non-idempotent calls.
+	life     string
+	attempts atomic.Uint64
+	stats    *counters
 }
 
 // New checks cfg and returns an Instance that is not yet serving.
@@ -119,6 +129,7 @@
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		policy: route.Policy{Slack: 2},
 		stats:  newCounters(cfg.Metrics),
+		life:   newLife(),
 	}
 	in.view.Store(newState(in.self, in.timing).view)
 	in.peers = newPeers(in)
@@ -166,5 +177,12 @@
 	in.cfg.Logger.Info("shutdown done")
 }
 
+// newLife returns a random name for this process's life.
+func newLife() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
 // View returns the control state traffic is using now.
 func (in *Instance) View() *View { return in.view.Load() }
--- /dev/null
+++ b/pkg/entry/failure_test.go
@@ -0,0 +1,60 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+)
+
+// waitFor polls cond until it holds or within has passed.
+func waitFor(t *testing.T, within time.Duration, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A reply lost after the sample's record committed must not lose the
+// sample: it reaches the trainer, once.
+func TestSampleDeliveredOnceWhenRecordReplyLost(t *testing.T) {
+	s := startSite(t, 2, 2, enginetest.Config{WeightVersion: 3})
+	s.Platform.SetFaults(platformtest.Faults{LoseReplies: 1, LosePrefix: "delivery/"})
+	req := entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "lost-1", Prompt: "p", MaxTokens: 5}
+	if status, _, last := generate(t, s.Entries[0].Addr(), req); status != http.StatusOK || !last.Done {
+		t.Fatalf("status %d last %+v", status, last)
+	}
+	waitFor(t, 5*time.Second, "the trainer holds the sample", func() bool { return len(s.Trainer.Received()) == 1 })
+	if got := s.Trainer.Received()[0]; got.Deliveries != 1 || got.Sample.WeightVersions[0] != 3 {
+		t.Fatalf("trainer holds %+v, want one delivery labelled [3]", got)
+	}
+}
+
+// An engine that goes silent on an open connection must not hold the
+// caller until the deadline: the generation moves to another engine.
+func TestSilentEngineDoesNotHoldTheCaller(t *testing.T) {
+	s := startSite(t, 2, 1, enginetest.Config{WeightVersion: 1})
+	for _, e := range s.Engines[:1] {
+		e.SetFaults(enginetest.Faults{Silent: true})
+	}
+	start := time.Now()
+	for i := 0; i < 4; i++ { // several prompts, so that affinity meets the silent engine
+		req := entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: fmt.Sprintf("silent-%d", i),
+			Prompt: fmt.Sprintf("prompt %d", i), MaxTokens: 3}
+		if _, _, last := generate(t, s.Entries[0].Addr(), req); !last.Done {
+			t.Fatalf("request %d: %+v", i, last)
+		}
+	}
+	// The idle timeout is 200 ms in startSite; the upstream timeout 60 s.
+	if took := time.Since(start); took > 5*time.Second {
+		t.Fatalf("took %v with one silent engine", took)
+	}
+}
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -252,6 +252,10 @@
 func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
 	g.in.load.acquire(addr, 0)
 	defer g.in.load.release(addr)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	idle := time.AfterFunc(g.in.cfg.IdleTimeout, func() { cancel(errIdle) })
+	defer idle.Stop()
 	req := engine.GenerateRequest{
 		RequestID: g.req.Customer + "." + g.req.RequestID,
 		Prompt:    g.req.Prompt + g.text.String(),
@@ -260,7 +264,7 @@
 	}
 	s, err := engine.NewClient(addr, g.in.http).Generate(ctx, req)
 	if err != nil {
-		return false, err
+		return false, attemptError(ctx, err)
 	}
 	defer s.Close()
 	for {
@@ -269,8 +273,9 @@
 			return true, nil
 		}
 		if err != nil {
-			return false, err
+			return false, attemptError(ctx, err)
 		}
+		idle.Reset(g.in.cfg.IdleTimeout)
 		if c.Done {
 			return true, nil
 		}
@@ -280,6 +285,18 @@
 	}
 }
 
+// errIdle ends an attempt whose engine sent nothing for IdleTimeout.
+var errIdle = errors.New("engine sent nothing within the idle timeout")
+
+// attemptError names the cause of an attempt's end: the idle timeout if it
+// fired, else err.
+func attemptError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errIdle) {
+		return fmt.Errorf("%w: %v", errIdle, err)
+	}
+	return err
+}
+
 // relay passes one chunk to the caller and records its version.
 func (g *generation) relay(c engine.Chunk) error {
 	if n := len(g.labels); n == 0 || g.labels[n-1] != c.WeightVersion {
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -22,6 +22,9 @@
 	DelayMillis   int  `json:"delay_millis"`    // wait before each answer
 	LoseReplies   int  `json:"lose_replies"`    // commit, then drop this many replies
 	LoseNextReads int  `json:"lose_next_reads"` // drop this many read replies
+	// LosePrefix, if set, limits LoseReplies to commits that write a key
+	// with this prefix.
+	LosePrefix string `json:"lose_prefix"`
 }
 
 // Stats counts the calls the stand-in has served.
@@ -110,6 +113,19 @@
 	return true
 }
 
+// targeted reports whether txn is one that LosePrefix aims at.
+func (s *Server) targeted(txn platform.Txn) bool {
+	s.mu.Lock()
+	prefix := s.faults.LosePrefix
+	s.mu.Unlock()
+	for _, op := range txn.Ops {
+		if strings.HasPrefix(op.Key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // drop answers as a lost reply looks to the client: the connection closes
 // with no answer.
 func drop(w http.ResponseWriter) {
@@ -177,7 +193,7 @@
 		return
 	}
 	rows, conflict := s.apply(txn)
-	if s.loseReply(&s.faults.LoseReplies) {
+	if s.targeted(txn) && s.loseReply(&s.faults.LoseReplies) {
 		drop(w)
 		return
 	}
