entry: non-idempotent calls run at most once under lost replies, and stay runnable

Cause (found by the new rapid state machine TestNonIdempotentCallsRunAtMostOnce, many callers at 2 instances, faults: service reply lost, claim reply lost, platform down; oracle: the service stand-in's count per key): 1. A single call ran twice at the service. net/http's Transport treats a request carrying an Idempotency-Key header as replayable and resent the POST by itself when the reused connection broke before the answer. 2. After a claim write whose reply was lost, the key could never run: every later try found the claim and answered may_have_run, although the call was never sent.

Change: the service client leaves GetBody nil on a non-idempotent call, so the transport can never resend it. Claims have three states; a call is sent only after a compare-and-set from claimed to sending on the version its own attempt wrote, so a claim still 'claimed' was never sent and any attempt may take it over (which fences out the writer). A write whose answer was lost is confirmed by reading the claim back. Attempt IDs carry a random name per process life, so a restarted instance never mistakes an older life's claim for its own.

Ruled out: dropping the Idempotency-Key header (services use it to tell repeats); a claim expiry time (a claim never sent needs no wait).

Conclusion: at-most-once holds under these faults; a call whose reply was lost after the service ran stays may_have_run, as it truly may have.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -37,12 +37,24 @@
 
 const claimPrefix = "claim/"
 
-// claim is the record of a non-idempotent call in the platform's table:
-// created before the call is sent, completed with its answer after.
+// claimState is where a non-idempotent call stands.
+type claimState string
+
+// The states of a claim. A call is sent only by the attempt that moved its
+// claim from claimed to sending by compare-and-set on the version it wrote
+// itself; so a claim still claimed was never sent, and any attempt may take
+// it over, which fences out the attempt that wrote it.
+const (
+	claimed claimState = "claimed"
+	sending claimState = "sending"
+	done    claimState = "done"
+)
+
+// claim is the record of a non-idempotent call in the platform's table.
 type claim struct {
-	Holder string          `json:"holder"`
-	Done   bool            `json:"done"`
-	Answer json.RawMessage `json:"answer,omitempty"`
+	Attempt string          `json:"attempt"` // the entry instance and request that hold it
+	State   claimState      `json:"state"`
+	Answer  json.RawMessage `json:"answer,omitempty"`
 }
 
 func (r CallRequest) check() error {
@@ -98,72 +110,129 @@
 	if req.Idempotent {
 		return in.send1(ctx, addr, req)
 	}
-	key := claimPrefix + req.Customer + "/" + e.Name + "/" + req.Key
-	row, err := in.takeClaim(ctx, key)
-	var replay *errReplay
-	if errors.As(err, &replay) {
-		return replay.answer, nil
+	c := claimer{in: in, key: claimPrefix + req.Customer + "/" + e.Name + "/" + req.Key,
+		attempt: fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1))}
+	row, replay, err := c.take(ctx)
+	if err != nil || replay != nil {
+		return deref(replay), err
 	}
-	if err != nil {
+	if row, err = c.move(ctx, row, claim{Attempt: c.attempt, State: sending}); err != nil {
 		return CallAnswer{}, err
 	}
 	ans, err := in.send1(ctx, addr, req)
 	if err != nil {
-		return CallAnswer{}, err // the claim stays: the call may have run
+		return CallAnswer{}, err // the claim stays at sending: the call may have run
 	}
-	if op, perr := platform.Put(key, row.Version, claim{Holder: in.cfg.ID, Done: true, Answer: ans.Body}); perr == nil {
-		if _, perr = in.cfg.Platform.Commit(ctx, op); perr != nil {
-			in.cfg.Logger.Warn("call ran but its answer was not recorded", "key", key, "err", perr)
-		}
+	if _, err := c.move(ctx, row, claim{Attempt: c.attempt, State: done, Answer: ans.Body}); err != nil {
+		in.cfg.Logger.Warn("call ran but its answer was not recorded", "key", c.key, "err", err)
 	}
 	return ans, nil
 }
 
-// takeClaim creates the claim at key. A call whose claim exists is not
-// sent again: its recorded answer is replayed, or, if it has none, the
-// caller learns that it may have run.
-func (in *Instance) takeClaim(ctx context.Context, key string) (platform.Row, error) {
-	now := in.cfg.Clock.Now()
-	op, err := platform.Put(key, 0, claim{Holder: in.cfg.ID})
-	if err != nil {
-		return platform.Row{}, err
+func deref(a *CallAnswer) CallAnswer {
+	if a == nil {
+		return CallAnswer{}
+	}
+	return *a
+}
+
+// claimer takes and moves one call's claim.
+type claimer struct {
+	in      *Instance
+	key     string
+	attempt string
+}
+
+// take makes this attempt the claim's holder, in state claimed. A claim
+// that is done gives its recorded answer instead; one that is sending
+// means the call may have run, and it is not sent again.
+func (c claimer) take(ctx context.Context) (platform.Row, *CallAnswer, error) {
+	var expect uint64
+	for try := 0; try < 3; try++ {
+		row, err := c.in.cfg.Platform.Commit(ctx, c.op(expect, claim{Attempt: c.attempt, State: claimed}))
+		var ce *platform.ConflictError
+		switch {
+		case err == nil:
+			return row[0], nil, nil
+		case errors.As(err, &ce):
+			cur, answer, err := c.standing(ce.Current)
+			if err != nil || answer != nil {
+				return platform.Row{}, answer, err
+			}
+			expect = cur.Version // claimed but never sent: take it over
+		default:
+			got, ok := c.confirm(ctx, claimed)
+			if !ok {
+				return platform.Row{}, nil, c.unsent(err)
+			}
+			return got, nil, nil
+		}
 	}
-	rows, err := in.cfg.Platform.Commit(ctx, op)
+	return platform.Row{}, nil, c.unsent(errors.New("claim kept changing"))
+}
+
+// move rewrites the claim from row to next, failing NotRun if another
+// attempt took it over meanwhile.
+func (c claimer) move(ctx context.Context, row platform.Row, next claim) (platform.Row, error) {
+	rows, err := c.in.cfg.Platform.Commit(ctx, c.op(row.Version, next))
 	var ce *platform.ConflictError
 	switch {
+	case err == nil:
+		return rows[0], nil
 	case errors.As(err, &ce):
-		return platform.Row{}, in.claimed(ce.Current)
-	case errors.Is(err, platform.ErrUnavailable):
-		// The claim may have been written; the call was not sent. A retry
-		// finds the claim and answers MayHaveRun rather than run it.
-		return platform.Row{}, verdict.Refuse(http.StatusServiceUnavailable, now.Add(2*time.Second),
-			fmt.Errorf("call: platform unavailable; not sent: %w", err))
-	case err != nil:
-		return platform.Row{}, verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second), err)
+		return platform.Row{}, c.unsent(errors.New("another attempt took the claim over"))
+	}
+	if got, ok := c.confirm(ctx, next.State); ok {
+		return got, nil
 	}
-	return rows[0], nil
+	return platform.Row{}, c.unsent(err)
 }
 
-// errReplay carries a recorded answer out of takeClaim.
-type errReplay struct{ answer CallAnswer }
-
-func (e *errReplay) Error() string { return "call already ran" }
+// confirm re-reads the claim after a write whose answer was lost, and
+// reports whether the write took effect.
+func (c claimer) confirm(ctx context.Context, want claimState) (platform.Row, bool) {
+	row, err := c.in.cfg.Platform.Get(ctx, c.key)
+	if err != nil {
+		return platform.Row{}, false
+	}
+	var cl claim
+	if json.Unmarshal(row.Value, &cl) != nil || cl.Attempt != c.attempt || cl.State != want {
+		return platform.Row{}, false
+	}
+	return row, true
+}
 
-func (in *Instance) claimed(row platform.Row) error {
-	var c claim
-	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return verdict.New(verdict.MayHaveRun, http.StatusConflict, fmt.Errorf("call: unreadable claim: %w", err))
+// standing reads a claim found in the way: its answer if done, an error if
+// sending, or the row itself if only claimed.
+func (c claimer) standing(row platform.Row) (platform.Row, *CallAnswer, error) {
+	var cl claim
+	if err := json.Unmarshal(row.Value, &cl); err != nil {
+		return row, nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, fmt.Errorf("call: unreadable claim: %w", err))
 	}
-	if c.Done {
-		return &errReplay{answer: CallAnswer{Body: c.Answer, Replayed: true}}
+	switch cl.State {
+	case done:
+		return row, &CallAnswer{Body: cl.Answer, Replayed: true}, nil
+	case sending:
+		return row, nil, verdict.New(verdict.MayHaveRun, http.StatusConflict,
+			errors.New("call: a call with this key was sent before and its outcome is unknown; it will not be sent again"))
 	}
-	return verdict.New(verdict.MayHaveRun, http.StatusConflict,
-		errors.New("call: a call with this key was sent before and its outcome is unknown; it will not be sent again"))
+	return row, nil, nil
+}
+
+func (c claimer) op(expect uint64, cl claim) platform.Op {
+	op, _ := platform.Put(c.key, expect, cl) // a claim always encodes
+	return op
+}
+
+// unsent is the error of a call refused before it was sent.
+func (c claimer) unsent(err error) error {
+	return verdict.Refuse(http.StatusServiceUnavailable, c.in.cfg.Clock.Now().Add(time.Second),
+		fmt.Errorf("call: not sent: %w", err))
 }
 
 // send1 sends the call once.
 func (in *Instance) send1(ctx context.Context, addr string, req CallRequest) (CallAnswer, error) {
-	body, err := service.NewClient(addr, in.http).Call(ctx, req.Method, req.Key, req.Body)
+	body, err := service.NewClient(addr, in.http).Call(ctx, req.Method, req.Key, req.Idempotent, req.Body)
 	var se *httpjson.StatusError
 	switch {
 	case errors.As(err, &se):
--- /dev/null
+++ b/pkg/entry/call_prop_test.go
@@ -0,0 +1,103 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// fataler is the part of testing.TB and *rapid.T that callOnce uses.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// callOnce sends one non-idempotent call and returns its status and verdict.
+func callOnce(t fataler, addr, key string) (int, verdict.Verdict) {
+	b, _ := json.Marshal(entry.CallRequest{Customer: "minho", Entry: "plans", Method: "log_plan", Key: key,
+		Body: json.RawMessage(`{"months":6}`)})
+	resp, err := http.Post("http://"+addr+"/v1/call", "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatalf("call %s: %v", key, err)
+	}
+	defer resp.Body.Close()
+	v, err := verdict.Parse(resp.Header.Get(verdict.Header))
+	if err != nil {
+		t.Fatalf("call %s: status %d with no verdict", key, resp.StatusCode)
+	}
+	return resp.StatusCode, v
+}
+
+// fault is one failure a step of the state machine may bring about.
+type fault int
+
+const (
+	noFault fault = iota
+	serviceReplyLost
+	claimReplyLost
+	platformDown
+)
+
+// Non-idempotent calls, retried at any instance under lost replies and
+// platform outages: each key runs at most once; a not_run answer is true;
+// an answer of ran means it ran; and once the faults stop, a key that never
+// ran can still be run.
+func TestNonIdempotentCallsRunAtMostOnce(t *testing.T) {
+	s := startSite(t, 1, 2, enginetest.Config{})
+	round := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		round++
+		keys := []string{fmt.Sprintf("r%d-a", round), fmt.Sprintf("r%d-b", round)}
+		rt.Repeat(map[string]func(*rapid.T){
+			"call": func(rt *rapid.T) {
+				key := rapid.SampledFrom(keys).Draw(rt, "key")
+				at := rapid.IntRange(0, len(s.Entries)-1).Draw(rt, "instance")
+				f := fault(rapid.IntRange(0, 3).Draw(rt, "fault"))
+				before := s.Service.Executions()[key]
+				inject(s, f)
+				status, v := callOnce(rt, s.Entries[at].Addr(), key)
+				inject(s, noFault)
+				after := s.Service.Executions()[key]
+				switch {
+				case after > 1:
+					rt.Fatalf("%s ran %d times", key, after)
+				case v == verdict.NotRun && after != before:
+					rt.Fatalf("%s answered not_run (status %d) but ran", key, status)
+				case v == verdict.Ran && status == http.StatusOK && after != 1:
+					rt.Fatalf("%s answered ran but ran %d times", key, after)
+				}
+			},
+		})
+		for _, key := range keys {
+			if s.Service.Executions()[key] > 0 {
+				continue
+			}
+			if status, v := callOnce(rt, s.Entries[0].Addr(), key); status != http.StatusOK || s.Service.Executions()[key] != 1 {
+				rt.Fatalf("%s never ran; with the faults gone it answered %d %s", key, status, v)
+			}
+		}
+	})
+}
+
+// inject brings about f, or with noFault clears every fault.
+func inject(s *site.Site, f fault) {
+	s.Service.LoseReplies(0)
+	s.Platform.SetFaults(platformtest.Faults{})
+	switch f {
+	case serviceReplyLost:
+		s.Service.LoseReplies(1)
+	case claimReplyLost:
+		s.Platform.SetFaults(platformtest.Faults{LoseReplies: 1, LosePrefix: "claim/"})
+	case platformDown:
+		s.Platform.SetFaults(platformtest.Faults{Down: true})
+	}
+}
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -38,11 +38,18 @@
 // Call invokes method with body under key and returns the answer's body.
 // An error from the transport means the call may have run; an answer
 // outside 2xx is an *httpjson.StatusError and ran.
-func (c *Client) Call(ctx context.Context, method, key string, body json.RawMessage) (json.RawMessage, error) {
+//
+// A call that is not idempotent is sent at most once: net/http would
+// otherwise resend a request bearing an Idempotency-Key header by itself
+// when a reused connection breaks before the answer.
+func (c *Client) Call(ctx context.Context, method, key string, idempotent bool, body json.RawMessage) (json.RawMessage, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/calls/"+method, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	if !idempotent {
+		req.GetBody = nil // a request whose body cannot be rewound is never resent
+	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(KeyHeader, key)
 	resp, err := c.http.Do(req)
