entry: hints between instances over yamux with protobuf

Cause: a catalogue change is in force at an instance only at its own next read, so with N instances reading at different phases the last applies a change up to one refresh period after the first.

Each instance listens on peer_listen; it keeps one yamux session and stream per peer (keepalive 5 s, so a silent link is closed), and sends a length-delimited Hint when it applies a catalogue change or begins to drain. A hint only makes the receiver read the platform now: the table stays the truth, and a lost hint costs at most one period.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -99,8 +99,12 @@
 	if err != nil {
 		return err
 	}
+	pln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	ec := s.cfg.Entry
-	ec.ID, ec.Listener, ec.DataCentre = id, ln, "loopback"
+	ec.ID, ec.Listener, ec.PeerListener, ec.DataCentre = id, ln, pln, "loopback"
 	ec.Platform = platform.NewClient(s.PlatformURL, nil)
 	ec.Logger = s.cfg.Logger.With("id", id)
 	ec.Clock = s.cfg.Clock
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -37,8 +37,10 @@
 	Listen     string // caller-facing HTTP address, such as "127.0.0.1:7400"
 	Advertise  string // address callers are told to use; default Listen
 	PeerListen string // address of the peer protocol; empty for none
-	// Listener, if set, is used in place of listening on Listen.
-	Listener net.Listener
+	// Listener and PeerListener, if set, are used in place of listening
+	// on Listen and PeerListen.
+	Listener     net.Listener
+	PeerListener net.Listener
 
 	Platform *platform.Client
 	Clock    clock.Clock      // default clock.System
@@ -80,6 +82,9 @@
 	if c.Listener != nil {
 		c.Listen = c.Listener.Addr().String()
 	}
+	if c.PeerListener != nil {
+		c.PeerListen = c.PeerListener.Addr().String()
+	}
 	if c.Advertise == "" {
 		c.Advertise = c.Listen
 	}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -48,7 +48,7 @@
 		case logChange:
 			in.cfg.Logger.Info(e.msg, e.kv...)
 		case hintPeers:
-			in.peers.hint(e.revision)
+			in.peers.hint(e.revision, e.draining)
 		default:
 			in.io(ctx, eff)
 		}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -1,16 +1,217 @@
 package entry
 
-import "context"
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
 
-// peers carries hints between entry instances. Until the peer protocol is
-// listening, hints are dropped and instances rely on their periodic reads.
-type peers struct{ in *Instance }
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
 
-func newPeers(in *Instance) *peers { return &peers{in: in} }
+	"github.com/zinnialadder/zinnialadder/internal/peerpb"
+)
 
+// peers carries hints between entry instances: yamux sessions over TCP,
+// one outgoing session and stream per peer, each hint a length-delimited
+// protobuf message. A hint only makes the receiver read the platform now;
+// losing one costs at most one refresh period.
+type peers struct {
+	in  *Instance
+	out chan *peerpb.Hint // latest hint to send; older ones are replaced
+
+	mu       sync.Mutex
+	sessions map[string]*peerLink // peer address → link
+}
+
+type peerLink struct {
+	session *yamux.Session
+	stream  net.Conn
+}
+
+// peerDialTimeout bounds the dial of a peer; a peer that cannot be reached
+// gets its hints at its next period instead.
+const peerDialTimeout = time.Second
+
+func newPeers(in *Instance) *peers {
+	return &peers{in: in, out: make(chan *peerpb.Hint, 1), sessions: map[string]*peerLink{}}
+}
+
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = 5 * time.Second // a silent link is found and closed
+	c.ConnectionWriteTimeout = 2 * time.Second
+	c.LogOutput = io.Discard
+	return c
+}
+
+// hint queues h for every peer without blocking the control goroutine.
+func (p *peers) hint(revision uint64, draining bool) {
+	h := &peerpb.Hint{From: p.in.cfg.ID, CatalogueRevision: revision, Draining: draining}
+	for {
+		select {
+		case p.out <- h:
+			return
+		default:
+		}
+		select {
+		case <-p.out: // drop the older hint; the new one says more
+		default:
+		}
+	}
+}
+
+// serve accepts peers' sessions and sends queued hints until ctx ends.
 func (p *peers) serve(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	ln := p.in.cfg.PeerListener
+	if ln == nil && p.in.cfg.PeerListen == "" {
+		<-ctx.Done()
+		return nil
+	}
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", p.in.cfg.PeerListen); err != nil {
+			return err
+		}
+	}
+	p.in.group.Go(func() error { return p.accept(ctx, ln) })
+	defer p.closeAll()
+	defer ln.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case h := <-p.out:
+			p.broadcast(ctx, h)
+		}
+	}
+}
+
+func (p *peers) accept(ctx context.Context, ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		session, err := yamux.Server(conn, yamuxConfig())
+		if err != nil {
+			conn.Close()
+			continue
+		}
+		p.in.group.Go(func() error { return p.receive(ctx, session) })
+	}
+}
+
+// receive reads hints from every stream of one session.
+func (p *peers) receive(ctx context.Context, session *yamux.Session) error {
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return nil // the session ended
+		}
+		p.in.group.Go(func() error {
+			defer stream.Close()
+			r := protodelim.UnmarshalOptions{MaxSize: 4096}
+			br := newByteReader(stream)
+			for {
+				var h peerpb.Hint
+				if err := r.UnmarshalFrom(br, &h); err != nil {
+					return nil
+				}
+				p.in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining})
+			}
+		})
+	}
+}
+
+// broadcast sends h to every live member but this one.
+func (p *peers) broadcast(ctx context.Context, h *peerpb.Hint) {
+	for _, m := range p.in.View().Members {
+		if m.ID == p.in.cfg.ID || m.Peer == "" {
+			continue
+		}
+		if err := p.send(ctx, m.Peer, h); err != nil {
+			p.drop(m.Peer)
+		}
+	}
+}
+
+func (p *peers) send(ctx context.Context, addr string, h *peerpb.Hint) error {
+	link, err := p.link(ctx, addr)
+	if err != nil {
+		return err
+	}
+	_ = link.stream.SetWriteDeadline(time.Now().Add(peerDialTimeout))
+	_, err = protodelim.MarshalTo(link.stream, h)
+	return err
+}
+
+func (p *peers) link(ctx context.Context, addr string) (*peerLink, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.sessions[addr]; ok && !l.session.IsClosed() {
+		return l, nil
+	}
+	d := net.Dialer{Timeout: peerDialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	session, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	stream, err := session.Open()
+	if err != nil {
+		session.Close()
+		return nil, err
+	}
+	l := &peerLink{session: session, stream: stream}
+	p.sessions[addr] = l
+	return l, nil
 }
 
-func (p *peers) hint(revision uint64) {}
+func (p *peers) drop(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.sessions[addr]; ok {
+		l.session.Close()
+		delete(p.sessions, addr)
+	}
+}
+
+func (p *peers) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.sessions {
+		l.session.Close()
+		delete(p.sessions, addr)
+	}
+}
+
+// byteReader adds ReadByte to a stream, as protodelim needs, reading one
+// byte at a time so that nothing is buffered past a message.
+type byteReader struct {
+	io.Reader
+	b [1]byte
+}
+
+func newByteReader(r io.Reader) *byteReader { return &byteReader{Reader: r} }
+
+func (r *byteReader) ReadByte() (byte, error) {
+	if _, err := io.ReadFull(r.Reader, r.b[:]); err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return 0, io.EOF
+		}
+		return 0, err
+	}
+	return r.b[0], nil
+}
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -41,8 +41,12 @@
 		err  error
 	}
 	drainBegun struct{}
-	// hinted is a peer's word that the catalogue changed at revision.
-	hinted struct{ revision uint64 }
+	// hinted is a peer's word that the catalogue changed at revision, or
+	// that the peer is draining.
+	hinted struct {
+		revision uint64
+		draining bool
+	}
 )
 
 func (tick) isEvent()          {}
@@ -71,7 +75,10 @@
 		msg string
 		kv  []any
 	}
-	hintPeers struct{ revision uint64 }
+	hintPeers struct {
+		revision uint64
+		draining bool
+	}
 )
 
 func (readCatalogue) isEffect() {}
@@ -141,9 +148,10 @@
 		v.Draining = true
 		s.view = v
 		s.nextHeartbeat = time.Time{}
-		return s, []effect{publish{v}, logChange{msg: "draining", kv: []any{"id", s.self.ID}}}
+		return s, []effect{publish{v}, logChange{msg: "draining", kv: []any{"id", s.self.ID}},
+			hintPeers{revision: s.revision, draining: true}}
 	case hinted:
-		if e.revision > s.revision {
+		if e.revision > s.revision || e.draining {
 			s.nextRefresh = time.Time{}
 		}
 		return s, nil
@@ -246,7 +254,7 @@
 	s.view = v
 	return s, append(effs, publish{v},
 		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
-		hintPeers{revision: s.revision})
+		hintPeers{revision: s.revision, draining: s.self.Draining})
 }
 
 func (s state) onMembers(e membersRead) (state, []effect) {
