--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -13,11 +13,6 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
-// catalogueFile is a catalogue.File that settings.Load can read.
-type catalogueFile struct{ catalogue.File }
-
-func (f *catalogueFile) Check() error { return f.File.Check() }
-
 func ctlCmd() *cobra.Command {
 	var base, author string
 	cmd := &cobra.Command{
@@ -33,11 +28,11 @@
 		Use:   "apply",
 		Short: "Make the catalogue hold a file's pools and entries",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var f catalogueFile
+			var f catalogue.File
 			if err := settings.Load(file, &f); err != nil {
 				return err
 			}
-			out, err := catalogue.Sync(cmd.Context(), client(), f.File, authorOr(author), time.Now())
+			out, err := catalogue.Sync(cmd.Context(), client(), f, authorOr(author), time.Now())
 			for _, o := range out {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s\tversion %d\tchanged %t\n", o.Key, o.Version, o.Changed)
 			}
--- a/cmd/zinnialadder/demo.go
+++ b/cmd/zinnialadder/demo.go
@@ -14,6 +14,7 @@
 
 	"github.com/zinnialadder/zinnialadder/internal/settings"
 	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 )
@@ -33,14 +34,14 @@
 				return err
 			}
 			defer s.Close()
-			var f catalogueFile
+			var f catalogue.File
 			if err := settings.Parse(demoCatalogue, &f); err != nil {
 				return fmt.Errorf("demo catalogue: %w", err)
 			}
 			f.Pools[0] = s.EnginePool("assistant-pool")
 			f.Pools[1] = s.ServicePool("desk-app")
 			f.Entries[0].Trainer = s.TrainerAddr
-			if err := s.Apply(f.File); err != nil {
+			if err := s.Apply(f); err != nil {
 				return err
 			}
 			fmt.Fprintf(out, "site up: platform %s, %d engines, 2 entry instances\n", s.PlatformURL, len(s.Engines))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,7 +57,9 @@
 
 // Parse reads JSON with comments from b into v and checks it.
 func Parse(b []byte, v Checker) error {
-	std, err := hujson.Standardize(b)
+	// hujson needs a line comment to end in a newline, and files do not
+	// always end in one.
+	std, err := hujson.Standardize(append(bytes.Clone(b), '\n'))
 	if err != nil {
 		return fmt.Errorf("not JSON with comments: %w", err)
 	}
