--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
@@ -89,3 +92,37 @@
 	_, err = in.cfg.Platform.Commit(ctx, platform.Op{Key: key, ExpectVersion: row.Version, Delete: true})
 	return err
 }
+
+// sweeperLease is the lease whose holder sweeps delivery records.
+const sweeperLease = "lease/sweeper"
+
+// sweep sends every sample whose record is older than olderThan, if this
+// instance holds the sweeper lease. Two sweepers at once (a paused holder
+// that has not yet seen its lease lapse) would only send a sample twice,
+// which its trainer does not learn twice.
+func (in *Instance) sweep(ctx context.Context, olderThan time.Time) (int, error) {
+	now := in.cfg.Clock.Now()
+	if _, err := lease.Acquire(ctx, in.cfg.Platform, sweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
+		if errors.Is(err, lease.ErrHeld) {
+			return 0, nil
+		}
+		return 0, err
+	}
+	rows, err := in.cfg.Platform.Scan(ctx, deliveryPrefix)
+	if err != nil {
+		return 0, err
+	}
+	sent := 0
+	for _, row := range rows {
+		var d Delivery
+		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
+			continue
+		}
+		if err := in.send(ctx, row.Key, d); err != nil {
+			return sent, err
+		}
+		in.stats.redelivered.Inc(1)
+		sent++
+	}
+	return sent, nil
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -58,7 +58,13 @@
 	// IdleTimeout is how long an engine stream may send nothing before the
 	// connection is taken for dead and the generation moves on; default 5s.
 	IdleTimeout time.Duration
-	RouteTTL    time.Duration // how long callers may cache a route answer; default 30s
+	// SweepInterval is the period at which one instance, holding the
+	// sweeper lease, sends samples whose records were left behind; a
+	// record is left alone for SweepGrace after it was made. Defaults 5s
+	// and 10s.
+	SweepInterval time.Duration
+	SweepGrace    time.Duration
+	RouteTTL      time.Duration // how long callers may cache a route answer; default 30s
 }
 
 func (c *Config) setDefaults() {
@@ -76,6 +82,8 @@
 	def(&c.RouteTTL, 30*time.Second)
 	def(&c.FullScan, time.Minute)
 	def(&c.IdleTimeout, 5*time.Second)
+	def(&c.SweepInterval, 5*time.Second)
+	def(&c.SweepGrace, 10*time.Second)
 	if c.ReportBudget == 0 {
 		c.ReportBudget = 20
 	}
@@ -129,7 +137,7 @@
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
 		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
-			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget},
+			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace},
 		events: make(chan event, 64),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		policy: route.Policy{Slack: 2},
--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -8,7 +9,9 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer"
 )
 
 // waitFor polls cond until it holds or within has passed.
@@ -58,3 +61,22 @@
 		t.Fatalf("took %v with one silent engine", took)
 	}
 }
+
+// A sample recorded by an instance that died before sending it reaches its
+// trainer, once, through the sweeper of a live instance.
+func TestSampleOfDeadInstanceIsSwept(t *testing.T) {
+	s := startSite(t, 1, 2, enginetest.Config{})
+	smp := trainer.Sample{ID: "minho.drafts.orphan", Customer: "minho", Entry: "drafts", WeightVersions: []uint64{2}, Tokens: 3}
+	op, _ := platform.Put("delivery/"+smp.ID, 0, entry.Delivery{Sample: smp, Trainer: s.TrainerAddr, Holder: "entry-dead",
+		CreatedAt: time.Now().Add(-time.Minute)})
+	if _, err := platform.NewClient(s.PlatformURL, nil).Commit(context.Background(), op); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, 5*time.Second, "the orphan is delivered and its record gone", func() bool {
+		return len(s.Trainer.Received()) == 1 && len(s.Platform.Rows("delivery/")) == 0
+	})
+	time.Sleep(300 * time.Millisecond) // several more sweeps
+	if got := s.Trainer.Received()[0]; got.Deliveries != 1 || got.Sample.ID != smp.ID {
+		t.Fatalf("trainer holds %+v, want one delivery of %s", got, smp.ID)
+	}
+}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -81,6 +81,9 @@
 	case readReport:
 		rep, err := engine.NewClient(e.addr, in.http).Report(ctx)
 		return reportRead{addr: e.addr, rep: rep, err: err}
+	case sweep:
+		sent, err := in.sweep(ctx, e.olderThan)
+		return sweepDone{sent: sent, err: err}
 	}
 	return nil
 }
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -40,6 +40,10 @@
 		rep  engine.LoadReport
 		err  error
 	}
+	sweepDone struct {
+		sent int
+		err  error
+	}
 	drainBegun struct{}
 	// hinted is a peer's word that the catalogue changed at revision, or
 	// that the peer is draining.
@@ -54,6 +58,7 @@
 func (membersRead) isEvent()   {}
 func (heartbeatDone) isEvent() {}
 func (reportRead) isEvent()    {}
+func (sweepDone) isEvent()     {}
 func (drainBegun) isEvent()    {}
 func (hinted) isEvent()        {}
 
@@ -70,6 +75,7 @@
 		draining  bool
 	}
 	readReport struct{ addr string }
+	sweep      struct{ olderThan time.Time }
 	publish    struct{ view *View }
 	logChange  struct {
 		msg string
@@ -85,6 +91,7 @@
 func (readMembers) isEffect()   {}
 func (heartbeat) isEffect()     {}
 func (readReport) isEffect()    {}
+func (sweep) isEffect()         {}
 func (publish) isEffect()       {}
 func (logChange) isEffect()     {}
 func (hintPeers) isEffect()     {}
@@ -97,6 +104,8 @@
 	renew        time.Duration // heartbeat period, well under leaseTTL
 	reports      time.Duration // period of load report rounds
 	reportBudget int           // load report reads per round, at most
+	sweep        time.Duration // period of delivery sweeps
+	sweepGrace   time.Duration // age before a record is swept
 }
 
 // state is the control state, owned by the control goroutine alone.
@@ -110,6 +119,7 @@
 	nextFullScan  time.Time
 	nextHeartbeat time.Time
 	nextReports   time.Time
+	nextSweep     time.Time
 	leaseHeld     bool
 	platformOK    bool
 	revision      uint64   // highest catalogue row version applied
@@ -142,6 +152,12 @@
 		return s.onHeartbeat(e)
 	case reportRead:
 		return s.onReport(e)
+	case sweepDone:
+		s.pending = without(s.pending, "sweep")
+		if e.sent > 0 {
+			return s, []effect{logChange{msg: "samples redelivered", kv: []any{"count", e.sent}}}
+		}
+		return s, nil
 	case drainBegun:
 		s.self.Draining = true
 		v := s.view.clone()
@@ -179,6 +195,11 @@
 		s.nextReports = now.Add(s.timing.reports)
 		s, effs = s.reportRound(effs)
 	}
+	if !now.Before(s.nextSweep) && !s.pending["sweep"] && !s.self.Draining {
+		s.pending = with(s.pending, "sweep")
+		s.nextSweep = now.Add(s.timing.sweep)
+		effs = append(effs, sweep{olderThan: now.Add(-s.timing.sweepGrace)})
+	}
 	return s, effs
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -81,9 +81,9 @@
 
 // counters are the instance's metrics.
 type counters struct {
-	requests, refused, failed, upstreamErrors, resumed metrics.Counter
-	samples, samplesStale, deliveryRetries             metrics.Counter
-	latency                                            metrics.Timer
+	requests, refused, failed, upstreamErrors, resumed  metrics.Counter
+	samples, samplesStale, deliveryRetries, redelivered metrics.Counter
+	latency                                             metrics.Timer
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -92,8 +92,8 @@
 		requests: c("requests"), refused: c("refused"), failed: c("failed"),
 		upstreamErrors: c("upstream_errors"), resumed: c("streams_resumed"),
 		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"),
-		deliveryRetries: c("delivery_retries"),
-		latency:         metrics.GetOrRegisterTimer("request_latency", r),
+		deliveryRetries: c("delivery_retries"), redelivered: c("samples_redelivered"),
+		latency: metrics.GetOrRegisterTimer("request_latency", r),
 	}
 }
 
