--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -34,6 +34,8 @@
 		Entries: []catalogue.Entry{
 			{Name: "drafts", Owner: "minho", Class: catalogue.Training, Pool: "assistant-pool",
 				Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 256}, Trainer: s.TrainerAddr, MaxVersionLag: 1},
+			{Name: "chat", Owner: "minho", Class: catalogue.Interactive, Pool: "assistant-pool",
+				Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 256}},
 			{Name: "plans", Owner: "minho", Class: catalogue.Interactive, Pool: "desk-app",
 				Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 1}},
 		},
