--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -158,7 +158,7 @@
 		if cut {
 			panic(http.ErrAbortHandler) // the connection drops mid-stream
 		}
-		_ = enc.Encode(engine.Chunk{Index: i, Text: token(req.Prompt, i), WeightVersion: v})
+		_ = enc.Encode(engine.Chunk{Index: i, Text: Token(req.Prompt, i), WeightVersion: v})
 		if flusher != nil {
 			flusher.Flush()
 		}
@@ -181,9 +181,10 @@
 	return s.version, false
 }
 
-// token returns the fake token i for prompt: a word that depends on both,
-// so that answers to different requests differ.
-func token(prompt string, i int) string {
+// Token returns the fake token i that the stand-in generates after prompt:
+// a word that depends on both, so that answers to different requests
+// differ and a test can tell whose a token is.
+func Token(prompt string, i int) string {
 	h := fnv.New32a()
 	fmt.Fprintf(h, "%s/%d", prompt, i)
 	return fmt.Sprintf("t%08x ", h.Sum32())
