enginetest: priorities, a prefix cache of limited size, lagging reports

Change: batch slots go to the highest-priority waiter first (a heap; FIFO within a priority); a least-recently-used cache of 64-byte prompt prefixes (CacheEntries, default 64) with an optional PrefillDelay on a miss, and hit and miss counts in the load report; the fault StaleReports freezes the report at the moment it is set.

Test: TestPriorityAndPrefixCache: with the one slot busy, an interactive stream queued after a training one finishes first; one miss then two hits for the same prefix.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -54,5 +54,7 @@
 	Queued        int       `json:"queued"`
 	WeightVersion uint64    `json:"weight_version"`
 	ChecksFencing bool      `json:"checks_fencing"`
+	CacheHits     int64     `json:"cache_hits"`   // prompts whose prefix was cached
+	CacheMisses   int64     `json:"cache_misses"` // prompts whose prefix was not
 	At            time.Time `json:"at"`
 }
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -24,19 +24,28 @@
 	TokenInterval time.Duration // time between tokens of one stream
 	WeightVersion uint64        // version loaded at start
 	ChecksFencing bool          // refuse load orders with a stale fencing number
+	CacheEntries  int           // prompt prefixes the prefix cache holds; default 64
+	PrefillDelay  time.Duration // extra wait before the first token on a cache miss
 }
 
+// prefixLen is how much of a prompt the stand-in's prefix cache keys on.
+const prefixLen = 64
+
 // Faults are the failures the stand-in is told to show.
 type Faults struct {
 	CutAfter   int  `json:"cut_after"`   // close streams after this many tokens (0: never)
 	Silent     bool `json:"silent"`      // accept requests, then never answer nor close
 	RefuseLoad bool `json:"refuse_load"` // fail load orders partway
+	// StaleReports makes load reports repeat the snapshot taken when it
+	// was set, as lagging reports do.
+	StaleReports bool `json:"stale_reports"`
 }
 
 // Server is the stand-in. Call New.
 type Server struct {
 	cfg   Config
-	slots chan struct{}
+	slots *slots
+	cache *prefixCache
 
 	mu       sync.Mutex
 	version  uint64
@@ -46,6 +55,7 @@
 	faults   Faults
 	records  map[string][]uint64 // request ID → versions that produced tokens
 	requests int64
+	frozen   *engine.LoadReport // the report served while StaleReports is set
 }
 
 // New returns a Server configured by cfg.
@@ -53,9 +63,13 @@
 	if cfg.Slots <= 0 {
 		cfg.Slots = 8
 	}
+	if cfg.CacheEntries <= 0 {
+		cfg.CacheEntries = 64
+	}
 	return &Server{
 		cfg:     cfg,
-		slots:   make(chan struct{}, cfg.Slots),
+		slots:   newSlots(cfg.Slots),
+		cache:   newPrefixCache(cfg.CacheEntries),
 		version: cfg.WeightVersion,
 		records: map[string][]uint64{},
 	}
@@ -76,8 +90,13 @@
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.faults = f
-	s.mu.Unlock()
+	s.frozen = nil
+	if f.StaleReports {
+		rep := s.reportLocked()
+		s.frozen = &rep
+	}
 }
 
 // Versions returns the weight versions that produced tokens for requestID,
@@ -117,19 +136,27 @@
 		<-r.Context().Done()
 		return
 	}
+	ready, release := s.slots.acquire(int(req.Priority))
+	defer release()
 	select {
-	case s.slots <- struct{}{}:
+	case <-ready:
 	case <-r.Context().Done():
 		s.dequeue(false)
 		return
 	}
 	s.dequeue(true)
 	defer func() {
-		<-s.slots
 		s.mu.Lock()
 		s.active--
 		s.mu.Unlock()
 	}()
+	if !s.cache.touch(prefix(req.Prompt)) && s.cfg.PrefillDelay > 0 {
+		select {
+		case <-time.After(s.cfg.PrefillDelay):
+		case <-r.Context().Done():
+			return
+		}
+	}
 	s.stream(w, r, req)
 }
 
@@ -213,12 +240,27 @@
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	rep := engine.LoadReport{Active: s.active, Queued: s.queued, WeightVersion: s.version,
-		ChecksFencing: s.cfg.ChecksFencing, At: time.Now()}
+	rep := s.reportLocked()
+	if s.frozen != nil {
+		rep = *s.frozen
+	}
 	s.mu.Unlock()
 	httpjson.Write(w, http.StatusOK, rep)
 }
 
+func (s *Server) reportLocked() engine.LoadReport {
+	hits, misses := s.cache.counts()
+	return engine.LoadReport{Active: s.active, Queued: s.queued, WeightVersion: s.version,
+		ChecksFencing: s.cfg.ChecksFencing, CacheHits: hits, CacheMisses: misses, At: time.Now()}
+}
+
+func prefix(prompt string) string {
+	if len(prompt) > prefixLen {
+		return prompt[:prefixLen]
+	}
+	return prompt
+}
+
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := httpjson.Decode(w, r, &f); err != nil {
