--- a/cmd/zinnialadder/load.go
+++ b/cmd/zinnialadder/load.go
@@ -1,7 +1,181 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+)
+
+// Bounds of a load run: load tests stay small and on this machine.
+const (
+	maxLoadRequests    = 100000
+	maxLoadConcurrency = 256
+	maxLoadTime        = 5 * time.Minute
+)
+
+// loadSpec is one load run.
+type loadSpec struct {
+	target      string // host:port on loopback
+	direct      bool   // speak the engine protocol to target, not the entry's
+	customer    string
+	entryName   string
+	requests    int
+	concurrency int
+	tokens      int
+	within      time.Duration
+}
+
+func (s loadSpec) check() error {
+	host, _, err := net.SplitHostPort(s.target)
+	if err != nil {
+		return fmt.Errorf("--target: %w", err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("--target %s: load runs go to loopback addresses only", s.target)
+	}
+	switch {
+	case s.requests < 1 || s.requests > maxLoadRequests:
+		return fmt.Errorf("--requests must be 1 to %d", maxLoadRequests)
+	case s.concurrency < 1 || s.concurrency > maxLoadConcurrency:
+		return fmt.Errorf("--concurrency must be 1 to %d", maxLoadConcurrency)
+	case s.within <= 0 || s.within > maxLoadTime:
+		return fmt.Errorf("--within must be positive and at most %v", maxLoadTime)
+	case s.tokens < 1:
+		return errors.New("--tokens must be positive")
+	}
+	return nil
+}
 
 func loadCmd() *cobra.Command {
-	return &cobra.Command{Use: "load", Short: "Send a bounded load to an entry instance", Hidden: true}
+	var s loadSpec
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send a bounded load of generations to an entry instance (or an engine) on loopback",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := s.check(); err != nil {
+				return err
+			}
+			r := runLoad(cmd.Context(), s)
+			r.write(cmd.OutOrStdout())
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&s.target, "target", "127.0.0.1:7400", "entry instance (or, with --direct, engine) address")
+	f.BoolVar(&s.direct, "direct", false, "send to an engine directly, for a baseline")
+	f.StringVar(&s.customer, "customer", "minho", "customer")
+	f.StringVar(&s.entryName, "entry", "negotiation-drafts", "catalogue entry")
+	f.IntVar(&s.requests, "requests", 1000, "generations to send")
+	f.IntVar(&s.concurrency, "concurrency", 16, "generations at once")
+	f.IntVar(&s.tokens, "tokens", 8, "tokens per generation")
+	f.DurationVar(&s.within, "within", time.Minute, "stop sending after this long")
+	return cmd
+}
+
+// loadResult is what a load run measured.
+type loadResult struct {
+	hist     *hdrhistogram.Histogram // microseconds
+	ok, fail int64
+	verdicts map[string]int64
+	took     time.Duration
+}
+
+func runLoad(ctx context.Context, s loadSpec) loadResult {
+	ctx, cancel := context.WithTimeout(ctx, s.within)
+	defer cancel()
+	res := loadResult{hist: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), verdicts: map[string]int64{}}
+	var mu sync.Mutex
+	var next atomic.Int64
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.concurrency}}
+	start := time.Now()
+	var g errgroup.Group
+	for w := 0; w < s.concurrency; w++ {
+		g.Go(func() error {
+			for ctx.Err() == nil {
+				i := next.Add(1)
+				if i > int64(s.requests) {
+					return nil
+				}
+				t0 := time.Now()
+				v, err := s.one(ctx, hc, i)
+				mu.Lock()
+				_ = res.hist.RecordValue(time.Since(t0).Microseconds())
+				res.verdicts[v]++
+				if err != nil {
+					res.fail++
+				} else {
+					res.ok++
+				}
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	res.took = time.Since(start)
+	return res
+}
+
+// one sends generation i and returns its verdict.
+func (s loadSpec) one(ctx context.Context, hc *http.Client, i int64) (string, error) {
+	if s.direct {
+		st, err := engine.NewClient(s.target, hc).Generate(ctx, engine.GenerateRequest{
+			RequestID: fmt.Sprint("load-", i), Prompt: fmt.Sprint("prompt ", i%64), MaxTokens: s.tokens})
+		if err != nil {
+			return "error", err
+		}
+		defer st.Close()
+		for {
+			c, err := st.Next()
+			if err != nil {
+				return "error", err
+			}
+			if c.Done {
+				return "ran", nil
+			}
+		}
+	}
+	b, _ := json.Marshal(entry.GenerateRequest{Customer: s.customer, Entry: s.entryName,
+		RequestID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), i), Prompt: fmt.Sprint("prompt ", i%64), MaxTokens: s.tokens})
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.target+"/v1/generate", bytes.NewReader(b))
+	resp, err := hc.Do(req)
+	if err != nil {
+		return "error", err
+	}
+	defer resp.Body.Close()
+	var last entry.Event
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		last = entry.Event{}
+		_ = json.Unmarshal(sc.Bytes(), &last)
+	}
+	v := resp.Header.Get("Zinnia-Verdict")
+	if !last.Done {
+		return v, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return v, nil
+}
+
+func (r loadResult) write(w io.Writer) {
+	fmt.Fprintf(w, "requests %d ok %d failed %d in %v: %.0f/s\n", r.ok+r.fail, r.ok, r.fail,
+		r.took.Round(time.Millisecond), float64(r.ok+r.fail)/r.took.Seconds())
+	fmt.Fprintf(w, "latency us: p50 %d p90 %d p99 %d max %d\n", r.hist.ValueAtQuantile(50),
+		r.hist.ValueAtQuantile(90), r.hist.ValueAtQuantile(99), r.hist.Max())
+	fmt.Fprintf(w, "verdicts: %v\n", r.verdicts)
 }
