entry: bound claim and record writes by the platform timeout; prove the staleness bound

Cause: TestSlowPlatformGetsAPromptRefusal: with the platform answering only after 3 s, a non-idempotent call waited 9.0 s (three claim writes under the request's 60 s deadline) before it was answered.

Also: TestNoSampleBeyondTheStalenessBound (engines on versions 1 and 5, lag 1): 12 training generations, none labelled below 4 at caller or trainer.

Ruled out: a shorter request deadline (it would cut generations).

Conclusion: a slow platform now costs a caller at most about two platform timeouts.

--- a/pkg/engine/enginetest/server_test.go
+++ b/pkg/engine/enginetest/server_test.go
@@ -37,7 +37,10 @@
 	defer srv.Close()
 	c := engine.NewClient(srv.Listener.Addr().String(), nil)
 	var g errgroup.Group
-	g.Go(func() error { drain(t, c, engine.GenerateRequest{RequestID: "busy", Prompt: "a", MaxTokens: 50}); return nil })
+	g.Go(func() error {
+		drain(t, c, engine.GenerateRequest{RequestID: "busy", Prompt: "a", MaxTokens: 50})
+		return nil
+	})
 	time.Sleep(10 * time.Millisecond)
 	var mu sync.Mutex
 	var order []string
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -47,7 +47,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = in.cfg.Platform.Commit(ctx, op)
+	rctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	_, err = in.cfg.Platform.Commit(rctx, op)
+	cancel()
 	var ce *platform.ConflictError
 	switch {
 	case errors.As(err, &ce):
--- /dev/null
+++ b/pkg/entry/outage_test.go
@@ -0,0 +1,77 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// No training sample is older than its entry allows: with engines on
+// versions 1 and 5 and a lag of 1, no generation is labelled 1, at the
+// caller or at the trainer.
+func TestNoSampleBeyondTheStalenessBound(t *testing.T) {
+	s := startSite(t, 3, 1, enginetest.Config{WeightVersion: 5})
+	if err := loadVersion(s, 0, 1); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, 5*time.Second, "reports of both versions", func() bool {
+		v := s.Entries[0].View()
+		return v.Newest["assistant-pool"] == 5 && v.Loads[s.EngineAddrs[0]].WeightVersion == 1
+	})
+	for i := 0; i < 12; i++ {
+		req := entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: fmt.Sprint("stale-", i),
+			Prompt: fmt.Sprint("prompt ", i), MaxTokens: 2}
+		if _, _, last := generate(t, s.Entries[0].Addr(), req); !last.Done || last.WeightVersions[0] < 4 {
+			t.Fatalf("request %d labelled %v (done %t); bound is 4", i, last.WeightVersions, last.Done)
+		}
+	}
+	waitFor(t, 5*time.Second, "samples at the trainer", func() bool { return len(s.Trainer.Received()) == 12 })
+	for _, r := range s.Trainer.Received() {
+		if r.Sample.WeightVersions[0] < 4 {
+			t.Fatalf("trainer holds %s labelled %v", r.Sample.ID, r.Sample.WeightVersions)
+		}
+	}
+}
+
+// A non-idempotent call meets a platform that answers only after seconds:
+// the caller gets its final answer within the platform timeout, not_run
+// with Retry-After, and the call was not sent.
+func TestSlowPlatformGetsAPromptRefusal(t *testing.T) {
+	s, err := site.Start(site.Config{Engines: 1, Entries: 1,
+		Entry: entry.Config{Refresh: 50 * time.Millisecond, Tick: 10 * time.Millisecond, PlatformTimeout: 300 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	f := catalogue.File{Pools: []catalogue.Pool{s.ServicePool("desk-app")}, Entries: []catalogue.Entry{{Name: "plans",
+		Owner: "minho", Class: catalogue.Interactive, Pool: "desk-app", Limits: catalogue.Limits{MaxInFlight: 8, MaxTokens: 1}}}}
+	if err := s.Apply(f); err != nil {
+		t.Fatal(err)
+	}
+	s.Platform.SetFaults(platformtest.Faults{DelayMillis: 3000})
+	start := time.Now()
+	status, v := callOnce(t, s.Entries[0].Addr(), "slow-1")
+	took := time.Since(start)
+	s.Platform.SetFaults(platformtest.Faults{})
+	if status != http.StatusServiceUnavailable || v != verdict.NotRun || took > 2*time.Second {
+		t.Fatalf("answered %d %s after %v; want 503 not_run within 2 s", status, v, took)
+	}
+	if n := s.Service.Executions()["slow-1"]; n != 0 {
+		t.Fatalf("refused call ran %d times", n)
+	}
+}
+
+// loadVersion orders engine i of s to load version v.
+func loadVersion(s *site.Site, i int, v uint64) error {
+	return engine.NewClient(s.EngineAddrs[i], nil).Load(context.Background(), engine.LoadOrder{Version: v})
+}
