entry: an absent revision row no longer means a whole scan every refresh

The earlier trial's catalogue had no revision row: it was written before the row existed (ctl found every item unchanged and wrote nothing), and readCatalogue took an absent row as 'always scan'. Every refresh was then a whole scan of 2,300 rows.

Change: an absent revision row reads as revision 0, so it is compared like any other; the reducer asks for a whole scan only at start and every 60 s (readCatalogue{known, full}). The entry's mux also serves the runtime's profiles under /debug/pprof/ for operators.

Ruled out: having an entry instance create the revision row (instances should not write the catalogue).

--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -68,7 +68,7 @@
 func (in *Instance) do(ctx context.Context, eff effect) event {
 	switch e := eff.(type) {
 	case readCatalogue:
-		return in.readCatalogue(ctx, e.known)
+		return in.readCatalogue(ctx, e.known, e.full)
 	case readMembers:
 		rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
 		return membersRead{rows: rows, at: in.cfg.Clock.Now(), err: err}
@@ -88,20 +88,22 @@
 	return nil
 }
 
-// readCatalogue reads the revision row and, if it moved past known (or
-// known is 0), the whole catalogue.
-func (in *Instance) readCatalogue(ctx context.Context, known uint64) event {
+// readCatalogue reads the revision row and, if it moved from known or full
+// is set, the whole catalogue. An absent revision row (a catalogue written
+// before there was one) reads as revision 0, so it too is scanned only when
+// full is set.
+func (in *Instance) readCatalogue(ctx context.Context, known uint64, full bool) event {
 	var revision uint64
 	row, err := in.cfg.Platform.Get(ctx, catalogue.RevisionKey)
 	switch {
 	case err == nil:
 		revision = row.Version
-		if known != 0 && revision == known {
-			return catalogueRead{revision: revision, unchanged: true}
-		}
 	case !errors.Is(err, platform.ErrNotFound):
 		return catalogueRead{err: err}
 	}
+	if !full && revision == known {
+		return catalogueRead{revision: revision, unchanged: true}
+	}
 	rows, err := in.cfg.Platform.Scan(ctx, "catalogue/")
 	return catalogueRead{revision: revision, rows: rows, at: in.cfg.Clock.Now(), err: err}
 }
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -67,7 +67,8 @@
 
 type (
 	readCatalogue struct {
-		known uint64 // revision row version applied; 0 forces a scan
+		known uint64 // revision row version applied; 0 if the row was absent
+		full  bool   // scan whatever the revision row says
 	}
 	readMembers struct{}
 	heartbeat   struct {
@@ -180,11 +181,11 @@
 	if !now.Before(s.nextRefresh) && !s.pending["catalogue"] {
 		s.pending = with(s.pending, "catalogue", "members")
 		s.nextRefresh = now.Add(s.timing.refresh)
-		known := s.revisionRow
-		if !now.Before(s.nextFullScan) {
-			known, s.nextFullScan = 0, now.Add(s.timing.fullScan)
+		full := !now.Before(s.nextFullScan)
+		if full {
+			s.nextFullScan = now.Add(s.timing.fullScan)
 		}
-		effs = append(effs, readCatalogue{known: known}, readMembers{})
+		effs = append(effs, readCatalogue{known: s.revisionRow, full: full}, readMembers{})
 	}
 	if !now.Before(s.nextHeartbeat) && !s.pending["heartbeat"] {
 		s.pending = with(s.pending, "heartbeat")
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 
@@ -20,8 +21,11 @@
 //	POST /v1/call       a CallRequest to a plain service; answers a CallAnswer
 //	GET  /metrics       counters, as JSON
 //	GET  /healthz       200 while serving, 503 while draining
+//	GET  /debug/pprof/  the runtime's profiles
 func (in *Instance) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /v1/route", in.serveRoute)
 	mux.HandleFunc("POST /v1/generate", in.serveGenerate)
 	mux.HandleFunc("POST /v1/call", in.serveCall)
