--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -77,14 +77,41 @@
 	Address    string        `json:"address"`
 	DataCentre string        `json:"data_centre"`
 	State      UpstreamState `json:"state"`
+	// OlderSystem marks an engine that the older rollout system still
+	// gives orders to: requests are routed to it, orders are not.
+	OlderSystem bool `json:"older_system,omitempty"`
 }
 
 // Pool is a set of upstreams of one kind.
 type Pool struct {
-	Name       string     `json:"name"`
-	Kind       Kind       `json:"kind"`
-	Upstreams  []Upstream `json:"upstreams"`
-	Generation uint64     `json:"generation"`
+	Name      string     `json:"name"`
+	Kind      Kind       `json:"kind"`
+	Upstreams []Upstream `json:"upstreams"`
+	// MaxLoading is how many engines may load a weight version at once,
+	// and so be unavailable; 0 takes the default, see LoadingBudget.
+	MaxLoading int    `json:"max_loading,omitempty"`
+	Generation uint64 `json:"generation"`
+}
+
+// LoadingBudget returns how many of p's engines may load at once:
+// MaxLoading, or by default a third of them, at least one.
+func (p Pool) LoadingBudget() int {
+	if p.MaxLoading > 0 {
+		return p.MaxLoading
+	}
+	return max(1, len(p.Upstreams)/3)
+}
+
+// Orderable returns the addresses of the engines of p that may be ordered
+// to load weights.
+func (p Pool) Orderable() []string {
+	var out []string
+	for _, u := range p.Upstreams {
+		if p.Kind == Engines && u.State == Live && !u.OlderSystem {
+			out = append(out, u.Address)
+		}
+	}
+	return out
 }
 
 // Change is the audit record of one accepted edit.
@@ -125,6 +152,9 @@
 	if !namePattern.MatchString(p.Name) {
 		return fmt.Errorf("pool name %q: want lower-case letters, digits, '-' or '_'", p.Name)
 	}
+	if p.MaxLoading < 0 {
+		return fmt.Errorf("pool %s: max_loading must not be negative", p.Name)
+	}
 	if p.Kind != Engines && p.Kind != Services {
 		return fmt.Errorf("pool %s: kind %q: want engines or services", p.Name, p.Kind)
 	}
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -86,7 +86,9 @@
 // Close releases the stream.
 func (s *Stream) Close() error { return s.body.Close() }
 
-// Load orders the engine to load a weight version.
+// Load orders the engine to load a weight version and waits until it has.
+// It returns ErrStaleFencing for an order with an old fencing number; any
+// other error leaves the outcome unknown.
 func (c *Client) Load(ctx context.Context, o LoadOrder) error {
 	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/load", o, nil)
 	var se *httpjson.StatusError
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -30,9 +30,11 @@
 }
 
 // Chunk is one piece of a streamed generation. WeightVersion is the weight
-// version that produced Text. The last Chunk has Done set.
+// version that produced Text. The last Chunk has Done set, and as Index the
+// number of chunks with text.
 type Chunk struct {
-	Index         int    `json:"index"`
+	RequestID     string `json:"request_id"`
+	Index         int    `json:"index"` // chunks before this one in the stream
 	Text          string `json:"text,omitempty"`
 	WeightVersion uint64 `json:"weight_version"`
 	Done          bool   `json:"done,omitempty"`
@@ -52,6 +54,7 @@
 type LoadReport struct {
 	Active        int       `json:"active"`
 	Queued        int       `json:"queued"`
+	Loading       bool      `json:"loading,omitempty"` // a load order is being carried out
 	WeightVersion uint64    `json:"weight_version"`
 	ChecksFencing bool      `json:"checks_fencing"`
 	CacheHits     int64     `json:"cache_hits"`   // prompts whose prefix was cached
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -6,6 +6,7 @@
 package enginetest
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -26,6 +27,9 @@
 	ChecksFencing bool          // refuse load orders with a stale fencing number
 	CacheEntries  int           // prompt prefixes the prefix cache holds; default 64
 	PrefillDelay  time.Duration // extra wait before the first token on a cache miss
+	// WeightStore is where versions are fetched from; nil loads at once.
+	// While an engine loads, its streams stand still and new ones wait.
+	WeightStore *WeightStore
 }
 
 // prefixLen is how much of a prompt the stand-in's prefix cache keys on.
@@ -36,6 +40,14 @@
 	CutAfter   int  `json:"cut_after"`   // close streams after this many tokens (0: never)
 	Silent     bool `json:"silent"`      // accept requests, then never answer nor close
 	RefuseLoad bool `json:"refuse_load"` // fail load orders partway
+	// DuplicateChunks sends each chunk twice; ForeignChunk sends, as the
+	// third chunk of each stream, one that belongs to another request.
+	DuplicateChunks bool `json:"duplicate_chunks"`
+	ForeignChunk    bool `json:"foreign_chunk"`
+	// DropChunk leaves out the third chunk of each stream.
+	DropChunk bool `json:"drop_chunk"`
+	// SlowFactor multiplies the time between tokens (0: no change).
+	SlowFactor int `json:"slow_factor"`
 	// StaleReports makes load reports repeat the snapshot taken when it
 	// was set, as lagging reports do.
 	StaleReports bool `json:"stale_reports"`
@@ -56,6 +68,8 @@
 	records  map[string][]uint64 // request ID → versions that produced tokens
 	requests int64
 	frozen   *engine.LoadReport // the report served while StaleReports is set
+	loaded   chan struct{}      // closed when the load under way ends; nil if none
+	loads    int                // load orders carried out
 }
 
 // New returns a Server configured by cfg.
@@ -181,16 +195,64 @@
 		case <-r.Context().Done():
 			return
 		}
+		if !s.pace(r.Context()) {
+			return
+		}
 		v, cut := s.tokenVersion(req.RequestID, i)
 		if cut {
 			panic(http.ErrAbortHandler) // the connection drops mid-stream
 		}
-		_ = enc.Encode(engine.Chunk{Index: i, Text: Token(req.Prompt, i), WeightVersion: v})
+		s.write(enc, engine.Chunk{RequestID: req.RequestID, Index: i, Text: Token(req.Prompt, i), WeightVersion: v})
 		if flusher != nil {
 			flusher.Flush()
 		}
 	}
-	_ = enc.Encode(engine.Chunk{Index: req.MaxTokens, Done: true, WeightVersion: s.Version()})
+	_ = enc.Encode(engine.Chunk{RequestID: req.RequestID, Index: req.MaxTokens, Done: true, WeightVersion: s.Version()})
+}
+
+// pace waits while a load is under way, and for the extra time of a slow
+// engine; it reports false once ctx has ended.
+func (s *Server) pace(ctx context.Context) bool {
+	s.mu.Lock()
+	loaded, slow := s.loaded, s.faults.SlowFactor
+	s.mu.Unlock()
+	if loaded != nil {
+		select {
+		case <-loaded:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if slow > 1 {
+		select {
+		case <-time.After(time.Duration(slow-1) * s.cfg.TokenInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// faultyChunk is the chunk that ForeignChunk and DropChunk strike.
+const faultyChunk = 2
+
+// write sends c as the faults in force have it.
+func (s *Server) write(enc *json.Encoder, c engine.Chunk) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.ForeignChunk && c.Index == faultyChunk {
+		foreign := c
+		foreign.RequestID, foreign.Text = "another-request", "another member's balance "
+		_ = enc.Encode(foreign)
+	}
+	if f.DropChunk && c.Index == faultyChunk {
+		return
+	}
+	_ = enc.Encode(c)
+	if f.DuplicateChunks {
+		_ = enc.Encode(c)
+	}
 }
 
 // tokenVersion records that the current version produced token i of id,
@@ -217,27 +279,6 @@
 	return fmt.Sprintf("t%08x ", h.Sum32())
 }
 
-func (s *Server) load(w http.ResponseWriter, r *http.Request) {
-	var o engine.LoadOrder
-	if err := httpjson.Decode(w, r, &o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cfg.ChecksFencing && o.Fencing < s.fencing {
-		http.Error(w, fmt.Sprintf("fencing %d is older than %d", o.Fencing, s.fencing), http.StatusConflict)
-		return
-	}
-	if s.faults.RefuseLoad {
-		http.Error(w, "weight swap failed partway", http.StatusInternalServerError)
-		return
-	}
-	s.fencing = max(s.fencing, o.Fencing)
-	s.version = o.Version
-	httpjson.Write(w, http.StatusOK, engine.LoadReport{WeightVersion: s.version})
-}
-
 func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	rep := s.reportLocked()
@@ -250,7 +291,7 @@
 
 func (s *Server) reportLocked() engine.LoadReport {
 	hits, misses := s.cache.counts()
-	return engine.LoadReport{Active: s.active, Queued: s.queued, WeightVersion: s.version,
+	return engine.LoadReport{Active: s.active, Queued: s.queued, Loading: s.loaded != nil, WeightVersion: s.version,
 		ChecksFencing: s.cfg.ChecksFencing, CacheHits: hits, CacheMisses: misses, At: time.Now()}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 const memberPrefix = "member/"
@@ -64,7 +66,14 @@
 	// and 10s.
 	SweepInterval time.Duration
 	SweepGrace    time.Duration
-	RouteTTL      time.Duration // how long callers may cache a route answer; default 30s
+	// RolloutLeaseTTL is the time of the lease under which one instance
+	// orders a pool's engines to load weights; default 3s.
+	RolloutLeaseTTL time.Duration
+	OrderTimeout    time.Duration // per load order; default 15s
+	ReportLag       time.Duration // how far load reports may lag; default 500ms
+	RolloutProbe    time.Duration // report reads of engines being rolled; default 250ms
+	RolloutCheck    time.Duration // report reads of a whole pool; default 10s
+	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
 }
 
 func (c *Config) setDefaults() {
@@ -84,6 +93,11 @@
 	def(&c.IdleTimeout, 5*time.Second)
 	def(&c.SweepInterval, 5*time.Second)
 	def(&c.SweepGrace, 10*time.Second)
+	def(&c.RolloutLeaseTTL, 3*time.Second)
+	def(&c.OrderTimeout, 15*time.Second)
+	def(&c.ReportLag, 500*time.Millisecond)
+	def(&c.RolloutProbe, 250*time.Millisecond)
+	def(&c.RolloutCheck, 10*time.Second)
 	if c.ReportBudget == 0 {
 		c.ReportBudget = 20
 	}
@@ -126,6 +140,7 @@
 	life     string
 	attempts atomic.Uint64
 	stats    *counters
+	keepers  sync.Map // pool → its *lease.Keeper
 }
 
 // New checks cfg and returns an Instance that is not yet serving.
@@ -138,7 +153,10 @@
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
 		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
-			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace},
+			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace,
+			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
+				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
+			rolloutRenew: cfg.RolloutLeaseTTL / 3, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
 		events: make(chan event, 64),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		policy: route.Policy{Slack: 2},
@@ -199,5 +217,10 @@
 	return hex.EncodeToString(b[:])
 }
 
+// Counter returns the value of the named counter of GET /metrics.
+func (in *Instance) Counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, in.cfg.Metrics).Count()
+}
+
 // View returns the control state traffic is using now.
 func (in *Instance) View() *View { return in.view.Load() }
--- /dev/null
+++ b/pkg/entry/generation.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// maxAttempts bounds how many engines one generation may be tried on.
+const maxAttempts = 3
+
+// generation is one caller's generation in progress.
+type generation struct {
+	in     *Instance
+	entry  catalogue.Entry
+	req    GenerateRequest
+	emit   func(Event) error // hands an event to the caller
+	text   strings.Builder
+	tokens int
+	labels []uint64 // weight versions that produced the text, in order
+	tried  []string // engines tried, in order
+}
+
+// errTooStale ends a training generation whose first version is older than
+// its entry allows: it can no longer become a sample.
+var errTooStale = errors.New("generation began under a weight version that is now too old")
+
+// run tries engines until the generation is whole. A stream cut after some
+// tokens resumes on another engine from where it stopped.
+func (g *generation) run(ctx context.Context) (Event, error) {
+	var last error
+	for attempt := 0; attempt < maxAttempts; attempt++ {
+		addr, err := g.pick()
+		if err != nil {
+			if last != nil {
+				break
+			}
+			return Event{}, err
+		}
+		g.tried = append(g.tried, addr)
+		done, err := g.stream(ctx, addr)
+		if done {
+			return Event{Done: true, WeightVersions: g.labels, Tokens: g.tokens}, nil
+		}
+		last = err
+		if ctx.Err() != nil || errors.Is(err, errTooStale) || errors.Is(err, errCaller) {
+			break
+		}
+		g.in.stats.upstreamErrors.Inc(1)
+		if g.tokens > 0 {
+			g.in.stats.resumed.Inc(1)
+		}
+	}
+	return Event{}, g.failure(last)
+}
+
+// failure is the verdict of a generation that could not be completed. A
+// generation has no side effects beyond the engine's work, so the caller
+// may retry it whatever happened; NotRun is said only if no engine was
+// reached.
+func (g *generation) failure(err error) error {
+	now := g.in.cfg.Clock.Now()
+	if len(g.tried) == 0 {
+		return verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second), err)
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, RetryAt: now.Add(time.Second),
+		Err: fmt.Errorf("generate: gave up after %d engines: %w", len(g.tried), err)}
+}
+
+// pick chooses a live engine of the entry's pool not yet tried.
+func (g *generation) pick() (string, error) {
+	view := g.in.View()
+	p, ok := view.Pools[g.entry.Pool]
+	if !ok || p.Kind != catalogue.Engines {
+		return "", verdict.Refuse(http.StatusServiceUnavailable, g.in.cfg.Clock.Now().Add(time.Second),
+			fmt.Errorf("entry %s: pool %q has no engines", g.entry.Name, g.entry.Pool))
+	}
+	var cands []route.Candidate
+	for _, u := range p.Upstreams {
+		if u.State != catalogue.Live || slices.Contains(g.tried, u.Address) {
+			continue
+		}
+		if g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
+			continue
+		}
+		cands = append(cands, route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address)})
+	}
+	i := g.in.policy.Pick(cands, affinity(g.req.Prompt))
+	if i < 0 {
+		return "", verdict.Refuse(http.StatusServiceUnavailable, g.in.cfg.Clock.Now().Add(time.Second),
+			fmt.Errorf("entry %s: no live engine in pool %s", g.entry.Name, p.Name))
+	}
+	return cands[i].Key, nil
+}
+
+// tooStale reports whether the engine at addr last reported a weight
+// version older than the entry allows.
+func (g *generation) tooStale(v *View, addr string) bool {
+	rep, ok := v.Loads[addr]
+	return ok && v.outOfBound(g.entry, rep.WeightVersion)
+}
+
+// loadOf is the believed load of an engine: this instance's own requests
+// in flight to it, plus its last report.
+func (in *Instance) loadOf(v *View, addr string) float64 {
+	own := float64(in.load.get(addr))
+	rep, ok := v.Loads[addr]
+	if !ok {
+		return own
+	}
+	return own + float64(rep.Active+rep.Queued)
+}
+
+// affinityLen is how much of a prompt decides which engine's prefix cache
+// a request prefers.
+const affinityLen = 64
+
+func affinity(prompt string) string {
+	if len(prompt) > affinityLen {
+		return prompt[:affinityLen]
+	}
+	return prompt
+}
+
+// stream runs one attempt on the engine at addr, relaying chunks to the
+// caller. It reports whether the generation is now whole.
+func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
+	g.in.load.acquire(addr, 0)
+	defer g.in.load.release(addr)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	idle := time.AfterFunc(g.in.cfg.IdleTimeout, func() { cancel(errIdle) })
+	defer idle.Stop()
+	req := engine.GenerateRequest{
+		RequestID: g.req.Customer + "." + g.req.RequestID,
+		Prompt:    g.req.Prompt + g.text.String(),
+		MaxTokens: g.req.MaxTokens - g.tokens,
+		Priority:  g.entry.Class.Priority(),
+	}
+	s, err := engine.NewClient(addr, g.in.http).Generate(ctx, req)
+	if err != nil {
+		return false, attemptError(ctx, err)
+	}
+	defer s.Close()
+	for index := 0; ; {
+		c, err := s.Next()
+		if err != nil {
+			return false, attemptError(ctx, err)
+		}
+		idle.Reset(g.in.cfg.IdleTimeout)
+		switch err := follows(c, req.RequestID, index); {
+		case errors.Is(err, errDuplicate):
+			continue
+		case err != nil:
+			return false, err
+		case c.Done:
+			return true, nil
+		}
+		if err := g.relay(c); err != nil {
+			return false, err
+		}
+		index++
+	}
+}
+
+// Reasons a chunk is not the next one of its stream.
+var (
+	errForeign   = errors.New("engine sent a chunk of another request")
+	errGap       = errors.New("engine left out a chunk")
+	errDuplicate = errors.New("engine sent a chunk again")
+)
+
+// follows reports whether c is the chunk at index of the stream of id, or
+// why not.
+func follows(c engine.Chunk, id string, index int) error {
+	switch {
+	case c.RequestID != id:
+		return errForeign
+	case c.Index > index:
+		return errGap
+	case c.Index < index:
+		return errDuplicate
+	}
+	return nil
+}
+
+// errCaller ends a generation whose caller can no longer be answered.
+var errCaller = errors.New("caller gone")
+
+// errIdle ends an attempt whose engine sent nothing for IdleTimeout.
+var errIdle = errors.New("engine sent nothing within the idle timeout")
+
+// attemptError names the cause of an attempt's end: the idle timeout if it
+// fired, else err.
+func attemptError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errIdle) {
+		return fmt.Errorf("%w: %v", errIdle, err)
+	}
+	return err
+}
+
+// relay passes one chunk to the caller and records its version.
+func (g *generation) relay(c engine.Chunk) error {
+	if n := len(g.labels); n == 0 || g.labels[n-1] != c.WeightVersion {
+		g.labels = append(g.labels, c.WeightVersion)
+	}
+	if g.entry.Class == catalogue.Training && g.in.View().outOfBound(g.entry, slices.Min(g.labels)) {
+		return errTooStale
+	}
+	g.text.WriteString(c.Text)
+	g.tokens++
+	if err := g.emit(Event{Text: c.Text, WeightVersion: c.WeightVersion}); err != nil {
+		return fmt.Errorf("%w: %v", errCaller, err)
+	}
+	return nil
+}
+
+// sample returns the training sample that the finished generation makes.
+func (g *generation) sample(res Event) trainer.Sample {
+	return trainer.Sample{
+		ID:             g.req.Customer + "." + g.entry.Name + "." + g.req.RequestID,
+		Customer:       g.req.Customer,
+		Entry:          g.entry.Name,
+		Group:          g.req.Group,
+		WeightVersions: res.WeightVersions,
+		Tokens:         res.Tokens,
+		Text:           g.text.String(),
+	}
+}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -58,9 +57,13 @@
 // io carries out an effect that needs the network, on a group goroutine.
 func (in *Instance) io(ctx context.Context, eff effect) {
 	in.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+		timeout := in.cfg.PlatformTimeout
+		if _, ok := eff.(sendOrder); ok {
+			timeout = in.cfg.OrderTimeout
+		}
+		ioCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		in.post(ctx, in.do(ctx, eff))
+		in.post(ctx, in.do(ioCtx, eff))
 		return nil
 	})
 }
@@ -68,7 +71,7 @@
 func (in *Instance) do(ctx context.Context, eff effect) event {
 	switch e := eff.(type) {
 	case readCatalogue:
-		return in.readCatalogue(ctx, e.known, e.full)
+		return in.readCatalogue(ctx, e)
 	case readMembers:
 		rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
 		return membersRead{rows: rows, at: in.cfg.Clock.Now(), err: err}
@@ -80,7 +83,16 @@
 		return heartbeatDone{l: l, err: err}
 	case readReport:
 		rep, err := engine.NewClient(e.addr, in.http).Report(ctx)
-		return reportRead{addr: e.addr, rep: rep, err: err}
+		return reportRead{addr: e.addr, rep: rep, at: in.cfg.Clock.Now(), err: err}
+	case takeRolloutLease:
+		held, err := in.keeper(e.pool).Take(ctx, nil)
+		return rolloutLease{pool: e.pool, held: held, err: err}
+	case releaseRolloutLease:
+		if err := in.keeper(e.pool).Release(ctx); err != nil {
+			in.cfg.Logger.Debug("rollout lease left to lapse", "pool", e.pool, "err", err)
+		}
+	case sendOrder:
+		return in.order(ctx, e)
 	case sweep:
 		sent, err := in.sweep(ctx, e.olderThan)
 		return sweepDone{sent: sent, err: err}
@@ -88,24 +100,39 @@
 	return nil
 }
 
-// readCatalogue reads the revision row and, if it moved from known or full
-// is set, the whole catalogue. An absent revision row (a catalogue written
-// before there was one) reads as revision 0, so it too is scanned only when
-// full is set.
-func (in *Instance) readCatalogue(ctx context.Context, known uint64, full bool) event {
-	var revision uint64
-	row, err := in.cfg.Platform.Get(ctx, catalogue.RevisionKey)
-	switch {
-	case err == nil:
-		revision = row.Version
-	case !errors.Is(err, platform.ErrNotFound):
+// readCatalogue reads the revision row and, if it moved from the one known,
+// the rows that changed since, or the whole catalogue if the revision no
+// longer names them all or a full read is asked for. An absent revision row
+// reads as version 0, so a catalogue without one is scanned only when a
+// full read is asked for.
+func (in *Instance) readCatalogue(ctx context.Context, e readCatalogue) event {
+	rev, version, err := catalogue.ReadRevision(ctx, in.cfg.Platform)
+	if err != nil {
 		return catalogueRead{err: err}
 	}
-	if !full && revision == known {
-		return catalogueRead{revision: revision, unchanged: true}
+	if !e.full && version == e.known {
+		return catalogueRead{revision: version, number: rev.Number, unchanged: true}
+	}
+	keys, known := rev.Since(e.number)
+	var rows []platform.Row
+	if e.full || !known {
+		rows, err = in.cfg.Platform.Scan(ctx, "catalogue/")
+	} else {
+		rows, err = in.readRows(ctx, keys)
+	}
+	return catalogueRead{revision: version, number: rev.Number, rows: rows, at: in.cfg.Clock.Now(), err: err}
+}
+
+func (in *Instance) readRows(ctx context.Context, keys []string) ([]platform.Row, error) {
+	rows := make([]platform.Row, 0, len(keys))
+	for _, k := range keys {
+		row, err := in.cfg.Platform.Get(ctx, k)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
 	}
-	rows, err := in.cfg.Platform.Scan(ctx, "catalogue/")
-	return catalogueRead{revision: revision, rows: rows, at: in.cfg.Clock.Now(), err: err}
+	return rows, nil
 }
 
 // post hands ev to the control goroutine unless ctx has ended.
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,9 +132,22 @@
 	}
 }
 
-// broadcast sends h to every live member but this one.
+// fingers returns the members that the one with the given ID sends hints
+// to: those 1, 2, 4, ... places after it in the order of IDs. Each member
+// that learns something new from a hint sends its own, so a hint reaches
+// all of n members in at most log2(n) steps over log2(n) links a member.
+func fingers(members []Member, id string) []Member {
+	self := slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
+	var out []Member
+	for step := 1; step < len(members); step *= 2 {
+		out = append(out, members[(self+step+len(members))%len(members)])
+	}
+	return out
+}
+
+// broadcast sends h to this member's fingers.
 func (p *peers) broadcast(ctx context.Context, h *peerpb.Hint) {
-	for _, m := range p.in.View().Members {
+	for _, m := range fingers(p.in.View().Members, p.in.cfg.ID) {
 		if m.ID == p.in.cfg.ID || m.Peer == "" {
 			continue
 		}
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -1,16 +1,14 @@
 package entry
 
 import (
-	"encoding/json"
 	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 // Events reach the control goroutine; reduce turns each into a new state
@@ -21,6 +19,7 @@
 	tick          struct{ at time.Time }
 	catalogueRead struct {
 		revision  uint64 // version of the revision row; 0 if absent
+		number    uint64 // the revision's number
 		unchanged bool   // the revision row had not moved; rows not read
 		rows      []platform.Row
 		at        time.Time
@@ -38,8 +37,20 @@
 	reportRead struct {
 		addr string
 		rep  engine.LoadReport
+		at   time.Time
+		err  error
+	}
+	// rolloutLease tells how taking a pool's rollout lease ended.
+	rolloutLease struct {
+		pool string
+		held lease.Held
 		err  error
 	}
+	// orderEnded tells how a load order ended.
+	orderEnded struct {
+		pool    string
+		ordered weights.Ordered
+	}
 	sweepDone struct {
 		sent int
 		err  error
@@ -50,6 +61,7 @@
 	hinted struct {
 		revision uint64
 		draining bool
+		changed  bool // this instance itself changed the catalogue's rows
 	}
 )
 
@@ -60,6 +72,8 @@
 func (reportRead) isEvent()    {}
 func (sweepDone) isEvent()     {}
 func (drainBegun) isEvent()    {}
+func (rolloutLease) isEvent()  {}
+func (orderEnded) isEvent()    {}
 func (hinted) isEvent()        {}
 
 // Effects are what reduce asks the loop to do.
@@ -67,18 +81,25 @@
 
 type (
 	readCatalogue struct {
-		known uint64 // revision row version applied; 0 if the row was absent
-		full  bool   // scan whatever the revision row says
+		known  uint64 // revision row version applied; 0 if the row was absent
+		number uint64 // revision number applied
+		full   bool   // scan whatever the revision row says
 	}
 	readMembers struct{}
 	heartbeat   struct {
 		expiresAt time.Time
 		draining  bool
 	}
-	readReport struct{ addr string }
-	sweep      struct{ olderThan time.Time }
-	publish    struct{ view *View }
-	logChange  struct {
+	readReport          struct{ addr string }
+	sweep               struct{ olderThan time.Time }
+	takeRolloutLease    struct{ pool string }
+	releaseRolloutLease struct{ pool string }
+	sendOrder           struct {
+		pool  string
+		order weights.Order
+	}
+	publish   struct{ view *View }
+	logChange struct {
 		msg string
 		kv  []any
 	}
@@ -88,14 +109,17 @@
 	}
 )
 
-func (readCatalogue) isEffect() {}
-func (readMembers) isEffect()   {}
-func (heartbeat) isEffect()     {}
-func (readReport) isEffect()    {}
-func (sweep) isEffect()         {}
-func (publish) isEffect()       {}
-func (logChange) isEffect()     {}
-func (hintPeers) isEffect()     {}
+func (readCatalogue) isEffect()       {}
+func (readMembers) isEffect()         {}
+func (heartbeat) isEffect()           {}
+func (readReport) isEffect()          {}
+func (sweep) isEffect()               {}
+func (takeRolloutLease) isEffect()    {}
+func (releaseRolloutLease) isEffect() {}
+func (sendOrder) isEffect()           {}
+func (publish) isEffect()             {}
+func (logChange) isEffect()           {}
+func (hintPeers) isEffect()           {}
 
 // timing holds the periods of the control loop.
 type timing struct {
@@ -107,6 +131,10 @@
 	reportBudget int           // load report reads per round, at most
 	sweep        time.Duration // period of delivery sweeps
 	sweepGrace   time.Duration // age before a record is swept
+	rollout      weights.Config
+	rolloutRenew time.Duration // period of taking a rollout lease again
+	rolloutProbe time.Duration // period of reading the reports of engines behind
+	rolloutCheck time.Duration // period of reading the reports of all a pool's engines
 }
 
 // state is the control state, owned by the control goroutine alone.
@@ -116,17 +144,23 @@
 	view    *View
 	pending map[string]bool // effect kinds in flight, so none is doubled
 
-	nextRefresh   time.Time
-	nextFullScan  time.Time
-	nextHeartbeat time.Time
-	nextReports   time.Time
-	nextSweep     time.Time
-	leaseHeld     bool
-	platformOK    bool
-	revision      uint64   // highest catalogue row version applied
-	revisionRow   uint64   // version of the revision row last applied
-	engines       []string // every engine address in the catalogue, sorted
-	reportCursor  int      // next index into engines to read a report of
+	nextRefresh    time.Time
+	nextFullScan   time.Time
+	nextMembers    time.Time
+	nextHeartbeat  time.Time
+	nextReports    time.Time
+	nextSweep      time.Time
+	leaseHeld      bool
+	platformOK     bool
+	revision       uint64                 // highest catalogue row version applied
+	revisionRow    uint64                 // version of the revision row last applied
+	revisionNumber uint64                 // number of the revision last applied
+	engines        []string               // every engine address in the catalogue, sorted
+	poolsOf        map[string][]string    // engine address → its pools
+	reportCursor   int                    // next index into engines to read a report of
+	sightings      map[string]sighting    // member row key → its last change
+	rollouts       map[string]poolRollout // pools whose rollout this instance runs
+	rolling        map[string]bool        // pools whose rollout it should run
 }
 
 func newState(self Member, t timing) state {
@@ -134,7 +168,7 @@
 		self:   self,
 		timing: t,
 		view: &View{Entries: map[string]catalogue.Entry{}, Pools: map[string]catalogue.Pool{},
-			Versions: map[string]uint64{}, Loads: map[string]engine.LoadReport{}, Newest: map[string]uint64{}},
+			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, Loads: map[string]engine.LoadReport{}, Newest: map[string]uint64{}},
 		pending:    map[string]bool{},
 		platformOK: true,
 	}
@@ -153,6 +187,10 @@
 		return s.onHeartbeat(e)
 	case reportRead:
 		return s.onReport(e)
+	case rolloutLease:
+		return s.onRolloutLease(e)
+	case orderEnded:
+		return s.onOrderEnded(e)
 	case sweepDone:
 		s.pending = without(s.pending, "sweep")
 		if e.sent > 0 {
@@ -168,9 +206,12 @@
 		return s, []effect{publish{v}, logChange{msg: "draining", kv: []any{"id", s.self.ID}},
 			hintPeers{revision: s.revision, draining: true}}
 	case hinted:
-		if e.revision > s.revision || e.draining {
+		if e.revision > s.revision || e.draining || e.changed {
 			s.nextRefresh = time.Time{}
 		}
+		if e.draining {
+			s.nextMembers = time.Time{}
+		}
 		return s, nil
 	}
 	return s, nil
@@ -179,13 +220,18 @@
 func (s state) onTick(now time.Time) (state, []effect) {
 	var effs []effect
 	if !now.Before(s.nextRefresh) && !s.pending["catalogue"] {
-		s.pending = with(s.pending, "catalogue", "members")
+		s.pending = with(s.pending, "catalogue")
 		s.nextRefresh = now.Add(s.timing.refresh)
 		full := !now.Before(s.nextFullScan)
 		if full {
 			s.nextFullScan = now.Add(s.timing.fullScan)
 		}
-		effs = append(effs, readCatalogue{known: s.revisionRow, full: full}, readMembers{})
+		effs = append(effs, readCatalogue{known: s.revisionRow, number: s.revisionNumber, full: full})
+	}
+	if !now.Before(s.nextMembers) && !s.pending["members"] {
+		s.pending = with(s.pending, "members")
+		s.nextMembers = now.Add(s.memberPeriod())
+		effs = append(effs, readMembers{})
 	}
 	if !now.Before(s.nextHeartbeat) && !s.pending["heartbeat"] {
 		s.pending = with(s.pending, "heartbeat")
@@ -201,7 +247,7 @@
 		s.nextSweep = now.Add(s.timing.sweep)
 		effs = append(effs, sweep{olderThan: now.Add(-s.timing.sweepGrace)})
 	}
-	return s, effs
+	return s.tickRollouts(now, effs)
 }
 
 // reportRound asks for the next reportBudget engines' load reports, round
@@ -223,123 +269,6 @@
 	return s, effs
 }
 
-// engineAddrs returns every engine address of pools, sorted, once each.
-func engineAddrs(pools map[string]catalogue.Pool) []string {
-	var out []string
-	for _, p := range pools {
-		if p.Kind != catalogue.Engines {
-			continue
-		}
-		for _, u := range p.Upstreams {
-			out = append(out, u.Address)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-func (s state) onCatalogue(e catalogueRead) (state, []effect) {
-	s.pending = without(s.pending, "catalogue")
-	if e.err != nil {
-		return s.platformDown(e.err)
-	}
-	s, effs := s.platformUp()
-	if e.unchanged {
-		return s, effs
-	}
-	snap, err := catalogue.Decode(e.rows)
-	if err != nil {
-		return s, append(effs, logChange{msg: "catalogue unreadable", kv: []any{"err", err}})
-	}
-	v := s.view.clone()
-	v.Entries, v.Pools, v.Versions = maps.Clone(v.Entries), maps.Clone(v.Pools), maps.Clone(v.Versions)
-	changed := 0
-	for key, ver := range snap.Versions {
-		if ver <= v.Versions[key] {
-			continue // never go back to an older version
-		}
-		changed++
-		v.Versions[key] = ver
-		s.revision = max(s.revision, ver)
-		name := key[strings.LastIndexByte(key, '/')+1:]
-		if strings.HasPrefix(key, catalogue.EntryPrefix) {
-			v.Entries[name] = snap.Entries[name]
-		} else {
-			v.Pools[name] = snap.Pools[name]
-		}
-	}
-	s.revisionRow = max(s.revisionRow, e.revision)
-	if changed == 0 {
-		return s, effs
-	}
-	s.engines = engineAddrs(v.Pools)
-	s.view = v
-	return s, append(effs, publish{v},
-		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
-		hintPeers{revision: s.revision, draining: s.self.Draining})
-}
-
-func (s state) onMembers(e membersRead) (state, []effect) {
-	s.pending = without(s.pending, "members")
-	if e.err != nil {
-		return s.platformDown(e.err)
-	}
-	var live []Member
-	for _, r := range e.rows {
-		l, err := lease.Decode(r)
-		if err != nil || !l.Live(e.at) {
-			continue
-		}
-		var m Member
-		if json.Unmarshal(l.Data, &m) != nil {
-			continue
-		}
-		m.ExpiresAt = l.ExpiresAt
-		live = append(live, m)
-	}
-	sortMembers(live)
-	if sameMembers(live, s.view.Members) {
-		return s, nil
-	}
-	v := s.view.clone()
-	v.Members = live
-	s.view = v
-	return s, []effect{publish{v}, logChange{msg: "membership changed", kv: []any{"live", len(live)}}}
-}
-
-func (s state) onHeartbeat(e heartbeatDone) (state, []effect) {
-	s.pending = without(s.pending, "heartbeat")
-	held := e.err == nil
-	if held == s.leaseHeld {
-		return s, nil
-	}
-	s.leaseHeld = held
-	if held {
-		return s, []effect{logChange{msg: "membership lease held", kv: []any{"fencing", e.l.Fencing}}}
-	}
-	return s, []effect{logChange{msg: "membership lease lost", kv: []any{"err", e.err}}}
-}
-
-func (s state) onReport(e reportRead) (state, []effect) {
-	s.pending = without(s.pending, "report:"+e.addr)
-	if e.err != nil {
-		return s, nil // a missing report leaves the last one, which ages
-	}
-	v := s.view.clone()
-	v.Loads = maps.Clone(v.Loads)
-	v.Loads[e.addr] = e.rep
-	v.Newest = maps.Clone(v.Newest)
-	for name, p := range v.Pools {
-		for _, u := range p.Upstreams {
-			if u.Address == e.addr && e.rep.WeightVersion > v.Newest[name] {
-				v.Newest[name] = e.rep.WeightVersion
-			}
-		}
-	}
-	s.view = v
-	return s, []effect{publish{v}}
-}
-
 func (s state) platformDown(err error) (state, []effect) {
 	if !s.platformOK {
 		return s, nil
@@ -356,20 +285,6 @@
 	return s, []effect{logChange{msg: "platform reachable again"}}
 }
 
-func sameMembers(a, b []Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		x, y := a[i], b[i]
-		x.ExpiresAt, y.ExpiresAt = time.Time{}, time.Time{}
-		if x != y {
-			return false
-		}
-	}
-	return true
-}
-
 func with(m map[string]bool, keys ...string) map[string]bool {
 	n := maps.Clone(m)
 	for _, k := range keys {
--- /dev/null
+++ b/pkg/entry/reduce_catalogue.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
+)
+
+// onCatalogue applies the rows read, each only if it is newer than the one
+// applied before, so that no read can take a change back.
+func (s state) onCatalogue(e catalogueRead) (state, []effect) {
+	s.pending = without(s.pending, "catalogue")
+	if e.err != nil {
+		return s.platformDown(e.err)
+	}
+	s, effs := s.platformUp()
+	if e.unchanged {
+		return s, effs
+	}
+	s.revisionNumber = max(s.revisionNumber, e.number)
+	snap, err := catalogue.Decode(e.rows)
+	if err != nil {
+		return s, append(effs, logChange{msg: "catalogue unreadable", kv: []any{"err", err}})
+	}
+	targets, err := decodeTargets(e.rows)
+	if err != nil {
+		return s, append(effs, logChange{msg: "weight target unreadable", kv: []any{"err", err}})
+	}
+	v := s.view.clone()
+	v.Entries, v.Pools, v.Versions = maps.Clone(v.Entries), maps.Clone(v.Pools), maps.Clone(v.Versions)
+	v.Targets, v.Newest = maps.Clone(v.Targets), maps.Clone(v.Newest)
+	changed := 0
+	for key, ver := range snap.Versions {
+		if ver <= v.Versions[key] {
+			continue // never go back to an older version
+		}
+		changed++
+		v.Versions[key] = ver
+		s.revision = max(s.revision, ver)
+		name := key[strings.LastIndexByte(key, '/')+1:]
+		switch {
+		case strings.HasPrefix(key, catalogue.EntryPrefix):
+			v.Entries[name] = snap.Entries[name]
+		case strings.HasPrefix(key, catalogue.PoolPrefix):
+			v.Pools[name] = snap.Pools[name]
+		case strings.HasPrefix(key, weights.TargetPrefix):
+			v.Targets[name] = targets[name]
+			v.Newest[name] = max(v.Newest[name], targets[name].Version)
+		}
+	}
+	s.revisionRow = max(s.revisionRow, e.revision)
+	if changed == 0 {
+		return s, effs
+	}
+	s.engines, s.poolsOf = engineAddrs(v.Pools)
+	s.view = v
+	s = s.choosePools()
+	return s, append(effs, publish{v},
+		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
+		hintPeers{revision: s.revision, draining: s.self.Draining})
+}
+
+func decodeTargets(rows []platform.Row) (map[string]weights.Target, error) {
+	out := map[string]weights.Target{}
+	for _, r := range rows {
+		if !strings.HasPrefix(r.Key, weights.TargetPrefix) {
+			continue
+		}
+		t, err := weights.Decode(r)
+		if err != nil {
+			return nil, err
+		}
+		out[t.Pool] = t
+	}
+	return out, nil
+}
+
+// engineAddrs returns every engine address of pools, sorted, once each, and
+// the names of the pools that each is in.
+func engineAddrs(pools map[string]catalogue.Pool) ([]string, map[string][]string) {
+	poolsOf := map[string][]string{}
+	for name, p := range pools {
+		if p.Kind != catalogue.Engines {
+			continue
+		}
+		for _, u := range p.Upstreams {
+			poolsOf[u.Address] = append(poolsOf[u.Address], name)
+		}
+	}
+	return slices.Sorted(maps.Keys(poolsOf)), poolsOf
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -19,6 +19,7 @@
 //	GET  /v1/route      which instance a caller should use (RouteAnswer)
 //	POST /v1/generate   a GenerateRequest; answers newline-delimited Events
 //	POST /v1/call       a CallRequest to a plain service; answers a CallAnswer
+//	POST /v1/weights    a WeightsRequest; 204 once kept
 //	GET  /metrics       counters, as JSON
 //	GET  /healthz       200 while serving, 503 while draining
 //	GET  /debug/pprof/  the runtime's profiles
@@ -29,6 +30,7 @@
 	mux.HandleFunc("GET /v1/route", in.serveRoute)
 	mux.HandleFunc("POST /v1/generate", in.serveGenerate)
 	mux.HandleFunc("POST /v1/call", in.serveCall)
+	mux.HandleFunc("POST /v1/weights", in.serveWeights)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(in.cfg.Metrics, w)
@@ -87,6 +89,8 @@
 type counters struct {
 	requests, refused, failed, upstreamErrors, resumed  metrics.Counter
 	samples, samplesStale, deliveryRetries, redelivered metrics.Counter
+	samplesLost                                         metrics.Counter
+	orders, orderErrors                                 metrics.Counter
 	latency                                             metrics.Timer
 }
 
@@ -95,7 +99,8 @@
 	return &counters{
 		requests: c("requests"), refused: c("refused"), failed: c("failed"),
 		upstreamErrors: c("upstream_errors"), resumed: c("streams_resumed"),
-		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"),
+		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"), samplesLost: c("samples_lost"),
+		orders: c("load_orders"), orderErrors: c("load_order_errors"),
 		deliveryRetries: c("delivery_retries"), redelivered: c("samples_redelivered"),
 		latency: metrics.GetOrRegisterTimer("request_latency", r),
 	}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"fmt"
+	"net/http"
 	"sort"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 // Member is an entry instance as seen through its membership lease.
@@ -26,7 +30,8 @@
 	Versions map[string]uint64 // catalogue row key → version applied
 	Members  []Member          // live members, by ID
 	Loads    map[string]engine.LoadReport
-	Newest   map[string]uint64 // pool → newest weight version reported
+	Targets  map[string]weights.Target // pool → the version its trainer named
+	Newest   map[string]uint64         // pool → newest weight version named, or reported where none is
 	Draining bool
 }
 
@@ -35,6 +40,23 @@
 	return &n
 }
 
+// entryFor returns the catalogue entry name of customer, or a NotRun error:
+// the same whether the entry is missing or another customer's, so that no
+// customer learns of another's entries.
+func (v *View) entryFor(customer, name string) (catalogue.Entry, error) {
+	e, ok := v.Entries[name]
+	if !ok || e.Owner != customer {
+		return catalogue.Entry{}, verdict.New(verdict.NotRun, http.StatusNotFound,
+			fmt.Errorf("no catalogue entry %q for customer %q", name, customer))
+	}
+	return e, nil
+}
+
+// outOfBound reports whether version is older than e allows of a sample.
+func (v *View) outOfBound(e catalogue.Entry, version uint64) bool {
+	return version+e.MaxVersionLag < v.Newest[e.Pool]
+}
+
 // routable returns the members that accept new callers, by ID.
 func (v *View) routable() []Member {
 	out := make([]Member, 0, len(v.Members))
--- /dev/null
+++ b/pkg/lease/keeper.go
@@ -0,0 +1,96 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// Keeper takes one lease and keeps it, without trusting that clocks agree:
+// another's lease has lapsed once its row has stood unchanged for TTL by
+// this process's own clock, and a lease held here is valid until TTL after
+// the write that took it was begun. It is not safe for concurrent use.
+type Keeper struct {
+	Table  Table
+	Clock  clock.Clock
+	Name   string
+	Holder string
+	TTL    time.Duration
+
+	seen   uint64    // version of another's row when last read
+	seenAt time.Time // when that version was first read
+}
+
+// Held is a lease that a Keeper holds.
+type Held struct {
+	Lease
+	ValidUntil time.Time // by the Keeper's clock
+}
+
+// Take takes or renews the lease and returns it, or ErrHeld while another
+// holds it, or an error of the platform. After an error the lease taken
+// before, if any, is still valid until its ValidUntil.
+func (k *Keeper) Take(ctx context.Context, data json.RawMessage) (Held, error) {
+	row, err := k.Table.Get(ctx, k.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Held{}, err
+	}
+	if err == nil {
+		cur, err := Decode(row)
+		if err != nil {
+			return Held{}, err
+		}
+		if cur.Holder != k.Holder && cur.Holder != "" && !k.lapsed(row.Version) {
+			return Held{Lease: cur}, ErrHeld
+		}
+	}
+	begun := k.Clock.Now()
+	l := Lease{Name: k.Name, Holder: k.Holder, ExpiresAt: begun.Add(k.TTL), Data: data}
+	l, err = k.write(ctx, l, row.Version)
+	return Held{Lease: l, ValidUntil: begun.Add(k.TTL)}, err
+}
+
+// Release gives the lease up, if this Keeper's holder has it, so that the
+// next holder need not wait for it to lapse.
+func (k *Keeper) Release(ctx context.Context) error {
+	row, err := k.Table.Get(ctx, k.Name)
+	if err != nil {
+		return err
+	}
+	if cur, err := Decode(row); err != nil || cur.Holder != k.Holder {
+		return err
+	}
+	_, err = k.write(ctx, Lease{Name: k.Name, ExpiresAt: k.Clock.Now()}, row.Version)
+	return err
+}
+
+func (k *Keeper) write(ctx context.Context, l Lease, expect uint64) (Lease, error) {
+	op, err := platform.Put(k.Name, expect, l)
+	if err != nil {
+		return Lease{}, err
+	}
+	rows, err := k.Table.Commit(ctx, op)
+	var ce *platform.ConflictError
+	if errors.As(err, &ce) {
+		return Lease{}, ErrHeld // another got there first
+	}
+	if err != nil {
+		return Lease{}, err
+	}
+	l.Fencing = rows[0].Version
+	return l, nil
+}
+
+// lapsed reports whether another's row has stood at version for TTL.
+func (k *Keeper) lapsed(version uint64) bool {
+	now := k.Clock.Now()
+	if k.seen != version {
+		k.seen, k.seenAt = version, now
+		return false
+	}
+	return now.Sub(k.seenAt) >= k.TTL
+}
--- /dev/null
+++ b/pkg/lease/keeper_test.go
@@ -0,0 +1,97 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 100) }
+
+const ttl = 3 * time.Second
+
+// keeper is one process: its Keeper, its clock, which runs at the true rate
+// from a start of its own, and what it believes.
+type keeper struct {
+	lease.Keeper
+	clock *clock.Fake
+	held  lease.Held
+}
+
+func (k *keeper) believes() bool {
+	return k.held.Fencing != 0 && k.clock.Now().Before(k.held.ValidUntil)
+}
+
+// Three processes with clocks hours apart, paused for any time, and a
+// platform that loses replies and goes down: at no moment do two of them
+// hold a lease that is valid by their own clocks, and the fencing numbers
+// of successive holders grow.
+func TestOneHolderWhateverTheClocks(t *testing.T) {
+	srv := platformtest.New()
+	hs := httptest.NewServer(srv.Handler())
+	defer hs.Close()
+	table := platform.NewClient(hs.URL, nil)
+	round := 0
+	rapid.Check(t, func(t *rapid.T) {
+		round++
+		srv.SetFaults(platformtest.Faults{})
+		name := "lease/test/" + string(rune('a'+round%26)) + time.Duration(round).String()
+		ks := make([]*keeper, 3)
+		for i := range ks {
+			c := clock.NewFake(time.Unix(1_800_000_000, 0).Add(time.Duration(rapid.IntRange(-7200, 7200).Draw(t, "skew_s")) * time.Second))
+			ks[i] = &keeper{clock: c, Keeper: lease.Keeper{Table: table, Clock: c, Name: name, Holder: string(rune('A' + i)), TTL: ttl}}
+		}
+		var highest uint64
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				d := time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
+				for _, k := range ks {
+					k.clock.Advance(d)
+				}
+			},
+			"take": func(t *rapid.T) {
+				k := rapid.SampledFrom(ks).Draw(t, "keeper")
+				held, err := k.Take(context.Background(), nil)
+				if errors.Is(err, lease.ErrHeld) {
+					k.held = lease.Held{}
+				}
+				if err != nil {
+					return
+				}
+				if held.Fencing <= highest {
+					t.Fatalf("fencing %d after %d", held.Fencing, highest)
+				}
+				k.held, highest = held, held.Fencing
+			},
+			"release": func(t *rapid.T) {
+				k := rapid.SampledFrom(ks).Draw(t, "keeper")
+				k.held = lease.Held{}
+				_ = k.Release(context.Background())
+			},
+			"fault": func(t *rapid.T) {
+				srv.SetFaults(rapid.SampledFrom([]platformtest.Faults{{}, {Down: true}, {LoseReplies: 1}, {LoseNextReads: 1}}).Draw(t, "fault"))
+			},
+			"": func(t *rapid.T) {
+				believers := 0
+				for _, k := range ks {
+					if k.believes() {
+						believers++
+					}
+				}
+				if believers > 1 {
+					t.Fatalf("%d processes hold the lease", believers)
+				}
+			},
+		})
+	})
+}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -59,6 +59,11 @@
 	return b, err
 }
 
+// DeleteObject removes the object stored under name, if there is one.
+func (c *Client) DeleteObject(ctx context.Context, name string) error {
+	return c.do(ctx, http.MethodDelete, "/v1/objects/"+url.PathEscape(name), nil, nil)
+}
+
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
 	err := httpjson.Do(ctx, c.http, method, c.base+path, in, out)
 	if err == nil {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -9,6 +9,7 @@
 //	POST /v1/commit             a Txn; all its Ops apply or none (409)
 //	PUT  /v1/objects/{name}     store an object
 //	GET  /v1/objects/{name}     read an object, or 404
+//	DELETE /v1/objects/{name}   remove an object, if there
 package platform
 
 import (
@@ -28,11 +29,13 @@
 
 // Op is one conditional write of a Txn. It applies only if the row's
 // current version equals ExpectVersion; zero means the row must not exist.
+// With CheckOnly set, the condition must hold and nothing is written.
 type Op struct {
 	Key           string          `json:"key"`
 	ExpectVersion uint64          `json:"expect_version"`
 	Value         json.RawMessage `json:"value,omitempty"`
 	Delete        bool            `json:"delete,omitempty"`
+	CheckOnly     bool            `json:"check_only,omitempty"`
 }
 
 // Txn is a set of Ops that commit together or not at all.
@@ -74,6 +77,12 @@
 	return fmt.Sprintf("platform: conflict on %q (now at version %d)", e.Key, e.Current.Version)
 }
 
+// Check returns an Op that writes nothing, and lets its Txn commit only if
+// the row is at expect (zero: absent).
+func Check(key string, expect uint64) Op {
+	return Op{Key: key, ExpectVersion: expect, CheckOnly: true}
+}
+
 // Put returns an Op that writes v as JSON under key if the row is at
 // expect (zero: absent).
 func Put(key string, expect uint64, v any) (Op, error) {
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("POST /v1/commit", s.commit)
 	mux.HandleFunc("PUT /v1/objects/{name...}", s.putObject)
 	mux.HandleFunc("GET /v1/objects/{name...}", s.getObject)
+	mux.HandleFunc("DELETE /v1/objects/{name...}", s.deleteObject)
 	mux.HandleFunc("POST /v1/faults", s.setFaults)
 	mux.HandleFunc("GET /v1/stats", s.getStats)
 	return mux
@@ -219,6 +220,10 @@
 	s.stats.Commits++
 	out := make([]platform.Row, 0, len(txn.Ops))
 	for _, op := range txn.Ops {
+		if op.CheckOnly {
+			out = append(out, s.rows[op.Key])
+			continue
+		}
 		if op.Delete {
 			delete(s.rows, op.Key)
 			out = append(out, platform.Row{Key: op.Key})
@@ -247,6 +252,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (s *Server) deleteObject(w http.ResponseWriter, r *http.Request) {
+	if !s.gate(w) {
+		return
+	}
+	s.mu.Lock()
+	delete(s.objects, r.PathValue("name"))
+	s.stats.Commits++
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
 	if !s.gate(w) {
 		return
--- /dev/null
+++ b/pkg/weights/rollout.go
@@ -0,0 +1,250 @@
+package weights
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+)
+
+// Config bounds a Rollout.
+type Config struct {
+	// MaxLoading is how many engines of the pool may be loading at once,
+	// and so unavailable: the pool's unavailable budget.
+	MaxLoading int
+	// SendMargin is how long before the lease lapses orders stop.
+	SendMargin time.Duration
+	// OrderTimeout is how long one order may take before its outcome is
+	// unknown.
+	OrderTimeout time.Duration
+	// RetryDelay is the pause before an engine whose order failed is
+	// ordered again.
+	RetryDelay time.Duration
+	// ReportLag is how far load reports may lag: reports are not believed
+	// for that long after an order.
+	ReportLag time.Duration
+}
+
+// Engine is what a Rollout knows of one engine.
+type Engine struct {
+	Version     uint64    // as last reported or ordered; 0 if not known
+	Loading     bool      // the engine says it is loading
+	OrderEndsAt time.Time // an order is outstanding until then; zero if none
+	RetryAt     time.Time // not ordered again before then
+	TrustAt     time.Time // load reports are believed again from then
+}
+
+// Rollout is the state of one pool's rollout at the instance that holds its
+// lease. It is a value: Reduce returns the next one.
+type Rollout struct {
+	Config  Config
+	Target  uint64 // version to load; 0 while none is named
+	Fencing uint64 // fencing number of the lease held; 0 if none is
+	// HeldUntil is when the lease lapses by this process's clock.
+	HeldUntil time.Time
+	Engines   map[string]Engine
+}
+
+// Event is something a Rollout is told.
+type Event interface{ isRolloutEvent() }
+
+type (
+	// Tick tells the time.
+	Tick struct{ At time.Time }
+	// Named tells the version named for the pool.
+	Named struct{ Version uint64 }
+	// Pool tells the addresses of the engines that may be ordered.
+	Pool struct{ Addresses []string }
+	// Held tells that the pool's lease is held until Until under Fencing.
+	Held struct {
+		Fencing uint64
+		Until   time.Time
+	}
+	// Lost tells that the lease is not held.
+	Lost struct{}
+	// Reported tells an engine's load report.
+	Reported struct {
+		Address string
+		Report  engine.LoadReport
+		At      time.Time
+	}
+	// Ordered tells how an order ended: Err is nil if the engine loaded
+	// Version.
+	Ordered struct {
+		Address string
+		Version uint64
+		Err     error
+		At      time.Time
+	}
+)
+
+func (Tick) isRolloutEvent()     {}
+func (Named) isRolloutEvent()    {}
+func (Pool) isRolloutEvent()     {}
+func (Held) isRolloutEvent()     {}
+func (Lost) isRolloutEvent()     {}
+func (Reported) isRolloutEvent() {}
+func (Ordered) isRolloutEvent()  {}
+
+// Order is an effect: order the engine at Address to load Version. It must
+// not be sent at or after NotAfter, when the lease may have passed on.
+type Order struct {
+	Address  string
+	Version  uint64
+	Fencing  uint64
+	NotAfter time.Time
+}
+
+// Reduce returns r after ev, and the orders to send.
+func (r Rollout) Reduce(ev Event) (Rollout, []Order) {
+	switch e := ev.(type) {
+	case Tick:
+		return r.onTick(e.At)
+	case Named:
+		r.Target = max(r.Target, e.Version)
+	case Pool:
+		r.Engines = keep(r.Engines, e.Addresses)
+	case Held:
+		r.Fencing, r.HeldUntil = e.Fencing, e.Until
+	case Lost:
+		r.Fencing, r.HeldUntil = 0, time.Time{}
+	case Reported:
+		r = r.onReported(e)
+	case Ordered:
+		r = r.onOrdered(e)
+	}
+	return r, nil
+}
+
+// Converged reports whether every engine is known to hold the target.
+func (r Rollout) Converged() bool {
+	for _, e := range r.Engines {
+		if e.Version != r.Target || !e.OrderEndsAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// Idle reports whether no order is outstanding.
+func (r Rollout) Idle() bool {
+	for _, e := range r.Engines {
+		if !e.OrderEndsAt.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// Behind returns the addresses of the engines not known to hold the target,
+// the oldest version first.
+func (r Rollout) Behind() []string {
+	var out []string
+	for a, e := range r.Engines {
+		if e.Version != r.Target {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		if va, vb := r.Engines[a].Version, r.Engines[b].Version; va != vb {
+			return int(int64(va) - int64(vb))
+		}
+		return strings.Compare(a, b)
+	})
+	return out
+}
+
+func (r Rollout) onTick(now time.Time) (Rollout, []Order) {
+	r = r.expire(now)
+	if r.Target == 0 || r.Fencing == 0 || !now.Add(r.Config.SendMargin).Before(r.HeldUntil) {
+		return r, nil
+	}
+	free := r.Config.MaxLoading - r.loading()
+	var orders []Order
+	for _, addr := range r.Behind() {
+		if free <= 0 {
+			break
+		}
+		e := r.Engines[addr]
+		if e.Loading || !e.OrderEndsAt.IsZero() || now.Before(e.RetryAt) {
+			continue
+		}
+		e.OrderEndsAt = now.Add(r.Config.OrderTimeout)
+		r = r.with(addr, e)
+		free--
+		orders = append(orders, Order{Address: addr, Version: r.Target, Fencing: r.Fencing, NotAfter: r.HeldUntil.Add(-r.Config.SendMargin / 2)})
+	}
+	return r, orders
+}
+
+// expire ends orders that got no answer in time: their outcome is unknown
+// until the engine reports.
+func (r Rollout) expire(now time.Time) Rollout {
+	for addr, e := range r.Engines {
+		if !e.OrderEndsAt.IsZero() && now.After(e.OrderEndsAt) {
+			e.OrderEndsAt, e.RetryAt = time.Time{}, now.Add(r.Config.RetryDelay)
+			r = r.with(addr, e)
+		}
+	}
+	return r
+}
+
+// loading counts the engines that are, or may be, loading.
+func (r Rollout) loading() int {
+	n := 0
+	for _, e := range r.Engines {
+		if e.Loading || !e.OrderEndsAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+func (r Rollout) onReported(ev Reported) Rollout {
+	e, ok := r.Engines[ev.Address]
+	if !ok || ev.At.Before(e.TrustAt) {
+		return r
+	}
+	if e.Version == ev.Report.WeightVersion && e.Loading == ev.Report.Loading {
+		return r
+	}
+	e.Version, e.Loading = ev.Report.WeightVersion, ev.Report.Loading
+	return r.with(ev.Address, e)
+}
+
+func (r Rollout) onOrdered(ev Ordered) Rollout {
+	e, ok := r.Engines[ev.Address]
+	if !ok {
+		return r
+	}
+	e.OrderEndsAt = time.Time{}
+	switch {
+	case ev.Err == nil:
+		e.Version, e.Loading, e.TrustAt = ev.Version, false, ev.At.Add(r.Config.ReportLag)
+	case errors.Is(ev.Err, engine.ErrStaleFencing):
+		// A later holder has ordered this engine: the lease is gone.
+		r.Fencing, r.HeldUntil = 0, time.Time{}
+		e.RetryAt = ev.At.Add(r.Config.RetryDelay)
+	default:
+		e.RetryAt = ev.At.Add(r.Config.RetryDelay)
+	}
+	return r.with(ev.Address, e)
+}
+
+func (r Rollout) with(addr string, e Engine) Rollout {
+	r.Engines = maps.Clone(r.Engines)
+	r.Engines[addr] = e
+	return r
+}
+
+// keep returns known with exactly the addresses given.
+func keep(known map[string]Engine, addresses []string) map[string]Engine {
+	next := make(map[string]Engine, len(addresses))
+	for _, a := range addresses {
+		next[a] = known[a]
+	}
+	return next
+}
