--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -149,7 +149,7 @@
 func (c claimer) take(ctx context.Context) (platform.Row, *CallAnswer, error) {
 	var expect uint64
 	for try := 0; try < 3; try++ {
-		row, err := c.commit(ctx, c.op(expect, claim{Attempt: c.attempt, State: claimed}))
+		row, err := c.in.commit(ctx, c.op(expect, claim{Attempt: c.attempt, State: claimed}))
 		var ce *platform.ConflictError
 		switch {
 		case err == nil:
@@ -174,7 +174,7 @@
 // move rewrites the claim from row to next, failing NotRun if another
 // attempt took it over meanwhile.
 func (c claimer) move(ctx context.Context, row platform.Row, next claim) (platform.Row, error) {
-	rows, err := c.commit(ctx, c.op(row.Version, next))
+	rows, err := c.in.commit(ctx, c.op(row.Version, next))
 	var ce *platform.ConflictError
 	switch {
 	case err == nil:
@@ -221,14 +221,6 @@
 	return row, nil, nil
 }
 
-// commit writes op within the platform timeout, so that a slow platform
-// gives the caller a prompt refusal rather than a wait.
-func (c claimer) commit(ctx context.Context, op platform.Op) ([]platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.in.cfg.PlatformTimeout)
-	defer cancel()
-	return c.in.cfg.Platform.Commit(ctx, op)
-}
-
 func (c claimer) op(expect uint64, cl claim) platform.Op {
 	op, _ := platform.Put(c.key, expect, cl) // a claim always encodes
 	return op
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/zinnialadder/zinnialadder/pkg/lease"
-
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
@@ -50,7 +48,7 @@
 // nor for a platform that does not answer.
 func (in *Instance) sample(ctx context.Context, e catalogue.Entry, smp trainer.Sample) string {
 	d := in.newDelivery(e, smp.ID, smp)
-	switch err := in.record(ctx, e, d); {
+	switch _, err := in.record(ctx, e, d); {
 	case errors.Is(err, errTooStale):
 		in.stats.samplesStale.Inc(1)
 		return ""
@@ -86,46 +84,50 @@
 // sample is recorded that is older than its bound at that moment. It
 // returns errTooStale for such a sample and errRecorded if another request
 // made the record; with any other error the outcome is unknown, and record
-// may be called again. Further ops commit together with the record.
-func (in *Instance) record(ctx context.Context, e catalogue.Entry, d Delivery, ops ...platform.Op) error {
+// may be called again. Further ops commit together with the record. The
+// version returned is that of the rows written, or 0 if an earlier call,
+// whose reply was lost, wrote them.
+func (in *Instance) record(ctx context.Context, e catalogue.Entry, d Delivery, ops ...platform.Op) (version uint64, err error) {
 	put, err := platform.Put(d.Key, 0, d)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	targetKey := weights.TargetPrefix + e.Pool
 	view := in.View()
-	newest, version := view.Newest[e.Pool], view.Versions[targetKey]
+	newest, target := view.Newest[e.Pool], view.Versions[targetKey]
 	for {
 		if oldest := d.oldest(); oldest == 0 || oldest+e.MaxVersionLag < newest {
-			return errTooStale
+			return 0, errTooStale
 		}
-		err := in.commit(ctx, append([]platform.Op{put, platform.Check(targetKey, version)}, ops...)...)
+		rows, err := in.commit(ctx, append([]platform.Op{put, platform.Check(targetKey, target)}, ops...)...)
 		var ce *platform.ConflictError
 		switch {
+		case err == nil:
+			return rows[0].Version, nil
 		case !errors.As(err, &ce):
-			return err
+			return 0, err
 		case ce.Key == targetKey:
 			t, err := weights.Decode(ce.Current)
 			if err != nil {
-				return err
+				return 0, err
 			}
-			newest, version = t.Version, ce.Current.Version
+			newest, target = t.Version, ce.Current.Version
 		case ce.Key == d.Key && d.wrote(ce.Current):
-			return nil // written before, by a call whose reply was lost
+			return 0, nil
 		case ce.Key == d.Key:
-			return errRecorded
+			return 0, errRecorded
 		default:
-			return err
+			return 0, err
 		}
 	}
 }
 
-// commit commits ops within the platform timeout.
-func (in *Instance) commit(ctx context.Context, ops ...platform.Op) error {
+// commit commits ops within the platform timeout, so that a slow platform
+// gives the caller a prompt refusal rather than a wait.
+func (in *Instance) commit(ctx context.Context, ops ...platform.Op) ([]platform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
-	_, err := in.cfg.Platform.Commit(ctx, ops...)
-	return err
+	return in.cfg.Platform.Commit(ctx, ops...)
 }
 
 // oldest returns the oldest weight version that produced any of d's
@@ -155,7 +157,7 @@
 // Without a record nothing is sent: it would be of unknown age.
 func (in *Instance) recordThenSend(ctx context.Context, e catalogue.Entry, d Delivery) error {
 	for {
-		switch err := in.record(ctx, e, d); {
+		switch _, err := in.record(ctx, e, d); {
 		case err == nil:
 			return in.send(ctx, d)
 		case errors.Is(err, errRecorded):
@@ -216,38 +218,3 @@
 	_, err = in.cfg.Platform.Commit(ctx, platform.Op{Key: key, ExpectVersion: row.Version, Delete: true})
 	return err
 }
-
-// sweeperLease is the lease whose holder sweeps delivery records.
-const sweeperLease = "lease/sweeper"
-
-// sweep sends every sample whose record is older than olderThan, if this
-// instance holds the sweeper lease. Two sweepers at once (a paused holder
-// that has not yet seen its lease lapse) would only send a sample twice,
-// which its trainer does not learn twice.
-func (in *Instance) sweep(ctx context.Context, olderThan time.Time) (int, error) {
-	now := in.cfg.Clock.Now()
-	if _, err := lease.Acquire(ctx, in.cfg.Platform, sweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
-		if errors.Is(err, lease.ErrHeld) {
-			return 0, nil
-		}
-		return 0, err
-	}
-	rows, err := in.cfg.Platform.Scan(ctx, deliveryPrefix)
-	if err != nil {
-		return 0, err
-	}
-	sent := 0
-	for _, row := range rows {
-		var d Delivery
-		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
-			continue
-		}
-		d.Key = row.Key
-		if err := in.send(ctx, d); err != nil {
-			return sent, err
-		}
-		in.stats.redelivered.Inc(1)
-		sent++
-	}
-	return sent, nil
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -27,11 +27,18 @@
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 const memberPrefix = "member/"
 
+// Defaults of step.Policy, see docs/design/steps.md.
+const (
+	defaultHedgeFactor = 2.0
+	defaultHedgeAfter  = 8
+)
+
 // Config configures an Instance.
 type Config struct {
 	ID         string // unique among entry instances
@@ -73,7 +80,17 @@
 	ReportLag       time.Duration // how far load reports may lag; default 500ms
 	RolloutProbe    time.Duration // report reads of engines being rolled; default 250ms
 	RolloutCheck    time.Duration // report reads of a whole pool; default 10s
-	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
+	// StepPolicy says how stragglers of training steps are treated; its
+	// MaxRunning is taken from the catalogue entry's limit.
+	StepPolicy    step.Policy
+	ShardGroups   int           // groups of a step that one instance runs; default 64
+	ShardLeaseTTL time.Duration // lease of a step's shard; default 3s
+	StepTick      time.Duration // period of a shard's decisions; default 25ms
+	StepRefresh   time.Duration // reads of the steps kept; default 2s
+	// StepRetention is how long a closed step can still be asked about;
+	// default 10m.
+	StepRetention time.Duration
+	RouteTTL      time.Duration // how long callers may cache a route answer; default 30s
 }
 
 func (c *Config) setDefaults() {
@@ -98,6 +115,17 @@
 	def(&c.ReportLag, 500*time.Millisecond)
 	def(&c.RolloutProbe, 250*time.Millisecond)
 	def(&c.RolloutCheck, 10*time.Second)
+	def(&c.ShardLeaseTTL, 3*time.Second)
+	def(&c.StepTick, 25*time.Millisecond)
+	def(&c.StepRefresh, 2*time.Second)
+	def(&c.StepRetention, 10*time.Minute)
+	def(&c.StepPolicy.RetryDelay, 200*time.Millisecond)
+	if c.StepPolicy.HedgeFactor == 0 {
+		c.StepPolicy.HedgeFactor, c.StepPolicy.HedgeAfter = defaultHedgeFactor, defaultHedgeAfter
+	}
+	if c.ShardGroups == 0 {
+		c.ShardGroups = 64
+	}
 	if c.ReportBudget == 0 {
 		c.ReportBudget = 20
 	}
@@ -131,10 +159,14 @@
 	events chan event
 	group  *errgroup.Group
 	sends  errgroup.Group // sample sends after their requests answered
-	http   *http.Client
-	policy route.Policy
-	load   inFlight
-	peers  *peers
+	steps  errgroup.Group // shards of training steps
+	// stepsCtx ends when the instance drains: its shards go to others.
+	stepsCtx  context.Context
+	stopSteps context.CancelFunc
+	http      *http.Client
+	policy    route.Policy
+	load      inFlight
+	peers     *peers
 	// life tells this process from earlier ones with the same ID, and
 	// attempts numbers its claims on non-idempotent calls.
 	life     string
@@ -154,6 +186,7 @@
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerListen, DataCentre: cfg.DataCentre},
 		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
 			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace,
+			steps: cfg.StepRefresh,
 			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
 				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
 			rolloutRenew: cfg.RolloutLeaseTTL / 3, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
@@ -163,6 +196,7 @@
 		stats:  newCounters(cfg.Metrics),
 		life:   newLife(),
 	}
+	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
 	in.view.Store(newState(in.self, in.timing).view)
 	in.peers = newPeers(in)
 	return in, nil
@@ -205,7 +239,9 @@
 func (in *Instance) drain(srv *http.Server) {
 	in.events <- drainBegun{}
 	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.total())
+	in.stopSteps()
 	_ = srv.Shutdown(context.Background())
+	_ = in.steps.Wait()
 	_ = in.sends.Wait()
 	in.cfg.Logger.Info("shutdown done")
 }
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -65,12 +65,18 @@
 	if err != nil {
 		return catalogue.Entry{}, nil, err
 	}
-	key := "entry:" + name
+	release, err := in.admitEntry(e)
+	return e, release, err
+}
+
+// admitEntry takes a place under e's limit, to be given back with release.
+func (in *Instance) admitEntry(e catalogue.Entry) (release func(), err error) {
+	key := "entry:" + e.Name
 	if !in.load.acquire(key, e.Limits.MaxInFlight) {
-		return catalogue.Entry{}, nil, verdict.Refuse(http.StatusTooManyRequests, now.Add(time.Second),
-			fmt.Errorf("entry %s is at its limit of %d requests in flight", name, e.Limits.MaxInFlight))
+		return nil, verdict.Refuse(http.StatusTooManyRequests, in.cfg.Clock.Now().Add(time.Second),
+			fmt.Errorf("entry %s is at its limit of %d requests in flight", e.Name, e.Limits.MaxInFlight))
 	}
-	return e, func() { in.load.release(key) }, nil
+	return func() { in.load.release(key) }, nil
 }
 
 func (in *Instance) serveGenerate(w http.ResponseWriter, r *http.Request) {
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -32,13 +32,33 @@
 		}
 		st, effs = reduce(st, ev)
 		in.run(ctx, effs)
-		if _, ok := ev.(hinted); ok {
+		if soon(ev) {
 			st, effs = reduce(st, tick{at: in.cfg.Clock.Now()})
 			in.run(ctx, effs)
 		}
 	}
 }
 
+// soon reports whether ev asks for a tick at once rather than at its time.
+func soon(ev event) bool {
+	switch ev.(type) {
+	case hinted, stepAccepted:
+		return true
+	}
+	return false
+}
+
+// shard runs a step's shard on the steps group until it ends or the
+// instance drains.
+func (in *Instance) shard(ctx context.Context, id shardID) {
+	in.steps.Go(func() error {
+		err := in.runShard(in.stepsCtx, id)
+		in.cfg.Logger.Debug("step shard ended", "shard", id, "err", err)
+		in.post(ctx, shardEnded{id: id})
+		return nil
+	})
+}
+
 func (in *Instance) run(ctx context.Context, effs []effect) {
 	for _, eff := range effs {
 		switch e := eff.(type) {
@@ -47,7 +67,9 @@
 		case logChange:
 			in.cfg.Logger.Info(e.msg, e.kv...)
 		case hintPeers:
-			in.peers.hint(e.revision, e.draining)
+			in.peers.hint(e)
+		case runShard:
+			in.shard(ctx, e.id)
 		default:
 			in.io(ctx, eff)
 		}
@@ -93,6 +115,9 @@
 		}
 	case sendOrder:
 		return in.order(ctx, e)
+	case readSteps:
+		heads, err := in.readSteps(ctx)
+		return stepsRead{heads: heads, err: err}
 	case sweep:
 		sent, err := in.sweep(ctx, e.olderThan)
 		return sweepDone{sent: sent, err: err}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -49,8 +49,8 @@
 }
 
 // hint queues h for every peer without blocking the control goroutine.
-func (p *peers) hint(revision uint64, draining bool) {
-	h := &peerpb.Hint{From: p.in.cfg.ID, CatalogueRevision: revision, Draining: draining}
+func (p *peers) hint(e hintPeers) {
+	h := &peerpb.Hint{From: p.in.cfg.ID, CatalogueRevision: e.revision, Draining: e.draining, Steps: e.steps}
 	for {
 		select {
 		case p.out <- h:
@@ -58,7 +58,8 @@
 		default:
 		}
 		select {
-		case <-p.out: // drop the older hint; the new one says more
+		case old := <-p.out: // not sent yet: the new hint says that too
+			h.Steps = h.Steps || old.Steps
 		default:
 		}
 	}
@@ -126,7 +127,7 @@
 				if err := r.UnmarshalFrom(br, &h); err != nil {
 					return nil
 				}
-				p.in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining})
+				p.in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining, steps: h.Steps})
 			}
 		})
 	}
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -8,6 +8,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -62,7 +63,15 @@
 		revision uint64
 		draining bool
 		changed  bool // this instance itself changed the catalogue's rows
+		steps    bool // a step was accepted
 	}
+	// stepsRead tells the heads of all steps kept, by step.Key.
+	stepsRead struct {
+		heads map[string]step.Head
+		err   error
+	}
+	stepAccepted struct{} // by this instance
+	shardEnded   struct{ id shardID }
 )
 
 func (tick) isEvent()          {}
@@ -75,6 +84,9 @@
 func (rolloutLease) isEvent()  {}
 func (orderEnded) isEvent()    {}
 func (hinted) isEvent()        {}
+func (stepsRead) isEvent()     {}
+func (stepAccepted) isEvent()  {}
+func (shardEnded) isEvent()    {}
 
 // Effects are what reduce asks the loop to do.
 type effect interface{ isEffect() }
@@ -106,7 +118,10 @@
 	hintPeers struct {
 		revision uint64
 		draining bool
+		steps    bool
 	}
+	readSteps struct{}
+	runShard  struct{ id shardID }
 )
 
 func (readCatalogue) isEffect()       {}
@@ -120,6 +135,8 @@
 func (publish) isEffect()             {}
 func (logChange) isEffect()           {}
 func (hintPeers) isEffect()           {}
+func (readSteps) isEffect()           {}
+func (runShard) isEffect()            {}
 
 // timing holds the periods of the control loop.
 type timing struct {
@@ -131,6 +148,7 @@
 	reportBudget int           // load report reads per round, at most
 	sweep        time.Duration // period of delivery sweeps
 	sweepGrace   time.Duration // age before a record is swept
+	steps        time.Duration // period of reading the steps kept
 	rollout      weights.Config
 	rolloutRenew time.Duration // period of taking a rollout lease again
 	rolloutProbe time.Duration // period of reading the reports of engines behind
@@ -150,6 +168,7 @@
 	nextHeartbeat  time.Time
 	nextReports    time.Time
 	nextSweep      time.Time
+	nextSteps      time.Time
 	leaseHeld      bool
 	platformOK     bool
 	revision       uint64                 // highest catalogue row version applied
@@ -161,6 +180,8 @@
 	sightings      map[string]sighting    // member row key → its last change
 	rollouts       map[string]poolRollout // pools whose rollout this instance runs
 	rolling        map[string]bool        // pools whose rollout it should run
+	stepsSeen      map[string]bool        // open steps seen, by step.Key
+	shards         map[shardID]bool       // step shards this instance runs or waits to run
 }
 
 func newState(self Member, t timing) state {
@@ -191,6 +212,15 @@
 		return s.onRolloutLease(e)
 	case orderEnded:
 		return s.onOrderEnded(e)
+	case stepsRead:
+		return s.onSteps(e)
+	case stepAccepted:
+		s.nextSteps = time.Time{}
+		return s, nil
+	case shardEnded:
+		s.shards = maps.Clone(s.shards)
+		delete(s.shards, e.id)
+		return s, nil
 	case sweepDone:
 		s.pending = without(s.pending, "sweep")
 		if e.sent > 0 {
@@ -212,6 +242,9 @@
 		if e.draining {
 			s.nextMembers = time.Time{}
 		}
+		if e.steps {
+			s.nextSteps = time.Time{}
+		}
 		return s, nil
 	}
 	return s, nil
@@ -247,6 +280,11 @@
 		s.nextSweep = now.Add(s.timing.sweep)
 		effs = append(effs, sweep{olderThan: now.Add(-s.timing.sweepGrace)})
 	}
+	if !now.Before(s.nextSteps) && !s.pending["steps"] && !s.self.Draining {
+		s.pending = with(s.pending, "steps")
+		s.nextSteps = now.Add(s.timing.steps)
+		effs = append(effs, readSteps{})
+	}
 	return s.tickRollouts(now, effs)
 }
 
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -20,6 +20,9 @@
 //	POST /v1/generate   a GenerateRequest; answers newline-delimited Events
 //	POST /v1/call       a CallRequest to a plain service; answers a CallAnswer
 //	POST /v1/weights    a WeightsRequest; 204 once kept
+//	POST /v1/steps      a step.Spec; 202 once kept
+//	GET  /v1/steps/{customer}/{entry}/{id}     its StepStatus
+//	DELETE /v1/steps/{customer}/{entry}/{id}   end it; 204
 //	GET  /metrics       counters, as JSON
 //	GET  /healthz       200 while serving, 503 while draining
 //	GET  /debug/pprof/  the runtime's profiles
@@ -31,6 +34,9 @@
 	mux.HandleFunc("POST /v1/generate", in.serveGenerate)
 	mux.HandleFunc("POST /v1/call", in.serveCall)
 	mux.HandleFunc("POST /v1/weights", in.serveWeights)
+	mux.HandleFunc("POST /v1/steps", in.serveStep)
+	mux.HandleFunc("GET /v1/steps/{customer}/{entry}/{id}", in.serveStepStatus)
+	mux.HandleFunc("DELETE /v1/steps/{customer}/{entry}/{id}", in.serveStepCancel)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(in.cfg.Metrics, w)
--- /dev/null
+++ b/pkg/entry/steps.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Where steps are kept: the head and the shards in the platform's table,
+// the submitted Spec, named by its digest, in the object store.
+const (
+	stepPrefix       = "step/"
+	stepShardPrefix  = "step_shard/"
+	stepObjectPrefix = "step/"
+)
+
+// StepStatus is the answer to GET /v1/steps/{customer}/{entry}/{id}.
+type StepStatus struct {
+	Desired   int         `json:"desired"`
+	Groups    int         `json:"groups"`
+	Delivered int         `json:"delivered"` // groups recorded for delivery
+	DueAt     time.Time   `json:"due_at"`
+	Closed    step.Reason `json:"closed,omitempty"`
+}
+
+// serveStep answers POST /v1/steps: 202 once the step is kept, also if it
+// was kept before; from then on it runs whatever becomes of this instance.
+func (in *Instance) serveStep(w http.ResponseWriter, r *http.Request) {
+	in.stats.requests.Inc(1)
+	var spec step.Spec
+	if err := decode(w, r, &spec); err != nil {
+		in.fail(w, err)
+		return
+	}
+	head, err := in.acceptStep(r.Context(), spec)
+	if err != nil {
+		in.fail(w, err)
+		return
+	}
+	w.Header().Set(verdict.Header, verdict.Ran.String())
+	httpjson.Write(w, http.StatusAccepted, StepStatus{Desired: head.Desired, Groups: head.Groups, DueAt: head.DueAt, Closed: head.Closed})
+}
+
+func (in *Instance) acceptStep(ctx context.Context, spec step.Spec) (step.Head, error) {
+	if err := spec.Check(); err != nil {
+		return step.Head{}, verdict.BadRequest("%v", err)
+	}
+	view := in.View()
+	now := in.cfg.Clock.Now()
+	e, err := view.entryFor(spec.Customer, spec.Entry)
+	switch {
+	case err != nil:
+		return step.Head{}, err
+	case e.Class != catalogue.Training:
+		return step.Head{}, verdict.BadRequest("step: entry %s is of class %s, not training", e.Name, e.Class)
+	case view.Draining:
+		return step.Head{}, verdict.Refuse(http.StatusServiceUnavailable, now, errDraining)
+	case !spec.DueAt.After(now):
+		return step.Head{}, verdict.BadRequest("step %s: due_at has passed", spec.ID)
+	}
+	for _, g := range spec.Groups {
+		if g.MaxTokens > e.Limits.MaxTokens {
+			return step.Head{}, verdict.BadRequest("step %s: group %s: max_tokens %d is over entry %s's limit of %d",
+				spec.ID, g.ID, g.MaxTokens, e.Name, e.Limits.MaxTokens)
+		}
+	}
+	head, err := in.keepStep(ctx, spec)
+	if err == nil {
+		in.post(ctx, stepAccepted{})
+	}
+	return head, err
+}
+
+// keepStep stores the step: its Spec first, so that a head always has one,
+// then its head, which makes it accepted.
+func (in *Instance) keepStep(ctx context.Context, spec step.Spec) (step.Head, error) {
+	head := step.NewHead(spec, in.cfg.ShardGroups)
+	if err := in.putSpec(ctx, spec); err != nil {
+		return step.Head{}, in.unkept(verdict.NotRun, err) // without a head it never runs
+	}
+	op, err := platform.Put(stepPrefix+spec.Key(), 0, head)
+	if err != nil {
+		return step.Head{}, err
+	}
+	_, err = in.commit(ctx, op)
+	var ce *platform.ConflictError
+	if !errors.As(err, &ce) {
+		if err != nil {
+			return step.Head{}, in.unkept(verdict.MayHaveRun, err) // submitting it again is safe
+		}
+		return head, nil
+	}
+	var kept step.Head
+	if err := json.Unmarshal(ce.Current.Value, &kept); err != nil {
+		return step.Head{}, fmt.Errorf("step %s: %w", spec.Key(), err)
+	}
+	if kept.Digest != head.Digest {
+		return step.Head{}, verdict.New(verdict.NotRun, http.StatusConflict,
+			fmt.Errorf("step %s was submitted before with other contents", spec.ID))
+	}
+	return kept, nil
+}
+
+func (in *Instance) putSpec(ctx context.Context, spec step.Spec) error {
+	b, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	defer cancel()
+	return in.cfg.Platform.PutObject(ctx, specObject(spec.Key(), spec.Digest()), b)
+}
+
+func specObject(key, digest string) string { return stepObjectPrefix + key + "/" + digest }
+
+// unkept is the error of a step that the platform did not confirm.
+func (in *Instance) unkept(v verdict.Verdict, err error) error {
+	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.cfg.Clock.Now().Add(time.Second),
+		Err: fmt.Errorf("step: not kept: %w", err)}
+}
+
+// serveStepStatus answers GET /v1/steps/{customer}/{entry}/{id}.
+func (in *Instance) serveStepStatus(w http.ResponseWriter, r *http.Request) {
+	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
+	head, _, err := in.readHead(r.Context(), key)
+	if err != nil {
+		in.fail(w, in.stepError(key, err))
+		return
+	}
+	n, err := in.deliveredGroups(r.Context(), key)
+	if err != nil {
+		in.fail(w, in.stepError(key, err))
+		return
+	}
+	httpjson.Write(w, http.StatusOK, StepStatus{Desired: head.Desired, Groups: head.Groups, Delivered: n, DueAt: head.DueAt, Closed: head.Closed})
+}
+
+// serveStepCancel answers DELETE /v1/steps/{customer}/{entry}/{id}: 204 once
+// the step is closed, also if it was before.
+func (in *Instance) serveStepCancel(w http.ResponseWriter, r *http.Request) {
+	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
+	if err := in.closeStep(r.Context(), key, step.Cancelled); err != nil {
+		in.fail(w, in.stepError(key, err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (in *Instance) stepError(key string, err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return verdict.New(verdict.NotRun, http.StatusNotFound, fmt.Errorf("no step %s", key))
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable,
+		RetryAt: in.cfg.Clock.Now().Add(time.Second), Err: err}
+}
+
+// readSteps reads the heads of all steps kept, by step.Key.
+func (in *Instance) readSteps(ctx context.Context) (map[string]step.Head, error) {
+	rows, err := in.cfg.Platform.Scan(ctx, stepPrefix)
+	if err != nil {
+		return nil, err
+	}
+	heads := make(map[string]step.Head, len(rows))
+	for _, r := range rows {
+		var h step.Head
+		if err := json.Unmarshal(r.Value, &h); err != nil {
+			return nil, fmt.Errorf("step row %s: %w", r.Key, err)
+		}
+		heads[strings.TrimPrefix(r.Key, stepPrefix)] = h
+	}
+	return heads, nil
+}
+
+func (in *Instance) readHead(ctx context.Context, key string) (step.Head, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	defer cancel()
+	row, err := in.cfg.Platform.Get(ctx, stepPrefix+key)
+	if err != nil {
+		return step.Head{}, 0, err
+	}
+	var h step.Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return step.Head{}, 0, fmt.Errorf("step %s: %w", key, err)
+	}
+	return h, row.Version, nil
+}
+
+// closeTries bounds closeStep under racing instances and lost replies.
+const closeTries = 5
+
+// closeStep closes the step for the given reason, unless it is closed.
+func (in *Instance) closeStep(ctx context.Context, key string, why step.Reason) error {
+	var err error
+	for try := 0; try < closeTries; try++ {
+		var h step.Head
+		var version uint64
+		if h, version, err = in.readHead(ctx, key); err != nil {
+			return err
+		}
+		if h.Closed != "" {
+			return nil
+		}
+		h.Closed, h.ClosedAt = why, in.cfg.Clock.Now()
+		op, perr := platform.Put(stepPrefix+key, version, h)
+		if perr != nil {
+			return perr
+		}
+		if _, err = in.commit(ctx, op); err == nil {
+			in.cfg.Logger.Info("step closed", "step", key, "reason", why)
+			return nil
+		}
+	}
+	return err
+}
+
+// deliveredGroups counts the groups of a step recorded for delivery.
+func (in *Instance) deliveredGroups(ctx context.Context, key string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	defer cancel()
+	rows, err := in.cfg.Platform.Scan(ctx, stepShardPrefix+key+"/")
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, r := range rows {
+		p, err := shardProgress(r)
+		if err != nil {
+			return 0, err
+		}
+		n += len(p.Delivered)
+	}
+	return n, nil
+}
+
+func shardProgress(row platform.Row) (step.Progress, error) {
+	l, err := lease.Decode(row)
+	if err != nil || len(l.Data) == 0 {
+		return step.Progress{}, err
+	}
+	var p step.Progress
+	if err := json.Unmarshal(l.Data, &p); err != nil {
+		return step.Progress{}, fmt.Errorf("step shard %s: %w", row.Key, err)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/pkg/entry/steps_test.go
@@ -0,0 +1,161 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+)
+
+// stepSpec is a step of groups×size short generations of entry drafts.
+func stepSpec(id string, groups, size, desired int) step.Spec {
+	s := step.Spec{Customer: "minho", Entry: "drafts", ID: id, Desired: desired, DueAt: time.Now().Add(20 * time.Second).UTC()}
+	for i := range groups {
+		s.Groups = append(s.Groups, step.Group{ID: fmt.Sprintf("%s-g%d", id, i), Prompt: fmt.Sprintf("prompt %d", i), Size: size, MaxTokens: 8})
+	}
+	return s
+}
+
+// submit sends s to instance i and returns the answer's status.
+func submit(t testing.TB, st *site.Site, i int, s step.Spec) int {
+	t.Helper()
+	b, _ := json.Marshal(s)
+	resp, err := http.Post("http://"+st.Entries[i].Addr()+"/v1/steps", "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func stepStatus(t testing.TB, st *site.Site, i int, id string) entry.StepStatus {
+	t.Helper()
+	resp, err := http.Get("http://" + st.Entries[i].Addr() + "/v1/steps/minho/drafts/" + id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var got entry.StepStatus
+	if resp.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return got
+}
+
+// wholeGroups returns the groups whose samples the trainer holds all of,
+// failing if a sample was delivered other than once.
+func wholeGroups(t testing.TB, st *site.Site, size int) int {
+	t.Helper()
+	count := map[string]int{}
+	for _, r := range st.Trainer.Received() {
+		if r.Deliveries != 1 {
+			t.Fatalf("sample %s delivered %d times", r.Sample.ID, r.Deliveries)
+		}
+		count[r.Sample.Group]++
+	}
+	whole := 0
+	for g, n := range count {
+		if n != size {
+			t.Fatalf("group %s: trainer holds %d of %d samples", g, n, size)
+		}
+		whole++
+	}
+	return whole
+}
+
+// A step runs on several instances, reaches its trainer in whole groups,
+// closes once the desired groups are recorded, and is accepted once however
+// often it is submitted.
+func TestStepIsDeliveredInWholeGroups(t *testing.T) {
+	s := startSite(t, 3, 3, enginetest.Config{WeightVersion: 1})
+	spec := stepSpec("s1", 24, 4, 18)
+	for i := range 3 {
+		if status := submit(t, s, i, spec); status != http.StatusAccepted {
+			t.Fatalf("submission %d answered %d", i, status)
+		}
+	}
+	other := spec
+	other.Desired = 20
+	if status := submit(t, s, 0, other); status != http.StatusConflict {
+		t.Fatalf("other contents under the same id answered %d, want 409", status)
+	}
+	waitFor(t, 15*time.Second, "the step complete", func() bool { return stepStatus(t, s, 1, "s1").Closed == step.Complete })
+	waitFor(t, 5*time.Second, "every record delivered", func() bool { return len(s.Platform.Rows("delivery/")) == 0 })
+	if n := wholeGroups(t, s, 4); n < 18 {
+		t.Fatalf("trainer holds %d whole groups, want 18", n)
+	}
+	ran := 0
+	for _, in := range s.Entries {
+		if in.Counter("samples_delivered") > 0 {
+			ran++
+		}
+	}
+	if ran < 2 {
+		t.Fatalf("%d instances ran the step, want several", ran)
+	}
+}
+
+// Instances leave and the platform loses replies and goes down in the
+// middle of a step: each sample still reaches the trainer once, in whole
+// groups, and the step completes.
+func TestStepOutlivesInstancesAndOutages(t *testing.T) {
+	s := startSite(t, 3, 3, enginetest.Config{WeightVersion: 1, TokenInterval: 5 * time.Millisecond})
+	if status := submit(t, s, 0, stepSpec("s2", 24, 4, 24)); status != http.StatusAccepted {
+		t.Fatalf("submission answered %d", status)
+	}
+	waitFor(t, 10*time.Second, "the step under way", func() bool { return len(s.Trainer.Received()) > 8 })
+	s.Platform.SetFaults(platformtest.Faults{LoseReplies: 3, LosePrefix: "delivery/"})
+	s.StopEntry(0)
+	time.Sleep(200 * time.Millisecond)
+	s.Platform.SetFaults(platformtest.Faults{Down: true})
+	time.Sleep(500 * time.Millisecond)
+	s.Platform.SetFaults(platformtest.Faults{})
+	waitFor(t, 20*time.Second, "the step complete", func() bool { return stepStatus(t, s, 1, "s2").Closed == step.Complete })
+	waitFor(t, 20*time.Second, "every record delivered", func() bool { return len(s.Platform.Rows("delivery/")) == 0 })
+	if n := wholeGroups(t, s, 4); n != 24 {
+		t.Fatalf("trainer holds %d whole groups, want 24", n)
+	}
+}
+
+// Stragglers do not hold a step up: with one engine a hundred times slower
+// than the others, the step completes long before that engine is done.
+func TestStragglersDoNotHoldTheStep(t *testing.T) {
+	s := startSite(t, 3, 2, enginetest.Config{WeightVersion: 1, TokenInterval: 2 * time.Millisecond})
+	s.Engines[0].SetFaults(enginetest.Faults{SlowFactor: 300}) // 0.6 s a token, under no idle timeout
+	start := time.Now()
+	submit(t, s, 0, stepSpec("s3", 16, 4, 16))
+	waitFor(t, 15*time.Second, "the step complete", func() bool { return stepStatus(t, s, 1, "s3").Closed == step.Complete })
+	if took := time.Since(start); took > 4*time.Second { // 8 tokens at the slow engine take 4.8 s
+		t.Fatalf("step took %v", took)
+	}
+}
+
+// A trainer ends a step: no more of it is delivered, and its work stops.
+func TestCancelledStepStops(t *testing.T) {
+	s := startSite(t, 2, 2, enginetest.Config{WeightVersion: 1, TokenInterval: 20 * time.Millisecond})
+	submit(t, s, 0, stepSpec("s4", 64, 4, 64))
+	waitFor(t, 10*time.Second, "the step under way", func() bool { return s.Engines[0].Requests()+s.Engines[1].Requests() > 0 })
+	req, _ := http.NewRequestWithContext(context.Background(), http.MethodDelete, "http://"+s.Entries[1].Addr()+"/v1/steps/minho/drafts/s4", nil)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != http.StatusNoContent {
+		t.Fatalf("cancel answered %v %v", resp, err)
+	}
+	resp.Body.Close()
+	time.Sleep(time.Second) // a third of the shard lease
+	before := s.Engines[0].Requests() + s.Engines[1].Requests()
+	time.Sleep(500 * time.Millisecond)
+	if after := s.Engines[0].Requests() + s.Engines[1].Requests(); after != before {
+		t.Fatalf("%d more generations after the step was cancelled", after-before)
+	}
+}
--- /dev/null
+++ b/pkg/entry/stepshard.go
@@ -0,0 +1,350 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer"
+)
+
+// shardID names one shard of a step.
+type shardID struct {
+	Step  string // step.Key
+	Shard int
+}
+
+func (id shardID) String() string { return fmt.Sprintf("%s/%d", id.Step, id.Shard) }
+
+// shardRun runs one shard of a step under the shard's lease. Its loop owns
+// all of it; generations run on its group and report through ended.
+type shardRun struct {
+	in      *Instance
+	id      shardID
+	head    step.Head
+	headRow uint64 // version of the head's row; it moves when the step closes
+	spec    step.Spec
+	entry   catalogue.Entry
+
+	keeper    *lease.Keeper
+	held      lease.Held
+	progress  step.Progress
+	run       *step.Run
+	nextRenew time.Time
+	uncounted bool // the step may be complete, and has not been seen not to be
+
+	group   errgroup.Group
+	ended   chan step.Ended
+	cancels map[int]context.CancelFunc // by attempt number
+}
+
+// Reasons a shard's run ends.
+var (
+	errStepClosed = errors.New("step closed")
+	errShardLost  = errors.New("shard lease lost")
+)
+
+// runShard runs a shard until the step closes, the lease is lost or ctx
+// ends; then it gives the lease up.
+func (in *Instance) runShard(ctx context.Context, id shardID) error {
+	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), cancels: map[int]context.CancelFunc{},
+		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: stepShardPrefix + id.String(),
+			Holder: in.cfg.ID + "/" + in.life, TTL: in.cfg.ShardLeaseTTL}}
+	if err := r.open(ctx); err != nil {
+		return err
+	}
+	err := r.loop(ctx)
+	for _, cancel := range r.cancels {
+		cancel()
+	}
+	_ = r.group.Wait()
+	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), in.cfg.PlatformTimeout)
+	defer cancel()
+	_ = r.keeper.Release(rctx)
+	return err
+}
+
+// open reads the step, takes the shard's lease, waiting for another's to
+// lapse, and picks up its progress.
+func (r *shardRun) open(ctx context.Context) error {
+	if err := r.readHead(ctx); err != nil {
+		return err
+	}
+	b, err := r.in.getObject(ctx, specObject(r.id.Step, r.head.Digest))
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, &r.spec); err != nil {
+		return fmt.Errorf("step %s: %w", r.id.Step, err)
+	}
+	if r.entry, err = r.in.View().entryFor(r.head.Customer, r.head.Entry); err != nil {
+		return err
+	}
+	for {
+		switch err := r.renew(ctx); {
+		case err == nil:
+			r.run = step.NewRun(r.spec, r.head.ShardGroups(r.id.Shard), r.progress, r.in.stepPolicy(r.entry))
+			return nil
+		case !errors.Is(err, lease.ErrHeld):
+			return err
+		}
+		if err := sleep(ctx, r.keeper.TTL/3); err != nil {
+			return err
+		}
+		if err := r.readHead(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// stepPolicy is the policy of e's steps: the instance's, with e's limit.
+func (in *Instance) stepPolicy(e catalogue.Entry) step.Policy {
+	p := in.cfg.StepPolicy
+	p.MaxRunning = e.Limits.MaxInFlight
+	return p
+}
+
+func (r *shardRun) readHead(ctx context.Context) error {
+	head, row, err := r.in.readHead(ctx, r.id.Step)
+	if err != nil {
+		return err // what was read before still stands
+	}
+	r.head, r.headRow = head, row
+	if r.head.Closed != "" {
+		return errStepClosed
+	}
+	return nil
+}
+
+// renew takes or renews the lease, and reads back the progress kept with it.
+func (r *shardRun) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.in.cfg.PlatformTimeout)
+	defer cancel()
+	held, err := r.keeper.Take(ctx, nil)
+	if err != nil {
+		return err
+	}
+	r.held = held
+	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / 3)
+	if len(held.Data) > 0 {
+		return json.Unmarshal(held.Data, &r.progress)
+	}
+	return nil
+}
+
+func (r *shardRun) loop(ctx context.Context) error {
+	ticker := time.NewTicker(r.in.cfg.StepTick)
+	defer ticker.Stop()
+	for {
+		var effs []step.Effect
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case ev := <-r.ended:
+			r.forget(ev.Attempt)
+			r.run.Reduce(ev)
+			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
+		case <-ticker.C:
+			if err := r.upkeep(ctx); err != nil {
+				return err
+			}
+			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
+		}
+		if err := r.carryOut(ctx, effs); err != nil {
+			return err
+		}
+	}
+}
+
+// upkeep renews the lease when due, sees whether the step has closed, and
+// raises the floor of versions that samples may have.
+func (r *shardRun) upkeep(ctx context.Context) error {
+	now := r.in.cfg.Clock.Now()
+	view := r.in.View()
+	if newest := view.Newest[r.entry.Pool]; newest > r.entry.MaxVersionLag {
+		r.run.Reduce(step.Floor{Version: newest - r.entry.MaxVersionLag})
+	}
+	if now.Before(r.nextRenew) {
+		return nil
+	}
+	if !now.Before(r.head.DueAt) {
+		if err := r.in.closeStep(ctx, r.id.Step, step.Due); err == nil {
+			return errStepClosed
+		}
+	}
+	if err := r.readHead(ctx); errors.Is(err, errStepClosed) || errors.Is(err, platform.ErrNotFound) {
+		return errStepClosed
+	}
+	switch err := r.renew(ctx); {
+	case errors.Is(err, lease.ErrHeld):
+		return errShardLost
+	case err != nil && !now.Before(r.held.ValidUntil):
+		return errShardLost
+	case err != nil:
+		r.nextRenew = now.Add(r.in.cfg.StepTick) // the platform is away; the lease still holds
+	}
+	if r.uncounted {
+		return r.closeIfComplete(ctx)
+	}
+	return nil
+}
+
+func (r *shardRun) carryOut(ctx context.Context, effs []step.Effect) error {
+	for _, eff := range effs {
+		switch e := eff.(type) {
+		case step.Start:
+			r.start(ctx, e.Attempt)
+		case step.Cancel:
+			r.forget(e.Attempt)
+		case step.Deliver:
+			if err := r.deliver(ctx, e); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// forget ends an attempt that is over or no longer wanted.
+func (r *shardRun) forget(a step.Attempt) {
+	if cancel, ok := r.cancels[a.Number]; ok {
+		cancel()
+		delete(r.cancels, a.Number)
+	}
+}
+
+// start runs one generation on the group.
+func (r *shardRun) start(ctx context.Context, a step.Attempt) {
+	ctx, cancel := context.WithDeadline(ctx, r.head.DueAt)
+	r.cancels[a.Number] = cancel
+	r.group.Go(func() error {
+		defer cancel()
+		smp, err := r.generate(ctx, a)
+		select {
+		case r.ended <- step.Ended{Attempt: a, Sample: smp, Err: err, At: r.in.cfg.Clock.Now()}:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+// generate makes one sample. It is named by its group and place, so that a
+// group submitted again in another step is not learned twice.
+func (r *shardRun) generate(ctx context.Context, a step.Attempt) (trainer.Sample, error) {
+	release, err := r.in.admitEntry(r.entry)
+	if err != nil {
+		return trainer.Sample{}, err
+	}
+	defer release()
+	g := r.spec.Groups[a.Group]
+	gen := &generation{in: r.in, entry: r.entry, emit: func(Event) error { return nil },
+		req: GenerateRequest{Customer: r.spec.Customer, Entry: r.spec.Entry, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Group: g.ID,
+			RequestID: fmt.Sprintf("%s.%s.%d.%s.%d", r.spec.ID, g.ID, a.Index, r.in.life, a.Number)}}
+	res, err := gen.run(ctx)
+	if err != nil {
+		return trainer.Sample{}, err
+	}
+	smp := gen.sample(res)
+	smp.ID = fmt.Sprintf("%s.%s.%s.%d", r.spec.Customer, r.spec.Entry, g.ID, a.Index)
+	return smp, nil
+}
+
+// unrecordedPause is the pause before a group's record is tried again.
+const unrecordedPause = 200 * time.Millisecond
+
+// deliver records a complete group, its shard's progress and the condition
+// that the step is open in one transaction, and then sends the samples.
+func (r *shardRun) deliver(ctx context.Context, e step.Deliver) error {
+	g := r.spec.Groups[e.Group]
+	progress := step.Progress{Delivered: append(append([]int(nil), r.progress.Delivered...), e.Group)}
+	data, err := json.Marshal(progress)
+	if err != nil {
+		return err
+	}
+	renewal, err := r.keeper.Op(r.held, data)
+	if err != nil {
+		return err
+	}
+	open := platform.Check(stepPrefix+r.id.Step, r.headRow)
+	d := r.in.newDelivery(r.entry, fmt.Sprintf("%s.%s.%s", r.spec.Customer, r.spec.Entry, g.ID), e.Samples...)
+	version, err := r.in.record(ctx, r.entry, d, renewal, open)
+	var ce *platform.ConflictError
+	switch {
+	case err == nil && version > 0:
+		r.held.Fencing, r.progress, r.uncounted = version, progress, true
+		r.run.Reduce(step.Recorded{Group: e.Group})
+		r.in.later(ctx, d, func(ctx context.Context) error { return r.in.send(ctx, d) })
+		return r.closeIfComplete(ctx)
+	case errors.As(err, &ce) && ce.Key == open.Key:
+		return errStepClosed
+	case errors.As(err, &ce) && ce.Key == r.keeper.Name:
+		return errShardLost
+	case errors.Is(err, errTooStale):
+		r.in.stats.samplesStale.Inc(int64(len(e.Samples)))
+	}
+	r.run.Reduce(step.Unrecorded{Group: e.Group, RetryAt: r.in.cfg.Clock.Now().Add(unrecordedPause)})
+	return r.reread(ctx, d, e.Group, err)
+}
+
+// reread finds out after a record of unknown outcome what the table holds:
+// the lease is taken again, with the progress kept in it.
+// If the record was written after all, d is sent.
+func (r *shardRun) reread(ctx context.Context, d Delivery, group int, cause error) error {
+	if errors.Is(cause, errTooStale) {
+		return nil
+	}
+	if err := r.renew(ctx); errors.Is(err, lease.ErrHeld) {
+		return errShardLost
+	}
+	if !slices.Contains(r.progress.Delivered, group) {
+		return nil
+	}
+	r.run.Reduce(step.Recorded{Group: group})
+	r.uncounted = true
+	r.in.later(ctx, d, func(ctx context.Context) error { return r.in.send(ctx, d) })
+	return r.closeIfComplete(ctx)
+}
+
+// closeIfComplete closes the step once the desired groups are recorded. If
+// the platform does not answer it is called again at the next renewal.
+func (r *shardRun) closeIfComplete(ctx context.Context) error {
+	n, err := r.in.deliveredGroups(ctx, r.id.Step)
+	if err != nil {
+		return nil
+	}
+	if n < r.head.Desired {
+		r.uncounted = false
+		return nil
+	}
+	if err := r.in.closeStep(ctx, r.id.Step, step.Complete); err != nil {
+		return nil
+	}
+	return errStepClosed
+}
+
+func (in *Instance) getObject(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	defer cancel()
+	return in.cfg.Platform.GetObject(ctx, name)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/entry/sweep.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+)
+
+// sweeperLease is the lease whose holder clears up after instances that
+// died and work that is over.
+const sweeperLease = "lease/sweeper"
+
+// memberRetention is how long after its lease ran out a member's row is
+// removed.
+const memberRetention = 10 * time.Minute
+
+// sweep clears up, if this instance holds the sweeper lease: it sends
+// samples whose record is older than olderThan, and removes steps and
+// members long gone. Two sweepers at once (a paused holder that has not yet
+// seen its lease lapse) would only send a sample twice, which its trainer
+// does not learn twice.
+func (in *Instance) sweep(ctx context.Context, olderThan time.Time) (int, error) {
+	now := in.cfg.Clock.Now()
+	if _, err := lease.Acquire(ctx, in.cfg.Platform, sweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
+		if errors.Is(err, lease.ErrHeld) {
+			return 0, nil
+		}
+		return 0, err
+	}
+	if err := in.sweepSteps(ctx, now.Add(-in.cfg.StepRetention)); err != nil {
+		return 0, err
+	}
+	if err := in.sweepMembers(ctx, now.Add(-memberRetention)); err != nil {
+		return 0, err
+	}
+	return in.sweepDeliveries(ctx, olderThan)
+}
+
+func (in *Instance) sweepDeliveries(ctx context.Context, olderThan time.Time) (int, error) {
+	rows, err := in.cfg.Platform.Scan(ctx, deliveryPrefix)
+	if err != nil {
+		return 0, err
+	}
+	sent := 0
+	for _, row := range rows {
+		var d Delivery
+		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
+			continue
+		}
+		d.Key = row.Key
+		if err := in.send(ctx, d); err != nil {
+			return sent, err
+		}
+		in.stats.redelivered.Inc(int64(len(d.Samples)))
+		sent++
+	}
+	return sent, nil
+}
+
+// sweepSteps removes steps closed before closedBefore: first their shards
+// and Spec, then their heads, so that what is left of a sweep cut short is
+// found again.
+func (in *Instance) sweepSteps(ctx context.Context, closedBefore time.Time) error {
+	rows, err := in.cfg.Platform.Scan(ctx, stepPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var h step.Head
+		if json.Unmarshal(row.Value, &h) != nil || h.Closed == "" || !h.ClosedAt.Before(closedBefore) {
+			continue
+		}
+		key := row.Key[len(stepPrefix):]
+		shards, err := in.cfg.Platform.Scan(ctx, stepShardPrefix+key+"/")
+		if err != nil {
+			return err
+		}
+		if err := in.remove(ctx, shards...); err != nil {
+			return err
+		}
+		if err := in.cfg.Platform.DeleteObject(ctx, specObject(key, h.Digest)); err != nil {
+			return err
+		}
+		if err := in.remove(ctx, row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (in *Instance) sweepMembers(ctx context.Context, expiredBefore time.Time) error {
+	rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if l, err := lease.Decode(row); err != nil || l.Live(expiredBefore) {
+			continue
+		}
+		if err := in.remove(ctx, row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// remove deletes rows as they were read; a row changed since is left alone.
+func (in *Instance) remove(ctx context.Context, rows ...platform.Row) error {
+	for _, row := range rows {
+		_, err := in.commit(ctx, platform.Op{Key: row.Key, ExpectVersion: row.Version, Delete: true})
+		var ce *platform.ConflictError
+		if err != nil && !errors.As(err, &ce) {
+			return err
+		}
+	}
+	return nil
+}
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -32,7 +32,8 @@
 }
 
 // Take takes or renews the lease and returns it, or ErrHeld while another
-// holds it, or an error of the platform. After an error the lease taken
+// holds it, or an error of the platform. The holder's data is kept with the
+// lease; nil data leaves what the row holds. After an error the lease taken
 // before, if any, is still valid until its ValidUntil.
 func (k *Keeper) Take(ctx context.Context, data json.RawMessage) (Held, error) {
 	row, err := k.Table.Get(ctx, k.Name)
@@ -47,6 +48,9 @@
 		if cur.Holder != k.Holder && cur.Holder != "" && !k.lapsed(row.Version) {
 			return Held{Lease: cur}, ErrHeld
 		}
+		if data == nil {
+			data = cur.Data
+		}
 	}
 	begun := k.Clock.Now()
 	l := Lease{Name: k.Name, Holder: k.Holder, ExpiresAt: begun.Add(k.TTL), Data: data}
@@ -54,6 +58,12 @@
 	return Held{Lease: l, ValidUntil: begun.Add(k.TTL)}, err
 }
 
+// Op returns the operation that renews the lease h with new data as part of
+// a transaction. It fails with a conflict if h is no longer held.
+func (k *Keeper) Op(h Held, data json.RawMessage) (platform.Op, error) {
+	return platform.Put(k.Name, h.Fencing, Lease{Holder: k.Holder, ExpiresAt: k.Clock.Now().Add(k.TTL), Data: data})
+}
+
 // Release gives the lease up, if this Keeper's holder has it, so that the
 // next holder need not wait for it to lapse.
 func (k *Keeper) Release(ctx context.Context) error {
@@ -61,10 +71,11 @@
 	if err != nil {
 		return err
 	}
-	if cur, err := Decode(row); err != nil || cur.Holder != k.Holder {
+	cur, err := Decode(row)
+	if err != nil || cur.Holder != k.Holder {
 		return err
 	}
-	_, err = k.write(ctx, Lease{Name: k.Name, ExpiresAt: k.Clock.Now()}, row.Version)
+	_, err = k.write(ctx, Lease{Name: k.Name, ExpiresAt: k.Clock.Now(), Data: cur.Data}, row.Version)
 	return err
 }
 
--- /dev/null
+++ b/pkg/step/step.go
@@ -0,0 +1,132 @@
+// Package step runs training steps: a trainer submits groups of prompts and
+// says how many complete groups it waits for; the groups that complete
+// first are delivered, and stragglers do not hold the step up.
+//
+// The package holds the data of a step and the reducer that decides which
+// generation to start, repeat or give up; it does no I/O.
+package step
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Group is some generations from one prompt, learned from together.
+type Group struct {
+	ID        string `json:"id"`
+	Prompt    string `json:"prompt"`
+	Size      int    `json:"size"`       // generations in the group
+	MaxTokens int    `json:"max_tokens"` // per generation
+}
+
+// Spec is a step as its trainer submits it.
+type Spec struct {
+	Customer string    `json:"customer"`
+	Entry    string    `json:"entry"` // a training entry of the catalogue
+	ID       string    `json:"id"`
+	Desired  int       `json:"desired"` // complete groups the trainer waits for
+	DueAt    time.Time `json:"due_at"`  // when the step ends whatever is complete
+	Groups   []Group   `json:"groups"`
+}
+
+// Limits of one step.
+const (
+	MaxGroups    = 1024
+	MaxGroupSize = 256
+)
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+// Check reports the first problem with s, naming the field.
+func (s Spec) Check() error {
+	switch {
+	case s.Customer == "" || s.Entry == "":
+		return fmt.Errorf("step: customer and entry are required")
+	case !idPattern.MatchString(s.ID):
+		return fmt.Errorf("step: id %q: want up to 64 letters, digits, '-' or '_'", s.ID)
+	case s.DueAt.IsZero():
+		return fmt.Errorf("step %s: due_at is required", s.ID)
+	case len(s.Groups) == 0 || len(s.Groups) > MaxGroups:
+		return fmt.Errorf("step %s: %d groups: want 1 to %d", s.ID, len(s.Groups), MaxGroups)
+	case s.Desired <= 0 || s.Desired > len(s.Groups):
+		return fmt.Errorf("step %s: desired %d: want 1 to the %d groups given", s.ID, s.Desired, len(s.Groups))
+	}
+	seen := map[string]bool{}
+	for i, g := range s.Groups {
+		switch {
+		case !idPattern.MatchString(g.ID):
+			return fmt.Errorf("step %s: groups[%d].id %q: want up to 64 letters, digits, '-' or '_'", s.ID, i, g.ID)
+		case seen[g.ID]:
+			return fmt.Errorf("step %s: group %s is given twice", s.ID, g.ID)
+		case g.Size <= 0 || g.Size > MaxGroupSize:
+			return fmt.Errorf("step %s: groups[%d].size %d: want 1 to %d", s.ID, i, g.Size, MaxGroupSize)
+		case g.MaxTokens <= 0:
+			return fmt.Errorf("step %s: groups[%d].max_tokens must be positive", s.ID, i)
+		}
+		seen[g.ID] = true
+	}
+	return nil
+}
+
+// Key names the step among all steps.
+func (s Spec) Key() string { return Key(s.Customer, s.Entry, s.ID) }
+
+// Key names the step with the given ID of a customer's entry.
+func Key(customer, entry, id string) string { return customer + "." + entry + "." + id }
+
+// Digest returns a hash of s, the same for the same step submitted again.
+func (s Spec) Digest() string {
+	b, _ := json.Marshal(s) // a Spec always encodes
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+// Reason is why a step is closed.
+type Reason string
+
+// The reasons for closing a step.
+const (
+	Complete  Reason = "complete"  // the desired groups are delivered
+	Due       Reason = "due"       // its time was up
+	Cancelled Reason = "cancelled" // its trainer ended it
+)
+
+// Head is the record of a step in the platform's table. It is written when
+// the step is accepted and once more when it closes.
+type Head struct {
+	Customer string    `json:"customer"`
+	Entry    string    `json:"entry"`
+	Digest   string    `json:"digest"` // names the stored Spec
+	Desired  int       `json:"desired"`
+	Groups   int       `json:"groups"`
+	Shards   int       `json:"shards"`
+	DueAt    time.Time `json:"due_at"`
+	Closed   Reason    `json:"closed,omitempty"`
+	ClosedAt time.Time `json:"closed_at"`
+}
+
+// NewHead returns the record of s, split into shards of at most perShard
+// groups.
+func NewHead(s Spec, perShard int) Head {
+	return Head{Customer: s.Customer, Entry: s.Entry, Digest: s.Digest(), Desired: s.Desired,
+		Groups: len(s.Groups), Shards: (len(s.Groups) + perShard - 1) / perShard, DueAt: s.DueAt}
+}
+
+// ShardGroups returns the indexes of the groups in shard k: every
+// h.Shards'th, so that each shard has early and late groups.
+func (h Head) ShardGroups(k int) []int {
+	var out []int
+	for i := k; i < h.Groups; i += h.Shards {
+		out = append(out, i)
+	}
+	return out
+}
+
+// Progress is what a shard's holder has delivered of it.
+type Progress struct {
+	Delivered []int `json:"delivered"` // indexes of groups
+}
