experiment: measure trainer idle time and staleness against baselines; start rollouts at once

Ruled out for the waits: the slow engine (the median was short with it too) and the platform (in process, under 1 ms). The cause was the lease: it is given up when a rollout converges, and the next version waited for the renewal period of the lease given up. It is now taken at once. The "too old" samples were the meter's: it counted a version as named before it was acknowledged; it now compares the trainer's receipt with the acknowledgement.

--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,188 @@
+// Package experiment measures what the brief measures, trainer idle time
+// and staleness, on a whole site in one process: engines of which one is
+// slow, a rate-limited weight store, and trainers that submit steps, train
+// and name new versions. Policies are compared in one run.
+//
+// Times are a tenth of the deployments': a version loads in 90 ms where
+// theirs load in 900 ms, and training takes 100 ms where theirs takes 1 s.
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+)
+
+// Trainer is one trainer's load.
+type Trainer struct {
+	Entry  string
+	Groups int // groups in a step
+	Size   int // generations in a group
+	Tokens int // tokens of most generations; one group in eight has three times as many
+}
+
+// Deployment is one of the brief's deployments, as the experiment sees it.
+type Deployment struct {
+	Name     string
+	Engines  int
+	Entries  int
+	Trainers []Trainer
+}
+
+// The brief's deployments, with the steps their trainers submit.
+var (
+	Minho = Deployment{Name: "minho", Engines: 9, Entries: 3, Trainers: []Trainer{
+		{Entry: "script-draft", Groups: 9, Size: 8, Tokens: 14},
+		{Entry: "call-summary", Groups: 19, Size: 4, Tokens: 24}}}
+	Rodokmen = Deployment{Name: "rodokmen", Engines: 9, Entries: 3, Trainers: []Trainer{
+		{Entry: "match-batch", Groups: 18, Size: 8, Tokens: 16}}}
+)
+
+// Policy is one way to run steps and rollouts.
+type Policy struct {
+	Name        string
+	DesiredPart float64 // share of a step's groups the trainer waits for
+	HedgeFactor float64 // of step.Policy; 0 for no hedging
+	MaxLoading  int     // engines loading at once
+}
+
+// Config says what to run.
+type Config struct {
+	Deployment Deployment
+	Policy     Policy
+	Steps      int // per trainer
+	Seed       uint64
+}
+
+// Experiment times, a tenth of the deployments'.
+const (
+	slots         = 8
+	tokenInterval = 2 * time.Millisecond
+	slowFactor    = 8 // of the one slow engine
+	fetchTime     = 90 * time.Millisecond
+	freeFetches   = 2
+	trainTime     = 100 * time.Millisecond
+	stepDue       = 20 * time.Second
+	poolName      = "model-pool"
+)
+
+// Result is what one run measured.
+type Result struct {
+	Deployment string
+	Policy     string
+	IdleShare  float64         // of the trainers' time, spent waiting for samples
+	StepWaits  []time.Duration // from a step's submission to its desired groups
+	LagMean    float64         // weight versions behind, over samples received
+	AgeMean    time.Duration   // since the version after a sample's was named
+	Samples    int
+	Duplicates int // samples delivered more than once
+	TooOld     int // samples older than their bound when received
+}
+
+// Run runs one experiment.
+func Run(cfg Config) (Result, error) {
+	s, err := start(cfg)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.Close()
+	// Each trainer has a pool of its own trainers' stand-in only by entry;
+	// versions are named by the first trainer, as one model is trained.
+	m := newMeter(s)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	if err := m.name(ctx, cfg.Deployment.Trainers[0].Entry, 1); err != nil {
+		return Result{}, err
+	}
+	watch, stopWatch := context.WithCancel(ctx)
+	var watching errgroup.Group
+	watching.Go(func() error { return m.watch(watch) })
+	g, gctx := errgroup.WithContext(ctx)
+	for i, tr := range cfg.Deployment.Trainers {
+		g.Go(func() error { return m.train(gctx, cfg, tr, i == 0) })
+	}
+	err = g.Wait()
+	stopWatch()
+	_ = watching.Wait()
+	return m.result(cfg), err
+}
+
+func start(cfg Config) (*site.Site, error) {
+	store := &enginetest.WeightStore{FetchTime: fetchTime, Free: freeFetches}
+	hedge := cfg.Policy.HedgeFactor
+	if hedge == 0 {
+		hedge = -1 // never
+	}
+	s, err := site.Start(site.Config{Engines: cfg.Deployment.Engines, Entries: cfg.Deployment.Entries,
+		Engine: enginetest.Config{Slots: slots, TokenInterval: tokenInterval, WeightVersion: 1, ChecksFencing: true, WeightStore: store},
+		Entry: entry.Config{Refresh: 100 * time.Millisecond, Tick: 10 * time.Millisecond, ReportInterval: 100 * time.Millisecond,
+			StepTick: 5 * time.Millisecond, StepRefresh: 100 * time.Millisecond, RolloutProbe: 25 * time.Millisecond,
+			ReportLag: 50 * time.Millisecond, ShardGroups: 8, StepPolicy: step.Policy{HedgeFactor: hedge, HedgeAfter: 8, RetryDelay: 20 * time.Millisecond}}})
+	if err != nil {
+		return nil, err
+	}
+	s.Engines[0].SetFaults(enginetest.Faults{SlowFactor: slowFactor})
+	pool := s.EnginePool(poolName)
+	pool.MaxLoading = cfg.Policy.MaxLoading
+	f := catalogue.File{Pools: []catalogue.Pool{pool}}
+	for _, tr := range cfg.Deployment.Trainers {
+		f.Entries = append(f.Entries, catalogue.Entry{Name: tr.Entry, Owner: cfg.Deployment.Name, Class: catalogue.Training, Pool: poolName,
+			Limits: catalogue.Limits{MaxInFlight: 64, MaxTokens: 512}, Trainer: s.TrainerAddr, MaxVersionLag: 1})
+	}
+	if err := s.Apply(f); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// spec makes step k of trainer tr.
+func spec(cfg Config, tr Trainer, k int) step.Spec {
+	rnd := rand.New(rand.NewPCG(cfg.Seed, uint64(k)))
+	s := step.Spec{Customer: cfg.Deployment.Name, Entry: tr.Entry, ID: fmt.Sprintf("%s-%d", tr.Entry, k),
+		Desired: max(1, int(cfg.Policy.DesiredPart*float64(tr.Groups)+0.5)), DueAt: time.Now().Add(stepDue)}
+	for i := range tr.Groups {
+		tokens := tr.Tokens
+		if rnd.IntN(8) == 0 {
+			tokens *= 3
+		}
+		s.Groups = append(s.Groups, step.Group{ID: fmt.Sprintf("%s-%d-%d", tr.Entry, k, i), Prompt: fmt.Sprintf("%s prompt %d of step %d", tr.Entry, i, k),
+			Size: tr.Size, MaxTokens: tokens})
+	}
+	return s
+}
+
+// post sends v as JSON and discards the answer, which must be a success.
+func post(ctx context.Context, url string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("POST %s: %s: %s", url, resp.Status, bytes.TrimSpace(body))
+	}
+	return nil
+}
--- a/pkg/entry/reduce_rollout.go
+++ b/pkg/entry/reduce_rollout.go
@@ -33,6 +33,7 @@
 		pr.Rollout, _ = pr.Reduce(weights.Named{Version: s.view.Targets[name].Version})
 		if pr.Idle() && (!preferred || pr.Converged()) && pr.Fencing != 0 {
 			pr.Rollout, _ = pr.Reduce(weights.Lost{})
+			pr.nextLease = time.Time{} // the next version need not wait
 			effs = append(effs, releaseRolloutLease{pool: name})
 		}
 		if !preferred && pr.Idle() {
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
@@ -15,6 +16,7 @@
 type Received struct {
 	Sample     trainer.Sample `json:"sample"`
 	Deliveries int            `json:"deliveries"`
+	At         time.Time      `json:"at"` // of the first delivery
 }
 
 // Server is the stand-in. Its zero value is ready to use.
@@ -81,7 +83,7 @@
 			ack.Duplicate = append(ack.Duplicate, smp.ID)
 			continue
 		}
-		s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1}
+		s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1, At: time.Now()}
 		ack.New = append(ack.New, smp.ID)
 	}
 	if s.dropAcks > 0 {
