entry: health, retry budget, hedging, class and customer limits, the platform's instance list

Cause: a crashed upstream is always the least loaded, so it drew requests: with four of six engines crashed a request failed after three refused connections ("gave up after 3 engines: connection refused", and called may_have_run though nothing was sent). Calls to plain services were tried on one service only; retries had no bound; training could take every place; a customer had no limit of its own; and the platform's list of leaving instances was not read.

What: pkg/health ejects upstreams that do not answer (at once if they take no connection), for a time that doubles; pkg/retry bounds retries to a fifth of requests and 100 saved up. A refused connection, and a service's own not_run, are proof that nothing ran: the call goes on to another upstream, also one that may run once only, and its claim is set back if no service took it. Idempotent calls are sent again, and hedged at three times the mean. Customers are catalogue items with a limit. Upstreams leaving by the platform's list (read as changes since a sequence number) or their own report get no new work.

--- a/cmd/zinnialadder/demo.go
+++ b/cmd/zinnialadder/demo.go
@@ -77,7 +77,7 @@
 		}
 		fmt.Fprintf(out, "call %d: %s (replayed %t)\n", i+1, bytes.TrimSpace(ans.Body), ans.Replayed)
 	}
-	fmt.Fprintf(out, "service: plan-2041 ran %d time(s)\n", s.Service.Executions()["plan-2041"])
+	fmt.Fprintf(out, "service: plan-2041 ran %d time(s)\n", s.Executions()["plan-2041"])
 	return nil
 }
 
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -54,6 +55,13 @@
 	return fmt.Sprintf("status %d: %s", e.Status, e.Body)
 }
 
+// NotSent reports whether err is of a request that no connection could be
+// made for, so that it certainly reached nobody.
+func NotSent(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
+}
+
 // Do sends in (nil for no body) to url with method and decodes a JSON answer
 // into out (nil to discard it). An answer outside 2xx is a *StatusError.
 func Do(ctx context.Context, c *http.Client, method, url string, in, out any) error {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -28,30 +28,33 @@
 
 // Config says what a Site holds.
 type Config struct {
-	Engines int
-	Engine  enginetest.Config // applied to every engine
-	Entries int
-	Entry   entry.Config // ID, Listen and Platform are set per instance
-	Logger  *log.Logger  // default: discard
-	Clock   clock.Clock
+	Engines  int
+	Engine   enginetest.Config // applied to every engine
+	Services int               // plain services; default 1
+	Entries  int
+	Entry    entry.Config // ID, Listen and Platform are set per instance
+	Logger   *log.Logger  // default: discard
+	Clock    clock.Clock
 }
 
 // Site is a running site. Close it when done.
 type Site struct {
-	Platform    *platformtest.Server
-	PlatformURL string
-	Engines     []*enginetest.Server
-	EngineAddrs []string
-	Trainer     *trainertest.Server
-	TrainerAddr string
-	Service     *servicetest.Server
-	ServiceAddr string
-	Entries     []*entry.Instance
-
-	cancel  context.CancelFunc
-	entryCx []context.CancelFunc
-	group   *errgroup.Group
-	cfg     Config
+	Platform     *platformtest.Server
+	PlatformURL  string
+	Engines      []*enginetest.Server
+	EngineAddrs  []string
+	Trainer      *trainertest.Server
+	TrainerAddr  string
+	Services     []*servicetest.Server
+	ServiceAddrs []string
+	Entries      []*entry.Instance
+
+	cancel      context.CancelFunc
+	stopEngine  []context.CancelFunc
+	stopService []context.CancelFunc
+	entryCx     []context.CancelFunc
+	group       *errgroup.Group
+	cfg         Config
 }
 
 // Start starts a site as cfg says and waits until every entry instance has
@@ -63,7 +66,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g, gctx := errgroup.WithContext(ctx)
 	s := &Site{cancel: cancel, group: g, cfg: cfg, Platform: platformtest.New(),
-		Trainer: new(trainertest.Server), Service: new(servicetest.Server)}
+		Trainer: new(trainertest.Server)}
 	var err error
 	if s.PlatformURL, err = s.serve(gctx, s.Platform.Handler()); err != nil {
 		return nil, err
@@ -72,14 +75,23 @@
 	if s.TrainerAddr, err = s.serve(gctx, s.Trainer.Handler()); err != nil {
 		return nil, err
 	}
-	if s.ServiceAddr, err = s.serve(gctx, s.Service.Handler()); err != nil {
-		return nil, err
+	for range max(1, cfg.Services) {
+		svc := new(servicetest.Server)
+		ctx, stop := context.WithCancel(gctx)
+		addr, err := s.serve(ctx, svc.Handler())
+		if err != nil {
+			stop()
+			return nil, err
+		}
+		s.Services, s.ServiceAddrs, s.stopService = append(s.Services, svc), append(s.ServiceAddrs, addr), append(s.stopService, stop)
 	}
 	for i := 0; i < cfg.Engines; i++ {
 		ec := cfg.Engine
 		ec.Name = fmt.Sprintf("engine-%d", i)
 		e := enginetest.New(ec)
-		addr, err := s.serve(gctx, e.Handler())
+		ectx, stop := context.WithCancel(gctx)
+		s.stopEngine = append(s.stopEngine, stop)
+		addr, err := s.serve(ectx, e.Handler())
 		if err != nil {
 			return nil, err
 		}
@@ -121,6 +133,23 @@
 // StopEntry shuts entry instance i down gracefully and waits for it.
 func (s *Site) StopEntry(i int) { s.entryCx[i]() }
 
+// CrashEngine closes engine i's listener and connections, for good.
+func (s *Site) CrashEngine(i int) { s.stopEngine[i]() }
+
+// CrashService closes service i's listener and connections, for good.
+func (s *Site) CrashService(i int) { s.stopService[i]() }
+
+// Executions returns how many times each key has run, over all services.
+func (s *Site) Executions() map[string]int {
+	out := map[string]int{}
+	for _, svc := range s.Services {
+		for k, n := range svc.Executions() {
+			out[k] += n
+		}
+	}
+	return out
+}
+
 // Apply stores f in the catalogue and waits until every entry instance
 // has applied it.
 func (s *Site) Apply(f catalogue.File) error {
@@ -187,15 +216,18 @@
 
 // EnginePool returns a pool of all the site's engines, live.
 func (s *Site) EnginePool(name string) catalogue.Pool {
-	p := catalogue.Pool{Name: name, Kind: catalogue.Engines}
-	for _, a := range s.EngineAddrs {
-		p.Upstreams = append(p.Upstreams, catalogue.Upstream{Address: a, DataCentre: "loopback", State: catalogue.Live})
-	}
-	return p
+	return catalogue.Pool{Name: name, Kind: catalogue.Engines, Upstreams: live(s.EngineAddrs)}
 }
 
-// ServicePool returns a pool of the site's service, live.
+// ServicePool returns a pool of all the site's services, live.
 func (s *Site) ServicePool(name string) catalogue.Pool {
-	return catalogue.Pool{Name: name, Kind: catalogue.Services,
-		Upstreams: []catalogue.Upstream{{Address: s.ServiceAddr, DataCentre: "loopback", State: catalogue.Live}}}
+	return catalogue.Pool{Name: name, Kind: catalogue.Services, Upstreams: live(s.ServiceAddrs)}
+}
+
+func live(addrs []string) []catalogue.Upstream {
+	var out []catalogue.Upstream
+	for _, a := range addrs {
+		out = append(out, catalogue.Upstream{Address: a, DataCentre: "loopback", State: catalogue.Live})
+	}
+	return out
 }
--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -63,6 +63,25 @@
 	Generation    uint64 `json:"generation"` // edits accepted so far
 }
 
+// Customer bounds a customer's use over all its entries. A customer without
+// one is bounded by its entries' limits alone.
+type Customer struct {
+	Name        string `json:"name"`
+	MaxInFlight int    `json:"max_in_flight"` // requests at once, per entry instance
+	Generation  uint64 `json:"generation"`
+}
+
+// Check reports the first problem with c, naming the field.
+func (c Customer) Check() error {
+	if !namePattern.MatchString(c.Name) {
+		return fmt.Errorf("customer name %q: want lower-case letters, digits, '-' or '_'", c.Name)
+	}
+	if c.MaxInFlight <= 0 {
+		return fmt.Errorf("customer %s: max_in_flight must be positive", c.Name)
+	}
+	return nil
+}
+
 // UpstreamState says whether an upstream takes new work.
 type UpstreamState string
 
--- a/pkg/catalogue/file.go
+++ b/pkg/catalogue/file.go
@@ -13,8 +13,9 @@
 
 // File is a catalogue as operators write it.
 type File struct {
-	Pools   []Pool  `json:"pools"`
-	Entries []Entry `json:"entries"`
+	Pools     []Pool     `json:"pools"`
+	Entries   []Entry    `json:"entries"`
+	Customers []Customer `json:"customers"`
 }
 
 // Check reports the first problem with f: a bad item, a repeated name, or
@@ -30,6 +31,16 @@
 		}
 		pools[p.Name] = true
 	}
+	customers := map[string]bool{}
+	for _, c := range f.Customers {
+		if err := c.Check(); err != nil {
+			return err
+		}
+		if customers[c.Name] {
+			return fmt.Errorf("customer %s is given twice", c.Name)
+		}
+		customers[c.Name] = true
+	}
 	entries := map[string]bool{}
 	for _, e := range f.Entries {
 		if err := e.Check(); err != nil {
@@ -58,16 +69,23 @@
 // first failure, which may be ErrConflict if another operator got there
 // between the read and the write.
 func Sync(ctx context.Context, c *platform.Client, f File, author string, now time.Time) ([]Outcome, error) {
-	var out []Outcome
+	type item struct {
+		key   string
+		value any
+	}
+	var items []item
+	for _, cu := range f.Customers {
+		items = append(items, item{CustomerPrefix + cu.Name, cu})
+	}
 	for _, p := range f.Pools {
-		o, err := syncItem(ctx, c, PoolPrefix+p.Name, p, author, now)
-		if err != nil {
-			return out, err
-		}
-		out = append(out, o)
+		items = append(items, item{PoolPrefix + p.Name, p})
 	}
 	for _, e := range f.Entries {
-		o, err := syncItem(ctx, c, EntryPrefix+e.Name, e, author, now)
+		items = append(items, item{EntryPrefix + e.Name, e})
+	}
+	var out []Outcome
+	for _, it := range items {
+		o, err := syncItem(ctx, c, it.key, it.value, author, now)
 		if err != nil {
 			return out, err
 		}
--- a/pkg/catalogue/store.go
+++ b/pkg/catalogue/store.go
@@ -13,17 +13,19 @@
 
 // Key prefixes of the catalogue's rows in the platform's table.
 const (
-	EntryPrefix = "catalogue/entry/"
-	PoolPrefix  = "catalogue/pool/"
-	AuditPrefix = "audit/"
+	EntryPrefix    = "catalogue/entry/"
+	PoolPrefix     = "catalogue/pool/"
+	CustomerPrefix = "catalogue/customer/"
+	AuditPrefix    = "audit/"
 )
 
 // Snapshot is the catalogue as read at one moment, with the row version of
 // each item so that a reader can apply only newer ones.
 type Snapshot struct {
-	Entries  map[string]Entry
-	Pools    map[string]Pool
-	Versions map[string]uint64 // row key → row version
+	Entries   map[string]Entry
+	Pools     map[string]Pool
+	Customers map[string]Customer
+	Versions  map[string]uint64 // row key → row version
 }
 
 // Read scans the whole catalogue from the table.
@@ -37,7 +39,7 @@
 
 // Decode builds a Snapshot from catalogue rows.
 func Decode(rows []platform.Row) (Snapshot, error) {
-	s := Snapshot{Entries: map[string]Entry{}, Pools: map[string]Pool{}, Versions: map[string]uint64{}}
+	s := Snapshot{Entries: map[string]Entry{}, Pools: map[string]Pool{}, Customers: map[string]Customer{}, Versions: map[string]uint64{}}
 	for _, r := range rows {
 		s.Versions[r.Key] = r.Version
 		switch {
@@ -53,6 +55,12 @@
 				return Snapshot{}, fmt.Errorf("catalogue: row %s: %w", r.Key, err)
 			}
 			s.Pools[p.Name] = p
+		case strings.HasPrefix(r.Key, CustomerPrefix):
+			var c Customer
+			if err := json.Unmarshal(r.Value, &c); err != nil {
+				return Snapshot{}, fmt.Errorf("catalogue: row %s: %w", r.Key, err)
+			}
+			s.Customers[c.Name] = c
 		}
 	}
 	return s, nil
@@ -60,9 +68,9 @@
 
 // Edit is one operator's change to one catalogue item.
 type Edit struct {
-	Key           string // EntryPrefix+name or PoolPrefix+name
+	Key           string // a prefix above and the name
 	ExpectVersion uint64 // the row version the author edited; 0 for a new item
-	Value         any    // an Entry or a Pool
+	Value         any    // an Entry, a Pool or a Customer
 	Author        string
 	At            time.Time
 }
@@ -143,6 +151,12 @@
 		}
 		x.Generation = gen
 		return x, nil
+	case Customer:
+		if err := x.Check(); err != nil {
+			return nil, err
+		}
+		x.Generation = gen
+		return x, nil
 	default:
 		return nil, fmt.Errorf("catalogue: cannot store %T", v)
 	}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -54,6 +54,7 @@
 type LoadReport struct {
 	Active        int       `json:"active"`
 	Queued        int       `json:"queued"`
+	Leaving       bool      `json:"leaving,omitempty"` // takes no new work
 	Loading       bool      `json:"loading,omitempty"` // a load order is being carried out
 	WeightVersion uint64    `json:"weight_version"`
 	ChecksFencing bool      `json:"checks_fencing"`
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -46,6 +46,7 @@
 	ForeignChunk    bool `json:"foreign_chunk"`
 	// DropChunk leaves out the third chunk of each stream.
 	DropChunk bool `json:"drop_chunk"`
+	Leaving   bool `json:"leaving"` // report that the engine is leaving
 	// SlowFactor multiplies the time between tokens (0: no change).
 	SlowFactor int `json:"slow_factor"`
 	// StaleReports makes load reports repeat the snapshot taken when it
@@ -291,7 +292,7 @@
 
 func (s *Server) reportLocked() engine.LoadReport {
 	hits, misses := s.cache.counts()
-	return engine.LoadReport{Active: s.active, Queued: s.queued, Loading: s.loaded != nil, WeightVersion: s.version,
+	return engine.LoadReport{Active: s.active, Queued: s.queued, Loading: s.loaded != nil, Leaving: s.faults.Leaving, WeightVersion: s.version,
 		ChecksFencing: s.cfg.ChecksFencing, CacheHits: hits, CacheMisses: misses, At: time.Now()}
 }
 
--- a/pkg/entry/call_prop_test.go
+++ b/pkg/entry/call_prop_test.go
@@ -45,6 +45,8 @@
 	serviceReplyLost
 	claimReplyLost
 	platformDown
+	serviceRefuses
+	allServicesRefuse
 )
 
 // Non-idempotent calls, retried at any instance under lost replies and
@@ -61,12 +63,12 @@
 			"call": func(rt *rapid.T) {
 				key := rapid.SampledFrom(keys).Draw(rt, "key")
 				at := rapid.IntRange(0, len(s.Entries)-1).Draw(rt, "instance")
-				f := fault(rapid.IntRange(0, 3).Draw(rt, "fault"))
-				before := s.Service.Executions()[key]
+				f := fault(rapid.IntRange(0, int(allServicesRefuse)).Draw(rt, "fault"))
+				before := s.Executions()[key]
 				inject(s, f)
 				status, v := callOnce(rt, s.Entries[at].Addr(), key)
 				inject(s, noFault)
-				after := s.Service.Executions()[key]
+				after := s.Executions()[key]
 				switch {
 				case after > 1:
 					rt.Fatalf("%s ran %d times", key, after)
@@ -78,10 +80,10 @@
 			},
 		})
 		for _, key := range keys {
-			if s.Service.Executions()[key] > 0 {
+			if s.Executions()[key] > 0 {
 				continue
 			}
-			if status, v := callOnce(rt, s.Entries[0].Addr(), key); status != http.StatusOK || s.Service.Executions()[key] != 1 {
+			if status, v := callOnce(rt, s.Entries[0].Addr(), key); status != http.StatusOK || s.Executions()[key] != 1 {
 				rt.Fatalf("%s never ran; with the faults gone it answered %d %s", key, status, v)
 			}
 		}
@@ -90,14 +92,25 @@
 
 // inject brings about f, or with noFault clears every fault.
 func inject(s *site.Site, f fault) {
-	s.Service.LoseReplies(0)
+	for _, svc := range s.Services {
+		svc.LoseReplies(0)
+		svc.Refuse(0)
+	}
 	s.Platform.SetFaults(platformtest.Faults{})
 	switch f {
 	case serviceReplyLost:
-		s.Service.LoseReplies(1)
+		for _, svc := range s.Services {
+			svc.LoseReplies(1)
+		}
 	case claimReplyLost:
 		s.Platform.SetFaults(platformtest.Faults{LoseReplies: 1, LosePrefix: "claim/"})
 	case platformDown:
 		s.Platform.SetFaults(platformtest.Faults{Down: true})
+	case serviceRefuses:
+		s.Services[0].Refuse(1)
+	case allServicesRefuse:
+		for _, svc := range s.Services {
+			svc.Refuse(1)
+		}
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -25,7 +25,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/health"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/retry"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -33,6 +35,12 @@
 
 const memberPrefix = "member/"
 
+// The retry budget: a fifth of the requests, and what is saved up.
+const (
+	retryRatio = 0.2
+	retryBurst = 100
+)
+
 // Defaults of step.Policy, see docs/design/steps.md.
 const (
 	defaultHedgeFactor = 2.0
@@ -83,6 +91,8 @@
 	// StepPolicy says how stragglers of training steps are treated; its
 	// MaxRunning is taken from the catalogue entry's limit.
 	StepPolicy    step.Policy
+	MaxInFlight   int // requests at once, over all entries; default 512
+	Health        health.Config
 	ShardGroups   int           // groups of a step that one instance runs; default 64
 	ShardLeaseTTL time.Duration // lease of a step's shard; default 3s
 	StepTick      time.Duration // period of a shard's decisions; default 25ms
@@ -123,6 +133,9 @@
 	if c.StepPolicy.HedgeFactor == 0 {
 		c.StepPolicy.HedgeFactor, c.StepPolicy.HedgeAfter = defaultHedgeFactor, defaultHedgeAfter
 	}
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = 512
+	}
 	if c.ShardGroups == 0 {
 		c.ShardGroups = 64
 	}
@@ -166,6 +179,8 @@
 	http      *http.Client
 	policy    route.Policy
 	load      inFlight
+	health    *health.Tracker
+	retries   *retry.Budget
 	peers     *peers
 	// life tells this process from earlier ones with the same ID, and
 	// attempts numbers its claims on non-idempotent calls.
@@ -190,11 +205,13 @@
 			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
 				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
 			rolloutRenew: cfg.RolloutLeaseTTL / 3, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
-		events: make(chan event, 64),
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
-		policy: route.Policy{Slack: 2},
-		stats:  newCounters(cfg.Metrics),
-		life:   newLife(),
+		events:  make(chan event, 64),
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
+		policy:  route.Policy{Slack: 2},
+		health:  health.NewTracker(cfg.Health),
+		retries: retry.NewBudget(retryRatio, retryBurst),
+		stats:   newCounters(cfg.Metrics),
+		life:    newLife(),
 	}
 	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
 	in.view.Store(newState(in.self, in.timing).view)
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -54,31 +53,6 @@
 	return nil
 }
 
-// admit finds the request's catalogue entry and takes a place under its
-// limit. The caller must call release when admit succeeds.
-func (in *Instance) admit(v *View, customer, name string) (catalogue.Entry, func(), error) {
-	now := in.cfg.Clock.Now()
-	if v.Draining {
-		return catalogue.Entry{}, nil, verdict.Refuse(http.StatusServiceUnavailable, now, errDraining)
-	}
-	e, err := v.entryFor(customer, name)
-	if err != nil {
-		return catalogue.Entry{}, nil, err
-	}
-	release, err := in.admitEntry(e)
-	return e, release, err
-}
-
-// admitEntry takes a place under e's limit, to be given back with release.
-func (in *Instance) admitEntry(e catalogue.Entry) (release func(), err error) {
-	key := "entry:" + e.Name
-	if !in.load.acquire(key, e.Limits.MaxInFlight) {
-		return nil, verdict.Refuse(http.StatusTooManyRequests, in.cfg.Clock.Now().Add(time.Second),
-			fmt.Errorf("entry %s is at its limit of %d requests in flight", e.Name, e.Limits.MaxInFlight))
-	}
-	return func() { in.load.release(key) }, nil
-}
-
 func (in *Instance) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	in.stats.requests.Inc(1)
 	start := time.Now()
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
@@ -16,8 +17,12 @@
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
-// maxAttempts bounds how many engines one generation may be tried on.
-const maxAttempts = 3
+// Bounds of one generation's attempts: those that reached an engine, and
+// all.
+const (
+	maxAttempts = 3
+	maxTried    = 8
+)
 
 // generation is one caller's generation in progress.
 type generation struct {
@@ -29,6 +34,8 @@
 	tokens int
 	labels []uint64 // weight versions that produced the text, in order
 	tried  []string // engines tried, in order
+	// reached is set once an engine may have begun work on it.
+	reached bool
 }
 
 // errTooStale ends a training generation whose first version is older than
@@ -36,27 +43,38 @@
 var errTooStale = errors.New("generation began under a weight version that is now too old")
 
 // run tries engines until the generation is whole. A stream cut after some
-// tokens resumes on another engine from where it stopped.
+// tokens resumes on another engine from where it stopped. Engines that take
+// no connection cost no attempt, since nothing was asked of them.
 func (g *generation) run(ctx context.Context) (Event, error) {
+	g.in.retries.Earn()
 	var last error
-	for attempt := 0; attempt < maxAttempts; attempt++ {
+	for attempts := 0; attempts < maxAttempts && len(g.tried) < maxTried; {
 		addr, err := g.pick()
 		if err != nil {
-			if last != nil {
-				break
+			if last == nil {
+				return Event{}, err
 			}
-			return Event{}, err
+			break
+		}
+		if attempts > 0 && g.tokens == 0 && !g.in.retries.Spend() {
+			g.in.stats.retriesRefused.Inc(1)
+			break
 		}
 		g.tried = append(g.tried, addr)
 		done, err := g.stream(ctx, addr)
 		if done {
+			g.in.health.Succeeded(addr)
 			return Event{Done: true, WeightVersions: g.labels, Tokens: g.tokens}, nil
 		}
 		last = err
 		if ctx.Err() != nil || errors.Is(err, errTooStale) || errors.Is(err, errCaller) {
 			break
 		}
-		g.in.stats.upstreamErrors.Inc(1)
+		g.in.upstreamFailed(addr, err)
+		if !httpjson.NotSent(err) {
+			attempts++
+			g.reached = true
+		}
 		if g.tokens > 0 {
 			g.in.stats.resumed.Inc(1)
 		}
@@ -64,43 +82,54 @@
 	return Event{}, g.failure(last)
 }
 
+// upstreamFailed counts a request to the upstream at addr that err ended.
+func (in *Instance) upstreamFailed(addr string, err error) {
+	in.stats.upstreamErrors.Inc(1)
+	if in.health.Failed(addr, in.cfg.Clock.Now(), httpjson.NotSent(err)) {
+		in.stats.ejected.Inc(1)
+		in.cfg.Logger.Info("upstream ejected", "address", addr, "err", err)
+	}
+}
+
 // failure is the verdict of a generation that could not be completed. A
 // generation has no side effects beyond the engine's work, so the caller
 // may retry it whatever happened; NotRun is said only if no engine was
 // reached.
 func (g *generation) failure(err error) error {
-	now := g.in.cfg.Clock.Now()
-	if len(g.tried) == 0 {
-		return verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second), err)
+	v, status := verdict.MayHaveRun, http.StatusBadGateway
+	if !g.reached && g.tokens == 0 {
+		v, status = verdict.NotRun, http.StatusServiceUnavailable
 	}
-	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, RetryAt: now.Add(time.Second),
+	return &verdict.Error{Verdict: v, Status: status, RetryAt: g.in.cfg.Clock.Now().Add(time.Second),
 		Err: fmt.Errorf("generate: gave up after %d engines: %w", len(g.tried), err)}
 }
 
-// pick chooses a live engine of the entry's pool not yet tried.
+// pick chooses a live engine of the entry's pool not yet tried: a healthy
+// one that is not loading weights if there is one, or else any.
 func (g *generation) pick() (string, error) {
-	view := g.in.View()
-	p, ok := view.Pools[g.entry.Pool]
-	if !ok || p.Kind != catalogue.Engines {
-		return "", verdict.Refuse(http.StatusServiceUnavailable, g.in.cfg.Clock.Now().Add(time.Second),
-			fmt.Errorf("entry %s: pool %q has no engines", g.entry.Name, g.entry.Pool))
-	}
-	var cands []route.Candidate
-	for _, u := range p.Upstreams {
-		if u.State != catalogue.Live || slices.Contains(g.tried, u.Address) {
+	view, now := g.in.View(), g.in.cfg.Clock.Now()
+	var good, rest []route.Candidate
+	for _, u := range view.live(g.entry.Pool, catalogue.Engines) {
+		if slices.Contains(g.tried, u.Address) || g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
 			continue
 		}
-		if g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
-			continue
+		c := route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address)}
+		if view.Loads[u.Address].Loading || !g.in.health.Usable(u.Address, now) {
+			rest = append(rest, c)
+		} else {
+			good = append(good, c)
 		}
-		cands = append(cands, route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address)})
 	}
-	i := g.in.policy.Pick(cands, affinity(g.req.Prompt))
+	if len(good) == 0 {
+		good = rest
+	}
+	i := g.in.policy.Pick(good, affinity(g.req.Prompt))
 	if i < 0 {
-		return "", verdict.Refuse(http.StatusServiceUnavailable, g.in.cfg.Clock.Now().Add(time.Second),
-			fmt.Errorf("entry %s: no live engine in pool %s", g.entry.Name, p.Name))
+		return "", verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second),
+			fmt.Errorf("entry %s: no live engine in pool %q", g.entry.Name, g.entry.Pool))
 	}
-	return cands[i].Key, nil
+	g.in.health.Trying(good[i].Key, now)
+	return good[i].Key, nil
 }
 
 // tooStale reports whether the engine at addr last reported a weight
--- /dev/null
+++ b/pkg/entry/health_test.go
@@ -0,0 +1,108 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/internal/site"
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// Crashed engines are always the least loaded; they must not draw requests
+// away from the engines that live: with four of six crashed under a load
+// that occupies the others, every request is still answered.
+func TestCrashedEnginesDrawNoRequests(t *testing.T) {
+	s := startSite(t, 6, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 2 * time.Millisecond})
+	for i := range 4 {
+		s.CrashEngine(i)
+	}
+	for i := 0; i < 40; i++ {
+		req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprint("crash-", i),
+			Prompt: fmt.Sprint("prompt ", i), MaxTokens: 4}
+		if status, _, last := generate(t, s.Entries[0].Addr(), req); status != http.StatusOK || !last.Done {
+			t.Fatalf("request %d: status %d, %+v", i, status, last)
+		}
+	}
+	if n := s.Entries[0].Counter("upstream_errors"); n > 16 {
+		t.Fatalf("%d attempts at crashed engines for 40 requests", n)
+	}
+}
+
+// An engine that the platform's instance list, late, or the engine itself
+// says is leaving gets no new work, though the catalogue has it live.
+func TestEngineThatLeavesByItselfGetsNoNewWork(t *testing.T) {
+	tells := map[string]func(s *site.Site){
+		"instance list": func(s *site.Site) {
+			s.Platform.SetInstance(s.EngineAddrs[0], platform.InstanceLeaving, 200*time.Millisecond)
+		},
+		"own report": func(s *site.Site) { s.Engines[0].SetFaults(enginetest.Faults{Leaving: true}) },
+	}
+	for name, tell := range tells {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 3, 2, enginetest.Config{WeightVersion: 1})
+			tell(s)
+			waitFor(t, 5*time.Second, "both instances to see it leaving", func() bool {
+				return s.Entries[0].View().LeavingUpstream(s.EngineAddrs[0]) && s.Entries[1].View().LeavingUpstream(s.EngineAddrs[0])
+			})
+			before := s.Engines[0].Requests()
+			for i := 0; i < 30; i++ {
+				req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprint("leave-", i),
+					Prompt: fmt.Sprint("prompt ", i), MaxTokens: 2}
+				generate(t, s.Entries[i%2].Addr(), req)
+			}
+			if n := s.Engines[0].Requests() - before; n != 0 {
+				t.Fatalf("leaving engine got %d new requests", n)
+			}
+		})
+	}
+}
+
+// Training may not crowd out desk agents: with the instance's places for
+// training taken, interactive requests are still admitted.
+func TestTrainingLeavesPlacesForInteractive(t *testing.T) {
+	s := startSite(t, 2, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 5 * time.Millisecond, Slots: 256})
+	submit(t, s, 0, stepSpec("crowd", 64, 8, 64)) // 512 generations for 64 places
+	waitFor(t, 5*time.Second, "training at its share", func() bool { return s.Entries[0].Counter("refused_admission") > 0 })
+	for i := 0; i < 5; i++ {
+		req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprint("agent-", i), Prompt: "p", MaxTokens: 2}
+		if status, _, last := generate(t, s.Entries[0].Addr(), req); status != http.StatusOK || !last.Done {
+			t.Fatalf("agent's request %d: status %d, %+v", i, status, last)
+		}
+	}
+}
+
+// A customer's limit holds over all its entries, and a refusal says it was
+// not run and when to come back.
+func TestCustomerLimit(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 20 * time.Millisecond})
+	c := platform.NewClient(s.PlatformURL, nil)
+	f := catalogue.File{Customers: []catalogue.Customer{{Name: "minho", MaxInFlight: 1}}}
+	out, err := catalogue.Sync(context.Background(), c, f, "test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WaitApplied(out, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan int, 1)
+	go func() {
+		status, _, _ := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "a", Prompt: "p", MaxTokens: 50})
+		done <- status
+	}()
+	waitFor(t, 5*time.Second, "the first request under way", func() bool { return s.Engines[0].Requests() == 1 })
+	if status, v := callOnce(t, s.Entries[0].Addr(), "over"); status != http.StatusTooManyRequests || v.String() != "not_run" {
+		t.Fatalf("second request answered %d %s, want 429 not_run", status, v)
+	}
+	if status := <-done; status != http.StatusOK {
+		t.Fatalf("first request answered %d", status)
+	}
+	if n := s.Executions()["over"]; n != 0 {
+		t.Fatalf("refused call ran %d times", n)
+	}
+}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -115,6 +115,9 @@
 		}
 	case sendOrder:
 		return in.order(ctx, e)
+	case readInstances:
+		ch, err := in.cfg.Platform.Instances(ctx, e.since)
+		return instancesRead{changes: ch, err: err}
 	case readSteps:
 		heads, err := in.readSteps(ctx)
 		return stepsRead{heads: heads, err: err}
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -66,7 +66,7 @@
 	if status != http.StatusServiceUnavailable || v != verdict.NotRun || took > 2*time.Second {
 		t.Fatalf("answered %d %s after %v; want 503 not_run within 2 s", status, v, took)
 	}
-	if n := s.Service.Executions()["slow-1"]; n != 0 {
+	if n := s.Executions()["slow-1"]; n != 0 {
 		t.Fatalf("refused call ran %d times", n)
 	}
 }
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -70,8 +70,12 @@
 		heads map[string]step.Head
 		err   error
 	}
-	stepAccepted struct{} // by this instance
-	shardEnded   struct{ id shardID }
+	stepAccepted  struct{} // by this instance
+	instancesRead struct {
+		changes platform.InstanceChanges
+		err     error
+	}
+	shardEnded struct{ id shardID }
 )
 
 func (tick) isEvent()          {}
@@ -86,6 +90,7 @@
 func (hinted) isEvent()        {}
 func (stepsRead) isEvent()     {}
 func (stepAccepted) isEvent()  {}
+func (instancesRead) isEvent() {}
 func (shardEnded) isEvent()    {}
 
 // Effects are what reduce asks the loop to do.
@@ -120,8 +125,9 @@
 		draining bool
 		steps    bool
 	}
-	readSteps struct{}
-	runShard  struct{ id shardID }
+	readSteps     struct{}
+	readInstances struct{ since uint64 }
+	runShard      struct{ id shardID }
 )
 
 func (readCatalogue) isEffect()       {}
@@ -135,6 +141,7 @@
 func (publish) isEffect()             {}
 func (logChange) isEffect()           {}
 func (hintPeers) isEffect()           {}
+func (readInstances) isEffect()       {}
 func (readSteps) isEffect()           {}
 func (runShard) isEffect()            {}
 
@@ -180,6 +187,7 @@
 	sightings      map[string]sighting    // member row key → its last change
 	rollouts       map[string]poolRollout // pools whose rollout this instance runs
 	rolling        map[string]bool        // pools whose rollout it should run
+	instancesSeq   uint64                 // sequence number of the instance list applied
 	stepsSeen      map[string]bool        // open steps seen, by step.Key
 	shards         map[shardID]bool       // step shards this instance runs or waits to run
 }
@@ -188,7 +196,8 @@
 	return state{
 		self:   self,
 		timing: t,
-		view: &View{Entries: map[string]catalogue.Entry{}, Pools: map[string]catalogue.Pool{},
+		view: &View{Entries: map[string]catalogue.Entry{}, Customers: map[string]catalogue.Customer{},
+			Instances: map[string]platform.InstanceState{}, Pools: map[string]catalogue.Pool{},
 			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, Loads: map[string]engine.LoadReport{}, Newest: map[string]uint64{}},
 		pending:    map[string]bool{},
 		platformOK: true,
@@ -212,6 +221,8 @@
 		return s.onRolloutLease(e)
 	case orderEnded:
 		return s.onOrderEnded(e)
+	case instancesRead:
+		return s.onInstances(e)
 	case stepsRead:
 		return s.onSteps(e)
 	case stepAccepted:
@@ -259,6 +270,10 @@
 		if full {
 			s.nextFullScan = now.Add(s.timing.fullScan)
 		}
+		if !s.pending["instances"] {
+			s.pending = with(s.pending, "instances")
+			effs = append(effs, readInstances{since: s.instancesSeq})
+		}
 		effs = append(effs, readCatalogue{known: s.revisionRow, number: s.revisionNumber, full: full})
 	}
 	if !now.Before(s.nextMembers) && !s.pending["members"] {
--- a/pkg/entry/reduce_catalogue.go
+++ b/pkg/entry/reduce_catalogue.go
@@ -32,6 +32,7 @@
 	}
 	v := s.view.clone()
 	v.Entries, v.Pools, v.Versions = maps.Clone(v.Entries), maps.Clone(v.Pools), maps.Clone(v.Versions)
+	v.Customers = maps.Clone(v.Customers)
 	v.Targets, v.Newest = maps.Clone(v.Targets), maps.Clone(v.Newest)
 	changed := 0
 	for key, ver := range snap.Versions {
@@ -47,6 +48,8 @@
 			v.Entries[name] = snap.Entries[name]
 		case strings.HasPrefix(key, catalogue.PoolPrefix):
 			v.Pools[name] = snap.Pools[name]
+		case strings.HasPrefix(key, catalogue.CustomerPrefix):
+			v.Customers[name] = snap.Customers[name]
 		case strings.HasPrefix(key, weights.TargetPrefix):
 			v.Targets[name] = targets[name]
 			v.Newest[name] = max(v.Newest[name], targets[name].Version)
--- a/pkg/entry/reduce_members.go
+++ b/pkg/entry/reduce_members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
@@ -118,3 +119,22 @@
 	}
 	return true
 }
+
+// onInstances applies changes of the platform's list of upstream instances.
+func (s state) onInstances(e instancesRead) (state, []effect) {
+	s.pending = without(s.pending, "instances")
+	if e.err != nil {
+		return s.platformDown(e.err)
+	}
+	s.instancesSeq = e.changes.Sequence
+	if len(e.changes.Instances) == 0 {
+		return s, nil
+	}
+	v := s.view.clone()
+	v.Instances = maps.Clone(v.Instances)
+	for _, in := range e.changes.Instances {
+		v.Instances[in.Address] = in.State
+	}
+	s.view = v
+	return s, []effect{publish{v}}
+}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -95,9 +95,11 @@
 type counters struct {
 	requests, refused, failed, upstreamErrors, resumed  metrics.Counter
 	samples, samplesStale, deliveryRetries, redelivered metrics.Counter
-	samplesLost                                         metrics.Counter
+	samplesLost, refusedAdmission, retriesRefused       metrics.Counter
+	ejected, hedges                                     metrics.Counter
 	orders, orderErrors                                 metrics.Counter
 	latency                                             metrics.Timer
+	callTime                                            metrics.Timer // one copy of a service call
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -106,9 +108,11 @@
 		requests: c("requests"), refused: c("refused"), failed: c("failed"),
 		upstreamErrors: c("upstream_errors"), resumed: c("streams_resumed"),
 		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"), samplesLost: c("samples_lost"),
+		refusedAdmission: c("refused_admission"), retriesRefused: c("retries_refused"), ejected: c("upstreams_ejected"), hedges: c("hedges"),
 		orders: c("load_orders"), orderErrors: c("load_order_errors"),
 		deliveryRetries: c("delivery_retries"), redelivered: c("samples_redelivered"),
-		latency: metrics.GetOrRegisterTimer("request_latency", r),
+		latency:  metrics.GetOrRegisterTimer("request_latency", r),
+		callTime: metrics.GetOrRegisterTimer("service_call_latency", r),
 	}
 }
 
--- /dev/null
+++ b/pkg/entry/servicecall.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/service"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Hedging of idempotent calls: a second copy is sent once the first has
+// taken hedgeMeans times the mean, and no sooner than hedgeFloor, counted
+// over at least hedgeSamples calls.
+const (
+	hedgeMeans   = 3
+	hedgeFloor   = 10 * time.Millisecond
+	hedgeSamples = 20
+)
+
+// serviceCall is one caller's call to a plain service in progress.
+type serviceCall struct {
+	in    *Instance
+	view  *View
+	entry catalogue.Entry
+	req   CallRequest
+	tried []string // services tried, in order
+}
+
+// once sends the call to one service after another until one of them may
+// have run it. Its error is NotRun only if none did.
+func (c *serviceCall) once(ctx context.Context) (CallAnswer, error) {
+	var last error
+	for range maxAttempts {
+		addr, err := c.pick()
+		if err != nil {
+			if last == nil {
+				last = err
+			}
+			break
+		}
+		ans, err := c.send(ctx, addr)
+		if verdict.Of(err) != verdict.NotRun {
+			return ans, err
+		}
+		last = err
+	}
+	return CallAnswer{}, c.refuse(last)
+}
+
+// refuse is the NotRun error of a call that reached no service.
+func (c *serviceCall) refuse(err error) error {
+	return verdict.Refuse(http.StatusServiceUnavailable, c.in.cfg.Clock.Now().Add(time.Second), fmt.Errorf("call: not run: %w", err))
+}
+
+// outcome is how one copy of a call ended.
+type outcome struct {
+	ans CallAnswer
+	err error
+}
+
+// repeatable sends an idempotent call, again when it fails, and a second
+// copy when the first takes long; the first answer counts.
+func (c *serviceCall) repeatable(ctx context.Context) (CallAnswer, error) {
+	c.in.retries.Earn()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var copies errgroup.Group
+	ended := make(chan outcome, maxAttempts)
+	sent, running := 0, 0
+	send := func() error {
+		addr, err := c.pick()
+		if err != nil {
+			return err
+		}
+		sent, running = sent+1, running+1
+		copies.Go(func() error {
+			ans, err := c.send(ctx, addr)
+			ended <- outcome{ans, err}
+			return nil
+		})
+		return nil
+	}
+	if err := send(); err != nil {
+		return CallAnswer{}, err
+	}
+	hedge := time.NewTimer(c.in.hedgeAfter())
+	defer hedge.Stop()
+	var last error
+	for running > 0 {
+		select {
+		case o := <-ended:
+			running--
+			if o.err == nil || verdict.Of(o.err) == verdict.Ran {
+				return o.ans, o.err
+			}
+			last = o.err
+		case <-hedge.C:
+			c.in.stats.hedges.Inc(1)
+		}
+		if sent < maxAttempts && ctx.Err() == nil && c.in.retries.Spend() {
+			_ = send() // with no other service left, the copies running decide
+		}
+	}
+	if verdict.Of(last) == verdict.NotRun {
+		return CallAnswer{}, c.refuse(last)
+	}
+	return CallAnswer{}, last
+}
+
+// hedgeAfter is how long a call may take before a second copy is sent.
+func (in *Instance) hedgeAfter() time.Duration {
+	if in.stats.callTime.Count() < hedgeSamples {
+		return in.cfg.UpstreamTimeout
+	}
+	return max(hedgeFloor, time.Duration(hedgeMeans*in.stats.callTime.Mean()))
+}
+
+// send sends one copy of the call to the service at addr.
+func (c *serviceCall) send(ctx context.Context, addr string) (CallAnswer, error) {
+	c.in.load.acquire(addr, 0)
+	defer c.in.load.release(addr)
+	start := time.Now()
+	body, err := service.NewClient(addr, c.in.http).Call(ctx, c.req.Method, c.req.Key, c.req.Idempotent, c.req.Body)
+	if err == nil || verdict.Of(err) == verdict.Ran {
+		c.in.health.Succeeded(addr)
+		c.in.stats.callTime.UpdateSince(start)
+	} else if !errors.Is(ctx.Err(), context.Canceled) {
+		c.in.upstreamFailed(addr, err)
+	}
+	if err != nil {
+		return CallAnswer{}, fmt.Errorf("call: %w", err)
+	}
+	return CallAnswer{Body: body}, nil
+}
+
+// pick chooses a live service not yet tried, a healthy one if there is one.
+func (c *serviceCall) pick() (string, error) {
+	now := c.in.cfg.Clock.Now()
+	var good, rest []route.Candidate
+	for _, u := range c.view.live(c.entry.Pool, catalogue.Services) {
+		if slices.Contains(c.tried, u.Address) {
+			continue
+		}
+		cand := route.Candidate{Key: u.Address, Load: float64(c.in.load.get(u.Address))}
+		if c.in.health.Usable(u.Address, now) {
+			good = append(good, cand)
+		} else {
+			rest = append(rest, cand)
+		}
+	}
+	if len(good) == 0 {
+		good = rest
+	}
+	i := c.in.policy.Pick(good, c.req.Key)
+	if i < 0 {
+		return "", verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second),
+			fmt.Errorf("entry %s: no live service in pool %q", c.entry.Name, c.entry.Pool))
+	}
+	c.tried = append(c.tried, good[i].Key)
+	c.in.health.Trying(good[i].Key, now)
+	return good[i].Key, nil
+}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -25,14 +26,16 @@
 // View is the control state that traffic reads: published whole by the
 // control goroutine and never changed after.
 type View struct {
-	Entries  map[string]catalogue.Entry
-	Pools    map[string]catalogue.Pool
-	Versions map[string]uint64 // catalogue row key → version applied
-	Members  []Member          // live members, by ID
-	Loads    map[string]engine.LoadReport
-	Targets  map[string]weights.Target // pool → the version its trainer named
-	Newest   map[string]uint64         // pool → newest weight version named, or reported where none is
-	Draining bool
+	Entries   map[string]catalogue.Entry
+	Pools     map[string]catalogue.Pool
+	Customers map[string]catalogue.Customer
+	Instances map[string]platform.InstanceState // by address, as the platform's list last had it
+	Versions  map[string]uint64                 // catalogue row key → version applied
+	Members   []Member                          // live members, by ID
+	Loads     map[string]engine.LoadReport
+	Targets   map[string]weights.Target // pool → the version its trainer named
+	Newest    map[string]uint64         // pool → newest weight version named, or reported where none is
+	Draining  bool
 }
 
 func (v *View) clone() *View {
@@ -52,6 +55,27 @@
 	return e, nil
 }
 
+// LeavingUpstream reports whether the upstream at addr is leaving by the
+// platform's list or its own report, whatever the catalogue says.
+func (v *View) LeavingUpstream(addr string) bool {
+	return v.Instances[addr] == platform.InstanceLeaving || v.Loads[addr].Leaving
+}
+
+// live returns the upstreams of the pool that take new work.
+func (v *View) live(pool string, kind catalogue.Kind) []catalogue.Upstream {
+	p, ok := v.Pools[pool]
+	if !ok || p.Kind != kind {
+		return nil
+	}
+	out := make([]catalogue.Upstream, 0, len(p.Upstreams))
+	for _, u := range p.Upstreams {
+		if u.State == catalogue.Live && !v.LeavingUpstream(u.Address) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // outOfBound reports whether version is older than e allows of a sample.
 func (v *View) outOfBound(e catalogue.Entry, version uint64) bool {
 	return version+e.MaxVersionLag < v.Newest[e.Pool]
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -10,6 +10,7 @@
 //	PUT  /v1/objects/{name}     store an object
 //	GET  /v1/objects/{name}     read an object, or 404
 //	DELETE /v1/objects/{name}   remove an object, if there
+//	GET  /v1/instances?since=N  InstanceChanges: the lagging instance list
 package platform
 
 import (
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -36,12 +36,13 @@
 
 // Server is the stand-in. Its zero value is not usable; call New.
 type Server struct {
-	mu      sync.Mutex
-	seq     uint64
-	rows    map[string]platform.Row
-	objects map[string][]byte
-	faults  Faults
-	stats   Stats
+	mu        sync.Mutex
+	seq       uint64
+	rows      map[string]platform.Row
+	objects   map[string][]byte
+	faults    Faults
+	stats     Stats
+	instances []listed
 }
 
 // New returns an empty Server.
@@ -59,6 +60,7 @@
 	mux.HandleFunc("PUT /v1/objects/{name...}", s.putObject)
 	mux.HandleFunc("GET /v1/objects/{name...}", s.getObject)
 	mux.HandleFunc("DELETE /v1/objects/{name...}", s.deleteObject)
+	mux.HandleFunc("GET /v1/instances", s.listInstances)
 	mux.HandleFunc("POST /v1/faults", s.setFaults)
 	mux.HandleFunc("GET /v1/stats", s.getStats)
 	return mux
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -4,6 +4,9 @@
 // The protocol is HTTP with JSON bodies:
 //
 //	POST /v1/calls/{method}   any JSON body; Idempotency-Key names the call
+//
+// A service that turns a call away before running it answers with the
+// header Zinnia-Verdict: not_run; no other failure says that.
 package service
 
 import (
@@ -14,6 +17,7 @@
 	"net/http"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
 // KeyHeader names a call so that a service and zinnialadder can tell a
@@ -36,8 +40,9 @@
 }
 
 // Call invokes method with body under key and returns the answer's body.
-// An error from the transport means the call may have run; an answer
-// outside 2xx is an *httpjson.StatusError and ran.
+// Errors carry a verdict (see verdict.Of): a service not reached, or that
+// says so, did not run the call; an answer outside 2xx ran; with any other
+// error the call may have run.
 //
 // A call that is not idempotent is sent at most once: net/http would
 // otherwise resend a request bearing an Idempotency-Key header by itself
@@ -53,16 +58,23 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(KeyHeader, key)
 	resp, err := c.http.Do(req)
+	if httpjson.NotSent(err) {
+		return nil, verdict.New(verdict.NotRun, http.StatusBadGateway, err)
+	}
 	if err != nil {
-		return nil, err
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, err)
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxBody))
 	if err != nil {
-		return nil, err
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, err)
 	}
 	if resp.StatusCode/100 != 2 {
-		return nil, &httpjson.StatusError{Status: resp.StatusCode, Body: string(b)}
+		ran := verdict.Ran
+		if resp.Header.Get(verdict.Header) == verdict.NotRun.String() {
+			ran = verdict.NotRun
+		}
+		return nil, verdict.New(ran, http.StatusBadGateway, &httpjson.StatusError{Status: resp.StatusCode, Body: string(b)})
 	}
 	return b, nil
 }
--- a/pkg/service/servicetest/server.go
+++ b/pkg/service/servicetest/server.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/service"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
 // Result is the answer of a call.
@@ -24,6 +26,8 @@
 	mu         sync.Mutex
 	executions map[string]int
 	loseReply  int
+	refuse     int
+	delay      time.Duration
 }
 
 // Handler returns the service protocol, with GET /v1/executions for tests.
@@ -54,14 +58,45 @@
 	s.mu.Unlock()
 }
 
+// Refuse makes the service turn the next n calls away without running them.
+func (s *Server) Refuse(n int) {
+	s.mu.Lock()
+	s.refuse = n
+	s.mu.Unlock()
+}
+
+// Delay makes the service wait for d before it answers each call.
+func (s *Server) Delay(d time.Duration) {
+	s.mu.Lock()
+	s.delay = d
+	s.mu.Unlock()
+}
+
+// refused reports whether this call is to be turned away.
+func (s *Server) refused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse == 0 {
+		return false
+	}
+	s.refuse--
+	return true
+}
+
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	var body json.RawMessage
 	if err := httpjson.Decode(w, r, &body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.refused() {
+		w.Header().Set(verdict.Header, verdict.NotRun.String())
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
 	key := r.Header.Get(service.KeyHeader)
 	s.mu.Lock()
+	delay := s.delay
 	if s.executions == nil {
 		s.executions = map[string]int{}
 	}
@@ -72,6 +107,7 @@
 		s.loseReply--
 	}
 	s.mu.Unlock()
+	time.Sleep(delay)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
