entry, trainer: freshness at the trainer, callers' deadlines, old reads revert nothing

Cause: a rapid test of the whole path (versions advance while engines lag, swaps fail, reports repeat old news, the platform goes down and loses replies) found a sample recorded within its bound that reached the trainer two versions behind: versions were named between the record and the receipt.

Ruled out: checking again before the send (done already; the window is the send itself) and holding a new version back until deliveries under way have ended (a partitioned instance would hold it for good). Only the trainer, who names versions, can tell at the moment of receipt: a delivery now carries the bound, and a trainer turns away what is beyond it and says so in its Ack. A trainer that does not leaves a window of one send.

Also: Zinnia-Timeout-Ms gives a request the caller's own deadline (504 with a verdict when it passes), and the platform stand-in can answer reads from an old copy, which takes no applied change back.

--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -41,6 +41,7 @@
 // name names version v through an entry instance.
 func (m *meter) name(ctx context.Context, entryName string, v uint64) error {
 	e := m.site.Entries[0]
+	m.site.Trainer.Named(v)
 	err := post(ctx, "http://"+e.Addr()+"/v1/weights", entry.WeightsRequest{Customer: e.View().Entries[entryName].Owner, Entry: entryName, Version: v})
 	m.mu.Lock()
 	m.version, m.namedAt[v] = v, time.Now()
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -65,10 +65,14 @@
 		return
 	}
 	defer release()
-	ctx, cancel := context.WithDeadline(r.Context(), in.deadline(r.Context()))
+	ctx, cancel, err := in.withDeadline(r)
+	if err != nil {
+		in.fail(w, err)
+		return
+	}
 	defer cancel()
 	ans, err := in.call(ctx, v, e, req)
-	if err != nil {
+	if err = in.timedOut(ctx, err); err != nil {
 		in.fail(w, err)
 		return
 	}
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -23,12 +23,14 @@
 // present are exactly the samples to deliver again after a failure. The
 // trainer keys samples by ID, so a second send is never learned twice.
 type Delivery struct {
-	Key       string           `json:"-"`
-	Samples   []trainer.Sample `json:"samples"`
-	Trainer   string           `json:"trainer"`
-	Entry     string           `json:"entry"`  // the catalogue entry the samples are for
-	Holder    string           `json:"holder"` // the instance and request that created it
-	CreatedAt time.Time        `json:"created_at"`
+	Key     string           `json:"-"`
+	Samples []trainer.Sample `json:"samples"`
+	Trainer string           `json:"trainer"`
+	Entry   string           `json:"entry"` // the catalogue entry the samples are for
+	// MaxVersionLag is the entry's bound when the record was made.
+	MaxVersionLag uint64    `json:"max_version_lag"`
+	Holder        string    `json:"holder"` // the instance and request that created it
+	CreatedAt     time.Time `json:"created_at"`
 }
 
 // deliveryTries bounds the sends of one sample on the request path; a
@@ -63,7 +65,7 @@
 
 // newDelivery returns the record of samples, under a key made from id.
 func (in *Instance) newDelivery(e catalogue.Entry, id string, samples ...trainer.Sample) Delivery {
-	return Delivery{Key: deliveryPrefix + id, Samples: samples, Trainer: e.Trainer, Entry: e.Name,
+	return Delivery{Key: deliveryPrefix + id, Samples: samples, Trainer: e.Trainer, Entry: e.Name, MaxVersionLag: e.MaxVersionLag,
 		Holder: fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)), CreatedAt: in.cfg.Clock.Now()}
 }
 
@@ -178,12 +180,12 @@
 // send delivers the recorded samples of d, then deletes their record. If
 // they have grown too old since they were recorded they are not sent.
 func (in *Instance) send(ctx context.Context, d Delivery) error {
-	view := in.View()
-	if e, ok := view.Entries[d.Entry]; ok && view.outOfBound(e, d.oldest()) {
+	if e, ok := in.View().Entries[d.Entry]; ok && in.View().outOfBound(e, d.oldest()) {
 		in.stats.samplesStale.Inc(int64(len(d.Samples)))
 		return in.forget(ctx, d.Key)
 	}
 	tc := trainer.NewClient(d.Trainer, in.http)
+	var ack trainer.Ack
 	var err error
 	for try := 0; try < deliveryTries; try++ {
 		if try > 0 {
@@ -194,14 +196,15 @@
 				return ctx.Err()
 			}
 		}
-		if _, err = tc.Deliver(ctx, trainer.Group{Samples: d.Samples}); err == nil {
+		if ack, err = tc.Deliver(ctx, trainer.Group{Samples: d.Samples, MaxVersionLag: d.MaxVersionLag}); err == nil {
 			break
 		}
 	}
 	if err != nil {
 		return fmt.Errorf("deliver %s: %w", d.Key, err)
 	}
-	in.stats.samples.Inc(int64(len(d.Samples)))
+	in.stats.samples.Inc(int64(len(d.Samples) - len(ack.Stale)))
+	in.stats.samplesStale.Inc(int64(len(ack.Stale)))
 	return in.forget(ctx, d.Key)
 }
 
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -77,7 +76,11 @@
 		in.fail(w, verdict.BadRequest("generate: max_tokens %d is over entry %s's limit of %d", req.MaxTokens, e.Name, e.Limits.MaxTokens))
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), in.deadline(r.Context()))
+	ctx, cancel, err := in.withDeadline(r)
+	if err != nil {
+		in.fail(w, err)
+		return
+	}
 	defer cancel()
 	started := false
 	g := &generation{in: in, entry: e, req: req, emit: func(ev Event) error {
@@ -89,6 +92,7 @@
 		return writeJSONLine(w, ev)
 	}}
 	res, err := g.run(ctx)
+	err = in.timedOut(ctx, err)
 	if err == nil && e.Class == catalogue.Training {
 		res.SampleID = in.sample(ctx, e, g.sample(res))
 	}
@@ -102,12 +106,3 @@
 		in.fail(w, err)
 	}
 }
-
-// deadline returns the stored deadline of a request: the caller's if it
-// set one, else now plus UpstreamTimeout.
-func (in *Instance) deadline(ctx context.Context) time.Time {
-	if d, ok := ctx.Deadline(); ok {
-		return d
-	}
-	return in.cfg.Clock.Now().Add(in.cfg.UpstreamTimeout)
-}
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,46 @@
 func loadVersion(s *site.Site, i int, v uint64) error {
 	return engine.NewClient(s.EngineAddrs[i], nil).Load(context.Background(), engine.LoadOrder{Version: v})
 }
+
+// A platform that answers reads from an old copy takes no accepted change
+// back: the instance keeps the newest it has applied.
+func TestOldReadsRevertNothing(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	in := s.Entries[0]
+	s.Platform.Remember()
+	nameVersion(t, s, 0, 2)
+	setUpstreams(t, s, "assistant-pool", s.EngineAddrs[0], "127.0.0.1:9")
+	waitFor(t, 5*time.Second, "the change and the version applied", func() bool { return in.View().Targets["assistant-pool"].Version == 2 })
+	s.Platform.SetFaults(platformtest.Faults{OldReads: true})
+	before := s.Platform.Stats().Reads
+	waitFor(t, 5*time.Second, "twenty reads of the old copy", func() bool { return s.Platform.Stats().Reads > before+20 })
+	if v := in.View(); len(v.Pools["assistant-pool"].Upstreams) != 2 || v.Targets["assistant-pool"].Version != 2 {
+		t.Fatalf("the instance went back: %+v, target %+v", v.Pools["assistant-pool"], v.Targets["assistant-pool"])
+	}
+}
+
+// A caller's own deadline holds: the final answer comes when it passes, with
+// a verdict, and a deadline that makes no sense is refused.
+func TestCallerDeadline(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	for _, svc := range s.Services {
+		svc.Delay(5 * time.Second)
+	}
+	for header, want := range map[string]int{"200": http.StatusGatewayTimeout, "soon": http.StatusBadRequest, "-1": http.StatusBadRequest} {
+		body := `{"customer":"minho","entry":"plans","method":"log_plan","key":"late` + header + `","body":{}}`
+		req, _ := http.NewRequest(http.MethodPost, "http://"+s.Entries[0].Addr()+"/v1/call", strings.NewReader(body))
+		req.Header.Set(entry.TimeoutHeader, header)
+		start := time.Now()
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want || time.Since(start) > 3*time.Second {
+			t.Errorf("deadline %q: answered %d after %v, want %d", header, resp.StatusCode, time.Since(start), want)
+		}
+		if resp.Header.Get(verdict.Header) == "" {
+			t.Errorf("deadline %q: no verdict", header)
+		}
+	}
+}
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"net/http"
 	"sort"
 	"strings"
@@ -25,6 +26,8 @@
 	// LosePrefix, if set, limits LoseReplies to commits that write a key
 	// with this prefix.
 	LosePrefix string `json:"lose_prefix"`
+	// OldReads answers reads of rows from the rows as Remember found them.
+	OldReads bool `json:"old_reads"`
 }
 
 // Stats counts the calls the stand-in has served.
@@ -43,6 +46,7 @@
 	faults    Faults
 	stats     Stats
 	instances []listed
+	old       map[string]platform.Row // as Remember found them
 }
 
 // New returns an empty Server.
@@ -84,7 +88,7 @@
 func (s *Server) Rows(prefix string) []platform.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scanLocked(prefix)
+	return scan(s.rows, prefix)
 }
 
 // gate applies Down and DelayMillis; it reports false if the request was
@@ -147,7 +151,7 @@
 	}
 	s.mu.Lock()
 	s.stats.Reads++
-	row, ok := s.rows[r.PathValue("key")]
+	row, ok := s.readable()[r.PathValue("key")]
 	s.mu.Unlock()
 	if s.loseReply(&s.faults.LoseNextReads) {
 		drop(w)
@@ -166,7 +170,7 @@
 	}
 	s.mu.Lock()
 	s.stats.Reads++
-	rows := s.scanLocked(r.URL.Query().Get("prefix"))
+	rows := scan(s.readable(), r.URL.Query().Get("prefix"))
 	s.mu.Unlock()
 	if s.loseReply(&s.faults.LoseNextReads) {
 		drop(w)
@@ -175,9 +179,25 @@
 	httpjson.Write(w, http.StatusOK, platform.ScanResult{Rows: rows})
 }
 
-func (s *Server) scanLocked(prefix string) []platform.Row {
+// Remember keeps the rows as they are now for OldReads to answer from.
+func (s *Server) Remember() {
+	s.mu.Lock()
+	s.old = maps.Clone(s.rows)
+	s.mu.Unlock()
+}
+
+// readable returns the rows that reads see now.
+func (s *Server) readable() map[string]platform.Row {
+	if s.faults.OldReads {
+		return s.old
+	}
+	return s.rows
+}
+
+// scan returns the rows of table whose key starts with prefix, by key.
+func scan(table map[string]platform.Row, prefix string) []platform.Row {
 	rows := []platform.Row{}
-	for k, row := range s.rows {
+	for k, row := range table {
 		if strings.HasPrefix(k, prefix) {
 			rows = append(rows, row)
 		}
--- a/pkg/trainer/trainer.go
+++ b/pkg/trainer/trainer.go
@@ -5,7 +5,10 @@
 //	POST /v1/samples   a Group; answers an Ack
 //
 // A trainer treats Sample.ID as the key of the sample: a sample delivered
-// again under the same ID is acknowledged and not learned twice.
+// again under the same ID is acknowledged and not learned twice. A trainer
+// knows the versions it has named, also one named while a delivery was under
+// way: it turns away samples further behind than Group.MaxVersionLag and
+// says so in the Ack.
 package trainer
 
 import (
@@ -30,13 +33,17 @@
 // Group is a batch of samples sent together.
 type Group struct {
 	Samples []Sample `json:"samples"`
+	// MaxVersionLag is how many versions behind the newest a sample's
+	// oldest version may be.
+	MaxVersionLag uint64 `json:"max_version_lag"`
 }
 
 // Ack lists the IDs the trainer holds after a delivery: New were learned
-// now, Duplicate had been learned before.
+// now, Duplicate had been learned before, Stale were too old to be learned.
 type Ack struct {
 	New       []string `json:"new"`
 	Duplicate []string `json:"duplicate"`
+	Stale     []string `json:"stale,omitempty"`
 }
 
 // Client speaks to one trainer at an address such as "127.0.0.1:7301".
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 	mu       sync.Mutex
 	received map[string]*Received
 	dropAcks int
+	newest   uint64
 }
 
 // Handler returns the trainer protocol, with GET /v1/received for tests.
@@ -44,6 +46,13 @@
 	s.mu.Unlock()
 }
 
+// Named tells the stand-in that it has named version v.
+func (s *Server) Named(v uint64) {
+	s.mu.Lock()
+	s.newest = max(s.newest, v)
+	s.mu.Unlock()
+}
+
 // Received returns every sample held, by ID.
 func (s *Server) Received() []Received {
 	s.mu.Lock()
@@ -83,6 +92,10 @@
 			ack.Duplicate = append(ack.Duplicate, smp.ID)
 			continue
 		}
+		if slices.Min(smp.WeightVersions)+g.MaxVersionLag < s.newest {
+			ack.Stale = append(ack.Stale, smp.ID)
+			continue
+		}
 		s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1, At: time.Now()}
 		ack.New = append(ack.New, smp.ID)
 	}
