ctl, settings: undrain, weights, steps; the new fields; nearer upstreams first

Cause: operators could not mark an upstream live again, name a version or list steps; the new parts had no settings; the data centre of an upstream or a caller was known and not used.

What: ctl undrain, weights and steps; settings for limits, leases, orders and hedging, each checked at load; an upstream in another data centre counts as half a request more loaded (it decides between equals and moves no queue); GET /v1/route takes the caller's data centre. Where steps are kept is now pkg/step's to say.

--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -11,6 +12,8 @@
 	"github.com/zinnialadder/zinnialadder/internal/settings"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 func ctlCmd() *cobra.Command {
@@ -70,20 +73,64 @@
 		},
 	}
 
-	drain := &cobra.Command{
-		Use:   "drain POOL ADDRESS",
-		Short: "Mark an upstream as leaving, so it gets no new work",
+	cmd.AddCommand(apply, show, audit,
+		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
+		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
+		weightsCmd(client, &author), stepsCmd(client))
+	return cmd
+}
+
+// upstreamCmd returns the command that sets an upstream's state to st.
+func upstreamCmd(name, short string, st catalogue.UpstreamState, client func() *platform.Client, author *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   name + " POOL ADDRESS",
+		Short: short,
 		Args:  cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			_, err := catalogue.SetUpstreamState(cmd.Context(), client(), args[0], args[1], catalogue.Leaving, authorOr(author), time.Now())
+			_, err := catalogue.SetUpstreamState(cmd.Context(), client(), args[0], args[1], st, authorOr(*author), time.Now())
 			if err == nil {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s in %s is leaving\n", args[1], args[0])
+				fmt.Fprintf(cmd.OutOrStdout(), "%s in %s is %s\n", args[1], args[0], st)
 			}
 			return err
 		},
 	}
-	cmd.AddCommand(apply, show, audit, drain)
-	return cmd
+}
+
+// weightsCmd returns the command that names a pool's weight version.
+func weightsCmd(client func() *platform.Client, author *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "weights POOL VERSION",
+		Short: "Name the weight version that a pool's engines are brought to",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			v, err := strconv.ParseUint(args[1], 10, 64)
+			if err != nil || v == 0 {
+				return fmt.Errorf("VERSION %q: want a positive whole number", args[1])
+			}
+			t := weights.Target{Pool: args[0], Version: v, Author: authorOr(*author), NamedAt: time.Now()}
+			if err := weights.Name(cmd.Context(), client(), t); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is to load version %d\n", t.Pool, t.Version)
+			return nil
+		},
+	}
+}
+
+// stepsCmd returns the command that lists the training steps kept.
+func stepsCmd(client func() *platform.Client) *cobra.Command {
+	return &cobra.Command{
+		Use:   "steps",
+		Short: "Print the training steps kept, open and closed",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			heads, err := step.List(cmd.Context(), client())
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd, heads)
+		},
+	}
 }
 
 func authorOr(a string) string {
--- a/cmd/zinnialadder/roles.go
+++ b/cmd/zinnialadder/roles.go
@@ -11,6 +11,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
 	"github.com/zinnialadder/zinnialadder/pkg/service/servicetest"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer/trainertest"
 )
 
@@ -46,6 +47,17 @@
 		LeaseTTL:        time.Duration(s.LeaseTTL),
 		UpstreamTimeout: time.Duration(s.UpstreamTimeout),
 		RouteTTL:        time.Duration(s.RouteTTL),
+		PeerAdvertise:   s.PeerAdvertise,
+		PeerKeepAlive:   time.Duration(s.PeerKeepAlive),
+		IdleTimeout:     time.Duration(s.IdleTimeout),
+		MaxInFlight:     s.MaxInFlight,
+		RolloutLeaseTTL: time.Duration(s.RolloutLeaseTTL),
+		OrderTimeout:    time.Duration(s.OrderTimeout),
+		ReportLag:       time.Duration(s.ReportLag),
+		ShardGroups:     s.ShardGroups,
+		ShardLeaseTTL:   time.Duration(s.ShardLeaseTTL),
+		StepRetention:   time.Duration(s.StepRetention),
+		StepPolicy:      step.Policy{HedgeFactor: s.HedgeFactor},
 	}
 }
 
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -38,6 +38,17 @@
 	LeaseTTL        Duration `json:"lease_ttl"`
 	UpstreamTimeout Duration `json:"upstream_timeout"`
 	RouteTTL        Duration `json:"route_ttl"`
+	PeerAdvertise   string   `json:"peer_advertise"` // address other instances use; default peer_listen
+	PeerKeepAlive   Duration `json:"peer_keep_alive"`
+	IdleTimeout     Duration `json:"idle_timeout"` // longest silence of an engine's stream
+	MaxInFlight     int      `json:"max_in_flight"`
+	RolloutLeaseTTL Duration `json:"rollout_lease_ttl"`
+	OrderTimeout    Duration `json:"order_timeout"`
+	ReportLag       Duration `json:"report_lag"`
+	ShardGroups     int      `json:"shard_groups"`
+	ShardLeaseTTL   Duration `json:"shard_lease_ttl"`
+	StepRetention   Duration `json:"step_retention"`
+	HedgeFactor     float64  `json:"hedge_factor"` // times the median; negative: never hedge
 }
 
 // Check reports the first problem with e.
@@ -58,9 +69,23 @@
 			return err
 		}
 	}
+	if e.PeerAdvertise != "" {
+		if err := CheckAddress("peer_advertise", e.PeerAdvertise); err != nil {
+			return err
+		}
+	}
 	if e.Platform == "" {
 		return errors.New("platform is required")
 	}
+	if e.MaxInFlight < 0 {
+		return errors.New("max_in_flight must not be negative")
+	}
+	if e.ShardGroups < 0 {
+		return errors.New("shard_groups must not be negative")
+	}
+	if e.HedgeFactor > 0 && e.HedgeFactor < 1 {
+		return errors.New("hedge_factor must be at least 1, negative for never, or 0 for the default")
+	}
 	if e.LeaseTTL != 0 && e.Refresh != 0 && e.LeaseTTL < 2*e.Refresh {
 		return errors.New("lease_ttl must be at least twice refresh")
 	}
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -129,7 +129,7 @@
 		if slices.Contains(g.tried, u.Address) || g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
 			continue
 		}
-		c := route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address)}
+		c := route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address) + g.in.distance(u)}
 		if view.Loads[u.Address].Loading || !g.in.health.Usable(u.Address, now) {
 			rest = append(rest, c)
 		} else {
@@ -166,6 +166,17 @@
 	return own + float64(rep.Active+rep.Queued)
 }
 
+// distanceLoad is the load that sending to another data centre counts for: it
+// decides between upstreams otherwise alike, and moves no queue.
+const distanceLoad = 0.5
+
+func (in *Instance) distance(u catalogue.Upstream) float64 {
+	if u.DataCentre == in.cfg.DataCentre {
+		return 0
+	}
+	return distanceLoad
+}
+
 // affinityLen is how much of a prompt decides which engine's prefix cache
 // a request prefers.
 const affinityLen = 64
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
 
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
@@ -119,7 +120,7 @@
 		ch, err := in.cfg.Platform.Instances(ctx, e.since)
 		return instancesRead{changes: ch, err: err}
 	case readSteps:
-		heads, err := in.readSteps(ctx)
+		heads, err := step.List(ctx, in.cfg.Platform)
 		return stepsRead{heads: heads, err: err}
 	case sweep:
 		sent, err := in.sweep(ctx, e.olderThan)
--- a/pkg/entry/reduce_steps.go
+++ b/pkg/entry/reduce_steps.go
@@ -36,7 +36,7 @@
 func (s state) startShards(key string, head step.Head, effs []effect) (state, []effect) {
 	for k := range head.Shards {
 		id := shardID{Step: key, Shard: k}
-		if s.shards[id] || s.self.Draining || !s.preferred(stepShardPrefix+id.String()) {
+		if s.shards[id] || s.self.Draining || !s.preferred(step.ShardKey(key, k)) {
 			continue
 		}
 		s.shards = maps.Clone(s.shards)
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -18,16 +18,31 @@
 	ExpiresAt  time.Time `json:"expires_at"`
 }
 
-// serveRoute answers GET /v1/route?customer=C&key=K. The same customer and
-// key map to the same live instance while membership holds, by rendezvous
-// hashing, so a caller's requests meet the same caches.
+// near returns the members in data centre dc, or all if none is.
+func near(members []Member, dc string) []Member {
+	var out []Member
+	for _, m := range members {
+		if m.DataCentre == dc {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return members
+	}
+	return out
+}
+
+// serveRoute answers GET /v1/route?customer=C&key=K&data_centre=D. The same
+// customer and key map to the same live instance while membership holds, by
+// rendezvous hashing, so a caller's requests meet the same caches. With a
+// data centre, an instance there is named if there is one.
 func (in *Instance) serveRoute(w http.ResponseWriter, r *http.Request) {
 	customer, key := r.URL.Query().Get("customer"), r.URL.Query().Get("key")
 	if customer == "" {
 		in.fail(w, verdict.BadRequest("route: customer is required"))
 		return
 	}
-	members := in.View().routable()
+	members := near(in.View().routable(), r.URL.Query().Get("data_centre"))
 	if len(members) == 0 {
 		members = []Member{in.self} // membership not read yet: answer for ourselves
 		if in.View().Draining {
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -149,7 +149,7 @@
 		if slices.Contains(c.tried, u.Address) {
 			continue
 		}
-		cand := route.Candidate{Key: u.Address, Load: float64(c.in.load.get(u.Address))}
+		cand := route.Candidate{Key: u.Address, Load: float64(c.in.load.get(u.Address)) + c.in.distance(u)}
 		if c.in.health.Usable(u.Address, now) {
 			good = append(good, cand)
 		} else {
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
@@ -17,14 +16,6 @@
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
-// Where steps are kept: the head and the shards in the platform's table,
-// the submitted Spec, named by its digest, in the object store.
-const (
-	stepPrefix       = "step/"
-	stepShardPrefix  = "step_shard/"
-	stepObjectPrefix = "step/"
-)
-
 // StepStatus is the answer to GET /v1/steps/{customer}/{entry}/{id}.
 type StepStatus struct {
 	Desired   int         `json:"desired"`
@@ -89,7 +80,7 @@
 	if err := in.putSpec(ctx, spec); err != nil {
 		return step.Head{}, in.unkept(verdict.NotRun, err) // without a head it never runs
 	}
-	op, err := platform.Put(stepPrefix+spec.Key(), 0, head)
+	op, err := platform.Put(step.HeadKey(spec.Key()), 0, head)
 	if err != nil {
 		return step.Head{}, err
 	}
@@ -101,9 +92,9 @@
 		}
 		return head, nil
 	}
-	var kept step.Head
-	if err := json.Unmarshal(ce.Current.Value, &kept); err != nil {
-		return step.Head{}, fmt.Errorf("step %s: %w", spec.Key(), err)
+	kept, err := step.DecodeHead(ce.Current)
+	if err != nil {
+		return step.Head{}, err
 	}
 	if kept.Digest != head.Digest {
 		return step.Head{}, verdict.New(verdict.NotRun, http.StatusConflict,
@@ -119,11 +110,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
-	return in.cfg.Platform.PutObject(ctx, specObject(spec.Key(), spec.Digest()), b)
+	return in.cfg.Platform.PutObject(ctx, step.ObjectName(spec.Key(), spec.Digest()), b)
 }
 
-func specObject(key, digest string) string { return stepObjectPrefix + key + "/" + digest }
-
 // unkept is the error of a step that the platform did not confirm.
 func (in *Instance) unkept(v verdict.Verdict, err error) error {
 	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.cfg.Clock.Now().Add(time.Second),
@@ -165,35 +154,15 @@
 		RetryAt: in.cfg.Clock.Now().Add(time.Second), Err: err}
 }
 
-// readSteps reads the heads of all steps kept, by step.Key.
-func (in *Instance) readSteps(ctx context.Context) (map[string]step.Head, error) {
-	rows, err := in.cfg.Platform.Scan(ctx, stepPrefix)
-	if err != nil {
-		return nil, err
-	}
-	heads := make(map[string]step.Head, len(rows))
-	for _, r := range rows {
-		var h step.Head
-		if err := json.Unmarshal(r.Value, &h); err != nil {
-			return nil, fmt.Errorf("step row %s: %w", r.Key, err)
-		}
-		heads[strings.TrimPrefix(r.Key, stepPrefix)] = h
-	}
-	return heads, nil
-}
-
 func (in *Instance) readHead(ctx context.Context, key string) (step.Head, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
-	row, err := in.cfg.Platform.Get(ctx, stepPrefix+key)
+	row, err := in.cfg.Platform.Get(ctx, step.HeadKey(key))
 	if err != nil {
 		return step.Head{}, 0, err
 	}
-	var h step.Head
-	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return step.Head{}, 0, fmt.Errorf("step %s: %w", key, err)
-	}
-	return h, row.Version, nil
+	h, err := step.DecodeHead(row)
+	return h, row.Version, err
 }
 
 // closeTries bounds closeStep under racing instances and lost replies.
@@ -212,7 +181,7 @@
 			return nil
 		}
 		h.Closed, h.ClosedAt = why, in.cfg.Clock.Now()
-		op, perr := platform.Put(stepPrefix+key, version, h)
+		op, perr := platform.Put(step.HeadKey(key), version, h)
 		if perr != nil {
 			return perr
 		}
@@ -228,7 +197,7 @@
 func (in *Instance) deliveredGroups(ctx context.Context, key string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
-	rows, err := in.cfg.Platform.Scan(ctx, stepShardPrefix+key+"/")
+	rows, err := in.cfg.Platform.Scan(ctx, step.ShardsPrefix(key))
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -57,7 +57,7 @@
 // ends; then it gives the lease up.
 func (in *Instance) runShard(ctx context.Context, id shardID) error {
 	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), cancels: map[int]context.CancelFunc{},
-		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: stepShardPrefix + id.String(),
+		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: step.ShardKey(id.Step, id.Shard),
 			Holder: in.cfg.ID + "/" + in.life, TTL: in.cfg.ShardLeaseTTL}}
 	if err := r.open(ctx); err != nil {
 		return err
@@ -79,7 +79,7 @@
 	if err := r.readHead(ctx); err != nil {
 		return err
 	}
-	b, err := r.in.getObject(ctx, specObject(r.id.Step, r.head.Digest))
+	b, err := r.in.getObject(ctx, step.ObjectName(r.id.Step, r.head.Digest))
 	if err != nil {
 		return err
 	}
@@ -274,7 +274,7 @@
 	if err != nil {
 		return err
 	}
-	open := platform.Check(stepPrefix+r.id.Step, r.headRow)
+	open := platform.Check(step.HeadKey(r.id.Step), r.headRow)
 	d := r.in.newDelivery(r.entry, fmt.Sprintf("%s.%s.%s", r.spec.Customer, r.spec.Entry, g.ID), e.Samples...)
 	version, err := r.in.record(ctx, r.entry, d, renewal, open)
 	var ce *platform.ConflictError
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -66,33 +66,39 @@
 // and Spec, then their heads, so that what is left of a sweep cut short is
 // found again.
 func (in *Instance) sweepSteps(ctx context.Context, closedBefore time.Time) error {
-	rows, err := in.cfg.Platform.Scan(ctx, stepPrefix)
+	heads, err := step.List(ctx, in.cfg.Platform)
 	if err != nil {
 		return err
 	}
-	for _, row := range rows {
-		var h step.Head
-		if json.Unmarshal(row.Value, &h) != nil || h.Closed == "" || !h.ClosedAt.Before(closedBefore) {
+	for key, h := range heads {
+		if h.Closed == "" || !h.ClosedAt.Before(closedBefore) {
 			continue
 		}
-		key := row.Key[len(stepPrefix):]
-		shards, err := in.cfg.Platform.Scan(ctx, stepShardPrefix+key+"/")
-		if err != nil {
-			return err
-		}
-		if err := in.remove(ctx, shards...); err != nil {
-			return err
-		}
-		if err := in.cfg.Platform.DeleteObject(ctx, specObject(key, h.Digest)); err != nil {
-			return err
-		}
-		if err := in.remove(ctx, row); err != nil {
+		if err := in.removeStep(ctx, key, h); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (in *Instance) removeStep(ctx context.Context, key string, h step.Head) error {
+	shards, err := in.cfg.Platform.Scan(ctx, step.ShardsPrefix(key))
+	if err != nil {
+		return err
+	}
+	if err := in.remove(ctx, shards...); err != nil {
+		return err
+	}
+	if err := in.cfg.Platform.DeleteObject(ctx, step.ObjectName(key, h.Digest)); err != nil {
+		return err
+	}
+	head, err := in.cfg.Platform.Get(ctx, step.HeadKey(key))
+	if err != nil {
+		return err
+	}
+	return in.remove(ctx, head)
+}
+
 func (in *Instance) sweepMembers(ctx context.Context, expiredBefore time.Time) error {
 	rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
 	if err != nil {
