cmd: a step survives a killed, a paused and woken instance and a platform outage, as processes

Cause: kills and pauses were proved inside one process only, where an instance cannot be killed outright nor wake with stale beliefs.

--- /dev/null
+++ b/cmd/zinnialadder/process_test.go
@@ -0,0 +1,204 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer/trainertest"
+)
+
+// processes starts the program's roles as processes of their own.
+type processes struct {
+	t   *testing.T
+	dir string
+	bin string
+}
+
+func newProcesses(t *testing.T) *processes {
+	p := &processes{t: t, dir: t.TempDir()}
+	p.bin = filepath.Join(p.dir, "zinnialadder")
+	if out, err := exec.Command("go", "build", "-o", p.bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return p
+}
+
+// addr returns a loopback address that was free a moment ago.
+func (p *processes) addr() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// start starts a role with the given settings; it is killed when the test ends.
+func (p *processes) start(role string, settings map[string]any) *os.Process {
+	settings["log_level"] = "warn"
+	b, _ := json.Marshal(settings)
+	path := filepath.Join(p.dir, fmt.Sprintf("%s-%v.jsonc", role, settings["listen"]))
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd := exec.Command(p.bin, role, "--settings", path)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+// eventually polls cond until it holds or within has passed.
+func eventually(t *testing.T, within time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(within); !cond(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+// ask sends v (nil for a GET) as JSON and decodes the answer into out.
+func ask(url string, v, out any) (int, error) {
+	client := http.Client{Timeout: 3 * time.Second}
+	var resp *http.Response
+	var err error
+	if v == nil {
+		resp, err = client.Get(url)
+	} else {
+		b, _ := json.Marshal(v)
+		resp, err = client.Post(url, "application/json", bytes.NewReader(b))
+	}
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || out == nil || resp.StatusCode/100 != 2 {
+		return resp.StatusCode, err
+	}
+	return resp.StatusCode, json.Unmarshal(body, out)
+}
+
+// A step of 40 groups runs while one of four entry instances is killed, one
+// is stopped for longer than every lease and then wakes, the platform loses
+// replies and goes down, and a new version is rolled out to engines of both
+// kinds: the step completes, each sample reaches the trainer once and in
+// whole groups, every label is true and fresh, and every engine ends at the
+// version named.
+func TestStepSurvivesKillPauseAndOutage(t *testing.T) {
+	p := newProcesses(t)
+	plat := p.addr()
+	p.start("platform", map[string]any{"listen": plat, "data_centre": "braga-hall"})
+	table := platform.NewClient("http://"+plat, nil)
+	var pool catalogue.Pool
+	pool.Name, pool.Kind = "assistant-pool", catalogue.Engines
+	for i := range 4 {
+		a := p.addr()
+		p.start("engine", map[string]any{"listen": a, "data_centre": "braga-hall", "name": fmt.Sprint("e", i), "slots": 8,
+			"token_interval": "10ms", "weight_version": 1, "checks_fencing": i%2 == 0})
+		pool.Upstreams = append(pool.Upstreams, catalogue.Upstream{Address: a, DataCentre: "braga-hall", State: catalogue.Live})
+	}
+	tr := p.addr()
+	p.start("trainer", map[string]any{"listen": tr, "data_centre": "braga-hall"})
+	var addrs []string
+	var procs []*os.Process
+	for i := range 4 {
+		a := p.addr()
+		addrs = append(addrs, a)
+		procs = append(procs, p.start("entry", map[string]any{"listen": a, "data_centre": "braga-hall", "id": fmt.Sprint("entry-", i),
+			"peer_listen": p.addr(), "platform": "http://" + plat, "refresh": "200ms", "lease_ttl": "1s", "shard_groups": 5,
+			"shard_lease_ttl": "1s", "rollout_lease_ttl": "1s"}))
+	}
+	eventually(t, 10*time.Second, "the platform up", func() bool { _, err := table.Scan(context.Background(), "x"); return err == nil })
+	f := catalogue.File{Pools: []catalogue.Pool{pool}, Entries: []catalogue.Entry{{Name: "drafts", Owner: "minho", Class: catalogue.Training,
+		Pool: "assistant-pool", Limits: catalogue.Limits{MaxInFlight: 16, MaxTokens: 64}, Trainer: tr, MaxVersionLag: 1}}}
+	if _, err := catalogue.Sync(context.Background(), table, f, "test", time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	name := func(v uint64) bool {
+		status, err := ask("http://"+addrs[3]+"/v1/weights", entry.WeightsRequest{Customer: "minho", Entry: "drafts", Version: v}, nil)
+		return err == nil && status == http.StatusNoContent
+	}
+	eventually(t, 10*time.Second, "version 1 named", func() bool { return name(1) })
+
+	const groups, size = 40, 4
+	spec := step.Spec{Customer: "minho", Entry: "drafts", ID: "s1", Desired: groups, DueAt: time.Now().Add(time.Minute).UTC()}
+	for i := range groups {
+		spec.Groups = append(spec.Groups, step.Group{ID: fmt.Sprint("g", i), Prompt: fmt.Sprint("prompt ", i), Size: size, MaxTokens: 40})
+	}
+	if status, err := ask("http://"+addrs[3]+"/v1/steps", spec, nil); err != nil || status != http.StatusAccepted {
+		t.Fatalf("step answered %d %v", status, err)
+	}
+	var got []trainertest.Received
+	received := func() int {
+		got = nil
+		if _, err := ask("http://"+tr+"/v1/received", nil, &got); err != nil {
+			return 0
+		}
+		return len(got)
+	}
+	eventually(t, 20*time.Second, "the step under way", func() bool { return received() >= 4*size })
+	_ = procs[0].Kill()
+	_ = procs[1].Signal(syscall.SIGSTOP)
+	fault := func(f platformtest.Faults) {
+		if _, err := ask("http://"+plat+"/v1/faults", f, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fault(platformtest.Faults{LoseReplies: 4, LosePrefix: "delivery/"})
+	eventually(t, 10*time.Second, "version 2 named", func() bool { return name(2) })
+	fault(platformtest.Faults{Down: true})
+	time.Sleep(time.Second)
+	fault(platformtest.Faults{})
+	time.Sleep(2 * time.Second) // the stopped instance's leases have lapsed, and others hold them
+	_ = procs[1].Signal(syscall.SIGCONT)
+
+	eventually(t, 50*time.Second, "the step complete", func() bool {
+		var st entry.StepStatus
+		_, err := ask("http://"+addrs[2]+"/v1/steps/minho/drafts/s1", nil, &st)
+		return err == nil && st.Closed == step.Complete
+	})
+	eventually(t, 30*time.Second, "every sample at the trainer", func() bool { return received() == groups*size })
+	for _, r := range got {
+		if r.Deliveries != 1 {
+			t.Errorf("sample %s delivered %d times", r.Sample.ID, r.Deliveries)
+		}
+		for _, v := range r.Sample.WeightVersions {
+			if v != 1 && v != 2 {
+				t.Errorf("sample %s labelled %v", r.Sample.ID, r.Sample.WeightVersions)
+			}
+		}
+	}
+	eventually(t, 20*time.Second, "every engine at version 2", func() bool {
+		for _, u := range pool.Upstreams {
+			rep, err := engine.NewClient(u.Address, nil).Report(context.Background())
+			if err != nil || rep.WeightVersion != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
