--- a/internal/capacity/project.go
+++ b/internal/capacity/project.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"time"
 )
 
@@ -52,31 +53,32 @@
 		HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: float64(t.Engines), ReportsPerSec: 1}
 }
 
-// Today is the mechanism that runs now: the revision row read every
-// second with a whole scan when it moved and every 60 s, membership
-// scanned every second, a heartbeat every 5/3 s, and 20 load reports read
-// a second, round robin.
-func Today(t Target) Mechanism {
+// Second is the mechanism that came next: the revision row read every second
+// with a whole scan when it moved and every 60 s, membership scanned every
+// second, a heartbeat every 5/3 s, and 20 load reports read a second, round
+// robin.
+func Second(t Target) Mechanism {
 	changesPerSec := t.ChangesPerDay / 86400
-	return Mechanism{Name: "today", CatalogueScansPerSec: 1.0/60 + changesPerSec, RowReadsPerSec: 1,
+	return Mechanism{Name: "second", CatalogueScansPerSec: 1.0/60 + changesPerSec, RowReadsPerSec: 1,
 		MemberScansPerSec: 1, HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: 20, ReportsPerSec: 1}
 }
 
-// Planned is the mechanism CAPACITY.md proposes: a one-row revision read
-// every 2 s with a full read only of what changed, hints between peers,
-// a membership scan every 30 s (departures come sooner as peer hints),
-// heartbeats every 5 s, and load reports only for the engines of the pools
-// a node is routed (1/30 of them), each read every 20 s; between reads,
-// load comes in-band on the streams.
-func Planned(t Target) Mechanism {
+// Today is the mechanism that runs now: each second one read of the revision
+// row and one of the instance list, each two seconds one of the open steps,
+// only the changed rows of the catalogue and a whole scan every 30 minutes,
+// a membership scan every second for each 12 members, a heartbeat every
+// 5/3 s, 6 load reports a second, and hints to log2 of the members, each of
+// whom passes them on.
+func Today(t Target) Mechanism {
 	changesPerSec := t.ChangesPerDay / 86400
-	return Mechanism{Name: "planned",
-		RowReadsPerSec:    0.5 + 2*changesPerSec,
-		MemberScansPerSec: 1.0 / 30, HeartbeatsPerSec: 0.2,
-		EnginesPolled: float64(t.Engines) / 30, ReportsPerSec: 1.0 / 20,
-		HintBytesPerSec: changesPerSec * 8 * 64}
+	return Mechanism{Name: "today", CatalogueScansPerSec: 1.0 / 1800, RowReadsPerSec: 2.5 + changesPerSec,
+		MemberScansPerSec: 12 / float64(t.Nodes), HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: 6, ReportsPerSec: 1,
+		HintBytesPerSec: 2 * changesPerSec * math.Log2(float64(t.Nodes)) * hintBytes}
 }
 
+// hintBytes is the size of one hint with its frame and packet headers.
+const hintBytes = 120
+
 // Cost is one node's control cost.
 type Cost struct {
 	CorePercent float64
@@ -144,7 +146,7 @@
 		fmt.Fprintf(w, "| %s | %s | %s | %.0f ns | %.1f ns | %.1f B | %.1f B |\n",
 			s.Name, s.Item, sizes, s.CPUFixed, s.CPUPerItem, s.WirePerItem, s.HeapPerItem)
 	}
-	for _, m := range []Mechanism{First(t), Today(t), Planned(t)} {
+	for _, m := range []Mechanism{First(t), Second(t), Today(t)} {
 		c := Project(slopes, t, m)
 		fmt.Fprintf(w, "\n## Per node at %d nodes, %d engines: mechanism %q\n\n| part | core %% | KB/s | MB |\n|---|---|---|---|\n",
 			t.Nodes, t.Engines, m.Name)
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -34,6 +34,11 @@
 
 // Stream is an open generation. Call Next until it returns io.EOF, then Close.
 type Stream struct {
+	// Load is the engine's load as it told when it took the request, if
+	// HasLoad is set.
+	Load    Load
+	HasLoad bool
+
 	body io.ReadCloser
 	sc   *bufio.Scanner
 }
@@ -61,7 +66,9 @@
 	}
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(make([]byte, 0, 64<<10), httpjson.MaxBody)
-	return &Stream{body: resp.Body, sc: sc}, nil
+	s := &Stream{body: resp.Body, sc: sc}
+	s.Load, s.HasLoad = parseLoad(resp.Header.Get(LoadHeader))
+	return s, nil
 }
 
 // Next returns the next chunk, or io.EOF after the last one. A stream that
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -4,7 +4,8 @@
 //
 // The protocol is HTTP with JSON bodies:
 //
-//	POST /v1/generate   a GenerateRequest; answers newline-delimited Chunks
+//	POST /v1/generate   a GenerateRequest; answers newline-delimited Chunks,
+//	                    with LoadHeader where the engine tells its load
 //	POST /v1/load       a LoadOrder; 409 if its fencing number is stale
 //	GET  /v1/load       a LoadReport
 package engine
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -185,6 +185,10 @@
 }
 
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, req engine.GenerateRequest) {
+	s.mu.Lock()
+	load := engine.Load{Active: s.active, Queued: s.queued}
+	s.mu.Unlock()
+	w.Header().Set(engine.LoadHeader, load.String())
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	flusher, _ := w.(http.Flusher)
 	enc := json.NewEncoder(w)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -35,6 +35,10 @@
 
 const memberPrefix = "member/"
 
+// reportIdleTimeout is how long a connection for load reports is kept: long
+// enough to serve the next report where engines are few.
+const reportIdleTimeout = 3 * time.Second
+
 // The retry budget: a fifth of the requests, and what is saved up.
 const (
 	retryRatio = 0.2
@@ -74,8 +78,8 @@
 	Refresh         time.Duration // catalogue and membership reads; default 1s
 	LeaseTTL        time.Duration // membership lease; default 5s
 	ReportInterval  time.Duration // period of load report rounds; default 1s
-	ReportBudget    int           // load reports read per round; default 20
-	FullScan        time.Duration // whole catalogue read even if unchanged; default 60s
+	ReportBudget    int           // load reports read per round; default 6
+	FullScan        time.Duration // whole catalogue read even if unchanged; default 30m
 	PlatformTimeout time.Duration // per platform call; default 2s
 	UpstreamTimeout time.Duration // per upstream request without a caller deadline; default 60s
 	// IdleTimeout is how long an engine stream may send nothing before the
@@ -106,7 +110,12 @@
 	// StepRetention is how long a closed step can still be asked about;
 	// default 10m.
 	StepRetention time.Duration
-	RouteTTL      time.Duration // how long callers may cache a route answer; default 30s
+	// MemberRetention is how long after its lease ran out a member's row is
+	// kept; default 10m. Rows and steps past their time are removed every
+	// PurgeInterval; default 5m.
+	MemberRetention time.Duration
+	PurgeInterval   time.Duration
+	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
 }
 
 func (c *Config) setDefaults() {
@@ -122,7 +131,9 @@
 	def(&c.PlatformTimeout, 2*time.Second)
 	def(&c.UpstreamTimeout, 60*time.Second)
 	def(&c.RouteTTL, 30*time.Second)
-	def(&c.FullScan, time.Minute)
+	def(&c.FullScan, 30*time.Minute)
+	def(&c.PurgeInterval, 5*time.Minute)
+	def(&c.MemberRetention, 10*time.Minute)
 	def(&c.IdleTimeout, 5*time.Second)
 	def(&c.SweepInterval, 5*time.Second)
 	def(&c.SweepGrace, 10*time.Second)
@@ -146,7 +157,7 @@
 		c.ShardGroups = 64
 	}
 	if c.ReportBudget == 0 {
-		c.ReportBudget = 20
+		c.ReportBudget = 6
 	}
 	if c.Listener != nil {
 		c.Listen = c.Listener.Addr().String()
@@ -184,14 +195,15 @@
 	sends  errgroup.Group // sample sends after their requests answered
 	steps  errgroup.Group // shards of training steps
 	// stepsCtx ends when the instance drains: its shards go to others.
-	stepsCtx  context.Context
-	stopSteps context.CancelFunc
-	http      *http.Client
-	policy    route.Policy
-	load      inFlight
-	health    *health.Tracker
-	retries   *retry.Budget
-	peers     *peers
+	stepsCtx   context.Context
+	stopSteps  context.CancelFunc
+	http       *http.Client
+	reportHTTP *http.Client // for load reports: its connections are kept briefly, as engines are many
+	policy     route.Policy
+	load       inFlight
+	health     *health.Tracker
+	retries    *retry.Budget
+	peers      *peers
 	// life tells this process from earlier ones with the same ID, and
 	// attempts numbers its claims on non-idempotent calls.
 	life     string
@@ -210,18 +222,19 @@
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerAdvertise, DataCentre: cfg.DataCentre},
 		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
-			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace,
+			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace, purge: cfg.PurgeInterval,
 			steps: cfg.StepRefresh,
 			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
 				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
 			rolloutRenew: cfg.RolloutLeaseTTL / 3, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
-		events:  make(chan event, 64),
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
-		policy:  route.Policy{Slack: 2},
-		health:  health.NewTracker(cfg.Health),
-		retries: retry.NewBudget(retryRatio, retryBurst),
-		stats:   newCounters(cfg.Metrics),
-		life:    newLife(),
+		events:     make(chan event, 64),
+		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
+		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
+		policy:     route.Policy{Slack: 2},
+		health:     health.NewTracker(cfg.Health),
+		retries:    retry.NewBudget(retryRatio, retryBurst),
+		stats:      newCounters(cfg.Metrics),
+		life:       newLife(),
 	}
 	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
 	in.view.Store(newState(in.self, in.timing).view)
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		c := route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address) + g.in.distance(u)}
-		if view.Loads[u.Address].Loading || !g.in.health.Usable(u.Address, now) {
+		if view.reportOf(u.Address).Loading || !g.in.health.Usable(u.Address, now) {
 			rest = append(rest, c)
 		} else {
 			good = append(good, c)
@@ -151,7 +151,7 @@
 // tooStale reports whether the engine at addr last reported a weight
 // version older than the entry allows.
 func (g *generation) tooStale(v *View, addr string) bool {
-	rep, ok := v.Loads[addr]
+	rep, ok := v.Report(addr)
 	return ok && v.outOfBound(g.entry, rep.WeightVersion)
 }
 
@@ -159,7 +159,7 @@
 // in flight to it, plus its last report.
 func (in *Instance) loadOf(v *View, addr string) float64 {
 	own := float64(in.load.get(addr))
-	rep, ok := v.Loads[addr]
+	rep, ok := v.Report(addr)
 	if !ok {
 		return own
 	}
@@ -208,6 +208,9 @@
 		return false, attemptError(ctx, err)
 	}
 	defer s.Close()
+	if s.HasLoad {
+		g.in.View().loads.told(addr, s.Load)
+	}
 	for index := 0; ; {
 		c, err := s.Next()
 		if err != nil {
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -63,6 +64,8 @@
 func (in *Instance) run(ctx context.Context, effs []effect) {
 	for _, eff := range effs {
 		switch e := eff.(type) {
+		case storeReport:
+			in.View().loads.put(e.addr, e.rep)
 		case publish:
 			in.view.Store(e.view)
 		case logChange:
@@ -102,10 +105,13 @@
 		self := in.self
 		self.Draining = e.draining
 		data, _ := json.Marshal(self)
-		l, err := lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, in.cfg.Clock.Now(), e.expiresAt, data)
+		l, err := lease.Renew(ctx, in.cfg.Platform, e.held, e.expiresAt, data)
+		if errors.Is(err, lease.ErrHeld) {
+			l, err = lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, in.cfg.Clock.Now(), e.expiresAt, data)
+		}
 		return heartbeatDone{l: l, err: err}
 	case readReport:
-		rep, err := engine.NewClient(e.addr, in.http).Report(ctx)
+		rep, err := engine.NewClient(e.addr, in.reportHTTP).Report(ctx)
 		return reportRead{addr: e.addr, rep: rep, at: in.cfg.Clock.Now(), err: err}
 	case takeRolloutLease:
 		held, err := in.keeper(e.pool).Take(ctx, nil)
@@ -123,7 +129,7 @@
 		heads, err := step.List(ctx, in.cfg.Platform)
 		return stepsRead{heads: heads, err: err}
 	case sweep:
-		sent, err := in.sweep(ctx, e.olderThan)
+		sent, err := in.sweep(ctx, e)
 		return sweepDone{sent: sent, err: err}
 	}
 	return nil
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -27,7 +27,8 @@
 	}
 	waitFor(t, 5*time.Second, "reports of both versions", func() bool {
 		v := s.Entries[0].View()
-		return v.Newest["assistant-pool"] == 5 && v.Loads[s.EngineAddrs[0]].WeightVersion == 1
+		rep, _ := v.Report(s.EngineAddrs[0])
+		return v.Newest["assistant-pool"] == 5 && rep.WeightVersion == 1
 	})
 	for i := 0; i < 12; i++ {
 		req := entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: fmt.Sprint("stale-", i),
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -104,18 +104,26 @@
 	}
 	readMembers struct{}
 	heartbeat   struct {
+		held      lease.Lease // as last written; zero if not held
 		expiresAt time.Time
 		draining  bool
 	}
-	readReport          struct{ addr string }
-	sweep               struct{ olderThan time.Time }
+	readReport struct{ addr string }
+	sweep      struct {
+		olderThan time.Time // deliveries recorded before are sent
+		purge     bool      // also remove what is long gone
+	}
 	takeRolloutLease    struct{ pool string }
 	releaseRolloutLease struct{ pool string }
 	sendOrder           struct {
 		pool  string
 		order weights.Order
 	}
-	publish   struct{ view *View }
+	publish     struct{ view *View }
+	storeReport struct {
+		addr string
+		rep  engine.LoadReport
+	}
 	logChange struct {
 		msg string
 		kv  []any
@@ -139,6 +147,7 @@
 func (releaseRolloutLease) isEffect() {}
 func (sendOrder) isEffect()           {}
 func (publish) isEffect()             {}
+func (storeReport) isEffect()         {}
 func (logChange) isEffect()           {}
 func (hintPeers) isEffect()           {}
 func (readInstances) isEffect()       {}
@@ -155,6 +164,7 @@
 	reportBudget int           // load report reads per round, at most
 	sweep        time.Duration // period of delivery sweeps
 	sweepGrace   time.Duration // age before a record is swept
+	purge        time.Duration // period of removing what is long gone
 	steps        time.Duration // period of reading the steps kept
 	rollout      weights.Config
 	rolloutRenew time.Duration // period of taking a rollout lease again
@@ -175,8 +185,9 @@
 	nextHeartbeat  time.Time
 	nextReports    time.Time
 	nextSweep      time.Time
+	nextPurge      time.Time
 	nextSteps      time.Time
-	leaseHeld      bool
+	member         lease.Lease // this instance's membership lease; zero if not held
 	platformOK     bool
 	revision       uint64                 // highest catalogue row version applied
 	revisionRow    uint64                 // version of the revision row last applied
@@ -198,7 +209,7 @@
 		timing: t,
 		view: &View{Entries: map[string]catalogue.Entry{}, Customers: map[string]catalogue.Customer{},
 			Instances: map[string]platform.InstanceState{}, Pools: map[string]catalogue.Pool{},
-			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, Loads: map[string]engine.LoadReport{}, Newest: map[string]uint64{}},
+			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, loads: newLoadTable(), Newest: map[string]uint64{}},
 		pending:    map[string]bool{},
 		platformOK: true,
 	}
@@ -284,16 +295,15 @@
 	if !now.Before(s.nextHeartbeat) && !s.pending["heartbeat"] {
 		s.pending = with(s.pending, "heartbeat")
 		s.nextHeartbeat = now.Add(s.timing.renew)
-		effs = append(effs, heartbeat{expiresAt: now.Add(s.timing.leaseTTL), draining: s.self.Draining})
+		effs = append(effs, heartbeat{held: s.member, expiresAt: now.Add(s.timing.leaseTTL), draining: s.self.Draining})
 	}
 	if !now.Before(s.nextReports) {
 		s.nextReports = now.Add(s.timing.reports)
 		s, effs = s.reportRound(effs)
 	}
 	if !now.Before(s.nextSweep) && !s.pending["sweep"] && !s.self.Draining {
-		s.pending = with(s.pending, "sweep")
 		s.nextSweep = now.Add(s.timing.sweep)
-		effs = append(effs, sweep{olderThan: now.Add(-s.timing.sweepGrace)})
+		s, effs = s.startSweep(now, effs)
 	}
 	if !now.Before(s.nextSteps) && !s.pending["steps"] && !s.self.Draining {
 		s.pending = with(s.pending, "steps")
@@ -303,6 +313,21 @@
 	return s.tickRollouts(now, effs)
 }
 
+// startSweep sweeps, if this instance is the one to: deliveries each time,
+// what is long gone once in a while.
+func (s state) startSweep(now time.Time, effs []effect) (state, []effect) {
+	if !s.preferred(sweeperLease) {
+		return s, effs
+	}
+	s.pending = with(s.pending, "sweep")
+	sw := sweep{olderThan: now.Add(-s.timing.sweepGrace)}
+	if !now.Before(s.nextPurge) {
+		s.nextPurge = now.Add(s.timing.purge)
+		sw.purge = true
+	}
+	return s, append(effs, sw)
+}
+
 // reportRound asks for the next reportBudget engines' load reports, round
 // robin, so a node's report reads stay bounded however many engines the
 // catalogue holds; between reads, a node's own requests in flight carry
--- a/pkg/entry/reduce_members.go
+++ b/pkg/entry/reduce_members.go
@@ -95,15 +95,18 @@
 
 func (s state) onHeartbeat(e heartbeatDone) (state, []effect) {
 	s.pending = without(s.pending, "heartbeat")
-	held := e.err == nil
-	if held == s.leaseHeld {
-		return s, nil
+	before := s.member.Fencing != 0
+	s.member = e.l
+	if e.err != nil {
+		s.member = lease.Lease{}
 	}
-	s.leaseHeld = held
-	if held {
+	switch held := s.member.Fencing != 0; {
+	case held && !before:
 		return s, []effect{logChange{msg: "membership lease held", kv: []any{"fencing", e.l.Fencing}}}
+	case before && !held:
+		return s, []effect{logChange{msg: "membership lease lost", kv: []any{"err", e.err}}}
 	}
-	return s, []effect{logChange{msg: "membership lease lost", kv: []any{"err", e.err}}}
+	return s, nil
 }
 
 func sameMembers(a, b []Member) bool {
--- a/pkg/entry/reduce_rollout.go
+++ b/pkg/entry/reduce_rollout.go
@@ -159,19 +159,18 @@
 	if e.err != nil {
 		return s, nil // a missing report leaves the last one, which ages
 	}
-	v := s.view.clone()
-	v.Loads = maps.Clone(v.Loads)
-	v.Loads[e.addr] = e.rep
+	effs := []effect{storeReport{addr: e.addr, rep: e.rep}}
 	for _, name := range s.poolsOf[e.addr] {
-		if _, named := v.Targets[name]; !named && e.rep.WeightVersion > v.Newest[name] {
-			v.Newest = maps.Clone(v.Newest)
-			v.Newest[name] = e.rep.WeightVersion
+		if _, named := s.view.Targets[name]; !named && e.rep.WeightVersion > s.view.Newest[name] {
+			s.view = s.view.clone()
+			s.view.Newest = maps.Clone(s.view.Newest)
+			s.view.Newest[name] = e.rep.WeightVersion
+			effs = append(effs, publish{s.view})
 		}
 		if pr, ok := s.rollouts[name]; ok {
 			pr.Rollout, _ = pr.Reduce(weights.Reported{Address: e.addr, Report: e.rep, At: e.at})
 			s = s.withRollout(name, pr)
 		}
 	}
-	s.view = v
-	return s, []effect{publish{v}}
+	return s, effs
 }
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -15,16 +15,12 @@
 // died and work that is over.
 const sweeperLease = "lease/sweeper"
 
-// memberRetention is how long after its lease ran out a member's row is
-// removed.
-const memberRetention = 10 * time.Minute
-
 // sweep clears up, if this instance holds the sweeper lease: it sends
-// samples whose record is older than olderThan, and removes steps and
-// members long gone. Two sweepers at once (a paused holder that has not yet
+// samples whose record is older than e.olderThan and, if asked to, removes
+// steps and members long gone. Two sweepers at once (a paused holder that has not yet
 // seen its lease lapse) would only send a sample twice, which its trainer
 // does not learn twice.
-func (in *Instance) sweep(ctx context.Context, olderThan time.Time) (int, error) {
+func (in *Instance) sweep(ctx context.Context, e sweep) (int, error) {
 	now := in.cfg.Clock.Now()
 	if _, err := lease.Acquire(ctx, in.cfg.Platform, sweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
 		if errors.Is(err, lease.ErrHeld) {
@@ -32,13 +28,20 @@
 		}
 		return 0, err
 	}
-	if err := in.sweepSteps(ctx, now.Add(-in.cfg.StepRetention)); err != nil {
-		return 0, err
+	if e.purge {
+		if err := in.purge(ctx, now); err != nil {
+			return 0, err
+		}
 	}
-	if err := in.sweepMembers(ctx, now.Add(-memberRetention)); err != nil {
-		return 0, err
+	return in.sweepDeliveries(ctx, e.olderThan)
+}
+
+// purge removes steps and members long gone.
+func (in *Instance) purge(ctx context.Context, now time.Time) error {
+	if err := in.sweepSteps(ctx, now.Add(-in.cfg.StepRetention)); err != nil {
+		return err
 	}
-	return in.sweepDeliveries(ctx, olderThan)
+	return in.sweepMembers(ctx, now.Add(-in.cfg.MemberRetention))
 }
 
 func (in *Instance) sweepDeliveries(ctx context.Context, olderThan time.Time) (int, error) {
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -24,7 +24,8 @@
 }
 
 // View is the control state that traffic reads: published whole by the
-// control goroutine and never changed after.
+// control goroutine and never changed after, but for load reports, which are
+// kept in one table so that a report does not publish a new View.
 type View struct {
 	Entries   map[string]catalogue.Entry
 	Pools     map[string]catalogue.Pool
@@ -32,7 +33,7 @@
 	Instances map[string]platform.InstanceState // by address, as the platform's list last had it
 	Versions  map[string]uint64                 // catalogue row key → version applied
 	Members   []Member                          // live members, by ID
-	Loads     map[string]engine.LoadReport
+	loads     *loadTable
 	Targets   map[string]weights.Target // pool → the version its trainer named
 	Newest    map[string]uint64         // pool → newest weight version named, or reported where none is
 	Draining  bool
@@ -55,10 +56,19 @@
 	return e, nil
 }
 
+// Report returns the last load report of the engine at addr, if there is one.
+func (v *View) Report(addr string) (engine.LoadReport, bool) { return v.loads.get(addr) }
+
+// reportOf returns the last load report of the engine at addr, or a zero one.
+func (v *View) reportOf(addr string) engine.LoadReport {
+	rep, _ := v.loads.get(addr)
+	return rep
+}
+
 // LeavingUpstream reports whether the upstream at addr is leaving by the
 // platform's list or its own report, whatever the catalogue says.
 func (v *View) LeavingUpstream(addr string) bool {
-	return v.Instances[addr] == platform.InstanceLeaving || v.Loads[addr].Leaving
+	return v.Instances[addr] == platform.InstanceLeaving || v.reportOf(addr).Leaving
 }
 
 // live returns the upstreams of the pool that take new work.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -66,6 +66,31 @@
 	return l, nil
 }
 
+// Renew writes the lease l, as last read or written, again until expiresAt
+// with new data, in one call. It returns ErrHeld if the row has changed
+// since, or if l is zero.
+func Renew(ctx context.Context, t Table, l Lease, expiresAt time.Time, data json.RawMessage) (Lease, error) {
+	if l.Fencing == 0 {
+		return Lease{}, ErrHeld
+	}
+	expect := l.Fencing
+	l.ExpiresAt, l.Data = expiresAt, data
+	op, err := platform.Put(l.Name, expect, l)
+	if err != nil {
+		return Lease{}, err
+	}
+	rows, err := t.Commit(ctx, op)
+	var ce *platform.ConflictError
+	if errors.As(err, &ce) {
+		return Lease{}, ErrHeld
+	}
+	if err != nil {
+		return Lease{}, fmt.Errorf("lease %s: %w", l.Name, err)
+	}
+	l.Fencing = rows[0].Version
+	return l, nil
+}
+
 // Decode reads a Lease from its row.
 func Decode(row platform.Row) (Lease, error) {
 	var l Lease
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"sort"
@@ -35,6 +36,9 @@
 	Reads   int64 `json:"reads"`
 	Commits int64 `json:"commits"`
 	Lost    int64 `json:"lost"`
+	// BytesOut and BytesIn count answer and request bodies.
+	BytesOut int64 `json:"bytes_out"`
+	BytesIn  int64 `json:"bytes_in"`
 }
 
 // Server is the stand-in. Its zero value is not usable; call New.
@@ -67,7 +71,7 @@
 	mux.HandleFunc("GET /v1/instances", s.listInstances)
 	mux.HandleFunc("POST /v1/faults", s.setFaults)
 	mux.HandleFunc("GET /v1/stats", s.getStats)
-	return mux
+	return s.counted(mux)
 }
 
 // SetFaults replaces the faults in force.
@@ -84,6 +88,19 @@
 	return s.stats
 }
 
+// Put writes v as JSON under key, whatever is there, as an outside writer
+// whose calls are not counted.
+func (s *Server) Put(key string, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the caller's value can't be encoded
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	s.rows[key] = platform.Row{Key: key, Version: s.seq, Value: b}
+}
+
 // Rows returns a copy of every row whose key starts with prefix, in key order.
 func (s *Server) Rows(prefix string) []platform.Row {
 	s.mu.Lock()
@@ -136,11 +153,9 @@
 // drop answers as a lost reply looks to the client: the connection closes
 // with no answer.
 func drop(w http.ResponseWriter) {
-	if hj, ok := w.(http.Hijacker); ok {
-		if conn, _, err := hj.Hijack(); err == nil {
-			conn.Close()
-			return
-		}
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		conn.Close()
+		return
 	}
 	http.Error(w, "reply lost", http.StatusGatewayTimeout)
 }
