catalogue: remove items; report a change whose reply was lost as accepted

Cause: operators could add and edit but not remove; a row that simply went would have been kept by every instance for good, since instances apply only newer rows. And an edit whose reply was lost was reported as failed though it had taken effect (failing first: "unavailable: EOF").

Apply looks for its audit record when the reply was lost.

Ruled out: deleting rows and having instances drop what a scan lacks (an old read would then take away what was just added).

--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -76,7 +76,7 @@
 	cmd.AddCommand(apply, show, audit,
 		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
 		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
-		weightsCmd(client, &author), stepsCmd(client))
+		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client))
 	return cmd
 }
 
@@ -96,6 +96,27 @@
 	}
 }
 
+// removeCmd returns the command that takes an item out of the catalogue.
+func removeCmd(client func() *platform.Client, author *string) *cobra.Command {
+	prefixes := map[string]string{"entry": catalogue.EntryPrefix, "pool": catalogue.PoolPrefix, "customer": catalogue.CustomerPrefix}
+	return &cobra.Command{
+		Use:   "remove entry|pool|customer NAME",
+		Short: "Take an item out of the catalogue; a pool that entries use is refused",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			prefix, ok := prefixes[args[0]]
+			if !ok {
+				return fmt.Errorf("remove %q: want entry, pool or customer", args[0])
+			}
+			if err := catalogue.Remove(cmd.Context(), client(), prefix+args[1], authorOr(*author), time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s %s is removed\n", args[0], args[1])
+			return nil
+		},
+	}
+}
+
 // weightsCmd returns the command that names a pool's weight version.
 func weightsCmd(client func() *platform.Client, author *string) *cobra.Command {
 	return &cobra.Command{
--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -60,7 +60,8 @@
 	// MaxVersionLag is how many weight versions behind the pool's newest
 	// a sample's oldest version may be: 1 allows the previous version.
 	MaxVersionLag uint64 `json:"max_version_lag"`
-	Generation    uint64 `json:"generation"` // edits accepted so far
+	Generation    uint64 `json:"generation"`        // edits accepted so far
+	Removed       bool   `json:"removed,omitempty"` // see Remove
 }
 
 // Customer bounds a customer's use over all its entries. A customer without
@@ -69,6 +70,7 @@
 	Name        string `json:"name"`
 	MaxInFlight int    `json:"max_in_flight"` // requests at once, per entry instance
 	Generation  uint64 `json:"generation"`
+	Removed     bool   `json:"removed,omitempty"` // see Remove
 }
 
 // Check reports the first problem with c, naming the field.
@@ -110,6 +112,7 @@
 	// and so be unavailable; 0 takes the default, see LoadingBudget.
 	MaxLoading int    `json:"max_loading,omitempty"`
 	Generation uint64 `json:"generation"`
+	Removed    bool   `json:"removed,omitempty"` // see Remove
 }
 
 // LoadingBudget returns how many of p's engines may load at once:
--- a/pkg/catalogue/catalogue_test.go
+++ b/pkg/catalogue/catalogue_test.go
@@ -112,3 +112,54 @@
 		t.Fatalf("stored %s, last accepted %s", row.Value, prev)
 	}
 }
+
+// A pool goes only once no entry uses it, also when an entry is added while
+// it is being removed; what is removed stays removed and can be added again.
+func TestRemoveRefusesAPoolInUse(t *testing.T) {
+	srv := httptest.NewServer(platformtest.New().Handler())
+	defer srv.Close()
+	c, ctx := platform.NewClient(srv.URL, nil), context.Background()
+	pool := catalogue.Pool{Name: "desk-app", Kind: catalogue.Services}
+	f := catalogue.File{Pools: []catalogue.Pool{pool}, Entries: []catalogue.Entry{entry(1)}}
+	if _, err := catalogue.Sync(ctx, c, f, "ana", time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	remove := func(key string) error { return catalogue.Remove(ctx, c, key, "rui", time.Now()) }
+	if err := remove(catalogue.PoolPrefix + "desk-app"); !errors.Is(err, catalogue.ErrInUse) {
+		t.Fatalf("removing a pool in use: %v, want ErrInUse", err)
+	}
+	if err := remove(catalogue.EntryPrefix + "balance-lookup"); err != nil {
+		t.Fatal(err)
+	}
+	if err := remove(catalogue.PoolPrefix + "desk-app"); err != nil {
+		t.Fatalf("removing the pool once unused: %v", err)
+	}
+	if err := remove(catalogue.PoolPrefix + "desk-app"); err == nil {
+		t.Fatal("removed twice")
+	}
+	changes, err := catalogue.Audit(ctx, c)
+	if err != nil || len(changes) != 4 {
+		t.Fatalf("audit holds %d changes (%v), want 4", len(changes), err)
+	}
+	if _, err := catalogue.Sync(ctx, c, f, "ana", time.Now()); err != nil {
+		t.Fatalf("adding again: %v", err)
+	}
+	snap, err := catalogue.Read(ctx, c)
+	if err != nil || snap.Entries["balance-lookup"].Removed || snap.Pools["desk-app"].Removed {
+		t.Fatalf("not added again: %+v %v", snap, err)
+	}
+}
+
+// A change whose reply is lost after it took effect is reported as accepted.
+func TestChangeWithLostReplyIsConfirmed(t *testing.T) {
+	p := platformtest.New()
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	c := platform.NewClient(srv.URL, nil)
+	p.SetFaults(platformtest.Faults{LoseReplies: 1, LosePrefix: catalogue.EntryPrefix})
+	e := entry(1)
+	row, err := catalogue.Apply(context.Background(), c, catalogue.Edit{Key: catalogue.EntryPrefix + e.Name, Value: e, Author: "ana", At: time.Now()})
+	if err != nil || row.Version == 0 {
+		t.Fatalf("accepted change reported as %v (row %+v)", err, row)
+	}
+}
--- a/pkg/catalogue/store.go
+++ b/pkg/catalogue/store.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -97,7 +98,7 @@
 		return platform.Row{}, err
 	}
 	change := Change{Key: e.Key, Generation: gen + 1, Author: e.Author, At: e.At, Before: before, After: string(after)}
-	audit, err := platform.Put(fmt.Sprintf("%s%s/%08d", AuditPrefix, e.Key, gen+1), 0, change)
+	audit, err := auditOp(change)
 	if err != nil {
 		return platform.Row{}, err
 	}
@@ -106,12 +107,25 @@
 	if errors.As(err, &ce) {
 		return platform.Row{}, fmt.Errorf("%w: %s is at version %d, not %d", ErrConflict, e.Key, ce.Current.Version, e.ExpectVersion)
 	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		return confirm(ctx, c, e.Key, audit, err)
+	}
 	if err != nil {
 		return platform.Row{}, err
 	}
 	return rows[0], nil
 }
 
+// confirm finds out whether a change whose reply was lost was accepted, by
+// its audit record, and returns the item's row if so, or else cause.
+func confirm(ctx context.Context, c *platform.Client, key string, audit platform.Op, cause error) (platform.Row, error) {
+	kept, err := c.Get(ctx, audit.Key)
+	if err != nil || !bytes.Equal(kept.Value, audit.Value) {
+		return platform.Row{}, cause
+	}
+	return c.Get(ctx, key)
+}
+
 // current returns the JSON and generation of the row e replaces, checking
 // that its version is still e.ExpectVersion.
 func current(ctx context.Context, c *platform.Client, e Edit) (string, uint64, error) {
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -120,3 +121,18 @@
 		}
 	}
 }
+
+// An entry removed from the catalogue is no longer served, and its callers
+// are told so.
+func TestRemovedEntryIsNotServed(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	key := catalogue.EntryPrefix + "chat"
+	if err := catalogue.Remove(context.Background(), platform.NewClient(s.PlatformURL, nil), key, "test", time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: "gone", Prompt: "p", MaxTokens: 1}
+	waitFor(t, 5*time.Second, "404 for the removed entry", func() bool {
+		status, _, _ := generate(t, s.Entries[0].Addr(), req)
+		return status == http.StatusNotFound
+	})
+}
--- a/pkg/entry/reduce_catalogue.go
+++ b/pkg/entry/reduce_catalogue.go
@@ -45,11 +45,11 @@
 		name := key[strings.LastIndexByte(key, '/')+1:]
 		switch {
 		case strings.HasPrefix(key, catalogue.EntryPrefix):
-			v.Entries[name] = snap.Entries[name]
+			setItem(v.Entries, name, snap.Entries[name], snap.Entries[name].Removed)
 		case strings.HasPrefix(key, catalogue.PoolPrefix):
-			v.Pools[name] = snap.Pools[name]
+			setItem(v.Pools, name, snap.Pools[name], snap.Pools[name].Removed)
 		case strings.HasPrefix(key, catalogue.CustomerPrefix):
-			v.Customers[name] = snap.Customers[name]
+			setItem(v.Customers, name, snap.Customers[name], snap.Customers[name].Removed)
 		case strings.HasPrefix(key, weights.TargetPrefix):
 			v.Targets[name] = targets[name]
 			v.Newest[name] = max(v.Newest[name], targets[name].Version)
@@ -67,6 +67,15 @@
 		hintPeers{revision: s.revision, draining: s.self.Draining})
 }
 
+// setItem sets m's item, or deletes it if it is removed from the catalogue.
+func setItem[T any](m map[string]T, name string, item T, removed bool) {
+	if removed {
+		delete(m, name)
+		return
+	}
+	m[name] = item
+}
+
 func decodeTargets(rows []platform.Row) (map[string]weights.Target, error) {
 	out := map[string]weights.Target{}
 	for _, r := range rows {
