entry: engines shared with the older system keep their share of them

What: an upstream's max_in_flight bounds our requests there from all instances together: each instance has an even part, the remainder goes to those that the upstream's address ranks first, so the parts add up exactly while instances agree on membership. older_system leaves its orders to the other system. Engines and services are now chosen by one function.

Ruled out: a count in the platform's table (a write for each request).

After: 60 requests at 3 instances, at most 4 at once, all answered.

--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -101,6 +101,10 @@
 	// OlderSystem marks an engine that the older rollout system still
 	// gives orders to: requests are routed to it, orders are not.
 	OlderSystem bool `json:"older_system,omitempty"`
+	// MaxInFlight is how many requests the whole system may have in flight
+	// at the upstream, so that another system sharing it keeps the rest; 0
+	// for no limit.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
 }
 
 // Pool is a set of upstreams of one kind.
@@ -184,6 +188,9 @@
 		if u.Address == "" || u.DataCentre == "" {
 			return fmt.Errorf("pool %s: upstreams[%d] needs address and data_centre", p.Name, i)
 		}
+		if u.MaxInFlight < 0 {
+			return fmt.Errorf("pool %s: upstreams[%d].max_in_flight must not be negative", p.Name, i)
+		}
 		if u.State != Live && u.State != Leaving {
 			return fmt.Errorf("pool %s: upstreams[%d].state %q: want live or leaving", p.Name, i, u.State)
 		}
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -68,6 +68,7 @@
 	faults   Faults
 	records  map[string][]uint64 // request ID → versions that produced tokens
 	requests int64
+	peak     int                // most streams active and queued at once
 	frozen   *engine.LoadReport // the report served while StaleReports is set
 	loaded   chan struct{}      // closed when the load under way ends; nil if none
 	loads    int                // load orders carried out
@@ -129,6 +130,13 @@
 	return s.requests
 }
 
+// Peak returns the most requests the stand-in has held at once.
+func (s *Server) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
 // Version returns the weight version loaded now.
 func (s *Server) Version() uint64 {
 	s.mu.Lock()
@@ -145,6 +153,7 @@
 	s.mu.Lock()
 	s.requests++
 	s.queued++
+	s.peak = max(s.peak, s.active+s.queued)
 	f := s.faults
 	s.mu.Unlock()
 	if f.Silent {
--- /dev/null
+++ b/pkg/entry/choose.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// choose chooses one of ups by load, distance and affinity, and takes a place
+// at it, which the caller gives back with in.load.release. Upstreams that are
+// ejected, or that avoid holds for, are chosen only if there is no other. It
+// reports false if no upstream has a place.
+func (in *Instance) choose(v *View, ups []catalogue.Upstream, avoid func(catalogue.Upstream) bool, affinity string) (addr string, ok bool) {
+	now := in.cfg.Clock.Now()
+	var good, rest []catalogue.Upstream
+	for _, u := range ups {
+		if avoid(u) || !in.health.Usable(u.Address, now) {
+			rest = append(rest, u)
+		} else {
+			good = append(good, u)
+		}
+	}
+	for _, set := range [][]catalogue.Upstream{good, rest} {
+		if u, ok := in.chooseFrom(v, set, affinity); ok {
+			in.health.Trying(u.Address, now)
+			return u.Address, true
+		}
+	}
+	return "", false
+}
+
+// chooseFrom takes a place at the best of ups that has one.
+func (in *Instance) chooseFrom(v *View, ups []catalogue.Upstream, affinity string) (catalogue.Upstream, bool) {
+	cands := make([]route.Candidate, len(ups))
+	for i, u := range ups {
+		cands[i] = route.Candidate{Key: u.Address, Load: in.loadOf(v, u.Address) + in.distance(u)}
+	}
+	for len(cands) > 0 {
+		i := in.policy.Pick(cands, affinity)
+		if in.enter(v, ups[i]) {
+			return ups[i], true
+		}
+		cands = append(cands[:i], cands[i+1:]...)
+		ups = append(append([]catalogue.Upstream(nil), ups[:i]...), ups[i+1:]...)
+	}
+	return catalogue.Upstream{}, false
+}
+
+// noUpstream is the refusal of a request for which no upstream has a place.
+func (in *Instance) noUpstream(e catalogue.Entry) error {
+	return verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now().Add(time.Second),
+		fmt.Errorf("entry %s: no upstream of pool %q takes requests", e.Name, e.Pool))
+}
+
+// loadOf is the believed load of an engine: this instance's own requests
+// in flight to it, plus its last report.
+func (in *Instance) loadOf(v *View, addr string) float64 {
+	own := float64(in.load.get(addr))
+	rep, ok := v.Report(addr)
+	if !ok {
+		return own
+	}
+	return own + float64(rep.Active+rep.Queued)
+}
+
+// distanceLoad is the load that sending to another data centre counts for: it
+// decides between upstreams otherwise alike, and moves no queue.
+const distanceLoad = 0.5
+
+func (in *Instance) distance(u catalogue.Upstream) float64 {
+	if u.DataCentre == in.cfg.DataCentre {
+		return 0
+	}
+	return distanceLoad
+}
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -12,7 +12,6 @@
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
-	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -110,7 +109,8 @@
 }
 
 // pick chooses an engine not yet tried, or, when all have been, any again:
-// what failed may have been a connection, not the engine.
+// what failed may have been a connection, not the engine. It takes a place
+// at the engine.
 func (g *generation) pick() (string, error) {
 	addr, err := g.pickUntried()
 	if err != nil && len(g.tried) > 0 {
@@ -120,32 +120,22 @@
 	return addr, err
 }
 
-// pickUntried chooses a live engine of the entry's pool not yet tried: a
-// healthy one that is not loading weights if there is one, or else any.
+// pickUntried chooses a live engine of the entry's pool not yet tried, a
+// healthy one that is not loading weights if there is one.
 func (g *generation) pickUntried() (string, error) {
-	view, now := g.in.View(), g.in.cfg.Clock.Now()
-	var good, rest []route.Candidate
+	view := g.in.View()
+	var ups []catalogue.Upstream
 	for _, u := range view.live(g.entry.Pool, catalogue.Engines) {
 		if slices.Contains(g.tried, u.Address) || g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
 			continue
 		}
-		c := route.Candidate{Key: u.Address, Load: g.in.loadOf(view, u.Address) + g.in.distance(u)}
-		if view.reportOf(u.Address).Loading || !g.in.health.Usable(u.Address, now) {
-			rest = append(rest, c)
-		} else {
-			good = append(good, c)
-		}
-	}
-	if len(good) == 0 {
-		good = rest
+		ups = append(ups, u)
 	}
-	i := g.in.policy.Pick(good, affinity(g.req.Prompt))
-	if i < 0 {
-		return "", verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second),
-			fmt.Errorf("entry %s: no live engine in pool %q", g.entry.Name, g.entry.Pool))
+	loading := func(u catalogue.Upstream) bool { return view.reportOf(u.Address).Loading }
+	if addr, ok := g.in.choose(view, ups, loading, affinity(g.req.Prompt)); ok {
+		return addr, nil
 	}
-	g.in.health.Trying(good[i].Key, now)
-	return good[i].Key, nil
+	return "", g.in.noUpstream(g.entry)
 }
 
 // tooStale reports whether the engine at addr last reported a weight
@@ -155,28 +145,6 @@
 	return ok && v.outOfBound(g.entry, rep.WeightVersion)
 }
 
-// loadOf is the believed load of an engine: this instance's own requests
-// in flight to it, plus its last report.
-func (in *Instance) loadOf(v *View, addr string) float64 {
-	own := float64(in.load.get(addr))
-	rep, ok := v.Report(addr)
-	if !ok {
-		return own
-	}
-	return own + float64(rep.Active+rep.Queued)
-}
-
-// distanceLoad is the load that sending to another data centre counts for: it
-// decides between upstreams otherwise alike, and moves no queue.
-const distanceLoad = 0.5
-
-func (in *Instance) distance(u catalogue.Upstream) float64 {
-	if u.DataCentre == in.cfg.DataCentre {
-		return 0
-	}
-	return distanceLoad
-}
-
 // affinityLen is how much of a prompt decides which engine's prefix cache
 // a request prefers.
 const affinityLen = 64
@@ -191,8 +159,7 @@
 // stream runs one attempt on the engine at addr, relaying chunks to the
 // caller. It reports whether the generation is now whole.
 func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
-	g.in.load.acquire(addr, 0)
-	defer g.in.load.release(addr)
+	defer g.in.load.release(addr) // taken by pick
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	idle := time.AfterFunc(g.in.cfg.IdleTimeout, func() { cancel(errIdle) })
--- a/pkg/entry/health_test.go
+++ b/pkg/entry/health_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
@@ -106,3 +109,43 @@
 		t.Fatalf("refused call ran %d times", n)
 	}
 }
+
+// An engine shared with the older system gets no more than its share from all
+// instances together, and no orders.
+func TestSharedEngineKeepsItsShare(t *testing.T) {
+	s := startSite(t, 2, 3, enginetest.Config{WeightVersion: 1, TokenInterval: 5 * time.Millisecond, Slots: 64})
+	waitFor(t, 5*time.Second, "membership", func() bool {
+		return !slices.ContainsFunc(s.Entries, func(in *entry.Instance) bool { return len(in.View().Members) != 3 })
+	})
+	p := s.EnginePool("assistant-pool")
+	p.Upstreams[0].MaxInFlight, p.Upstreams[0].OlderSystem = 4, true // 3 instances: 1, 1 and 2
+	out, err := catalogue.Sync(context.Background(), platform.NewClient(s.PlatformURL, nil), catalogue.File{Pools: []catalogue.Pool{p}}, "test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.WaitApplied(out, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	var g errgroup.Group
+	for i := range 60 {
+		g.Go(func() error {
+			status, _, last := generate(t, s.Entries[i%3].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat",
+				RequestID: fmt.Sprint("share-", i), Prompt: fmt.Sprint("prompt ", i), MaxTokens: 20})
+			if status != http.StatusOK || !last.Done {
+				return fmt.Errorf("request %d: status %d, %+v", i, status, last)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if n := s.Engines[0].Peak(); n < 2 || n > 4 {
+		t.Fatalf("shared engine held %d requests at once, want 2 to its share of 4", n)
+	}
+	nameVersion(t, s, 0, 2)
+	waitFor(t, 5*time.Second, "our engine at version 2", func() bool { return s.Engines[1].Version() == 2 })
+	if v := s.Engines[0].Version(); v != 1 {
+		t.Fatalf("engine that the older system orders was ordered to version %d", v)
+	}
+}
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
-	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/service"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -125,8 +124,7 @@
 
 // send sends one copy of the call to the service at addr.
 func (c *serviceCall) send(ctx context.Context, addr string) (CallAnswer, error) {
-	c.in.load.acquire(addr, 0)
-	defer c.in.load.release(addr)
+	defer c.in.load.release(addr) // taken by pick
 	start := time.Now()
 	body, err := service.NewClient(addr, c.in.http).Call(ctx, c.req.Method, c.req.Key, c.req.Idempotent, c.req.Body)
 	if err == nil || verdict.Of(err) == verdict.Ran {
@@ -141,30 +139,19 @@
 	return CallAnswer{Body: body}, nil
 }
 
-// pick chooses a live service not yet tried, a healthy one if there is one.
+// pick chooses a live service not yet tried, and takes a place at it.
 func (c *serviceCall) pick() (string, error) {
-	now := c.in.cfg.Clock.Now()
-	var good, rest []route.Candidate
+	var ups []catalogue.Upstream
 	for _, u := range c.view.live(c.entry.Pool, catalogue.Services) {
-		if slices.Contains(c.tried, u.Address) {
-			continue
+		if !slices.Contains(c.tried, u.Address) {
+			ups = append(ups, u)
 		}
-		cand := route.Candidate{Key: u.Address, Load: float64(c.in.load.get(u.Address)) + c.in.distance(u)}
-		if c.in.health.Usable(u.Address, now) {
-			good = append(good, cand)
-		} else {
-			rest = append(rest, cand)
-		}
-	}
-	if len(good) == 0 {
-		good = rest
 	}
-	i := c.in.policy.Pick(good, c.req.Key)
-	if i < 0 {
-		return "", verdict.Refuse(http.StatusServiceUnavailable, now.Add(time.Second),
-			fmt.Errorf("entry %s: no live service in pool %q", c.entry.Name, c.entry.Pool))
+	none := func(catalogue.Upstream) bool { return false }
+	addr, ok := c.in.choose(c.view, ups, none, c.req.Key)
+	if !ok {
+		return "", c.in.noUpstream(c.entry)
 	}
-	c.tried = append(c.tried, good[i].Key)
-	c.in.health.Trying(good[i].Key, now)
-	return good[i].Key, nil
+	c.tried = append(c.tried, addr)
+	return addr, nil
 }
--- /dev/null
+++ b/pkg/entry/share.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+)
+
+// share returns how many requests this instance may have in flight at u, of
+// the u.MaxInFlight that the whole system may: an even part, the remainder
+// going to the instances that u's address ranks first. While instances agree
+// on membership the parts add up to MaxInFlight. It returns 0 if u has no
+// limit, and -1 if this instance's part is none.
+func (in *Instance) share(v *View, u catalogue.Upstream) int {
+	if u.MaxInFlight == 0 {
+		return 0
+	}
+	members := v.routable()
+	if len(members) == 0 {
+		return u.MaxInFlight
+	}
+	part := u.MaxInFlight / len(members)
+	rank := route.Rank(members, func(m Member) string { return m.ID }, u.Address)
+	first := rank[:u.MaxInFlight%len(members)]
+	if slices.ContainsFunc(first, func(m Member) bool { return m.ID == in.cfg.ID }) {
+		part++
+	}
+	if part == 0 {
+		return -1
+	}
+	return part
+}
+
+// enter takes a place at u within this instance's share of it, to be given
+// back by in.load.release(u.Address).
+func (in *Instance) enter(v *View, u catalogue.Upstream) bool {
+	share := in.share(v, u)
+	return share >= 0 && in.load.acquire(u.Address, share)
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -4,8 +4,10 @@
 package route
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
+	"slices"
 )
 
 // Candidate is an upstream that may take a request, with its load: the
@@ -58,6 +60,14 @@
 	return best
 }
 
+// Rank returns items in the order that key ranks them by, best first: the
+// first is the one Rendezvous chooses.
+func Rank[T any](items []T, name func(T) string, key string) []T {
+	ranked := slices.Clone(items)
+	slices.SortFunc(ranked, func(a, b T) int { return cmp.Compare(score(name(b), key), score(name(a), key)) })
+	return ranked
+}
+
 func score(item, key string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(item))
