entry: split events, state and reduce; one prologue for requests; one builder for stand-ins

Read as a newcomer: reduce.go held events, effects, state and every handler; work under way was a map of strings ("report:"+addr) and nine next... fields; serveCall and serveGenerate repeated the same prologue, and the four stand-in commands the same body. Events, state and reduce are files of their own, work is a typed task with one schedule, serve is the prologue, standIn the builder.

--- a/cmd/zinnialadder/process_test.go
+++ b/cmd/zinnialadder/process_test.go
@@ -26,9 +26,10 @@
 
 // processes starts the program's roles as processes of their own.
 type processes struct {
-	t   *testing.T
-	dir string
-	bin string
+	t     *testing.T
+	dir   string
+	bin   string
+	ports int // tried so far
 }
 
 func newProcesses(t *testing.T) *processes {
@@ -40,14 +41,24 @@
 	return p
 }
 
-// addr returns a loopback address that was free a moment ago.
+// firstPort is below the ports that systems give to outgoing connections, so
+// that no connection takes an address before its process listens on it.
+const firstPort = 27800
+
+// addr returns a loopback address that is free and not returned before.
 func (p *processes) addr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
+	for ; p.ports < 1000; p.ports++ {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+p.ports)
+		ln, err := net.Listen("tcp", a)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		p.ports++
+		return a
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	p.t.Fatal("no free port")
+	return ""
 }
 
 // start starts a role with the given settings; it is killed when the test ends.
--- a/cmd/zinnialadder/roles.go
+++ b/cmd/zinnialadder/roles.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -61,80 +62,54 @@
 	}
 }
 
-func platformCmd() *cobra.Command {
+// standIn returns the command that serves a stand-in with settings S.
+func standIn[S any, P interface {
+	*S
+	settings.Checker
+}](role, short string, common func(S) settings.Common, handler func(S) http.Handler) *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
-		Use:   "platform",
-		Short: "Run the stand-in for the platform's table and object store",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s settings.Plain
-			if err := settings.Load(path, &s); err != nil {
+		Use:   role,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var s S
+			if err := settings.Load(path, P(&s)); err != nil {
 				return err
 			}
 			ctx, stop := signalContext()
 			defer stop()
-			return listenAndServe(ctx, newLogger("platform", s.Common), s.Listen, platformtest.New().Handler())
+			c := common(s)
+			return listenAndServe(ctx, newLogger(role, c), c.Listen, handler(s))
 		},
 	}
 	settingsFlag(cmd, &path)
 	return cmd
 }
 
-func engineCmd() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "engine",
-		Short: "Run the model engine stand-in",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s settings.Engine
-			if err := settings.Load(path, &s); err != nil {
-				return err
-			}
-			e := enginetest.New(enginetest.Config{Name: s.Name, Slots: s.Slots,
-				TokenInterval: time.Duration(s.TokenInterval), WeightVersion: s.WeightVersion, ChecksFencing: s.ChecksFencing})
-			ctx, stop := signalContext()
-			defer stop()
-			return listenAndServe(ctx, newLogger("engine", s.Common).With("name", s.Name), s.Listen, e.Handler())
-		},
-	}
-	settingsFlag(cmd, &path)
-	return cmd
+// plain returns the command of a stand-in with nothing but common settings.
+func plain(role, short string, handler func() http.Handler) *cobra.Command {
+	return standIn(role, short, func(s settings.Plain) settings.Common { return s.Common },
+		func(settings.Plain) http.Handler { return handler() })
+}
+
+func platformCmd() *cobra.Command {
+	return plain("platform", "Run the stand-in for the platform's table and object store",
+		func() http.Handler { return platformtest.New().Handler() })
 }
 
 func trainerCmd() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "trainer",
-		Short: "Run the trainer stand-in",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s settings.Plain
-			if err := settings.Load(path, &s); err != nil {
-				return err
-			}
-			ctx, stop := signalContext()
-			defer stop()
-			return listenAndServe(ctx, newLogger("trainer", s.Common), s.Listen, new(trainertest.Server).Handler())
-		},
-	}
-	settingsFlag(cmd, &path)
-	return cmd
+	return plain("trainer", "Run the trainer stand-in", func() http.Handler { return new(trainertest.Server).Handler() })
 }
 
 func serviceCmd() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "service",
-		Short: "Run the plain service stand-in",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var s settings.Plain
-			if err := settings.Load(path, &s); err != nil {
-				return err
-			}
-			ctx, stop := signalContext()
-			defer stop()
-			return listenAndServe(ctx, newLogger("service", s.Common), s.Listen, new(servicetest.Server).Handler())
-		},
-	}
-	settingsFlag(cmd, &path)
-	return cmd
+	return plain("service", "Run the plain service stand-in", func() http.Handler { return new(servicetest.Server).Handler() })
+}
+
+func engineCmd() *cobra.Command {
+	return standIn("engine", "Run the model engine stand-in", func(s settings.Engine) settings.Common { return s.Common },
+		func(s settings.Engine) http.Handler {
+			return enginetest.New(enginetest.Config{Name: s.Name, Slots: s.Slots, TokenInterval: time.Duration(s.TokenInterval),
+				WeightVersion: s.WeightVersion, ChecksFencing: s.ChecksFencing}).Handler()
+		})
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -31,6 +30,8 @@
 	Replayed bool            `json:"replayed,omitempty"`
 }
 
+func (r CallRequest) target() (customer, entry string) { return r.Customer, r.Entry }
+
 func (r CallRequest) check() error {
 	switch {
 	case r.Customer == "" || r.Entry == "":
@@ -46,38 +47,16 @@
 }
 
 func (in *Instance) serveCall(w http.ResponseWriter, r *http.Request) {
-	in.stats.requests.Inc(1)
-	start := time.Now()
-	defer in.stats.latency.UpdateSince(start)
 	var req CallRequest
-	if err := decode(w, r, &req); err != nil {
-		in.fail(w, err)
-		return
-	}
-	if err := req.check(); err != nil {
-		in.fail(w, err)
-		return
-	}
-	v := in.View()
-	e, release, err := in.admit(v, req.Customer, req.Entry)
-	if err != nil {
-		in.fail(w, err)
-		return
-	}
-	defer release()
-	ctx, cancel, err := in.withDeadline(r)
-	if err != nil {
-		in.fail(w, err)
-		return
-	}
-	defer cancel()
-	ans, err := in.call(ctx, v, e, req)
-	if err = in.timedOut(ctx, err); err != nil {
-		in.fail(w, err)
-		return
-	}
-	w.Header().Set(verdict.Header, verdict.Ran.String())
-	httpjson.Write(w, http.StatusOK, ans)
+	serve(in, w, r, &req, func(ctx context.Context, v *View, e catalogue.Entry) error {
+		ans, err := in.call(ctx, v, e, req)
+		if err = in.timedOut(ctx, err); err != nil {
+			return err
+		}
+		w.Header().Set(verdict.Header, verdict.Ran.String())
+		httpjson.Write(w, http.StatusOK, ans)
+		return nil
+	})
 }
 
 func (in *Instance) call(ctx context.Context, v *View, e catalogue.Entry, req CallRequest) (CallAnswer, error) {
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -38,6 +38,8 @@
 	errDraining   = errors.New("this entry instance is draining; ask /v1/route again")
 )
 
+func (r GenerateRequest) target() (customer, entry string) { return r.Customer, r.Entry }
+
 func (r GenerateRequest) check() error {
 	switch {
 	case r.Customer == "":
@@ -53,35 +55,18 @@
 }
 
 func (in *Instance) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	in.stats.requests.Inc(1)
-	start := time.Now()
-	defer in.stats.latency.UpdateSince(start)
 	var req GenerateRequest
-	if err := decode(w, r, &req); err != nil {
-		in.fail(w, err)
-		return
-	}
-	if err := req.check(); err != nil {
-		in.fail(w, err)
-		return
-	}
-	v := in.View()
-	e, release, err := in.admit(v, req.Customer, req.Entry)
-	if err != nil {
-		in.fail(w, err)
-		return
-	}
-	defer release()
-	if req.MaxTokens > e.Limits.MaxTokens {
-		in.fail(w, verdict.BadRequest("generate: max_tokens %d is over entry %s's limit of %d", req.MaxTokens, e.Name, e.Limits.MaxTokens))
-		return
-	}
-	ctx, cancel, err := in.withDeadline(r)
-	if err != nil {
-		in.fail(w, err)
-		return
-	}
-	defer cancel()
+	serve(in, w, r, &req, func(ctx context.Context, _ *View, e catalogue.Entry) error {
+		if req.MaxTokens > e.Limits.MaxTokens {
+			return verdict.BadRequest("generate: max_tokens %d is over entry %s's limit of %d", req.MaxTokens, e.Name, e.Limits.MaxTokens)
+		}
+		return in.generate(ctx, w, e, req)
+	})
+}
+
+// generate runs one generation and writes its events. It returns the error
+// of one of which nothing was written.
+func (in *Instance) generate(ctx context.Context, w http.ResponseWriter, e catalogue.Entry, req GenerateRequest) error {
 	started := false
 	g := &generation{in: in, entry: e, req: req, emit: func(ev Event) error {
 		if !started {
@@ -92,17 +77,17 @@
 		return writeJSONLine(w, ev)
 	}}
 	res, err := g.run(ctx)
-	err = in.timedOut(ctx, err)
-	if err == nil && e.Class == catalogue.Training {
-		res.SampleID = in.sample(ctx, e, g.sample(res))
-	}
-	switch {
-	case err == nil:
-		_ = g.emit(res)
-	case started:
+	if err = in.timedOut(ctx, err); err != nil {
+		if !started {
+			return err
+		}
 		vd := verdict.Of(err)
 		_ = writeJSONLine(w, Event{Error: err.Error(), Verdict: &vd})
-	default:
-		in.fail(w, err)
+		return nil
+	}
+	if e.Class == catalogue.Training {
+		res.SampleID = in.sample(ctx, e, g.sample(res))
 	}
+	_ = g.emit(res)
+	return nil
 }
--- a/pkg/entry/reduce_catalogue.go
+++ b/pkg/entry/reduce_catalogue.go
@@ -13,7 +13,7 @@
 // onCatalogue applies the rows read, each only if it is newer than the one
 // applied before, so that no read can take a change back.
 func (s state) onCatalogue(e catalogueRead) (state, []effect) {
-	s.pending = without(s.pending, "catalogue")
+	s = s.ended(task{kind: catalogueTask})
 	if e.err != nil {
 		return s.platformDown(e.err)
 	}
--- a/pkg/entry/reduce_members.go
+++ b/pkg/entry/reduce_members.go
@@ -29,7 +29,7 @@
 
 // onMembers takes the live members from their lease rows.
 func (s state) onMembers(e membersRead) (state, []effect) {
-	s.pending = without(s.pending, "members")
+	s = s.ended(task{kind: membersTask})
 	if e.err != nil {
 		return s.platformDown(e.err)
 	}
@@ -94,7 +94,7 @@
 }
 
 func (s state) onHeartbeat(e heartbeatDone) (state, []effect) {
-	s.pending = without(s.pending, "heartbeat")
+	s = s.ended(task{kind: heartbeatTask})
 	before := s.member.Fencing != 0
 	s.member = e.l
 	if e.err != nil {
@@ -125,7 +125,7 @@
 
 // onInstances applies changes of the platform's list of upstream instances.
 func (s state) onInstances(e instancesRead) (state, []effect) {
-	s.pending = without(s.pending, "instances")
+	s = s.ended(task{kind: instancesTask})
 	if e.err != nil {
 		return s.platformDown(e.err)
 	}
--- a/pkg/entry/reduce_rollout.go
+++ b/pkg/entry/reduce_rollout.go
@@ -76,10 +76,12 @@
 // due and reads the reports due.
 func (s state) stepRollout(name string, pr poolRollout, preferred bool, now time.Time, effs []effect) (state, poolRollout, []effect) {
 	behind := pr.Behind()
-	if preferred && len(behind) > 0 && !now.Before(pr.nextLease) && !s.pending["rollout:"+name] {
-		s.pending = with(s.pending, "rollout:"+name)
-		pr.nextLease = now.Add(s.timing.rolloutRenew)
-		effs = append(effs, takeRolloutLease{pool: name})
+	if preferred && len(behind) > 0 && !now.Before(pr.nextLease) {
+		var ok bool
+		if s, ok = s.begin(task{kind: rolloutTask, name: name}); ok {
+			pr.nextLease = now.Add(s.timing.rolloutRenew)
+			effs = append(effs, takeRolloutLease{pool: name})
+		}
 	}
 	var orders []weights.Order
 	pr.Rollout, orders = pr.Reduce(weights.Tick{At: now})
@@ -95,20 +97,19 @@
 		pr.nextProbe = now.Add(s.timing.rolloutProbe)
 		probes = behind
 	}
-	return s.probe(probes, pr, effs)
+	s, effs = s.probe(probes, pr, effs)
+	return s, pr, effs
 }
 
 // probe reads the load reports of the engines at addrs that have no order
 // outstanding.
-func (s state) probe(addrs []string, pr poolRollout, effs []effect) (state, poolRollout, []effect) {
+func (s state) probe(addrs []string, pr poolRollout, effs []effect) (state, []effect) {
 	for _, a := range addrs {
-		if s.pending["report:"+a] || !pr.Engines[a].OrderEndsAt.IsZero() {
-			continue
+		if pr.Engines[a].OrderEndsAt.IsZero() {
+			s, effs = s.readReport(a, effs)
 		}
-		s.pending = with(s.pending, "report:"+a)
-		effs = append(effs, readReport{addr: a})
 	}
-	return s, pr, effs
+	return s, effs
 }
 
 func (s state) withRollout(name string, pr poolRollout) state {
@@ -121,7 +122,7 @@
 }
 
 func (s state) onRolloutLease(e rolloutLease) (state, []effect) {
-	s.pending = without(s.pending, "rollout:"+e.pool)
+	s = s.ended(task{kind: rolloutTask, name: e.pool})
 	pr, ok := s.rollouts[e.pool]
 	if !ok {
 		return s, nil
@@ -155,7 +156,7 @@
 
 // onReport keeps an engine's load report and tells the rollouts it is in.
 func (s state) onReport(e reportRead) (state, []effect) {
-	s.pending = without(s.pending, "report:"+e.addr)
+	s = s.ended(task{kind: reportTask, name: e.addr})
 	if e.err != nil {
 		return s, nil // a missing report leaves the last one, which ages
 	}
--- a/pkg/entry/reduce_steps.go
+++ b/pkg/entry/reduce_steps.go
@@ -10,7 +10,7 @@
 // onSteps runs the shards of open steps that this instance is preferred
 // for, and passes word of steps it had not seen on to its peers.
 func (s state) onSteps(e stepsRead) (state, []effect) {
-	s.pending = without(s.pending, "steps")
+	s = s.ended(task{kind: stepsTask})
 	if e.err != nil {
 		return s.platformDown(e.err)
 	}
@@ -48,3 +48,9 @@
 	}
 	return s, effs
 }
+
+func (s state) onShardEnded(e shardEnded) (state, []effect) {
+	s.shards = maps.Clone(s.shards)
+	delete(s.shards, e.id)
+	return s, nil
+}
