entry: claims in daily buckets that are swept; proofs of serving through outages and of clearing up

Cause: claims of calls that run once only were kept for good, one row a call, and nothing could remove them without reading them all. Nothing proved that callers are served while the platform is down, nor that old steps and members are removed.

A request's time limit is now counted by the machine's steady clock (found by the midnight test: a clock behind the machine's gave every request a deadline in the past, 504).

Ruled out: an expiry in the row (a scan of millions to find it); a bucket an instance picks alone (two clocks astride midnight ran a call twice).

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 
@@ -64,8 +63,7 @@
 	if req.Idempotent {
 		return c.repeatable(ctx)
 	}
-	cl := claimer{in: in, key: claimPrefix + req.Customer + "/" + e.Name + "/" + req.Key,
-		attempt: fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1))}
+	cl := in.newClaimer(req)
 	row, replay, err := cl.take(ctx)
 	if err != nil {
 		return CallAnswer{}, err
--- a/pkg/entry/call_test.go
+++ b/pkg/entry/call_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,3 +95,50 @@
 		t.Fatalf("8 lookups took %v with one service of two answering after 10 s", took)
 	}
 }
+
+// A key is remembered across midnight, by instances whose clocks differ: the
+// call runs once, whichever of them is asked first.
+func TestKeyIsRememberedAcrossMidnight(t *testing.T) {
+	midnight := time.Now().UTC().Truncate(24 * time.Hour)
+	s := startSite(t, 1, 0, enginetest.Config{})
+	for id, offset := range map[string]time.Duration{"before": -time.Minute, "after": time.Minute, "next-day": 23 * time.Hour} {
+		err := s.StartEntryWith(id, func(c *entry.Config) { c.Clock = shifted(time.Until(midnight.Add(offset))) })
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitFor(t, 5*time.Second, "the catalogue applied", func() bool {
+		return !slices.ContainsFunc(s.Entries, func(in *entry.Instance) bool { return len(in.View().Entries) == 0 })
+	})
+	for first := range s.Entries {
+		key := fmt.Sprint("midnight-", first)
+		for i := range s.Entries {
+			if status, v := callOnce(t, s.Entries[(first+i)%len(s.Entries)].Addr(), key); status != http.StatusOK || v != verdict.Ran {
+				t.Fatalf("%s answered %d %s", key, status, v)
+			}
+		}
+		if n := s.Executions()[key]; n != 1 {
+			t.Fatalf("%s ran %d times", key, n)
+		}
+	}
+}
+
+// shifted is the system's clock, put forward by so much.
+type shifted time.Duration
+
+func (s shifted) Now() time.Time { return time.Now().Add(time.Duration(s)) }
+
+// Claims of days no longer kept are removed; those of the last days stay.
+func TestOldClaimsAreRemoved(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{})
+	for ago := range 6 {
+		for i := range 150 {
+			s.Platform.Put(fmt.Sprintf("claim/%s/minho/plans/k%d", time.Now().UTC().AddDate(0, 0, -ago).Format(time.DateOnly), i), "claim")
+		}
+	}
+	waitFor(t, 10*time.Second, "three of six days kept", func() bool { return len(s.Platform.Rows("claim/")) == 3*150 })
+	time.Sleep(300 * time.Millisecond) // several more purges
+	if n := len(s.Platform.Rows("claim/")); n != 3*150 {
+		t.Fatalf("%d claims left, want 450", n)
+	}
+}
--- a/pkg/entry/deadline.go
+++ b/pkg/entry/deadline.go
@@ -24,15 +24,15 @@
 // withDeadline returns r's context with the request's deadline: the
 // caller's, or else UpstreamTimeout from now.
 func (in *Instance) withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
-	deadline := in.cfg.Clock.Now().Add(in.cfg.UpstreamTimeout)
+	wait := in.cfg.UpstreamTimeout
 	if h := r.Header.Get(TimeoutHeader); h != "" {
 		ms, err := strconv.ParseInt(h, 10, 64)
 		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
 			return nil, nil, verdict.BadRequest("%s: %q: want 1 to %d milliseconds", TimeoutHeader, h, maxTimeout.Milliseconds())
 		}
-		deadline = in.cfg.Clock.Now().Add(time.Duration(ms) * time.Millisecond)
+		wait = time.Duration(ms) * time.Millisecond
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), deadline, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(r.Context(), wait, errDeadline)
 	return ctx, cancel, nil
 }
 
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -136,3 +136,36 @@
 		return status == http.StatusNotFound
 	})
 }
+
+// While the platform is down, for however long, callers are served from the
+// last catalogue; only what must be kept there first is refused, at once and
+// as not run; and a sample made meanwhile reaches its trainer afterwards.
+func TestPlatformDownKeepsServing(t *testing.T) {
+	s := startSite(t, 2, 2, enginetest.Config{WeightVersion: 1})
+	waitFor(t, 5*time.Second, "membership", func() bool { return len(s.Entries[0].View().Members) == 2 })
+	s.Platform.SetFaults(platformtest.Faults{Down: true})
+	time.Sleep(1500 * time.Millisecond) // longer than every lease
+	for i, in := range s.Entries {
+		if status, _, last := generate(t, in.Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprint("down-", i),
+			Prompt: "p", MaxTokens: 3}); status != http.StatusOK || !last.Done {
+			t.Fatalf("generation answered %d %+v", status, last)
+		}
+		if status := lookup(t, in.Addr(), fmt.Sprint("down-", i)); status != http.StatusOK {
+			t.Fatalf("lookup answered %d", status)
+		}
+		if status, v := callOnce(t, in.Addr(), fmt.Sprint("down-", i)); status != http.StatusServiceUnavailable || v != verdict.NotRun {
+			t.Fatalf("call that may run once answered %d %s", status, v)
+		}
+		resp, err := http.Get("http://" + in.Addr() + "/v1/route?customer=minho&key=a")
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("route answered %v %v", resp, err)
+		}
+		resp.Body.Close()
+	}
+	generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "kept", Prompt: "p", MaxTokens: 3})
+	if n := len(s.Trainer.Received()); n != 0 {
+		t.Fatalf("%d samples delivered without a record", n)
+	}
+	s.Platform.SetFaults(platformtest.Faults{})
+	waitFor(t, 5*time.Second, "the sample delivered", func() bool { return len(s.Trainer.Received()) == 1 })
+}
--- a/pkg/entry/steps_test.go
+++ b/pkg/entry/steps_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
@@ -164,3 +165,18 @@
 		t.Fatalf("%d more generations after the step was cancelled", after-before)
 	}
 }
+
+// Steps closed long ago, and members long gone, leave nothing behind.
+func TestOldStepsAndMembersAreRemoved(t *testing.T) {
+	s := startSite(t, 2, 0, enginetest.Config{WeightVersion: 1})
+	if err := s.StartEntryWith("sweeper", func(c *entry.Config) { c.StepRetention, c.MemberRetention = time.Second, time.Second }); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, 5*time.Second, "the catalogue applied", func() bool { return len(s.Entries[0].View().Entries) > 0 })
+	s.Platform.Put("member/gone", lease.Lease{Holder: "gone", ExpiresAt: time.Now().Add(-time.Minute), Data: []byte("{}")})
+	submit(t, s, 0, stepSpec("old", 4, 2, 4))
+	waitFor(t, 10*time.Second, "the step complete", func() bool { return stepStatus(t, s, 0, "old").Closed == step.Complete })
+	waitFor(t, 10*time.Second, "step and member removed", func() bool {
+		return len(s.Platform.Rows("step")) == 0 && len(s.Platform.Rows("member/")) == 1 && s.Platform.Objects() == 0
+	})
+}
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -41,7 +41,51 @@
 	if err := in.sweepSteps(ctx, now.Add(-in.cfg.StepRetention)); err != nil {
 		return err
 	}
-	return in.sweepMembers(ctx, now.Add(-in.cfg.MemberRetention))
+	if err := in.sweepMembers(ctx, now.Add(-in.cfg.MemberRetention)); err != nil {
+		return err
+	}
+	return in.sweepClaims(ctx, now)
+}
+
+// Bounds of one sweep of old claims, so that it fits in a platform timeout;
+// the next goes on.
+const (
+	claimDaysSwept  = 7   // days looked at, before those kept
+	claimsPerRemove = 100 // rows removed in one transaction
+	claimRemoves    = 10  // transactions in one sweep
+)
+
+// sweepClaims removes claims of days no longer kept. A call with such a key
+// would run again, as docs/OPERATIONS.md says.
+func (in *Instance) sweepClaims(ctx context.Context, now time.Time) error {
+	removes := 0
+	for ago := claimDaysKept + 1; ago <= claimDaysKept+claimDaysSwept; ago++ {
+		prefix := claimKey(now.Add(-time.Duration(ago)*day), "")
+		for ; removes < claimRemoves; removes++ {
+			rows, err := in.cfg.Platform.ScanSome(ctx, prefix, claimsPerRemove)
+			if err != nil {
+				return err
+			}
+			if len(rows) == 0 {
+				break
+			}
+			if err := in.removeAll(ctx, rows); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// removeAll deletes rows as they were read in one transaction, or none if one
+// has changed since.
+func (in *Instance) removeAll(ctx context.Context, rows []platform.Row) error {
+	ops := make([]platform.Op, len(rows))
+	for i, row := range rows {
+		ops[i] = platform.Op{Key: row.Key, ExpectVersion: row.Version, Delete: true}
+	}
+	_, err := in.commit(ctx, ops...)
+	return err
 }
 
 func (in *Instance) sweepDeliveries(ctx context.Context, olderThan time.Time) (int, error) {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -39,6 +39,13 @@
 	return r.Rows, err
 }
 
+// ScanSome returns the first rows, up to limit, that Scan would return.
+func (c *Client) ScanSome(ctx context.Context, prefix string, limit int) ([]Row, error) {
+	var r ScanResult
+	err := c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/rows?prefix=%s&limit=%d", url.QueryEscape(prefix), limit), nil, &r)
+	return r.Rows, err
+}
+
 // Commit applies ops atomically. A failed condition is a *ConflictError; an
 // ErrUnavailable means the outcome is unknown.
 func (c *Client) Commit(ctx context.Context, ops ...Op) ([]Row, error) {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -5,7 +5,8 @@
 // The protocol is HTTP with JSON bodies:
 //
 //	GET  /v1/rows/{key}         one Row, or 404
-//	GET  /v1/rows?prefix=P      Scan: every Row whose key starts with P
+//	GET  /v1/rows?prefix=P      Scan: every Row whose key starts with P, or
+//	                            the first N of them with &limit=N
 //	POST /v1/commit             a Txn; all its Ops apply or none (409)
 //	PUT  /v1/objects/{name}     store an object
 //	GET  /v1/objects/{name}     read an object, or 404
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +102,13 @@
 	s.rows[key] = platform.Row{Key: key, Version: s.seq, Value: b}
 }
 
+// Objects returns how many objects are stored.
+func (s *Server) Objects() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
+
 // Rows returns a copy of every row whose key starts with prefix, in key order.
 func (s *Server) Rows(prefix string) []platform.Row {
 	s.mu.Lock()
@@ -186,6 +194,9 @@
 	s.mu.Lock()
 	s.stats.Reads++
 	rows := scan(s.readable(), r.URL.Query().Get("prefix"))
+	if limit, err := strconv.Atoi(r.URL.Query().Get("limit")); err == nil && limit < len(rows) {
+		rows = rows[:limit]
+	}
 	s.mu.Unlock()
 	if s.loseReply(&s.faults.LoseNextReads) {
 		drop(w)
