entry: a busy engine is not a silent one; hints go out side by side

Cause, found by reading the code as a newcomer: - a request that waited in an engine's queue, or whose engine loaded weights, for longer than the idle timeout was taken for one on a dead connection: it was sent again, and the busy engine ejected (failing first, a pool of one: "request 2: status 502 ... engine sent nothing within the idle timeout"). The engine's load is now asked for on another connection first. - a retry that the budget refused kept the place it had taken at its engine. - hints went to one peer after another, with the table of links locked, so each peer that could not be reached held the rest up for a second.

Ruled out: a longer idle timeout (it is also how long a dead connection is waited for).

After: TestBusyEngineIsNotSilent, and the tests of silent engines and links. No figure for the hints: a peer that drops packets can't be had on loopback.

--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -38,7 +38,7 @@
 // Faults are the failures the stand-in is told to show.
 type Faults struct {
 	CutAfter   int  `json:"cut_after"`   // close streams after this many tokens (0: never)
-	Silent     bool `json:"silent"`      // accept requests, then never answer nor close
+	Silent     bool `json:"silent"`      // accept requests of any kind, then never answer nor close
 	RefuseLoad bool `json:"refuse_load"` // fail load orders partway
 	// DuplicateChunks sends each chunk twice; ForeignChunk sends, as the
 	// third chunk of each stream, one that belongs to another request.
@@ -293,8 +293,13 @@
 	return fmt.Sprintf("t%08x ", h.Sum32())
 }
 
-func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
+	if s.faults.Silent {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	rep := s.reportLocked()
 	if s.frozen != nil {
 		rep = *s.frozen
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -48,6 +48,10 @@
 	g.in.retries.Earn()
 	var last error
 	for attempts, tries := 0, 0; attempts < maxAttempts && tries < maxTried; tries++ {
+		if attempts > 0 && g.tokens == 0 && !g.in.retries.Spend() {
+			g.in.stats.retriesRefused.Inc(1)
+			break
+		}
 		addr, err := g.pick()
 		if err != nil {
 			if last == nil {
@@ -55,10 +59,6 @@
 			}
 			break
 		}
-		if attempts > 0 && g.tokens == 0 && !g.in.retries.Spend() {
-			g.in.stats.retriesRefused.Inc(1)
-			break
-		}
 		g.tried = append(g.tried, addr)
 		done, err := g.stream(ctx, addr)
 		if done {
@@ -162,8 +162,8 @@
 	defer g.in.load.release(addr) // taken by pick
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idle := time.AfterFunc(g.in.cfg.IdleTimeout, func() { cancel(errIdle) })
-	defer idle.Stop()
+	quiet := g.in.watchSilence(ctx, cancel, addr)
+	defer quiet.stop()
 	req := engine.GenerateRequest{
 		RequestID: g.req.Customer + "." + g.req.RequestID,
 		Prompt:    g.req.Prompt + g.text.String(),
@@ -183,7 +183,7 @@
 		if err != nil {
 			return false, attemptError(ctx, err)
 		}
-		idle.Reset(g.in.cfg.IdleTimeout)
+		quiet.heard()
 		switch err := follows(c, req.RequestID, index); {
 		case errors.Is(err, errDuplicate):
 			continue
--- a/pkg/entry/health_test.go
+++ b/pkg/entry/health_test.go
@@ -149,3 +149,31 @@
 		t.Fatalf("engine that the older system orders was ordered to version %d", v)
 	}
 }
+
+// A request that waits in a busy engine's queue for longer than the idle
+// timeout is not taken for one on a dead connection: it is answered by that
+// engine, which keeps its good name; so is a stream that stands still while
+// its engine loads weights.
+func TestBusyEngineIsNotSilent(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1, Slots: 1, TokenInterval: 10 * time.Millisecond,
+		WeightStore: &enginetest.WeightStore{FetchTime: time.Second, Free: 1}})
+	var g errgroup.Group
+	for i := range 3 { // each takes 0.6 s of the one slot; the idle timeout is 0.2 s
+		g.Go(func() error {
+			status, _, last := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat",
+				RequestID: fmt.Sprint("busy-", i), Prompt: fmt.Sprint("prompt ", i), MaxTokens: 60})
+			if status != http.StatusOK || !last.Done {
+				return fmt.Errorf("request %d: status %d, %+v", i, status, last)
+			}
+			return nil
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	nameVersion(t, s, 0, 2) // a load of 1 s in the middle
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if n, e := s.Engines[0].Requests(), s.Entries[0].Counter("upstream_errors"); n != 3 || e != 0 {
+		t.Fatalf("3 requests reached the engine %d times, with %d errors", n, e)
+	}
+}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/zinnialadder/zinnialadder/internal/peerpb"
@@ -148,16 +149,22 @@
 	return out
 }
 
-// broadcast sends h to this member's fingers.
+// broadcast sends h to this member's fingers, all at once, so that peers that
+// cannot be reached do not hold up the others.
 func (p *peers) broadcast(ctx context.Context, h *peerpb.Hint) {
+	var sends errgroup.Group
 	for _, m := range fingers(p.in.View().Members, p.in.cfg.ID) {
 		if m.ID == p.in.cfg.ID || m.Peer == "" {
 			continue
 		}
-		if err := p.send(ctx, m.Peer, h); err != nil {
-			p.drop(m.Peer)
-		}
+		sends.Go(func() error {
+			if err := p.send(ctx, m.Peer, h); err != nil {
+				p.drop(m.Peer)
+			}
+			return nil
+		})
 	}
+	_ = sends.Wait()
 }
 
 func (p *peers) send(ctx context.Context, addr string, h *peerpb.Hint) error {
@@ -170,12 +177,26 @@
 	return err
 }
 
+// link returns the link to the peer at addr, made anew if there is none. One
+// broadcast runs at a time, so no two calls are for the same peer.
 func (p *peers) link(ctx context.Context, addr string) (*peerLink, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l, ok := p.sessions[addr]; ok && !l.session.IsClosed() {
+	l, ok := p.sessions[addr]
+	p.mu.Unlock()
+	if ok && !l.session.IsClosed() {
 		return l, nil
 	}
+	l, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.sessions[addr] = l
+	p.mu.Unlock()
+	return l, nil
+}
+
+func (p *peers) dial(ctx context.Context, addr string) (*peerLink, error) {
 	d := net.Dialer{Timeout: peerDialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -191,9 +212,7 @@
 		session.Close()
 		return nil, err
 	}
-	l := &peerLink{session: session, stream: stream}
-	p.sessions[addr] = l
-	return l, nil
+	return &peerLink{session: session, stream: stream}, nil
 }
 
 func (p *peers) drop(addr string) {
