entry: a trainer that is away holds up no other trainer's swept samples

What: records are swept for each trainer by itself, side by side, within the time of a send. Ruled out: going on past a failure in one sequence (each record of the trainer that is away would cost its three tries).

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -80,3 +80,21 @@
 		t.Fatalf("trainer holds %+v, want one delivery of %s", got, smp.ID)
 	}
 }
+
+// A trainer that is away holds up no other trainer's samples: records left
+// behind are swept for each trainer by itself.
+func TestTrainerAwayHoldsUpNoOther(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	away := startRelay(t, "127.0.0.1:9") // takes connections and drops them
+	for i := range 20 {
+		for name, addr := range map[string]string{"a-away": away.Addr(), "b-here": s.TrainerAddr} {
+			id := fmt.Sprintf("%s-%d", name, i)
+			s.Platform.Put("delivery/"+id, entry.Delivery{Samples: []trainer.Sample{{ID: id, WeightVersions: []uint64{1}}}, Trainer: addr,
+				CreatedAt: time.Now().Add(-time.Minute)})
+		}
+	}
+	waitFor(t, 5*time.Second, "the other trainer's samples", func() bool { return len(s.Trainer.Received()) == 20 })
+	if n := len(s.Platform.Rows("delivery/")); n != 20 {
+		t.Fatalf("%d records left, want the 20 of the trainer that is away", n)
+	}
+}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -83,17 +83,24 @@
 // io carries out an effect that needs the network, on a group goroutine.
 func (in *Instance) io(ctx context.Context, eff effect) {
 	in.group.Go(func() error {
-		timeout := in.cfg.PlatformTimeout
-		if _, ok := eff.(sendOrder); ok {
-			timeout = in.cfg.OrderTimeout
-		}
-		ioCtx, cancel := context.WithTimeout(ctx, timeout)
+		ioCtx, cancel := context.WithTimeout(ctx, in.timeoutOf(eff))
 		defer cancel()
 		in.post(ctx, in.do(ioCtx, eff))
 		return nil
 	})
 }
 
+// timeoutOf returns how long eff may take.
+func (in *Instance) timeoutOf(eff effect) time.Duration {
+	switch eff.(type) {
+	case sendOrder:
+		return in.cfg.OrderTimeout
+	case sweep:
+		return sendTimeout
+	}
+	return in.cfg.PlatformTimeout
+}
+
 func (in *Instance) do(ctx context.Context, eff effect) event {
 	switch e := eff.(type) {
 	case readCatalogue:
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
@@ -88,25 +91,39 @@
 	return err
 }
 
+// sweepDeliveries sends the samples of records older than olderThan, those of
+// each trainer until one cannot be sent, so that a trainer that is away holds
+// up no other.
 func (in *Instance) sweepDeliveries(ctx context.Context, olderThan time.Time) (int, error) {
 	rows, err := in.cfg.Platform.Scan(ctx, deliveryPrefix)
 	if err != nil {
 		return 0, err
 	}
-	sent := 0
+	byTrainer := map[string][]Delivery{}
 	for _, row := range rows {
 		var d Delivery
 		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
 			continue
 		}
 		d.Key = row.Key
-		if err := in.send(ctx, d); err != nil {
-			return sent, err
-		}
-		in.stats.redelivered.Inc(int64(len(d.Samples)))
-		sent++
+		byTrainer[d.Trainer] = append(byTrainer[d.Trainer], d)
+	}
+	var sent atomic.Int64
+	var trainers errgroup.Group
+	for _, ds := range byTrainer {
+		trainers.Go(func() error {
+			for _, d := range ds {
+				if err := in.send(ctx, d); err != nil {
+					return err
+				}
+				in.stats.redelivered.Inc(int64(len(d.Samples)))
+				sent.Add(1)
+			}
+			return nil
+		})
 	}
-	return sent, nil
+	err = trainers.Wait()
+	return int(sent.Load()), err
 }
 
 // sweepSteps removes steps closed before closedBefore: first their shards
