step: only groups that the trainer holds count; those it turns away are made again

Cause: a group counted once it was recorded, so a step could close as complete while its trainer lacked groups: one that was away, or one that turned a group away because a version had been named meanwhile (Minho's two trainers share a pool, and one names its versions).

What: the acknowledgement is kept in a second transaction that deletes the record and moves the shard's progress on; it takes the place of the delete, so a group costs two commits as before, and one read less, since the record's version is known. A refused group goes back to be generated. A holder that takes a shard over sends what is recorded and not counted.

Ruled out: counting in memory (the count must outlive the holder).

--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -37,6 +37,10 @@
 // sample still unacknowledged after them stays recorded for redelivery.
 const deliveryTries = 3
 
+// deliveryPause is the pause before the second send; the third waits twice
+// as long.
+const deliveryPause = 50 * time.Millisecond
+
 // sendTimeout bounds the sends of one sample after its request answered;
 // a sample still unsent then is left to the sweeper.
 const sendTimeout = 30 * time.Second
@@ -177,35 +181,38 @@
 	}
 }
 
-// send delivers the recorded samples of d, then deletes their record. If
-// they have grown too old since they were recorded they are not sent.
+// send delivers the recorded samples of d, then deletes their record.
 func (in *Instance) send(ctx context.Context, d Delivery) error {
+	if _, err := in.deliver(ctx, d); err != nil {
+		return err
+	}
+	return in.forget(ctx, d.Key)
+}
+
+// deliver sends the recorded samples of d to their trainer, and reports
+// whether it learned them all or found some too old. If they have grown too
+// old since they were recorded they are not sent.
+func (in *Instance) deliver(ctx context.Context, d Delivery) (learned bool, err error) {
 	if e, ok := in.View().Entries[d.Entry]; ok && in.View().outOfBound(e, d.oldest()) {
 		in.stats.samplesStale.Inc(int64(len(d.Samples)))
-		return in.forget(ctx, d.Key)
+		return false, nil
 	}
 	tc := trainer.NewClient(d.Trainer, in.http)
 	var ack trainer.Ack
-	var err error
-	for try := 0; try < deliveryTries; try++ {
+	for try := range deliveryTries {
 		if try > 0 {
 			in.stats.deliveryRetries.Inc(1)
-			select {
-			case <-time.After(time.Duration(try) * 50 * time.Millisecond):
-			case <-ctx.Done():
-				return ctx.Err()
+			if err := sleep(ctx, time.Duration(try)*deliveryPause); err != nil {
+				return false, err
 			}
 		}
 		if ack, err = tc.Deliver(ctx, trainer.Group{Samples: d.Samples, MaxVersionLag: d.MaxVersionLag}); err == nil {
-			break
+			in.stats.samples.Inc(int64(len(d.Samples) - len(ack.Stale)))
+			in.stats.samplesStale.Inc(int64(len(ack.Stale)))
+			return len(ack.Stale) == 0, nil
 		}
 	}
-	if err != nil {
-		return fmt.Errorf("deliver %s: %w", d.Key, err)
-	}
-	in.stats.samples.Inc(int64(len(d.Samples) - len(ack.Stale)))
-	in.stats.samplesStale.Inc(int64(len(ack.Stale)))
-	return in.forget(ctx, d.Key)
+	return false, fmt.Errorf("deliver %s: %w", d.Key, err)
 }
 
 // forget deletes the record at key, reading its version first, since a
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -20,7 +20,7 @@
 type StepStatus struct {
 	Desired   int         `json:"desired"`
 	Groups    int         `json:"groups"`
-	Delivered int         `json:"delivered"` // groups recorded for delivery
+	Delivered int         `json:"delivered"` // groups that the trainer holds
 	DueAt     time.Time   `json:"due_at"`
 	Closed    step.Reason `json:"closed,omitempty"`
 }
@@ -193,7 +193,7 @@
 	return err
 }
 
-// deliveredGroups counts the groups of a step recorded for delivery.
+// deliveredGroups counts the groups of a step that its trainer holds.
 func (in *Instance) deliveredGroups(ctx context.Context, key string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
@@ -207,7 +207,7 @@
 		if err != nil {
 			return 0, err
 		}
-		n += len(p.Delivered)
+		n += len(p.Acked)
 	}
 	return n, nil
 }
--- a/pkg/entry/steps_test.go
+++ b/pkg/entry/steps_test.go
@@ -180,3 +180,25 @@
 		return len(s.Platform.Rows("step")) == 0 && len(s.Platform.Rows("member/")) == 1 && s.Platform.Objects() == 0
 	})
 }
+
+// Groups that the trainer turns away as too old, since it named a version
+// while they were under way, do not count: they are made again, and the step
+// completes only once the trainer holds the desired groups.
+func TestGroupsTurnedAwayAreMadeAgain(t *testing.T) {
+	s := startSite(t, 2, 2, enginetest.Config{WeightVersion: 1})
+	nameVersion(t, s, 0, 1)
+	s.Trainer.Named(3)
+	submit(t, s, 0, stepSpec("away", 8, 2, 8))
+	stale := func() int64 {
+		return s.Entries[0].Counter("samples_refused_stale") + s.Entries[1].Counter("samples_refused_stale")
+	}
+	waitFor(t, 10*time.Second, "groups turned away", func() bool { return stale() >= 8 })
+	if st := stepStatus(t, s, 0, "away"); st.Closed != "" || st.Delivered != 0 {
+		t.Fatalf("step %+v with every group turned away", st)
+	}
+	nameVersion(t, s, 0, 3)
+	waitFor(t, 15*time.Second, "the step complete", func() bool { return stepStatus(t, s, 0, "away").Closed == step.Complete })
+	if n := wholeGroups(t, s, 2); n != 8 {
+		t.Fatalf("trainer holds %d whole groups when the step is complete, want 8", n)
+	}
+}
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,8 +41,13 @@
 	nextRenew time.Time
 	uncounted bool // the step may be complete, and has not been seen not to be
 
+	sending map[int]bool // groups whose delivery this run has under way
+	acks    []ack        // to be kept, after the platform did not answer
+
 	group   errgroup.Group
 	ended   chan step.Ended
+	acked   chan ack
+	over    chan struct{}              // closed when the loop is over
 	cancels map[int]context.CancelFunc // by attempt number
 }
 
@@ -56,13 +60,15 @@
 // runShard runs a shard until the step closes, the lease is lost or ctx
 // ends; then it gives the lease up.
 func (in *Instance) runShard(ctx context.Context, id shardID) error {
-	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), cancels: map[int]context.CancelFunc{},
+	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), acked: make(chan ack),
+		over: make(chan struct{}), sending: map[int]bool{}, cancels: map[int]context.CancelFunc{},
 		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: step.ShardKey(id.Step, id.Shard),
 			Holder: in.cfg.ID + "/" + in.life, TTL: in.cfg.ShardLeaseTTL}}
 	if err := r.open(ctx); err != nil {
 		return err
 	}
 	err := r.loop(ctx)
+	close(r.over)
 	for _, cancel := range r.cancels {
 		cancel()
 	}
@@ -153,6 +159,10 @@
 			r.forget(ev.Attempt)
 			r.run.Reduce(ev)
 			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
+		case a := <-r.acked:
+			if err := r.keepAcks(ctx, a); err != nil {
+				return err
+			}
 		case <-ticker.C:
 			if err := r.upkeep(ctx); err != nil {
 				return err
@@ -192,6 +202,10 @@
 	case err != nil:
 		r.nextRenew = now.Add(r.in.cfg.StepTick) // the platform is away; the lease still holds
 	}
+	if err := r.keepAcks(ctx); err != nil {
+		return err
+	}
+	r.resend(ctx)
 	if r.uncounted {
 		return r.closeIfComplete(ctx)
 	}
@@ -258,79 +272,6 @@
 	return smp, nil
 }
 
-// unrecordedPause is the pause before a group's record is tried again.
-const unrecordedPause = 200 * time.Millisecond
-
-// deliver records a complete group, its shard's progress and the condition
-// that the step is open in one transaction, and then sends the samples.
-func (r *shardRun) deliver(ctx context.Context, e step.Deliver) error {
-	g := r.spec.Groups[e.Group]
-	progress := step.Progress{Delivered: append(append([]int(nil), r.progress.Delivered...), e.Group)}
-	data, err := json.Marshal(progress)
-	if err != nil {
-		return err
-	}
-	renewal, err := r.keeper.Op(r.held, data)
-	if err != nil {
-		return err
-	}
-	open := platform.Check(step.HeadKey(r.id.Step), r.headRow)
-	d := r.in.newDelivery(r.entry, fmt.Sprintf("%s.%s.%s", r.spec.Customer, r.spec.Entry, g.ID), e.Samples...)
-	version, err := r.in.record(ctx, r.entry, d, renewal, open)
-	var ce *platform.ConflictError
-	switch {
-	case err == nil && version > 0:
-		r.held.Fencing, r.progress, r.uncounted = version, progress, true
-		r.run.Reduce(step.Recorded{Group: e.Group})
-		r.in.later(ctx, d, func(ctx context.Context) error { return r.in.send(ctx, d) })
-		return r.closeIfComplete(ctx)
-	case errors.As(err, &ce) && ce.Key == open.Key:
-		return errStepClosed
-	case errors.As(err, &ce) && ce.Key == r.keeper.Name:
-		return errShardLost
-	case errors.Is(err, errTooStale):
-		r.in.stats.samplesStale.Inc(int64(len(e.Samples)))
-	}
-	r.run.Reduce(step.Unrecorded{Group: e.Group, RetryAt: r.in.cfg.Clock.Now().Add(unrecordedPause)})
-	return r.reread(ctx, d, e.Group, err)
-}
-
-// reread finds out after a record of unknown outcome what the table holds:
-// the lease is taken again, with the progress kept in it.
-// If the record was written after all, d is sent.
-func (r *shardRun) reread(ctx context.Context, d Delivery, group int, cause error) error {
-	if errors.Is(cause, errTooStale) {
-		return nil
-	}
-	if err := r.renew(ctx); errors.Is(err, lease.ErrHeld) {
-		return errShardLost
-	}
-	if !slices.Contains(r.progress.Delivered, group) {
-		return nil
-	}
-	r.run.Reduce(step.Recorded{Group: group})
-	r.uncounted = true
-	r.in.later(ctx, d, func(ctx context.Context) error { return r.in.send(ctx, d) })
-	return r.closeIfComplete(ctx)
-}
-
-// closeIfComplete closes the step once the desired groups are recorded. If
-// the platform does not answer it is called again at the next renewal.
-func (r *shardRun) closeIfComplete(ctx context.Context) error {
-	n, err := r.in.deliveredGroups(ctx, r.id.Step)
-	if err != nil {
-		return nil
-	}
-	if n < r.head.Desired {
-		r.uncounted = false
-		return nil
-	}
-	if err := r.in.closeStep(ctx, r.id.Step, step.Complete); err != nil {
-		return nil
-	}
-	return errStepClosed
-}
-
 func (in *Instance) getObject(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
 	defer cancel()
--- a/pkg/step/run.go
+++ b/pkg/step/run.go
@@ -48,6 +48,11 @@
 	}
 	// Recorded tells that a group's delivery is recorded.
 	Recorded struct{ Group int }
+	// Acked tells that the trainer holds a recorded group.
+	Acked struct{ Group int }
+	// Refused tells that the trainer turned a recorded group away as too
+	// old: it is generated again.
+	Refused struct{ Group int }
 	// Unrecorded tells that recording a group's delivery failed, and that
 	// it should be tried again at RetryAt.
 	Unrecorded struct {
@@ -62,6 +67,8 @@
 func (Tick) isRunEvent()       {}
 func (Ended) isRunEvent()      {}
 func (Recorded) isRunEvent()   {}
+func (Acked) isRunEvent()      {}
+func (Refused) isRunEvent()    {}
 func (Unrecorded) isRunEvent() {}
 func (Floor) isRunEvent()      {}
 
@@ -96,7 +103,8 @@
 const (
 	generating groupState = iota
 	recording             // complete, its delivery being recorded
-	delivered
+	recorded              // its delivery under way
+	acked                 // held by the trainer
 )
 
 // group is one group of a Run.
@@ -132,23 +140,26 @@
 	attempts  int
 }
 
-// NewRun returns the run of the groups with the given indexes of s, except
-// those delivered already.
+// NewRun returns the run of the groups with the given indexes of s, as far as
+// done says.
 func NewRun(s Spec, indexes []int, done Progress, p Policy) *Run {
 	r := &Run{policy: p}
 	for _, i := range indexes {
 		g := &group{index: i, samples: make([]*trainer.Sample, s.Groups[i].Size), retryAt: make([]time.Time, s.Groups[i].Size)}
-		if slices.Contains(done.Delivered, i) {
-			g.state = delivered
+		switch {
+		case slices.Contains(done.Acked, i):
+			g.state = acked
+		case slices.Contains(done.Recorded, i):
+			g.state = recorded
 		}
 		r.groups = append(r.groups, g)
 	}
 	return r
 }
 
-// Done reports whether every group is delivered.
+// Done reports whether the trainer holds every group.
 func (r *Run) Done() bool {
-	return !slices.ContainsFunc(r.groups, func(g *group) bool { return g.state != delivered })
+	return !slices.ContainsFunc(r.groups, func(g *group) bool { return g.state != acked })
 }
 
 // Reduce applies ev and returns what to do.
@@ -159,7 +170,13 @@
 	case Ended:
 		return r.onEnded(e)
 	case Recorded:
-		r.group(e.Group).state = delivered
+		r.group(e.Group).state = recorded
+	case Acked:
+		r.group(e.Group).state = acked
+	case Refused:
+		g := r.group(e.Group)
+		g.state = generating
+		clear(g.samples)
 	case Unrecorded:
 		g := r.group(e.Group)
 		g.state, g.record = generating, e.RetryAt
--- a/pkg/step/run_test.go
+++ b/pkg/step/run_test.go
@@ -127,15 +127,20 @@
 			indexes[i] = i
 		}
 		b.run = step.NewRun(spec(groups, b.size), indexes, step.Progress{}, b.policy)
-		record := func(t *rapid.T, ok bool) {
+		record := func(t *rapid.T, ok, refused bool) {
 			for g := range groups {
 				if b.asked[g] == nil {
 					continue
 				}
 				delete(b.asked, g)
 				if ok {
-					b.done[g] = true
 					b.run.Reduce(step.Recorded{Group: g})
+					if refused {
+						b.run.Reduce(step.Refused{Group: g})
+						return
+					}
+					b.done[g] = true
+					b.run.Reduce(step.Acked{Group: g})
 				} else {
 					b.run.Reduce(step.Unrecorded{Group: g, RetryAt: b.now.Add(200 * time.Millisecond)})
 				}
@@ -162,8 +167,9 @@
 				b.floor = b.version - 1
 				b.run.Reduce(step.Floor{Version: b.floor})
 			},
-			"record":   func(t *rapid.T) { record(t, true) },
-			"unrecord": func(t *rapid.T) { record(t, false) },
+			"record":   func(t *rapid.T) { record(t, true, false) },
+			"refuse":   func(t *rapid.T) { record(t, true, true) },
+			"unrecord": func(t *rapid.T) { record(t, false, false) },
 		})
 		for i := 0; i < 400 && !b.run.Done(); i++ {
 			b.tick(t, 300*time.Millisecond)
@@ -173,7 +179,7 @@
 				}
 			}
 			for range groups {
-				record(t, true)
+				record(t, true, false)
 			}
 		}
 		if !b.run.Done() || len(b.done) != groups {
--- a/pkg/step/step.go
+++ b/pkg/step/step.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"slices"
 	"time"
 )
 
@@ -126,7 +127,28 @@
 	return out
 }
 
-// Progress is what a shard's holder has delivered of it.
+// Progress is how far a shard is, by indexes of groups.
 type Progress struct {
-	Delivered []int `json:"delivered"` // indexes of groups
+	Recorded []int `json:"recorded"` // recorded for delivery, not acknowledged yet
+	Acked    []int `json:"acked"`    // acknowledged by the trainer
+}
+
+// Record returns p with group g recorded.
+func (p Progress) Record(g int) Progress {
+	return Progress{Recorded: append(without(p.Recorded, g), g), Acked: p.Acked}
+}
+
+// Ack returns p with group g acknowledged.
+func (p Progress) Ack(g int) Progress {
+	return Progress{Recorded: without(p.Recorded, g), Acked: append(without(p.Acked, g), g)}
+}
+
+// Refuse returns p with group g, which its trainer turned away, neither
+// recorded nor acknowledged.
+func (p Progress) Refuse(g int) Progress {
+	return Progress{Recorded: without(p.Recorded, g), Acked: p.Acked}
+}
+
+func without(groups []int, g int) []int {
+	return slices.DeleteFunc(slices.Clone(groups), func(x int) bool { return x == g })
 }
