entry, step: hedge small shards; two idle answers end a silent stream; shut down past a trainer away

Cause: HedgeAfter asked for eight ended generations, which a shard of 16 most of whose prompts favour the slow engine never had; and a second attempt could go to the same engine. A quarter of the shard is enough now, and the engine of the first attempt is avoided. A live engine's answer must now twice in a row leave the silence unexplained. Found by reading: - a drain waited 30 s for a trainer that was away (failing first: "still shutting down after 10 s"): recorded samples are left after 2 s.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -54,6 +54,7 @@
 	stopEngine  []context.CancelFunc
 	stopService []context.CancelFunc
 	entryCx     []context.CancelFunc
+	entryDone   []chan struct{}
 	group       *errgroup.Group
 	cfg         Config
 }
@@ -136,13 +137,22 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.Entries, s.entryCx = append(s.Entries, in), append(s.entryCx, cancel)
-	s.group.Go(func() error { return in.Run(ctx) })
+	done := make(chan struct{})
+	s.entryDone = append(s.entryDone, done)
+	s.group.Go(func() error {
+		defer close(done)
+		return in.Run(ctx)
+	})
 	return nil
 }
 
-// StopEntry shuts entry instance i down gracefully and waits for it.
+// StopEntry begins to shut entry instance i down gracefully.
 func (s *Site) StopEntry(i int) { s.entryCx[i]() }
 
+// EntryDone returns a channel that is closed once entry instance i has shut
+// down.
+func (s *Site) EntryDone(i int) <-chan struct{} { return s.entryDone[i] }
+
 // CrashEngine closes engine i's listener and connections, for good.
 func (s *Site) CrashEngine(i int) { s.stopEngine[i]() }
 
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -197,6 +197,9 @@
 		in.stats.samplesStale.Inc(int64(len(d.Samples)))
 		return false, nil
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(in.sendsCtx, cancel)()
 	tc := trainer.NewClient(d.Trainer, in.http)
 	var ack trainer.Ack
 	for try := range deliveryTries {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -195,8 +195,11 @@
 	sends  errgroup.Group // sample sends after their requests answered
 	steps  errgroup.Group // shards of training steps
 	// stepsCtx ends when the instance drains: its shards go to others.
-	stepsCtx   context.Context
-	stopSteps  context.CancelFunc
+	stepsCtx  context.Context
+	stopSteps context.CancelFunc
+	// leaveSends ends the sends of recorded samples; others send them.
+	sendsCtx   context.Context
+	leaveSends context.CancelFunc
 	http       *http.Client
 	reportHTTP *http.Client // for load reports: its connections are kept briefly, as engines are many
 	policy     route.Policy
@@ -237,6 +240,7 @@
 		life:       newLife(),
 	}
 	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
+	in.sendsCtx, in.leaveSends = context.WithCancel(context.Background())
 	in.view.Store(newState(in.self, in.timing).view)
 	in.peers = newPeers(in)
 	return in, nil
@@ -275,6 +279,10 @@
 // Addr returns the caller-facing address of the instance.
 func (in *Instance) Addr() string { return in.cfg.Advertise }
 
+// drainSends is how long a drain waits for trainers to acknowledge recorded
+// samples before it leaves them to the instance that sweeps.
+const drainSends = 2 * time.Second
+
 // drain stops new work and waits for requests in flight.
 func (in *Instance) drain(srv *http.Server) {
 	in.events <- drainBegun{}
@@ -282,6 +290,8 @@
 	in.stopSteps()
 	_ = srv.Shutdown(context.Background())
 	_ = in.steps.Wait()
+	leave := time.AfterFunc(drainSends, in.leaveSends)
+	defer leave.Stop()
 	_ = in.sends.Wait()
 	in.cfg.Logger.Info("shutdown done")
 }
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -31,8 +31,9 @@
 	emit   func(Event) error // hands an event to the caller
 	text   strings.Builder
 	tokens int
-	labels []uint64 // weight versions that produced the text, in order
-	tried  []string // engines tried, since every one was
+	labels []uint64          // weight versions that produced the text, in order
+	tried  []string          // engines tried, since every one was
+	using  func(addr string) // told of each engine tried; may be nil
 	// reached is set once an engine may have begun work on it.
 	reached bool
 }
@@ -60,6 +61,9 @@
 			break
 		}
 		g.tried = append(g.tried, addr)
+		if g.using != nil {
+			g.using(addr)
+		}
 		done, err := g.stream(ctx, addr)
 		if done {
 			g.in.health.Succeeded(addr)
--- a/pkg/entry/silence.go
+++ b/pkg/entry/silence.go
@@ -8,11 +8,12 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 )
 
-// silence watches one attempt's stream, and ends the attempt with errIdle once
-// the engine has sent nothing for IdleTimeout and cannot be told to be busy.
-// An engine that is alive answers for its load on another connection: while
-// it loads weights, or has requests waiting and this one has not begun, the
-// stream may well stand still.
+// silence watches one attempt's stream. When the engine has sent nothing for
+// IdleTimeout it asks for the engine's load on another connection. The attempt
+// ends with errIdle if the engine does not answer, or has twice in a row said
+// nothing that explains the silence: while it loads weights, or has requests
+// waiting and this one has not begun, the stream may well stand still; once
+// may be a long prompt being read.
 type silence struct {
 	in   *Instance
 	ctx  context.Context
@@ -22,8 +23,13 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	begun bool // a chunk has come
+	idle  int  // answers in a row that did not explain the silence
 }
 
+// maxIdleAnswers is how many answers of a live engine that do not explain its
+// silence end an attempt.
+const maxIdleAnswers = 2
+
 // watchSilence starts to watch the attempt at the engine at addr, whose
 // context end ends.
 func (in *Instance) watchSilence(ctx context.Context, end context.CancelCauseFunc, addr string) *silence {
@@ -38,7 +44,7 @@
 func (s *silence) heard() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.begun = true
+	s.begun, s.idle = true, 0
 	s.timer.Reset(s.in.cfg.IdleTimeout)
 }
 
@@ -50,25 +56,27 @@
 }
 
 func (s *silence) expire() {
+	rep, err := s.report()
 	s.mu.Lock()
-	begun := s.begun
-	s.mu.Unlock()
-	if !s.in.busy(s.ctx, s.addr, begun) {
-		s.end(errIdle)
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ctx.Err() == nil {
-		s.timer.Reset(s.in.cfg.IdleTimeout)
+	if rep.Loading || !s.begun && rep.Queued > 0 {
+		s.idle = 0
+	} else {
+		s.idle++
 	}
+	if err != nil || s.idle >= maxIdleAnswers {
+		s.end(errIdle)
+		return
+	}
+	s.timer.Reset(s.in.cfg.IdleTimeout)
 }
 
-// busy reports whether the engine at addr says that it loads weights or, for
-// a request that has not begun, that requests wait for a slot.
-func (in *Instance) busy(ctx context.Context, addr string, begun bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.IdleTimeout)
+// report asks for the engine's load.
+func (s *silence) report() (engine.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.in.cfg.IdleTimeout)
 	defer cancel()
-	rep, err := engine.NewClient(addr, in.reportHTTP).Report(ctx)
-	return err == nil && (rep.Loading || !begun && rep.Queued > 0)
+	return engine.NewClient(s.addr, s.in.reportHTTP).Report(ctx)
 }
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -49,6 +51,29 @@
 	acked   chan ack
 	over    chan struct{}              // closed when the loop is over
 	cancels map[int]context.CancelFunc // by attempt number
+	used    usedEngines
+}
+
+// usedEngines holds the engines that the attempts at each item have used, so
+// that a second attempt goes elsewhere. It is safe for concurrent use.
+type usedEngines struct {
+	mu      sync.Mutex
+	engines map[step.Item][]string
+}
+
+func (u *usedEngines) add(it step.Item, addr string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.engines == nil {
+		u.engines = map[step.Item][]string{}
+	}
+	u.engines[it] = append(u.engines[it], addr)
+}
+
+func (u *usedEngines) of(it step.Item) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.engines[it])
 }
 
 // Reasons a shard's run ends.
@@ -261,6 +286,7 @@
 	defer release()
 	g := r.spec.Groups[a.Group]
 	gen := &generation{in: r.in, entry: r.entry, emit: func(Event) error { return nil },
+		tried: r.used.of(a.Item), using: func(addr string) { r.used.add(a.Item, addr) },
 		req: GenerateRequest{Customer: r.spec.Customer, Entry: r.spec.Entry, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Group: g.ID,
 			RequestID: fmt.Sprintf("%s.%s.%d.%s.%d", r.spec.ID, g.ID, a.Index, r.in.life, a.Number)}}
 	res, err := gen.run(ctx)
--- a/pkg/step/run.go
+++ b/pkg/step/run.go
@@ -15,7 +15,7 @@
 	// take before a second one of the same item is started; 0 for never.
 	HedgeFactor float64
 	// HedgeAfter is how many generations must have ended before their
-	// median is trusted.
+	// median is trusted; a quarter of the shard is enough in any case.
 	HedgeAfter int
 	// RetryDelay is the pause before a failed generation is started again.
 	RetryDelay time.Duration
@@ -138,6 +138,7 @@
 	durations []time.Duration // of attempts that gave a sample, sorted
 	floor     uint64
 	attempts  int
+	items     int // of all groups
 }
 
 // NewRun returns the run of the groups with the given indexes of s, as far as
@@ -153,6 +154,7 @@
 			g.state = recorded
 		}
 		r.groups = append(r.groups, g)
+		r.items += s.Groups[i].Size
 	}
 	return r
 }
@@ -238,7 +240,7 @@
 // hedge starts a second attempt of items that take far longer than most,
 // the longest first, while there is room.
 func (r *Run) hedge(now time.Time) []Effect {
-	if r.policy.HedgeFactor <= 0 || len(r.durations) < max(1, r.policy.HedgeAfter) {
+	if r.policy.HedgeFactor <= 0 || len(r.durations) < max(1, min(r.policy.HedgeAfter, r.items/4)) {
 		return nil
 	}
 	limit := time.Duration(r.policy.HedgeFactor * float64(r.durations[len(r.durations)/2]))
--- a/pkg/step/run_test.go
+++ b/pkg/step/run_test.go
@@ -238,3 +238,24 @@
 		t.Errorf("a good step: %v", err)
 	}
 }
+
+// Where most of a small shard straggles, as at one slow engine that the
+// shard's prompts have an affinity for, the few that ended are enough to
+// hedge the rest: HedgeAfter is no more than a quarter of the shard.
+func TestHedgesThoughMostStraggle(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := step.NewRun(spec(4, 4), []int{0, 1, 2, 3}, step.Progress{}, step.Policy{MaxRunning: 64, HedgeFactor: 2, HedgeAfter: 8})
+	started := r.Reduce(step.Tick{At: now})
+	for _, eff := range started[:4] {
+		r.Reduce(step.Ended{Attempt: eff.(step.Start).Attempt, Sample: trainer.Sample{WeightVersions: []uint64{1}}, At: now.Add(time.Second)})
+	}
+	hedges := 0
+	for _, eff := range r.Reduce(step.Tick{At: now.Add(2100 * time.Millisecond)}) {
+		if _, ok := eff.(step.Start); ok {
+			hedges++
+		}
+	}
+	if hedges != 12 {
+		t.Fatalf("%d of 12 stragglers hedged", hedges)
+	}
+}
