--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -26,28 +26,43 @@
 	cmd.PersistentFlags().StringVar(&author, "author", os.Getenv("USER"), "name recorded in the audit trail")
 	client := func() *platform.Client { return platform.NewClient(base, nil) }
 
+	cmd.AddCommand(applyCmd(client, &author), showCmd(client), auditCmd(client),
+		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
+		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
+		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client))
+	return cmd
+}
+
+// applyCmd returns the command that makes the catalogue hold a file's items.
+func applyCmd(client func() *platform.Client, author *string) *cobra.Command {
 	var file string
-	apply := &cobra.Command{
+	cmd := &cobra.Command{
 		Use:   "apply",
-		Short: "Make the catalogue hold a file's pools and entries",
+		Short: "Make the catalogue hold a file's pools, entries and customers",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var f catalogue.File
 			if err := settings.Load(file, &f); err != nil {
 				return err
 			}
-			out, err := catalogue.Sync(cmd.Context(), client(), f, authorOr(author), time.Now())
+			out, err := catalogue.Sync(cmd.Context(), client(), f, authorOr(*author), time.Now())
 			for _, o := range out {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s\tversion %d\tchanged %t\n", o.Key, o.Version, o.Changed)
 			}
 			return err
 		},
 	}
-	apply.Flags().StringVar(&file, "file", "", "catalogue file (JSON with comments)")
-	_ = apply.MarkFlagRequired("file")
+	cmd.Flags().StringVar(&file, "file", "", "catalogue file (JSON with comments)")
+	_ = cmd.MarkFlagRequired("file")
+	return cmd
+}
 
-	show := &cobra.Command{
+// showCmd returns the command that prints the catalogue.
+func showCmd(client func() *platform.Client) *cobra.Command {
+	return &cobra.Command{
 		Use:   "show",
 		Short: "Print the catalogue as stored",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			snap, err := catalogue.Read(cmd.Context(), client())
 			if err != nil {
@@ -56,10 +71,14 @@
 			return printJSON(cmd, snap)
 		},
 	}
+}
 
-	audit := &cobra.Command{
+// auditCmd returns the command that prints the audit trail.
+func auditCmd(client func() *platform.Client) *cobra.Command {
+	return &cobra.Command{
 		Use:   "audit",
 		Short: "Print every accepted change of the catalogue",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			changes, err := catalogue.Audit(cmd.Context(), client())
 			if err != nil {
@@ -72,12 +91,6 @@
 			return nil
 		},
 	}
-
-	cmd.AddCommand(apply, show, audit,
-		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
-		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
-		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client))
-	return cmd
 }
 
 // upstreamCmd returns the command that sets an upstream's state to st.
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -38,6 +38,16 @@
 	return nil
 }
 
+// Read decodes r's body into v, or answers 400 with the reason and reports
+// false.
+func Read(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := Decode(w, r, v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 // Write sends v as a JSON answer with the given status.
 func Write(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/pkg/engine/enginetest/load.go
+++ b/pkg/engine/enginetest/load.go
@@ -57,8 +57,7 @@
 
 func (s *Server) load(w http.ResponseWriter, r *http.Request) {
 	var o engine.LoadOrder
-	if err := httpjson.Decode(w, r, &o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &o) {
 		return
 	}
 	if status, err := s.beginLoad(o); err != nil {
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -146,8 +146,7 @@
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
 	var req engine.GenerateRequest
-	if err := httpjson.Decode(w, r, &req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &req) {
 		return
 	}
 	s.mu.Lock()
@@ -323,8 +322,7 @@
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := httpjson.Decode(w, r, &f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
--- a/pkg/entry/health_test.go
+++ b/pkg/entry/health_test.go
@@ -93,17 +93,18 @@
 	if err := s.WaitApplied(out, 5*time.Second); err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan int, 1)
-	go func() {
-		status, _, _ := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "a", Prompt: "p", MaxTokens: 50})
-		done <- status
-	}()
+	var g errgroup.Group
+	first := 0
+	g.Go(func() error {
+		first, _, _ = generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "a", Prompt: "p", MaxTokens: 50})
+		return nil
+	})
 	waitFor(t, 5*time.Second, "the first request under way", func() bool { return s.Engines[0].Requests() == 1 })
 	if status, v := callOnce(t, s.Entries[0].Addr(), "over"); status != http.StatusTooManyRequests || v.String() != "not_run" {
 		t.Fatalf("second request answered %d %s, want 429 not_run", status, v)
 	}
-	if status := <-done; status != http.StatusOK {
-		t.Fatalf("first request answered %d", status)
+	if _ = g.Wait(); first != http.StatusOK {
+		t.Fatalf("first request answered %d", first)
 	}
 	if n := s.Executions()["over"]; n != 0 {
 		t.Fatalf("refused call ran %d times", n)
--- a/pkg/entry/reduce_catalogue.go
+++ b/pkg/entry/reduce_catalogue.go
@@ -21,7 +21,6 @@
 	if e.unchanged {
 		return s, effs
 	}
-	s.revisionNumber = max(s.revisionNumber, e.number)
 	snap, err := catalogue.Decode(e.rows)
 	if err != nil {
 		return s, append(effs, logChange{msg: "catalogue unreadable", kv: []any{"err", err}})
@@ -30,18 +29,39 @@
 	if err != nil {
 		return s, append(effs, logChange{msg: "weight target unreadable", kv: []any{"err", err}})
 	}
-	v := s.view.clone()
-	v.Entries, v.Pools, v.Versions = maps.Clone(v.Entries), maps.Clone(v.Pools), maps.Clone(v.Versions)
-	v.Customers = maps.Clone(v.Customers)
-	v.Targets, v.Newest = maps.Clone(v.Targets), maps.Clone(v.Newest)
-	changed := 0
-	for key, ver := range snap.Versions {
-		if ver <= v.Versions[key] {
+	s.revisionNumber, s.revisionRow = max(s.revisionNumber, e.number), max(s.revisionRow, e.revision)
+	v := s.view.cloneCatalogue()
+	newest, changed := v.apply(snap, targets)
+	if changed == 0 {
+		return s, effs
+	}
+	s.revision = max(s.revision, newest)
+	s.engines, s.poolsOf = engineAddrs(v.Pools)
+	s.view = v
+	s = s.choosePools()
+	return s, append(effs, publish{v},
+		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
+		hintPeers{revision: s.revision, draining: s.self.Draining})
+}
+
+// cloneCatalogue returns a copy of v whose catalogue can be changed.
+func (v *View) cloneCatalogue() *View {
+	n := v.clone()
+	n.Entries, n.Pools, n.Customers = maps.Clone(v.Entries), maps.Clone(v.Pools), maps.Clone(v.Customers)
+	n.Versions, n.Targets, n.Newest = maps.Clone(v.Versions), maps.Clone(v.Targets), maps.Clone(v.Newest)
+	return n
+}
+
+// apply applies to v the items of snap and the targets that are newer than
+// what it holds. It returns the newest row version applied and how many were.
+func (v *View) apply(snap catalogue.Snapshot, targets map[string]weights.Target) (newest uint64, changed int) {
+	for key, version := range snap.Versions {
+		if version <= v.Versions[key] {
 			continue // never go back to an older version
 		}
 		changed++
-		v.Versions[key] = ver
-		s.revision = max(s.revision, ver)
+		v.Versions[key] = version
+		newest = max(newest, version)
 		name := key[strings.LastIndexByte(key, '/')+1:]
 		switch {
 		case strings.HasPrefix(key, catalogue.EntryPrefix):
@@ -55,16 +75,7 @@
 			v.Newest[name] = max(v.Newest[name], targets[name].Version)
 		}
 	}
-	s.revisionRow = max(s.revisionRow, e.revision)
-	if changed == 0 {
-		return s, effs
-	}
-	s.engines, s.poolsOf = engineAddrs(v.Pools)
-	s.view = v
-	s = s.choosePools()
-	return s, append(effs, publish{v},
-		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
-		hintPeers{revision: s.revision, draining: s.self.Draining})
+	return newest, changed
 }
 
 // setItem sets m's item, or deletes it if it is removed from the catalogue.
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -65,38 +65,55 @@
 	err error
 }
 
+// copies are the copies of one idempotent call.
+type copies struct {
+	call    *serviceCall
+	group   errgroup.Group
+	ended   chan outcome
+	sent    int
+	running int
+}
+
+// send sends one more copy, to a service that has had none.
+func (c *copies) send(ctx context.Context) error {
+	addr, err := c.call.pick()
+	if err != nil {
+		return err
+	}
+	c.sent, c.running = c.sent+1, c.running+1
+	c.group.Go(func() error {
+		ans, err := c.call.send(ctx, addr)
+		c.ended <- outcome{ans, err}
+		return nil
+	})
+	return nil
+}
+
+// more sends one more copy, if the call and the retry budget have any left.
+// With no other service, the copies running decide.
+func (c *copies) more(ctx context.Context) {
+	if c.sent < maxAttempts && ctx.Err() == nil && c.call.in.retries.Spend() {
+		_ = c.send(ctx)
+	}
+}
+
 // repeatable sends an idempotent call, again when it fails, and a second
 // copy when the first takes long; the first answer counts.
 func (c *serviceCall) repeatable(ctx context.Context) (CallAnswer, error) {
 	c.in.retries.Earn()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var copies errgroup.Group
-	ended := make(chan outcome, maxAttempts)
-	sent, running := 0, 0
-	send := func() error {
-		addr, err := c.pick()
-		if err != nil {
-			return err
-		}
-		sent, running = sent+1, running+1
-		copies.Go(func() error {
-			ans, err := c.send(ctx, addr)
-			ended <- outcome{ans, err}
-			return nil
-		})
-		return nil
-	}
-	if err := send(); err != nil {
+	cs := &copies{call: c, ended: make(chan outcome, maxAttempts)}
+	if err := cs.send(ctx); err != nil {
 		return CallAnswer{}, err
 	}
 	hedge := time.NewTimer(c.in.hedgeAfter())
 	defer hedge.Stop()
 	var last error
-	for running > 0 {
+	for cs.running > 0 {
 		select {
-		case o := <-ended:
-			running--
+		case o := <-cs.ended:
+			cs.running--
 			if o.err == nil || verdict.Of(o.err) == verdict.Ran {
 				return o.ans, o.err
 			}
@@ -104,9 +121,7 @@
 		case <-hedge.C:
 			c.in.stats.hedges.Inc(1)
 		}
-		if sent < maxAttempts && ctx.Err() == nil && c.in.retries.Spend() {
-			_ = send() // with no other service left, the copies running decide
-		}
+		cs.more(ctx)
 	}
 	if verdict.Of(last) == verdict.NotRun {
 		return CallAnswer{}, c.refuse(last)
--- a/pkg/platform/platformtest/server.go
+++ b/pkg/platform/platformtest/server.go
@@ -237,8 +237,7 @@
 		return
 	}
 	var txn platform.Txn
-	if err := httpjson.Decode(w, r, &txn); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &txn) {
 		return
 	}
 	rows, conflict := s.apply(txn)
@@ -289,8 +288,7 @@
 		return
 	}
 	var data []byte
-	if err := httpjson.Decode(w, r, &data); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &data) {
 		return
 	}
 	s.mu.Lock()
@@ -328,8 +326,7 @@
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := httpjson.Decode(w, r, &f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
--- a/pkg/service/servicetest/server.go
+++ b/pkg/service/servicetest/server.go
@@ -85,8 +85,7 @@
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	var body json.RawMessage
-	if err := httpjson.Decode(w, r, &body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &body) {
 		return
 	}
 	if s.refused() {
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -67,8 +67,7 @@
 
 func (s *Server) deliver(w http.ResponseWriter, r *http.Request) {
 	var g trainer.Group
-	if err := httpjson.Decode(w, r, &g); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !httpjson.Read(w, r, &g) {
 		return
 	}
 	ack, lose := s.learn(g)
