entry: a draining instance tells callers to move before it stops listening

What: for DrainNotice (1 s) the instance goes on listening: new requests are refused 503 not_run with Zinnia-Move and Retry-After, and its route answers name other instances; then it shuts down as before.

Ruled out: forwarding the requests to another instance (one more hop under a drain, and its fate would be two instances').

--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -83,7 +83,10 @@
 	// PurgeInterval; default 5m.
 	MemberRetention time.Duration
 	PurgeInterval   time.Duration
-	RouteTTL        time.Duration // how long callers may cache a route answer; default 30s
+	// DrainNotice is how long a draining instance keeps listening, to tell
+	// callers to move; default 1s.
+	DrainNotice time.Duration
+	RouteTTL    time.Duration // how long callers may cache a route answer; default 30s
 }
 
 // setDefaults fills in what was left out.
@@ -109,6 +112,7 @@
 	orDefault(&c.ReportInterval, time.Second)
 	orDefault(&c.PlatformTimeout, 2*time.Second)
 	orDefault(&c.UpstreamTimeout, 60*time.Second)
+	orDefault(&c.DrainNotice, time.Second)
 	orDefault(&c.RouteTTL, 30*time.Second)
 	orDefault(&c.FullScan, 30*time.Minute)
 	orDefault(&c.PurgeInterval, 5*time.Minute)
--- a/pkg/entry/drain_test.go
+++ b/pkg/entry/drain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
 // A graceful shutdown of an instance cuts off none of its streams in flight.
@@ -42,6 +45,44 @@
 	}
 }
 
+// A draining instance says so before it stops listening: new requests are
+// refused as not run, with the header that tells callers to move, and its own
+// route answers name another instance.
+func TestDrainingInstanceTellsCallersToMove(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	if err := s.StartEntryWith("leaving", func(c *entry.Config) { c.DrainNotice = 3 * time.Second }); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, 5*time.Second, "membership and catalogue", func() bool {
+		v := s.Entries[1].View()
+		return len(v.Members) == 2 && len(v.Entries) > 0
+	})
+	s.StopEntry(1)
+	waitFor(t, 2*time.Second, "the drain begun", func() bool { return s.Entries[1].View().Draining })
+	body := `{"customer":"minho","entry":"chat","request_id":"late","prompt":"p","max_tokens":1}`
+	resp, err := http.Post("http://"+s.Entries[1].Addr()+"/v1/generate", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(verdict.Header) != "not_run" ||
+		resp.Header.Get(entry.MoveHeader) == "" || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("draining instance answered %d %v", resp.StatusCode, resp.Header)
+	}
+	waitFor(t, 2*time.Second, "its route answers to name the other instance", func() bool {
+		resp, err := http.Get("http://" + s.Entries[1].Addr() + "/v1/route?customer=minho&key=a")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var ra entry.RouteAnswer
+		return json.NewDecoder(resp.Body).Decode(&ra) == nil && ra.Address == s.Entries[0].Addr()
+	})
+	if n := s.Engines[0].Requests(); n != 0 {
+		t.Fatalf("engine got %d requests of a draining instance", n)
+	}
+}
+
 // drainBound is the bound, in the instances' own time, from an accepted mark
 // to the last instance that acts on it: two refresh periods, of the "few
 // seconds" the brief allows.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -141,11 +141,13 @@
 // samples before it leaves them to the instance that sweeps.
 const drainSends = 2 * time.Second
 
-// drain stops new work and waits for requests in flight.
+// drain tells callers for a while to move, stops new work, and waits for
+// requests in flight.
 func (in *Instance) drain(srv *http.Server) {
 	in.events <- drainBegun{}
 	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.total())
 	in.stopSteps()
+	time.Sleep(in.cfg.DrainNotice)
 	_ = srv.Shutdown(context.Background())
 	_ = in.steps.Wait()
 	leave := time.AfterFunc(drainSends, in.leaveSends)
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -51,6 +51,10 @@
 	return mux
 }
 
+// MoveHeader is the header by which a draining instance tells a caller to ask
+// the path it names, at any instance, which one to use from now on.
+const MoveHeader = "Zinnia-Move"
+
 // ErrorAnswer is the body of an answer that is not a success.
 type ErrorAnswer struct {
 	Error   string          `json:"error"`
@@ -66,6 +70,9 @@
 		in.stats.failed.Inc(1)
 	}
 	w.Header().Set(verdict.Header, ve.Verdict.String())
+	if errors.Is(err, errDraining) {
+		w.Header().Set(MoveHeader, "/v1/route")
+	}
 	if s, ok := ve.RetryAfter(in.cfg.Clock.Now()); ok {
 		w.Header().Set("Retry-After", s)
 	}
