step: a shard handed over in good order has nothing sent twice

A draining holder gave its shard up with deliveries under way, so the next holder, which can't tell, sent them again.

Ruled out: leaving it to the trainer's IDs alone (they do hold: it was learned once), since a handover in good order need not lean on them.

Two tests were wrong where a kill or an outage hides an acknowledgement from the next holder: sending the same sample again is then all that can be done, and the trainer knows it by its ID. In TestStepOutlivesInstancesAndOutages and the process test the check is now that it is the very same sample (Altered); that each ID is learned once stays.

--- a/pkg/entry/stepdeliver.go
+++ b/pkg/entry/stepdeliver.go
@@ -20,6 +20,7 @@
 type ack struct {
 	group   int
 	row     platform.Op // deletes the delivery's record
+	failed  bool        // the trainer did not answer
 	learned bool        // the trainer holds it; else it found it too old
 }
 
@@ -89,16 +90,16 @@
 	r.sending[group] = true
 	r.in.later(ctx, d, func(ctx context.Context) error {
 		learned, err := r.in.deliver(ctx, d)
-		if err != nil {
-			return err // the sweeper sends it, and resend finds that out
-		}
-		a := ack{group: group, learned: learned, row: platform.Op{Key: d.Key, ExpectVersion: version, Delete: true}}
+		a := ack{group: group, failed: err != nil, learned: learned, row: platform.Op{Key: d.Key, ExpectVersion: version, Delete: true}}
 		select {
 		case r.acked <- a:
-			return nil
+			return err
 		case <-r.over:
-			return r.in.forget(ctx, d.Key)
 		}
+		if err != nil {
+			return err
+		}
+		return r.in.forget(ctx, d.Key)
 	})
 }
 
@@ -147,8 +148,13 @@
 	return nil
 }
 
-// keepAck keeps one ack, or reports false if the platform did not answer.
+// keepAck keeps one ack, or reports false if the platform did not answer. A
+// delivery that failed is left to resend.
 func (r *shardRun) keepAck(ctx context.Context, a ack) (bool, error) {
+	if a.failed {
+		delete(r.sending, a.group)
+		return true, nil
+	}
 	next := r.progress.Ack(a.group)
 	if !a.learned {
 		next = r.progress.Refuse(a.group)
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -93,6 +93,9 @@
 		return err
 	}
 	err := r.loop(ctx)
+	if errors.Is(err, context.Canceled) {
+		r.settle(context.WithoutCancel(ctx))
+	}
 	close(r.over)
 	for _, cancel := range r.cancels {
 		cancel()
@@ -104,6 +107,29 @@
 	return err
 }
 
+// settle waits a while for the deliveries under way and keeps what they bring,
+// so that a holder that leaves in good order has nothing sent again by the
+// next. After a kill the next holder can't tell, and sends again what is
+// recorded; the trainer knows it by its ID.
+func (r *shardRun) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainSends)
+	defer cancel()
+	for len(r.sending) > 0 {
+		var err error
+		select {
+		case a := <-r.acked:
+			err = r.keepAcks(ctx, a)
+		case <-time.After(r.in.cfg.StepTick):
+			err = r.keepAcks(ctx) // those the platform did not answer for
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // open reads the step, takes the shard's lease, waiting for another's to
 // lapse, and picks up its progress.
 func (r *shardRun) open(ctx context.Context) error {
@@ -172,7 +198,11 @@
 	return nil
 }
 
+// loop runs the shard until ctx ends or the run does. A call to the platform
+// that is under way when ctx ends is seen through, so that its outcome is
+// known to settle.
 func (r *shardRun) loop(ctx context.Context) error {
+	calls := context.WithoutCancel(ctx)
 	ticker := time.NewTicker(r.in.cfg.StepTick)
 	defer ticker.Stop()
 	for {
@@ -185,11 +215,11 @@
 			r.run.Reduce(ev)
 			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
 		case a := <-r.acked:
-			if err := r.keepAcks(ctx, a); err != nil {
+			if err := r.keepAcks(calls, a); err != nil {
 				return err
 			}
 		case <-ticker.C:
-			if err := r.upkeep(ctx); err != nil {
+			if err := r.upkeep(calls); err != nil {
 				return err
 			}
 			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
@@ -245,7 +275,7 @@
 		case step.Cancel:
 			r.forget(e.Attempt)
 		case step.Deliver:
-			if err := r.deliver(ctx, e); err != nil {
+			if err := r.deliver(context.WithoutCancel(ctx), e); err != nil {
 				return err
 			}
 		}
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"reflect"
 	"slices"
 	"sort"
 	"sync"
@@ -18,6 +19,8 @@
 	Sample     trainer.Sample `json:"sample"`
 	Deliveries int            `json:"deliveries"`
 	At         time.Time      `json:"at"` // of the first delivery
+	// Altered is set if a later delivery of the ID brought another sample.
+	Altered bool `json:"altered"`
 }
 
 // Server is the stand-in. Its zero value is ready to use.
@@ -26,6 +29,7 @@
 	received map[string]*Received
 	dropAcks int
 	newest   uint64
+	delay    time.Duration
 }
 
 // Handler returns the trainer protocol, with GET /v1/received for tests.
@@ -53,6 +57,14 @@
 	s.mu.Unlock()
 }
 
+// Delay makes the stand-in wait for d between learning a delivery and its
+// acknowledgement.
+func (s *Server) Delay(d time.Duration) {
+	s.mu.Lock()
+	s.delay = d
+	s.mu.Unlock()
+}
+
 // Received returns every sample held, by ID.
 func (s *Server) Received() []Received {
 	s.mu.Lock()
@@ -71,6 +83,10 @@
 		return
 	}
 	ack, lose := s.learn(g)
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	if lose {
 		http.Error(w, "ack lost", http.StatusGatewayTimeout)
 		return
@@ -88,6 +104,7 @@
 	for _, smp := range g.Samples {
 		if rec, ok := s.received[smp.ID]; ok {
 			rec.Deliveries++
+			rec.Altered = rec.Altered || !reflect.DeepEqual(rec.Sample, smp)
 			ack.Duplicate = append(ack.Duplicate, smp.ID)
 			continue
 		}
