--- a/pkg/trainer/trainer.go
+++ b/pkg/trainer/trainer.go
@@ -7,8 +7,8 @@
 // A trainer treats Sample.ID as the key of the sample: a sample delivered
 // again under the same ID is acknowledged and not learned twice. A trainer
 // knows the versions it has named, also one named while a delivery was under
-// way: it turns away samples further behind than Group.MaxVersionLag and
-// says so in the Ack.
+// way: it turns away a group with a sample further behind than its
+// MaxVersionLag, whole, and says so in the Ack.
 package trainer
 
 import (
@@ -39,7 +39,8 @@
 }
 
 // Ack lists the IDs the trainer holds after a delivery: New were learned
-// now, Duplicate had been learned before, Stale were too old to be learned.
+// now, Duplicate had been learned before, Stale were turned away since one of
+// their group was too old.
 type Ack struct {
 	New       []string `json:"new"`
 	Duplicate []string `json:"duplicate"`
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -101,19 +101,22 @@
 		s.received = map[string]*Received{}
 	}
 	ack := trainer.Ack{New: []string{}, Duplicate: []string{}}
+	stale := slices.ContainsFunc(g.Samples, func(smp trainer.Sample) bool {
+		return s.received[smp.ID] == nil && slices.Min(smp.WeightVersions)+g.MaxVersionLag < s.newest
+	})
 	for _, smp := range g.Samples {
-		if rec, ok := s.received[smp.ID]; ok {
+		rec := s.received[smp.ID]
+		switch {
+		case rec != nil:
 			rec.Deliveries++
 			rec.Altered = rec.Altered || !reflect.DeepEqual(rec.Sample, smp)
 			ack.Duplicate = append(ack.Duplicate, smp.ID)
-			continue
-		}
-		if slices.Min(smp.WeightVersions)+g.MaxVersionLag < s.newest {
+		case stale:
 			ack.Stale = append(ack.Stale, smp.ID)
-			continue
+		default:
+			s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1, At: time.Now()}
+			ack.New = append(ack.New, smp.ID)
 		}
-		s.received[smp.ID] = &Received{Sample: smp, Deliveries: 1, At: time.Now()}
-		ack.New = append(ack.New, smp.ID)
 	}
 	if s.dropAcks > 0 {
 		s.dropAcks--
