entry: two tests that did not catch their mechanism's absence now do

Cause: read again before stopping, three proofs had no run that showed them failing. In trials with the mechanism taken out, TestCallerDeadline failed as it should, but TestOldReadsRevertNothing passed (an old revision row names no changes, so the old rows were never read) and TestPlatformDownKeepsServing passed (it looked before a send could show).

What: the first now scans the whole catalogue each time; the second waits 300 ms before it counts. Both are stricter.

--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -172,11 +172,9 @@
 			in.stats.samplesStale.Inc(1)
 			return nil
 		}
-		select {
-		case <-time.After(recordPause):
-		case <-ctx.Done():
+		if err := sleep(ctx, recordPause); err != nil {
 			in.stats.samplesLost.Inc(1)
-			return ctx.Err()
+			return err
 		}
 	}
 }
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -82,8 +82,13 @@
 // A platform that answers reads from an old copy takes no accepted change
 // back: the instance keeps the newest it has applied.
 func TestOldReadsRevertNothing(t *testing.T) {
-	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	s := startSite(t, 1, 0, enginetest.Config{WeightVersion: 1})
+	// Whole scans all the time, so that the old rows themselves are read.
+	if err := s.StartEntryWith("scans", func(c *entry.Config) { c.FullScan = c.Refresh }); err != nil {
+		t.Fatal(err)
+	}
 	in := s.Entries[0]
+	waitFor(t, 5*time.Second, "the catalogue applied", func() bool { return len(in.View().Pools) == 2 })
 	s.Platform.Remember()
 	nameVersion(t, s, 0, 2)
 	setUpstreams(t, s, "assistant-pool", s.EngineAddrs[0], "127.0.0.1:9")
@@ -163,6 +168,7 @@
 		resp.Body.Close()
 	}
 	generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "drafts", RequestID: "kept", Prompt: "p", MaxTokens: 3})
+	time.Sleep(300 * time.Millisecond) // a send beside the caller's answer would show
 	if n := len(s.Trainer.Received()); n != 0 {
 		t.Fatalf("%d samples delivered without a record", n)
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"math"
 	"slices"
 )
 
@@ -86,6 +85,3 @@
 	x ^= x >> 31
 	return x
 }
-
-// Inf is a load that no candidate should be chosen at if another exists.
-var Inf = math.Inf(1)
