route, entry: a prefix overflows by rank; own requests count once in an engine's load

Cause: BenchmarkPrefixRouting (new) found a third of the generations at an engine without their prefix, though the caches hold them all. An engine's believed load was this instance's own requests plus the engine's report, which counts the same requests again, so the engine of a busy prefix looked twice as busy as it was; and what overflowed went to the least loaded engine, another each time, pushing other prefixes out.

Change: the report less this instance's own requests when it was told; among the engines within the slack of the least loaded the one that the prefix ranks first; the slack is 3.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -212,7 +212,7 @@
 	for i := range cands {
 		cands[i] = route.Candidate{Key: "10.0." + strconv.Itoa(i/250) + "." + strconv.Itoa(i%250) + ":7100", Load: float64(i % 7)}
 	}
-	p := route.Policy{Slack: 2}
+	p := route.Policy{Slack: 3}
 	return Point{Size: n, CPU: cpu(func() { p.Pick(cands, "the first sixty-four bytes of a prompt") })}
 }
 
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -137,6 +137,10 @@
 	return s.peak
 }
 
+// CacheCounts returns how many generations found their prompt's prefix in
+// the cache, and how many did not.
+func (s *Server) CacheCounts() (hits, misses int64) { return s.cache.counts() }
+
 // Version returns the weight version loaded now.
 func (s *Server) Version() uint64 {
 	s.mu.Lock()
--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -50,21 +50,22 @@
 	return catalogue.Upstream{}, false
 }
 
+// affinitySlack is how many requests more than the least loaded engine one
+// may hold and still be chosen for its prefix cache. With less, prefixes
+// spread over more caches than can hold them; with more, requests queue at
+// the engine of a prefix that many ask for (BenchmarkPrefixRouting).
+const affinitySlack = 3
+
 // noUpstream is the refusal of a request for which no upstream has a place.
 func (in *Instance) noUpstream(e catalogue.Entry) error {
 	return verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now().Add(time.Second),
 		fmt.Errorf("entry %s: no upstream of pool %q takes requests", e.Name, e.Pool))
 }
 
-// loadOf is the believed load of an engine: this instance's own requests
-// in flight to it, plus its last report.
+// loadOf is the believed load of an upstream: this instance's own requests in
+// flight to it, which are exact, and those of others when it last told.
 func (in *Instance) loadOf(v *View, addr string) float64 {
-	own := float64(in.load.get(addr))
-	rep, ok := v.Report(addr)
-	if !ok {
-		return own
-	}
-	return own + float64(rep.Active+rep.Queued)
+	return float64(in.load.get(addr) + v.loads.others(addr))
 }
 
 // distanceLoad is the load that sending to another data centre counts for: it
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -91,7 +91,7 @@
 		events:     make(chan event, 64),
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
-		policy:     route.Policy{Slack: 2},
+		policy:     route.Policy{Slack: affinitySlack},
 		health:     health.NewTracker(cfg.Health),
 		retries:    retry.NewBudget(retryRatio, retryBurst),
 		stats:      newCounters(cfg.Metrics),
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -180,7 +180,7 @@
 	}
 	defer s.Close()
 	if s.HasLoad {
-		g.in.View().loads.told(addr, s.Load)
+		g.in.View().loads.told(addr, s.Load, g.in.load.get(addr))
 	}
 	for index := 0; ; {
 		c, err := s.Next()
--- a/pkg/entry/health_test.go
+++ b/pkg/entry/health_test.go
@@ -190,3 +190,38 @@
 		t.Fatalf("3 requests reached the engine %d times, with %d errors", n, e)
 	}
 }
+
+// TestOwnRequestsCountOnce checks that an engine's report, which counts this
+// instance's own requests too, does not make the engine of a prefix look twice
+// as busy as it is: requests within the slack all go to the prefix's cache.
+func TestOwnRequestsCountOnce(t *testing.T) {
+	s := startSite(t, 2, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 10 * time.Millisecond})
+	var g errgroup.Group
+	send := func(i int) {
+		g.Go(func() error {
+			_, _, last := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat",
+				RequestID: fmt.Sprintf("own%d", i), Prompt: "one prefix", MaxTokens: 100})
+			if !last.Done {
+				return fmt.Errorf("last %+v", last)
+			}
+			return nil
+		})
+	}
+	const within = 4 // the slack, and one
+	for i := range within - 1 {
+		send(i)
+	}
+	waitFor(t, 5*time.Second, "the requests in the engines' reports", func() bool {
+		view := s.Entries[0].View()
+		a, _ := view.Report(s.EngineAddrs[0])
+		b, _ := view.Report(s.EngineAddrs[1])
+		return a.Active+b.Active == within-1
+	})
+	send(within - 1)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if a, b := s.Engines[0].Requests(), s.Engines[1].Requests(); a != 0 && b != 0 {
+		t.Fatalf("engines took %d and %d requests of one prefix; want all at one", a, b)
+	}
+}
--- a/pkg/entry/loads.go
+++ b/pkg/entry/loads.go
@@ -11,28 +11,50 @@
 // engines tell with their answers, which cost no call.
 type loadTable struct {
 	mu      sync.RWMutex
-	reports map[string]engine.LoadReport
+	reports map[string]loadReport
 }
 
+// loadReport is an engine's last report, with the part of its load that was
+// not this instance's own when it told it.
+type loadReport struct {
+	engine.LoadReport
+	others int64
+}
+
+// othersIn returns how many of the requests in l are not among the own that
+// this instance has in flight at the engine.
+func othersIn(l engine.Load, own int64) int64 { return max(0, int64(l.Active+l.Queued)-own) }
+
 func newLoadTable() *loadTable {
-	return &loadTable{reports: map[string]engine.LoadReport{}}
+	return &loadTable{reports: map[string]loadReport{}}
 }
 
 func (t *loadTable) get(addr string) (engine.LoadReport, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	rep, ok := t.reports[addr]
-	return rep, ok
+	return rep.LoadReport, ok
 }
 
-func (t *loadTable) put(addr string, rep engine.LoadReport) {
+// others returns how many requests of others the engine at addr is believed
+// to hold.
+func (t *loadTable) others(addr string) int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.reports[addr].others
+}
+
+// put stores rep, read while this instance had own requests in flight at the
+// engine.
+func (t *loadTable) put(addr string, rep engine.LoadReport, own int64) {
 	t.mu.Lock()
-	t.reports[addr] = rep
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	t.reports[addr] = loadReport{LoadReport: rep, others: othersIn(engine.Load{Active: rep.Active, Queued: rep.Queued}, own)}
 }
 
-// told stores the load that the engine at addr told with an answer.
-func (t *loadTable) told(addr string, l engine.Load) {
+// told stores the load that the engine at addr told with an answer, while
+// this instance had own requests in flight at it.
+func (t *loadTable) told(addr string, l engine.Load, own int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rep, ok := t.reports[addr]
@@ -40,5 +62,6 @@
 		return // its version is not known yet
 	}
 	rep.Active, rep.Queued = l.Active, l.Queued
+	rep.others = othersIn(l, own)
 	t.reports[addr] = rep
 }
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -65,7 +65,7 @@
 	for _, eff := range effs {
 		switch e := eff.(type) {
 		case storeReport:
-			in.View().loads.put(e.addr, e.rep)
+			in.View().loads.put(e.addr, e.rep, in.load.get(e.addr))
 		case publish:
 			in.view.Store(e.view)
 		case logChange:
--- /dev/null
+++ b/pkg/entry/prefix_bench_test.go
@@ -0,0 +1,82 @@
+package entry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
+	"github.com/zinnialadder/zinnialadder/pkg/entry"
+)
+
+// The load of BenchmarkPrefixRouting: generations whose prompts share
+// prefixes, a few of them far more often asked than the rest.
+const (
+	prefixCallers = 48
+	prefixCalls   = 40 // a caller
+	prefixes      = 40
+	prefixSkew    = 1.2 // of the Zipf distribution of prefixes
+)
+
+// minHitRatio bounds the share of generations that find their prefix cached,
+// by the number of entry instances.
+var minHitRatio = map[int]float64{2: 0.70, 10: 0.63}
+
+// BenchmarkPrefixRouting measures how often a generation finds its prompt's
+// prefix in the cache of the engine chosen for it, through two entry
+// instances and through ten. Nine engines, as each user has, hold six
+// prefixes each.
+func BenchmarkPrefixRouting(b *testing.B) {
+	for _, entries := range []int{2, 10} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) { benchPrefixRouting(b, entries) })
+	}
+}
+
+func benchPrefixRouting(b *testing.B, entries int) {
+	s := startSite(b, 9, entries, enginetest.Config{TokenInterval: time.Millisecond, Slots: 8, WeightVersion: 1,
+		CacheEntries: 6, PrefillDelay: 10 * time.Millisecond})
+	var mu sync.Mutex
+	h := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	var g errgroup.Group
+	for caller := range prefixCallers {
+		g.Go(func() error {
+			rng := rand.New(rand.NewPCG(1, uint64(caller)))
+			zipf := rand.NewZipf(rng, prefixSkew, 1, prefixes-1)
+			for i := range prefixCalls {
+				req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprintf("p%d-%d", caller, i),
+					Prompt: fmt.Sprintf("%064d, call %d of caller %d", zipf.Uint64(), i, caller), MaxTokens: 8}
+				start := time.Now()
+				if status, _, last := generate(b, s.Entries[(caller+i)%entries].Addr(), req); !last.Done {
+					return fmt.Errorf("status %d, last %+v", status, last)
+				}
+				mu.Lock()
+				_ = h.RecordValue(time.Since(start).Microseconds())
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	var hits, misses int64
+	peak := 0
+	for _, e := range s.Engines {
+		eh, em := e.CacheCounts()
+		hits, misses = hits+eh, misses+em
+		peak = max(peak, e.Peak())
+	}
+	ratio := float64(hits) / float64(hits+misses)
+	b.ReportMetric(ratio, "hit-ratio")
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
+	b.ReportMetric(float64(peak), "peak-requests")
+	if ratio < minHitRatio[entries] {
+		b.Fatalf("%.3f of the generations found their prefix cached, bound %.2f", ratio, minHitRatio[entries])
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -1,6 +1,6 @@
-// Package route chooses an upstream for a request: the least loaded among
-// those allowed, preferring the one a request's prefix hashes to, so that
-// requests sharing a prompt prefix meet the same prefix cache.
+// Package route chooses an upstream for a request: among those about as
+// loaded as the least, the one that the request's prefix ranks first, so that
+// requests sharing a prompt prefix meet the same few prefix caches.
 package route
 
 import (
@@ -18,13 +18,15 @@
 
 // Policy chooses among candidates. Its zero value chooses the least loaded.
 type Policy struct {
-	// Slack is how much more loaded than the least loaded candidate the
-	// affine candidate may be and still be chosen.
+	// Slack is how much more loaded than the least loaded candidate one may
+	// be and still be chosen for its rank.
 	Slack float64
 }
 
 // Pick returns the index of the chosen candidate for a request whose
-// affinity key is affinity (empty for none), or -1 if cands is empty.
+// affinity key is affinity (empty for none), or -1 if cands is empty. When
+// the candidate that the key ranks first is busy, the next in rank is chosen,
+// so that a key asked for often overflows to the same candidates each time.
 func (p Policy) Pick(cands []Candidate, affinity string) int {
 	if len(cands) == 0 {
 		return -1
@@ -38,11 +40,16 @@
 	if affinity == "" {
 		return least
 	}
-	affine := Rendezvous(cands, func(c Candidate) string { return c.Key }, affinity)
-	if cands[affine].Load <= cands[least].Load+p.Slack {
-		return affine
+	best, bestScore := least, uint64(0)
+	for i, c := range cands {
+		if c.Load > cands[least].Load+p.Slack {
+			continue
+		}
+		if sc := score(c.Key, affinity); sc > bestScore {
+			best, bestScore = i, sc
+		}
 	}
-	return least
+	return best
 }
 
 // Rendezvous returns the index of the item that key hashes highest with
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,51 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 300) }
+
+func key(c route.Candidate) string { return c.Key }
+
+// TestPickIsFirstInRankWithinSlack checks Pick against the ranking: the first
+// candidate in rank that is within the slack of the least loaded is chosen.
+func TestPickIsFirstInRankWithinSlack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.IntRange(0, 12), 1, 12).Draw(t, "loads")
+		policy := route.Policy{Slack: float64(rapid.IntRange(0, 6).Draw(t, "slack"))}
+		affinity := rapid.StringN(1, 8, -1).Draw(t, "affinity")
+		var cands []route.Candidate
+		least := float64(loads[0])
+		for i, l := range loads {
+			cands = append(cands, route.Candidate{Key: fmt.Sprintf("10.0.0.%d:7101", i), Load: float64(l)})
+			least = min(least, float64(l))
+		}
+		var want route.Candidate
+		for _, c := range route.Rank(cands, key, affinity) {
+			if c.Load <= least+policy.Slack {
+				want = c
+				break
+			}
+		}
+		if got := cands[policy.Pick(cands, affinity)]; got != want {
+			t.Fatalf("picked %+v, want %+v of %+v", got, want, cands)
+		}
+		if got := cands[policy.Pick(cands, "")]; got.Load != least {
+			t.Fatalf("picked %+v without affinity, want a load of %v", got, least)
+		}
+	})
+}
+
+// TestPickOfNone checks that there is nothing to pick from nothing.
+func TestPickOfNone(t *testing.T) {
+	if i := (route.Policy{}).Pick(nil, "prefix"); i != -1 {
+		t.Fatalf("picked %d of no candidates", i)
+	}
+}
