lease: a lease tells how long it lives; with many leases each lives longer

Cause 1: a lease of another's was taken for lapsed after one's own time to live, though its holder may have another, as while lease_ttl is changed instance by instance. Where engines ignore fencing numbers nothing else would stop the second holder.

Cause 2: writes to the platform grew with the instances and shards: 222 heartbeats and 136 shard renewals a second at 370 nodes, of several hundred writes that the platform takes.

Change: a lease row holds when it was renewed beside when it expires, both by its holder's clock; their difference is what readers go by. Memberships together renew 45 times a second, step shards too; with more of them each lives longer (25 s at 370 members). Nothing changes up to 75 members and 45 shards. A shard's upkeep still comes at the step's due time.

Ruled out: a fixed longer lease (slower takeovers at today's sizes); the shorter of two settings (either side may be the one that changed).

Tests: TestLeasesLiveLongerWithManyMembers fails without the row's own time (a lapsed member stays); TestShardLeasesLiveLongerWithManyShards. go test -race ./pkg/... ./cmd/... passed.

--- a/cmd/zinnialadder/capacity.go
+++ b/cmd/zinnialadder/capacity.go
@@ -47,7 +47,7 @@
 	fl.IntVar(&f.Entries, "entries", t.Entries, "catalogue entries")
 	fl.IntVar(&f.Pools, "pools", t.Engines/f.PoolSize, "pools of 16 engines")
 	fl.IntVar(&f.Members, "members", t.Nodes-1, "other entry instances")
-	fl.DurationVar(&f.Renew, "renew", 5*time.Second/3, "period of each member's heartbeat")
+	fl.DurationVar(&f.Renew, "renew", 370*time.Second/45, "period of each member's heartbeat")
 	fl.DurationVar(&f.ChangeEvery, "change-every", 25*time.Second, "time between catalogue changes")
 	return cmd
 }
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -92,7 +92,7 @@
 			id := fmt.Sprintf("member-%03d", n)
 			data, _ := json.Marshal(map[string]any{"id": id, "address": fmt.Sprintf("127.2.%d.%d:7400", n/200, n%200+1),
 				"peer": "", "data_centre": "loopback", "draining": false})
-			srv.Put("member/"+id, lease.Lease{Holder: id, ExpiresAt: now.Add(3 * f.Renew), Data: data})
+			srv.Put("member/"+id, lease.Lease{Holder: id, RenewedAt: now, ExpiresAt: now.Add(3 * f.Renew), Data: data})
 		}
 	}
 }
--- a/internal/capacity/project.go
+++ b/internal/capacity/project.go
@@ -66,13 +66,13 @@
 // Today is the mechanism that runs now: each second one read of the revision
 // row and one of the instance list, each two seconds one of the open steps,
 // only the changed rows of the catalogue and a whole scan every 30 minutes,
-// a membership scan every second for each 12 members, a heartbeat every
-// 5/3 s, 6 load reports a second, and hints to log2 of the members, each of
+// a membership scan every second for each 12 members, 45 heartbeats a second
+// of all nodes together, 6 load reports a second, and hints to log2 of the members, each of
 // whom passes them on.
 func Today(t Target) Mechanism {
 	changesPerSec := t.ChangesPerDay / 86400
 	return Mechanism{Name: "today", CatalogueScansPerSec: 1.0 / 1800, RowReadsPerSec: 2.5 + changesPerSec,
-		MemberScansPerSec: 12 / float64(t.Nodes), HeartbeatsPerSec: 1 / (5.0 / 3), EnginesPolled: 6, ReportsPerSec: 1,
+		MemberScansPerSec: 12 / float64(t.Nodes), HeartbeatsPerSec: 45 / float64(t.Nodes), EnginesPolled: 6, ReportsPerSec: 1,
 		HintBytesPerSec: 2 * changesPerSec * math.Log2(float64(t.Nodes)) * hintBytes}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -82,7 +82,7 @@
 	in := &Instance{
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerAdvertise, DataCentre: cfg.DataCentre},
-		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, renew: cfg.LeaseTTL / 3,
+		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, shardTTL: cfg.ShardLeaseTTL,
 			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace, purge: cfg.PurgeInterval,
 			steps: cfg.StepRefresh,
 			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -103,7 +103,8 @@
 	readMembers struct{}
 	heartbeat   struct {
 		held      lease.Lease // as last written; zero if not held
-		expiresAt time.Time
+		at        time.Time   // the lease lives from here
+		expiresAt time.Time   // to here
 		draining  bool
 	}
 	readReport struct{ addr string }
@@ -133,7 +134,10 @@
 	}
 	readSteps     struct{}
 	readInstances struct{ since uint64 }
-	runShard      struct{ id shardID }
+	runShard      struct {
+		id  shardID
+		ttl time.Duration // of the shard's lease
+	}
 )
 
 func (readCatalogue) isEffect()       {}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -52,11 +52,11 @@
 
 // shard runs a step's shard on the steps group until it ends or the
 // instance drains.
-func (in *Instance) shard(ctx context.Context, id shardID) {
+func (in *Instance) shard(ctx context.Context, e runShard) {
 	in.steps.Go(func() error {
-		err := in.runShard(in.stepsCtx, id)
-		in.cfg.Logger.Debug("step shard ended", "shard", id, "err", err)
-		in.post(ctx, shardEnded{id: id})
+		err := in.runShard(in.stepsCtx, e)
+		in.cfg.Logger.Debug("step shard ended", "shard", e.id, "err", err)
+		in.post(ctx, shardEnded{id: e.id})
 		return nil
 	})
 }
@@ -73,7 +73,7 @@
 		case hintPeers:
 			in.peers.hint(e)
 		case runShard:
-			in.shard(ctx, e.id)
+			in.shard(ctx, e)
 		default:
 			in.io(ctx, eff)
 		}
@@ -112,9 +112,9 @@
 		self := in.self
 		self.Draining = e.draining
 		data, _ := json.Marshal(self)
-		l, err := lease.Renew(ctx, in.cfg.Platform, e.held, e.expiresAt, data)
+		l, err := lease.Renew(ctx, in.cfg.Platform, e.held, e.at, e.expiresAt, data)
 		if errors.Is(err, lease.ErrHeld) {
-			l, err = lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, in.cfg.Clock.Now(), e.expiresAt, data)
+			l, err = lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, e.at, e.expiresAt, data)
 		}
 		return heartbeatDone{l: l, err: err}
 	case readReport:
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -61,3 +64,39 @@
 		t.Fatalf("last instance applied %v after the first; refresh is %v", gap, refresh)
 	}
 }
+
+// With many members each one's lease lives longer, so that their renewals
+// together stay within what the platform can write, and each is judged by the
+// time that its own row tells.
+func TestLeasesLiveLongerWithManyMembers(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1})
+	const others = 300
+	now := time.Now()
+	put := func(id string, ttl time.Duration) {
+		s.Platform.Put("member/"+id, lease.Lease{Holder: id, RenewedAt: now, ExpiresAt: now.Add(ttl),
+			Data: fmt.Appendf(nil, `{"id":%q,"address":"127.0.0.1:1"}`, id)})
+	}
+	for i := range others {
+		put(fmt.Sprintf("other-%03d", i), time.Minute)
+	}
+	put("gone", time.Second)
+	members := func() int { return len(s.Entries[0].View().Members) }
+	waitFor(t, 5*time.Second, "all members", func() bool { return members() == others+2 })
+	waitFor(t, 10*time.Second, "the lapsed member's leaving", func() bool { return members() == others+1 })
+	ttl := func() time.Duration {
+		row, err := platform.NewClient(s.PlatformURL, nil).Get(context.Background(), "member/entry-0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := lease.Decode(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l.TTL(0)
+	}
+	const perSecond = 45
+	waitFor(t, 5*time.Second, "a longer lease", func() bool { return ttl() >= others*time.Second*3/perSecond })
+	if n := members(); n != others+1 {
+		t.Fatalf("%d members, want the %d whose leases last a minute to live", n, others+1)
+	}
+}
--- a/pkg/entry/reduce.go
+++ b/pkg/entry/reduce.go
@@ -84,8 +84,8 @@
 	if s, ok = s.beginDue(membersTask, now, s.memberPeriod()); ok {
 		effs = append(effs, readMembers{})
 	}
-	if s, ok = s.beginDue(heartbeatTask, now, t.renew); ok {
-		effs = append(effs, heartbeat{held: s.member, expiresAt: now.Add(t.leaseTTL), draining: s.self.Draining})
+	if s, ok = s.beginDue(heartbeatTask, now, s.memberTTL()/renewalsPerTTL); ok {
+		effs = append(effs, heartbeat{held: s.member, at: now, expiresAt: now.Add(s.memberTTL()), draining: s.self.Draining})
 	}
 	if s, ok = s.due(reportsTask, now, t.reports); ok {
 		s, effs = s.reportRound(effs)
--- a/pkg/entry/reduce_members.go
+++ b/pkg/entry/reduce_members.go
@@ -15,6 +15,23 @@
 // its cost to a node does not grow with their number.
 const membersPerRefresh = 12
 
+// renewalsPerTTL is how often a lease is renewed in the time it lives.
+const renewalsPerTTL = 3
+
+// maxRenewals bounds the renewals a second of all leases of one kind
+// together: with more leases each lives longer, so that the writes to the
+// platform do not grow with the number of instances or of shards.
+const maxRenewals = 45
+
+// leaseTTL returns how long each of n leases lives, atLeast being enough for
+// few of them.
+func leaseTTL(n int, atLeast time.Duration) time.Duration {
+	return max(atLeast, time.Duration(n)*time.Second*renewalsPerTTL/maxRenewals)
+}
+
+// memberTTL is how long this instance's membership lease lives.
+func (s state) memberTTL() time.Duration { return leaseTTL(len(s.view.Members), s.timing.leaseTTL) }
+
 // sighting is when a member's row was first seen at a version, by this
 // process's clock.
 type sighting struct {
@@ -62,7 +79,8 @@
 
 // liveMember decodes a member's row and reports whether the member lives.
 // A row seen to change is judged by this process's own clock alone: it
-// lives until it has stood unchanged for the lease's time. A row seen for
+// lives until it has stood unchanged for the time it tells and the time
+// between scans. A row seen for
 // the first time is judged by the expiry its holder wrote.
 func (s state) liveMember(r platform.Row, seen sighting, now time.Time) (Member, bool) {
 	l, err := lease.Decode(r)
@@ -77,7 +95,7 @@
 	if !before && !l.Live(now) {
 		return Member{}, false
 	}
-	if now.Sub(seen.at) >= s.timing.leaseTTL+s.memberPeriod() {
+	if now.Sub(seen.at) >= l.TTL(s.timing.leaseTTL)+s.memberPeriod() {
 		return Member{}, false
 	}
 	m.ExpiresAt = l.ExpiresAt
--- a/pkg/entry/reduce_steps.go
+++ b/pkg/entry/reduce_steps.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
@@ -16,6 +17,7 @@
 	}
 	var effs []effect
 	fresh := false
+	ttl := leaseTTL(openShards(e.heads), s.timing.shardTTL)
 	seen := map[string]bool{}
 	for _, key := range slices.Sorted(maps.Keys(e.heads)) {
 		head := e.heads[key]
@@ -24,7 +26,7 @@
 		}
 		seen[key] = true
 		fresh = fresh || !s.stepsSeen[key]
-		s, effs = s.startShards(key, head, effs)
+		s, effs = s.startShards(key, head, ttl, effs)
 	}
 	s.stepsSeen = seen
 	if fresh {
@@ -33,7 +35,18 @@
 	return s, effs
 }
 
-func (s state) startShards(key string, head step.Head, effs []effect) (state, []effect) {
+// openShards returns how many shards the open steps of heads have.
+func openShards(heads map[string]step.Head) int {
+	n := 0
+	for _, head := range heads {
+		if head.Closed == "" {
+			n += head.Shards
+		}
+	}
+	return n
+}
+
+func (s state) startShards(key string, head step.Head, ttl time.Duration, effs []effect) (state, []effect) {
 	for k := range head.Shards {
 		id := shardID{Step: key, Shard: k}
 		if s.shards[id] || s.self.Draining || !s.preferred(step.ShardKey(key, k)) {
@@ -44,7 +57,7 @@
 			s.shards = map[shardID]bool{}
 		}
 		s.shards[id] = true
-		effs = append(effs, runShard{id: id})
+		effs = append(effs, runShard{id: id, ttl: ttl})
 	}
 	return s, effs
 }
--- a/pkg/entry/state.go
+++ b/pkg/entry/state.go
@@ -14,8 +14,8 @@
 type timing struct {
 	refresh      time.Duration // catalogue revision and membership reads
 	fullScan     time.Duration // a whole catalogue read even if unchanged
-	leaseTTL     time.Duration
-	renew        time.Duration // heartbeat period, well under leaseTTL
+	leaseTTL     time.Duration // of memberships, at least
+	shardTTL     time.Duration // of step shards' leases, at least
 	reports      time.Duration // period of load report rounds
 	reportBudget int           // load report reads per round, at most
 	sweep        time.Duration // period of delivery sweeps
--- a/pkg/entry/steps_test.go
+++ b/pkg/entry/steps_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
@@ -232,3 +233,22 @@
 		t.Fatalf("trainer holds %d whole groups when the step is complete, want 8", n)
 	}
 }
+
+// With many shards at work each one's lease lives longer, so that their
+// renewals together stay within what the platform can write.
+func TestShardLeasesLiveLongerWithManyShards(t *testing.T) {
+	s := startSite(t, 2, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 20 * time.Millisecond})
+	nameVersion(t, s, 0, 1)
+	const groups, perShard, perSecond = 160, 4, 45
+	spec := stepSpec("many", groups, 2, groups)
+	submit(t, s, 0, spec)
+	client := platform.NewClient(s.PlatformURL, nil)
+	waitFor(t, 5*time.Second, "a lease in proportion to the shards", func() bool {
+		row, err := client.Get(context.Background(), step.ShardKey(spec.Key(), 0))
+		if err != nil {
+			return false
+		}
+		l, err := lease.Decode(row)
+		return err == nil && l.TTL(0) >= groups/perShard*time.Second*3/perSecond
+	})
+}
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -84,11 +84,12 @@
 
 // runShard runs a shard until the step closes, the lease is lost or ctx
 // ends; then it gives the lease up.
-func (in *Instance) runShard(ctx context.Context, id shardID) error {
+func (in *Instance) runShard(ctx context.Context, e runShard) error {
+	id := e.id
 	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), acked: make(chan ack),
 		over: make(chan struct{}), sending: map[int]bool{}, cancels: map[int]context.CancelFunc{},
 		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: step.ShardKey(id.Step, id.Shard),
-			Holder: in.cfg.ID + "/" + in.life, TTL: in.cfg.ShardLeaseTTL}}
+			Holder: in.cfg.ID + "/" + in.life, TTL: e.ttl}}
 	if err := r.open(ctx); err != nil {
 		return err
 	}
@@ -191,7 +192,10 @@
 		return err
 	}
 	r.held = held
-	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / 3)
+	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / renewalsPerTTL)
+	if now := r.in.cfg.Clock.Now(); now.Before(r.head.DueAt) && r.head.DueAt.Before(r.nextRenew) {
+		r.nextRenew = r.head.DueAt // when upkeep closes the step
+	}
 	if len(held.Data) > 0 {
 		return json.Unmarshal(held.Data, &r.progress)
 	}
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -11,9 +11,9 @@
 )
 
 // Keeper takes one lease and keeps it, without trusting that clocks agree:
-// another's lease has lapsed once its row has stood unchanged for TTL by
-// this process's own clock, and a lease held here is valid until TTL after
-// the write that took it was begun. It is not safe for concurrent use.
+// another's lease has lapsed once its row has stood unchanged, by this
+// process's own clock, for the time that it was written to live, and a lease
+// held here is valid until TTL after the write that took it was begun. It is not safe for concurrent use.
 type Keeper struct {
 	Table  Table
 	Clock  clock.Clock
@@ -45,7 +45,7 @@
 		if err != nil {
 			return Held{}, err
 		}
-		if cur.Holder != k.Holder && cur.Holder != "" && !k.lapsed(row.Version) {
+		if cur.Holder != k.Holder && cur.Holder != "" && !k.lapsed(cur) {
 			return Held{Lease: cur}, ErrHeld
 		}
 		if data == nil {
@@ -53,7 +53,7 @@
 		}
 	}
 	begun := k.Clock.Now()
-	l := Lease{Name: k.Name, Holder: k.Holder, ExpiresAt: begun.Add(k.TTL), Data: data}
+	l := Lease{Name: k.Name, Holder: k.Holder, RenewedAt: begun, ExpiresAt: begun.Add(k.TTL), Data: data}
 	l, err = k.write(ctx, l, row.Version)
 	return Held{Lease: l, ValidUntil: begun.Add(k.TTL)}, err
 }
@@ -61,7 +61,8 @@
 // Op returns the operation that renews the lease h with new data as part of
 // a transaction. It fails with a conflict if h is no longer held.
 func (k *Keeper) Op(h Held, data json.RawMessage) (platform.Op, error) {
-	return platform.Put(k.Name, h.Fencing, Lease{Holder: k.Holder, ExpiresAt: k.Clock.Now().Add(k.TTL), Data: data})
+	now := k.Clock.Now()
+	return platform.Put(k.Name, h.Fencing, Lease{Holder: k.Holder, RenewedAt: now, ExpiresAt: now.Add(k.TTL), Data: data})
 }
 
 // Release gives the lease up, if this Keeper's holder has it, so that the
@@ -96,12 +97,12 @@
 	return l, nil
 }
 
-// lapsed reports whether another's row has stood at version for TTL.
-func (k *Keeper) lapsed(version uint64) bool {
+// lapsed reports whether another's lease has stood unchanged for its time.
+func (k *Keeper) lapsed(l Lease) bool {
 	now := k.Clock.Now()
-	if k.seen != version {
-		k.seen, k.seenAt = version, now
+	if k.seen != l.Fencing {
+		k.seen, k.seenAt = l.Fencing, now
 		return false
 	}
-	return now.Sub(k.seenAt) >= k.TTL
+	return now.Sub(k.seenAt) >= l.TTL(k.TTL)
 }
--- a/pkg/lease/keeper_test.go
+++ b/pkg/lease/keeper_test.go
@@ -16,9 +16,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
 )
 
-func TestMain(m *testing.M) { rapidseed.Main(m, 100) }
-
-const ttl = 3 * time.Second
+func TestMain(m *testing.M) { rapidseed.Main(m, 300) }
 
 // keeper is one process: its Keeper, its clock, which runs at the true rate
 // from a start of its own, and what it believes.
@@ -32,8 +30,9 @@
 	return k.held.Fencing != 0 && k.clock.Now().Before(k.held.ValidUntil)
 }
 
-// Three processes with clocks hours apart, paused for any time, and a
-// platform that loses replies and goes down: at no moment do two of them
+// Three processes with clocks hours apart and times to live of their own, as
+// while a setting changes, paused for any time, and a platform that loses
+// replies and goes down: at no moment do two of them
 // hold a lease that is valid by their own clocks, and the fencing numbers
 // of successive holders grow.
 func TestOneHolderWhateverTheClocks(t *testing.T) {
@@ -49,6 +48,7 @@
 		ks := make([]*keeper, 3)
 		for i := range ks {
 			c := clock.NewFake(time.Unix(1_800_000_000, 0).Add(time.Duration(rapid.IntRange(-7200, 7200).Draw(t, "skew_s")) * time.Second))
+			ttl := time.Duration(rapid.IntRange(1, 6).Draw(t, "ttl_s")) * time.Second
 			ks[i] = &keeper{clock: c, Keeper: lease.Keeper{Table: table, Clock: c, Name: name, Holder: string(rune('A' + i)), TTL: ttl}}
 		}
 		var highest uint64
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -18,6 +18,7 @@
 type Lease struct {
 	Name      string          `json:"-"`
 	Holder    string          `json:"holder"`
+	RenewedAt time.Time       `json:"renewed_at"` // by the holder's clock, as ExpiresAt is
 	ExpiresAt time.Time       `json:"expires_at"`
 	Data      json.RawMessage `json:"data,omitempty"` // the holder's own data, such as its address
 	Fencing   uint64          `json:"-"`              // the row version
@@ -32,7 +33,7 @@
 	Commit(ctx context.Context, ops ...platform.Op) ([]platform.Row, error)
 }
 
-// Acquire takes or renews the lease name for holder until expiresAt, with
+// Acquire takes or renews the lease name for holder from now until expiresAt, with
 // data stored beside it. It returns the lease with its new fencing number,
 // ErrHeld if another holder's lease is unexpired at now, or an error of the
 // platform.
@@ -53,7 +54,7 @@
 		}
 		expect = row.Version
 	}
-	l := Lease{Name: name, Holder: holder, ExpiresAt: expiresAt, Data: data}
+	l := Lease{Name: name, Holder: holder, RenewedAt: now, ExpiresAt: expiresAt, Data: data}
 	op, err := platform.Put(name, expect, l)
 	if err != nil {
 		return Lease{}, err
@@ -66,15 +67,15 @@
 	return l, nil
 }
 
-// Renew writes the lease l, as last read or written, again until expiresAt
-// with new data, in one call. It returns ErrHeld if the row has changed
+// Renew writes the lease l, as last read or written, again from now until
+// expiresAt with new data, in one call. It returns ErrHeld if the row has changed
 // since, or if l is zero.
-func Renew(ctx context.Context, t Table, l Lease, expiresAt time.Time, data json.RawMessage) (Lease, error) {
+func Renew(ctx context.Context, t Table, l Lease, now, expiresAt time.Time, data json.RawMessage) (Lease, error) {
 	if l.Fencing == 0 {
 		return Lease{}, ErrHeld
 	}
 	expect := l.Fencing
-	l.ExpiresAt, l.Data = expiresAt, data
+	l.RenewedAt, l.ExpiresAt, l.Data = now, expiresAt, data
 	op, err := platform.Put(l.Name, expect, l)
 	if err != nil {
 		return Lease{}, err
@@ -102,5 +103,14 @@
 	return l, nil
 }
 
+// TTL returns the time that l was written to live, whatever the clocks of
+// those who read it, or else if l does not tell.
+func (l Lease) TTL(otherwise time.Duration) time.Duration {
+	if l.RenewedAt.IsZero() {
+		return otherwise
+	}
+	return l.ExpiresAt.Sub(l.RenewedAt)
+}
+
 // Live reports whether l is held at now.
 func (l Lease) Live(now time.Time) bool { return now.Before(l.ExpiresAt) }
