weights: named versions are audited; one that was in force is never refused as not run

Cause 1: the house style asks for an audit trail of configuration changes, and a weight version named by a trainer or ctl left none but the row itself.

Cause 2, found while writing its property test: a trainer names version 5, the write takes effect, its reply is lost, another names 7; the retry then said "a newer version is named already", which the entry answers as 409, not run, though 5 had been in force.

--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -76,11 +77,11 @@
 // auditCmd returns the command that prints the audit trail.
 func auditCmd(client func() *platform.Client) *cobra.Command {
 	return &cobra.Command{
-		Use:   "audit",
-		Short: "Print every accepted change of the catalogue",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			changes, err := catalogue.Audit(cmd.Context(), client())
+		Use:   "audit [KEY]",
+		Short: "Print the accepted changes of the catalogue and of weight targets, of all items or of those whose keys begin with KEY",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			changes, err := catalogue.Audit(cmd.Context(), client(), strings.Join(args, ""))
 			if err != nil {
 				return err
 			}
--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"regexp"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 )
@@ -140,16 +139,6 @@
 	return out
 }
 
-// Change is the audit record of one accepted edit.
-type Change struct {
-	Key        string    `json:"key"`
-	Generation uint64    `json:"generation"`
-	Author     string    `json:"author"`
-	At         time.Time `json:"at"`
-	Before     string    `json:"before"` // JSON of the value replaced; empty if new
-	After      string    `json:"after"`
-}
-
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
 // Check reports the first problem with e, naming the field.
--- a/pkg/catalogue/catalogue_test.go
+++ b/pkg/catalogue/catalogue_test.go
@@ -137,7 +137,7 @@
 	if err := remove(catalogue.PoolPrefix + "desk-app"); err == nil {
 		t.Fatal("removed twice")
 	}
-	changes, err := catalogue.Audit(ctx, c)
+	changes, err := catalogue.Audit(ctx, c, "")
 	if err != nil || len(changes) != 4 {
 		t.Fatalf("audit holds %d changes (%v), want 4", len(changes), err)
 	}
--- a/pkg/catalogue/remove.go
+++ b/pkg/catalogue/remove.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	audit, err := auditOp(Change{Key: key, Generation: uint64(gen) + 1, Author: author, At: now, Before: string(row.Value), After: string(put.Value)})
+	audit, err := AuditOp(Change{Key: key, Generation: uint64(gen) + 1, Author: author, At: now, Before: string(row.Value), After: string(put.Value)})
 	return []platform.Op{put, audit}, err
 }
 
@@ -94,9 +94,3 @@
 	}
 	return out
 }
-
-// auditOp returns the operation that writes the audit record of ch, which
-// must not exist yet.
-func auditOp(ch Change) (platform.Op, error) {
-	return platform.Put(fmt.Sprintf("%s%s/%08d", AuditPrefix, ch.Key, ch.Generation), 0, ch)
-}
--- a/pkg/catalogue/store.go
+++ b/pkg/catalogue/store.go
@@ -17,7 +17,6 @@
 	EntryPrefix    = "catalogue/entry/"
 	PoolPrefix     = "catalogue/pool/"
 	CustomerPrefix = "catalogue/customer/"
-	AuditPrefix    = "audit/"
 )
 
 // Snapshot is the catalogue as read at one moment, with the row version of
@@ -98,7 +97,7 @@
 		return platform.Row{}, err
 	}
 	change := Change{Key: e.Key, Generation: gen + 1, Author: e.Author, At: e.At, Before: before, After: string(after)}
-	audit, err := auditOp(change)
+	audit, err := AuditOp(change)
 	if err != nil {
 		return platform.Row{}, err
 	}
@@ -175,20 +174,3 @@
 		return nil, fmt.Errorf("catalogue: cannot store %T", v)
 	}
 }
-
-// Audit returns every accepted change, oldest first per item.
-func Audit(ctx context.Context, c *platform.Client) ([]Change, error) {
-	rows, err := c.Scan(ctx, AuditPrefix)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]Change, 0, len(rows))
-	for _, r := range rows {
-		var ch Change
-		if err := json.Unmarshal(r.Value, &ch); err != nil {
-			return nil, fmt.Errorf("catalogue: audit row %s: %w", r.Key, err)
-		}
-		out = append(out, ch)
-	}
-	return out, nil
-}
--- a/pkg/weights/target.go
+++ b/pkg/weights/target.go
@@ -44,14 +44,15 @@
 // replies.
 const nameTries = 5
 
-// Name makes t the target of its pool. Naming the version in force again
-// changes nothing, so a caller may repeat Name after a lost reply; an older
-// version is ErrOlder.
+// Name makes t the target of its pool, with its audit record, whose
+// generation is the version. Naming the version in force again changes
+// nothing, so a caller may repeat Name after a lost reply; an older version is
+// ErrOlder.
 func Name(ctx context.Context, c *platform.Client, t Target) error {
-	key := TargetPrefix + t.Pool
 	var last error
-	for try := 0; try < nameTries; try++ {
-		row, err := c.Get(ctx, key)
+	unknown := false // whether an earlier try may have written t
+	for range nameTries {
+		row, err := c.Get(ctx, TargetPrefix+t.Pool)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
@@ -64,16 +65,48 @@
 				return nil
 			}
 			if cur.Version > t.Version {
-				return fmt.Errorf("%w: pool %s is at %d, not %d", ErrOlder, t.Pool, cur.Version, t.Version)
+				return older(ctx, c, cur, t, unknown)
 			}
 		}
-		op, err := platform.Put(key, row.Version, t)
-		if err != nil {
-			return err
-		}
-		if _, last = catalogue.CommitRevised(ctx, c, key, op); last == nil {
+		if last = replace(ctx, c, row, t); last == nil {
 			return nil
 		}
+		unknown = unknown || errors.Is(last, platform.ErrUnavailable)
 	}
 	return last
 }
+
+// older returns the outcome of naming t when cur, which is newer, is in force:
+// nil if t may have been written and its audit record tells that it was, and
+// else ErrOlder.
+func older(ctx context.Context, c *platform.Client, cur, t Target, mayBeWritten bool) error {
+	refused := fmt.Errorf("%w: pool %s is at %d, not %d", ErrOlder, t.Pool, cur.Version, t.Version)
+	if !mayBeWritten {
+		return refused
+	}
+	trail, err := catalogue.Audit(ctx, c, fmt.Sprintf("%s%s/%08d", TargetPrefix, t.Pool, t.Version))
+	switch {
+	case err != nil:
+		return err
+	case len(trail) == 0 || trail[0].Author != t.Author || !trail[0].At.Equal(t.NamedAt):
+		return refused
+	}
+	return nil
+}
+
+// replace writes t over row, the target of its pool as last read, together
+// with the audit record.
+func replace(ctx context.Context, c *platform.Client, row platform.Row, t Target) error {
+	key := TargetPrefix + t.Pool
+	put, err := platform.Put(key, row.Version, t)
+	if err != nil {
+		return err
+	}
+	audit, err := catalogue.AuditOp(catalogue.Change{Key: key, Generation: t.Version, Author: t.Author, At: t.NamedAt,
+		Before: string(row.Value), After: string(put.Value)})
+	if err != nil {
+		return err
+	}
+	_, err = catalogue.CommitRevised(ctx, c, key, put, audit)
+	return err
+}
