entry, engine: a request on a dead connection to a busy engine is sent again

Cause: after a silence the instance asked the engine for its load, and requests waiting there explained the silence of any stream that had not begun.

Change: where only the queue explains the silence, the engine is asked on another connection where this request stands (GET /v1/requests/{id}: queued, running, unknown); queued alone explains it. Asked only after a silence at a busy engine. An engine that tells no status (404) is believed as before.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -8,6 +8,7 @@
 //	                    with LoadHeader where the engine tells its load
 //	POST /v1/load       a LoadOrder; 409 if its fencing number is stale
 //	GET  /v1/load       a LoadReport
+//	GET  /v1/requests/{id}  a RequestStatus; 404 from an engine that tells none
 package engine
 
 import "time"
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -67,6 +67,7 @@
 	queued   int
 	faults   Faults
 	records  map[string][]uint64 // request ID → versions that produced tokens
+	open     map[string]*attempt // request ID → its newest attempt under way
 	requests int64
 	peak     int                // most streams active and queued at once
 	frozen   *engine.LoadReport // the report served while StaleReports is set
@@ -88,6 +89,7 @@
 		cache:   newPrefixCache(cfg.CacheEntries),
 		version: cfg.WeightVersion,
 		records: map[string][]uint64{},
+		open:    map[string]*attempt{},
 	}
 }
 
@@ -98,6 +100,7 @@
 	mux.HandleFunc("POST /v1/generate", s.generate)
 	mux.HandleFunc("POST /v1/load", s.load)
 	mux.HandleFunc("GET /v1/load", s.report)
+	mux.HandleFunc("GET /v1/requests/{id}", s.status)
 	mux.HandleFunc("POST /v1/faults", s.setFaults)
 	mux.HandleFunc("GET /v1/records/{id}", s.record)
 	return mux
@@ -163,6 +166,8 @@
 		<-r.Context().Done()
 		return
 	}
+	a := s.opened(req.RequestID)
+	defer s.closed(req.RequestID, a)
 	ready, release := s.slots.acquire(int(req.Priority))
 	defer release()
 	select {
@@ -172,6 +177,7 @@
 		return
 	}
 	s.dequeue(true)
+	s.running(a)
 	defer func() {
 		s.mu.Lock()
 		s.active--
--- /dev/null
+++ b/pkg/engine/request.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+)
+
+// RequestState is where an engine has got to with a request.
+type RequestState string
+
+// The states of a request.
+const (
+	RequestUnknown RequestState = "unknown" // never came, or has ended
+	RequestQueued  RequestState = "queued"  // waits for a slot
+	RequestRunning RequestState = "running"
+)
+
+// RequestStatus is an engine's account of one request: of the newest attempt,
+// if it was sent more than once.
+type RequestStatus struct {
+	State RequestState `json:"state"`
+}
+
+// ErrNoStatus is returned by Request for an engine that does not tell the
+// status of requests.
+var ErrNoStatus = errors.New("engine: tells no request status")
+
+// Request returns the status of the request named id.
+func (c *Client) Request(ctx context.Context, id string) (RequestStatus, error) {
+	var st RequestStatus
+	err := httpjson.Do(ctx, c.http, http.MethodGet, c.base+"/v1/requests/"+url.PathEscape(id), nil, &st)
+	var se *httpjson.StatusError
+	if errors.As(err, &se) && se.Status == http.StatusNotFound {
+		return RequestStatus{}, ErrNoStatus
+	}
+	return st, err
+}
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -166,14 +166,14 @@
 	defer g.in.load.release(addr) // taken by pick
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := g.in.watchSilence(ctx, cancel, addr)
-	defer quiet.stop()
 	req := engine.GenerateRequest{
 		RequestID: g.req.Customer + "." + g.req.RequestID,
 		Prompt:    g.req.Prompt + g.text.String(),
 		MaxTokens: g.req.MaxTokens - g.tokens,
 		Priority:  g.entry.Class.Priority(),
 	}
+	quiet := g.in.watchSilence(ctx, cancel, addr, req.RequestID)
+	defer quiet.stop()
 	s, err := engine.NewClient(addr, g.in.http).Generate(ctx, req)
 	if err != nil {
 		return false, attemptError(ctx, err)
--- a/pkg/entry/silent_test.go
+++ b/pkg/entry/silent_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinnialadder/zinnialadder/internal/relay"
 	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
@@ -61,6 +62,49 @@
 	}
 }
 
+// A connection goes silent for good at an engine that has requests waiting all
+// the while: the request on it is sent again on a new connection, and not held
+// until the engine is at rest or its caller gives up.
+func TestSilentConnectionAtABusyEngine(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 10 * time.Millisecond, Slots: 1})
+	r := startRelay(t, s.EngineAddrs[0])
+	setUpstreams(t, s, "assistant-pool", r.Addr())
+	ask := func(id string) {
+		status, _, last := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat",
+			RequestID: id, Prompt: "p", MaxTokens: 4})
+		if status != http.StatusOK || !last.Done {
+			t.Fatalf("request %s: status %d, %+v", id, status, last)
+		}
+	}
+	ask("warm-up") // leaves an idle connection in the pool
+	ctx, cancel := context.WithCancel(t.Context())
+	var others errgroup.Group
+	for i := range 4 { // the older system's: 2 s each, in the one slot
+		others.Go(func() error {
+			st, err := engine.NewClient(s.EngineAddrs[0], nil).Generate(ctx, engine.GenerateRequest{
+				RequestID: fmt.Sprint("other-", i), Prompt: "q", MaxTokens: 200, Priority: engine.PriorityTraining})
+			if err != nil {
+				return nil // cancelled in the queue
+			}
+			defer st.Close()
+			for {
+				if c, err := st.Next(); err != nil || c.Done {
+					return nil
+				}
+			}
+		})
+	}
+	waitFor(t, 5*time.Second, "a busy engine", func() bool { return s.Engines[0].Requests() == 5 })
+	r.Silence()
+	ask("silent")
+	rep, err := engine.NewClient(s.EngineAddrs[0], nil).Report(t.Context())
+	if err != nil || rep.Queued == 0 {
+		t.Errorf("answered only once the engine was at rest: %+v, %v", rep, err)
+	}
+	cancel()
+	_ = others.Wait()
+}
+
 // setUpstreams replaces the upstreams of a pool and waits until every
 // instance has applied that.
 func setUpstreams(t *testing.T, s *site.Site, pool string, addrs ...string) {
