entry: proof that instances cut from each other work on through the platform

No change of the code was needed: hints only hasten what each reads from the platform.

Not proved: an hour, and regions of which one loses the platform as well.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 
 	mu    sync.Mutex
 	conns map[*tracked]bool
+	cut   bool // connections to come carry nothing either
 }
 
 // tracked is one connection of either side.
@@ -64,6 +65,15 @@
 	}
 }
 
+// Cut is Silence, and makes every connection to come carry nothing either, as
+// between networks that have lost each other.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	r.cut = true
+	r.mu.Unlock()
+	r.Silence()
+}
+
 // Close closes the listener and every connection, and waits for them.
 func (r *Relay) Close() {
 	r.ln.Close()
@@ -93,8 +103,8 @@
 }
 
 func (r *Relay) track(c net.Conn) *tracked {
-	t := &tracked{Conn: c}
 	r.mu.Lock()
+	t := &tracked{Conn: c, silent: r.cut}
 	r.conns[t] = true
 	r.mu.Unlock()
 	return t
--- a/pkg/entry/peers_test.go
+++ b/pkg/entry/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
 
 // Once one instance has applied a catalogue change, its peers hear of it
@@ -100,3 +103,49 @@
 		t.Fatalf("%d members, want the %d whose leases last a minute to live", n, others+1)
 	}
 }
+
+// Instances that all reach the platform but not each other, as regions that
+// lost each other: their links stay open and carry nothing. A named version
+// still reaches every engine and instance, a step is delivered whole and once,
+// and one that drains is no longer routed to.
+func TestInstancesCutFromEachOther(t *testing.T) {
+	s := startSite(t, 4, 1, enginetest.Config{WeightVersion: 1, TokenInterval: 2 * time.Millisecond})
+	for i := range 3 {
+		err := s.StartEntryWith(fmt.Sprintf("cut-%d", i), func(c *entry.Config) {
+			r := startRelay(t, c.PeerListener.Addr().String())
+			r.Cut()
+			c.PeerAdvertise = r.Addr()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.StopEntry(0) // the one that could be reached
+	<-s.EntryDone(0)
+	cut := s.Entries[1:]
+	know := func(members int) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(cut, func(in *entry.Instance) bool { return len(in.View().Members) != members })
+		}
+	}
+	waitFor(t, 10*time.Second, "the three to know each other", know(3))
+	nameVersion(t, s, 1, 2)
+	waitFor(t, 10*time.Second, "version 2 on every engine", allAt(s, 2))
+	waitFor(t, 10*time.Second, "version 2 known to every instance", func() bool {
+		return !slices.ContainsFunc(cut, func(in *entry.Instance) bool { return in.View().Targets["assistant-pool"].Version != 2 })
+	})
+	if status := submit(t, s, 2, stepSpec("cut", 24, 4, 24)); status != http.StatusAccepted {
+		t.Fatalf("submission answered %d", status)
+	}
+	waitFor(t, 20*time.Second, "the step complete", func() bool { return stepStatus(t, s, 3, "cut").Closed == step.Complete })
+	waitFor(t, 20*time.Second, "every record delivered", func() bool { return len(s.Platform.Rows("delivery/")) == 0 })
+	if n := wholeGroups(t, s, 4); n != 24 {
+		t.Fatalf("trainer holds %d whole groups, want 24", n)
+	}
+	s.StopEntry(3)
+	waitFor(t, 10*time.Second, "the draining one to be left out", func() bool {
+		return !slices.ContainsFunc(cut[:2], func(in *entry.Instance) bool {
+			return slices.ContainsFunc(in.View().Members, func(m entry.Member) bool { return m.ID == "cut-2" && !m.Draining })
+		})
+	})
+}
