health, entry: an engine slower than the others gets less work

Training hedges such stragglers, interactive generations do not.

Change: each instance keeps what its own streams, also given up ones, saw of each engine's time for a token (longest gap left out, forgotten after 10 s); from twice the lower median on, the wait for one request more is multiplied by how slow the engine is. Setting slow_from, negative for never.

--- a/cmd/zinnialadder/roles.go
+++ b/cmd/zinnialadder/roles.go
@@ -59,6 +59,7 @@
 		ShardLeaseTTL:   time.Duration(s.ShardLeaseTTL),
 		StepRetention:   time.Duration(s.StepRetention),
 		StepPolicy:      step.Policy{HedgeFactor: s.HedgeFactor},
+		SlowFrom:        s.SlowFrom,
 	}
 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -57,6 +57,7 @@
 	DesiredPart float64 // share of a step's groups the trainer waits for
 	HedgeFactor float64 // of step.Policy; 0 for no hedging
 	MaxLoading  int     // engines loading at once
+	SlowFrom    float64 // of entry.Config; negative for taking no engine for slow
 }
 
 // Config says what to run.
@@ -130,7 +131,7 @@
 		Engine: enginetest.Config{Slots: slots, TokenInterval: tokenInterval, WeightVersion: 1, ChecksFencing: true, WeightStore: store},
 		Entry: entry.Config{Refresh: 100 * time.Millisecond, Tick: 10 * time.Millisecond, ReportInterval: 100 * time.Millisecond,
 			StepTick: 5 * time.Millisecond, StepRefresh: 100 * time.Millisecond, RolloutProbe: 25 * time.Millisecond,
-			ReportLag: 50 * time.Millisecond, ShardGroups: 8, StepPolicy: step.Policy{HedgeFactor: hedge, HedgeAfter: 8, RetryDelay: 20 * time.Millisecond}}})
+			ReportLag: 50 * time.Millisecond, ShardGroups: 8, SlowFrom: cfg.Policy.SlowFrom, StepPolicy: step.Policy{HedgeFactor: hedge, HedgeAfter: 8, RetryDelay: 20 * time.Millisecond}}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -161,11 +161,13 @@
 // Policies are the ways compared: baselines of this project's own first,
 // the default last.
 var Policies = []Policy{
+	{Name: "every group, no hedging, none slow", DesiredPart: 1, MaxLoading: 3, SlowFrom: -1},
 	{Name: "every group, no hedging", DesiredPart: 1, MaxLoading: 3},
 	{Name: "desired groups, no hedging", DesiredPart: 0.9, MaxLoading: 3},
 	{Name: "desired, hedging 2x, 1 loading", DesiredPart: 0.9, HedgeFactor: 2, MaxLoading: 1},
 	{Name: "desired, hedging 2x, 9 loading", DesiredPart: 0.9, HedgeFactor: 2, MaxLoading: 9},
 	{Name: "desired, hedging 1.3x, 3 loading", DesiredPart: 0.9, HedgeFactor: 1.3, MaxLoading: 3},
+	{Name: "desired, hedging 2x, 3 loading, none slow", DesiredPart: 0.9, HedgeFactor: 2, MaxLoading: 3, SlowFrom: -1},
 	{Name: "desired, hedging 2x, 3 loading", DesiredPart: 0.9, HedgeFactor: 2, MaxLoading: 3},
 }
 
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -49,6 +49,7 @@
 	ShardLeaseTTL   Duration `json:"shard_lease_ttl"`
 	StepRetention   Duration `json:"step_retention"`
 	HedgeFactor     float64  `json:"hedge_factor"` // times the median; negative: never hedge
+	SlowFrom        float64  `json:"slow_from"`    // times the median; negative: no engine is slow
 }
 
 // Check reports the first problem with e.
@@ -86,6 +87,9 @@
 	if e.HedgeFactor > 0 && e.HedgeFactor < 1 {
 		return errors.New("hedge_factor must be at least 1, negative for never, or 0 for the default")
 	}
+	if e.SlowFrom > 0 && e.SlowFrom <= 1 {
+		return errors.New("slow_from must be more than 1, negative for never, or 0 for the default")
+	}
 	if e.LeaseTTL != 0 && e.Refresh != 0 && e.LeaseTTL < 2*e.Refresh {
 		return errors.New("lease_ttl must be at least twice refresh")
 	}
--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -36,8 +36,15 @@
 // chooseFrom takes a place at the best of ups that has one.
 func (in *Instance) chooseFrom(v *View, ups []catalogue.Upstream, affinity string) (catalogue.Upstream, bool) {
 	cands := make([]route.Candidate, len(ups))
+	addrs := make([]string, len(ups))
 	for i, u := range ups {
-		cands[i] = route.Candidate{Key: u.Address, Load: in.loadOf(v, u.Address) + in.distance(u)}
+		addrs[i] = u.Address
+	}
+	slowness := in.paces.Slowness(addrs, in.cfg.Clock.Now())
+	for i, u := range ups {
+		// What a request more would wait for, in requests at the usual pace.
+		wait := (in.loadOf(v, u.Address)+1)*slowness[i] - 1
+		cands[i] = route.Candidate{Key: u.Address, Load: wait + in.distance(u)}
 	}
 	for len(cands) > 0 {
 		i := in.policy.Pick(cands, affinity)
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -71,6 +71,7 @@
 	StepPolicy    step.Policy
 	MaxInFlight   int // requests at once, over all entries; default 512
 	Health        health.Config
+	SlowFrom      float64       // times the median's time from which an engine is slow; see health.NewPaces
 	ShardGroups   int           // groups of a step that one instance runs; default 64
 	ShardLeaseTTL time.Duration // lease of a step's shard; default 3s
 	StepTick      time.Duration // period of a shard's decisions; default 25ms
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -62,6 +62,7 @@
 	reportHTTP *http.Client // for load reports: its connections are kept briefly, as engines are many
 	policy     route.Policy
 	load       inFlight
+	paces      *health.Paces
 	health     *health.Tracker
 	retries    *retry.Budget
 	peers      *peers
@@ -93,6 +94,7 @@
 		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
 		policy:     route.Policy{Slack: affinitySlack},
 		health:     health.NewTracker(cfg.Health),
+		paces:      health.NewPaces(cfg.SlowFrom),
 		retries:    retry.NewBudget(retryRatio, retryBurst),
 		stats:      newCounters(cfg.Metrics),
 		life:       newLife(),
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -182,12 +182,15 @@
 	if s.HasLoad {
 		g.in.View().loads.told(addr, s.Load, g.in.load.get(addr))
 	}
+	watch := paceWatch{clock: g.in.cfg.Clock}
+	defer watch.tell(g.in.paces, addr)
 	for index := 0; ; {
 		c, err := s.Next()
 		if err != nil {
 			return false, attemptError(ctx, err)
 		}
 		quiet.heard()
+		watch.heard()
 		switch err := follows(c, req.RequestID, index); {
 		case errors.Is(err, errDuplicate):
 			continue
--- a/pkg/entry/prefix_bench_test.go
+++ b/pkg/entry/prefix_bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
 )
@@ -40,6 +41,45 @@
 func benchPrefixRouting(b *testing.B, entries int) {
 	s := startSite(b, 9, entries, enginetest.Config{TokenInterval: time.Millisecond, Slots: 8, WeightVersion: 1,
 		CacheEntries: 6, PrefillDelay: 10 * time.Millisecond})
+	h := callWithPrefixes(b, s)
+	var hits, misses int64
+	peak := 0
+	for _, e := range s.Engines {
+		eh, em := e.CacheCounts()
+		hits, misses = hits+eh, misses+em
+		peak = max(peak, e.Peak())
+	}
+	ratio := float64(hits) / float64(hits+misses)
+	b.ReportMetric(ratio, "hit-ratio")
+	report(b, "entry", h)
+	b.ReportMetric(float64(peak), "peak-requests")
+	if ratio < minHitRatio[entries] {
+		b.Fatalf("%.3f of the generations found their prefix cached, bound %.2f", ratio, minHitRatio[entries])
+	}
+}
+
+// maxSlowShare bounds the share of generations sent to the slow engine of
+// BenchmarkSlowEngine; an even share is a ninth.
+const maxSlowShare = 0.016
+
+// BenchmarkSlowEngine measures how many generations go to an engine that takes
+// eight times as long for a token as the eight others, and how long all take.
+func BenchmarkSlowEngine(b *testing.B) {
+	s := startSite(b, 9, 2, enginetest.Config{TokenInterval: 2 * time.Millisecond, Slots: 8, WeightVersion: 1})
+	s.Engines[0].SetFaults(enginetest.Faults{SlowFactor: 8})
+	h := callWithPrefixes(b, s)
+	share := float64(s.Engines[0].Requests()) / (prefixCallers * prefixCalls)
+	b.ReportMetric(share, "slow-share")
+	report(b, "entry", h)
+	if share > maxSlowShare {
+		b.Fatalf("%.3f of the generations went to the slow engine, bound %.3f", share, maxSlowShare)
+	}
+}
+
+// callWithPrefixes sends the generations of the load, each to the next entry
+// instance in turn, and returns their times in microseconds.
+func callWithPrefixes(b *testing.B, s *site.Site) *hdrhistogram.Histogram {
+	b.Helper()
 	var mu sync.Mutex
 	h := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	var g errgroup.Group
@@ -51,7 +91,7 @@
 				req := entry.GenerateRequest{Customer: "minho", Entry: "chat", RequestID: fmt.Sprintf("p%d-%d", caller, i),
 					Prompt: fmt.Sprintf("%064d, call %d of caller %d", zipf.Uint64(), i, caller), MaxTokens: 8}
 				start := time.Now()
-				if status, _, last := generate(b, s.Entries[(caller+i)%entries].Addr(), req); !last.Done {
+				if status, _, last := generate(b, s.Entries[(caller+i)%len(s.Entries)].Addr(), req); !last.Done {
 					return fmt.Errorf("status %d, last %+v", status, last)
 				}
 				mu.Lock()
@@ -64,19 +104,5 @@
 	if err := g.Wait(); err != nil {
 		b.Fatal(err)
 	}
-	var hits, misses int64
-	peak := 0
-	for _, e := range s.Engines {
-		eh, em := e.CacheCounts()
-		hits, misses = hits+eh, misses+em
-		peak = max(peak, e.Peak())
-	}
-	ratio := float64(hits) / float64(hits+misses)
-	b.ReportMetric(ratio, "hit-ratio")
-	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
-	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
-	b.ReportMetric(float64(peak), "peak-requests")
-	if ratio < minHitRatio[entries] {
-		b.Fatalf("%.3f of the generations found their prefix cached, bound %.2f", ratio, minHitRatio[entries])
-	}
+	return h
 }
--- /dev/null
+++ b/pkg/health/pace.go
@@ -0,0 +1,91 @@
+package health
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// paceWeight is the weight of a new observation in an upstream's pace.
+	paceWeight = 0.3
+	// DefaultSlowFrom is how many times the median's time counts as slow;
+	// less is the ordinary difference between batches.
+	DefaultSlowFrom = 2.0
+	// maxSlowness bounds how slow an upstream is taken for.
+	maxSlowness = 16.0
+	// paceMemory is how long a pace is believed without a new observation,
+	// so that one which has recovered is tried again.
+	paceMemory = 10 * time.Second
+)
+
+// Paces tracks how long upstreams take for a token, by what this process's own
+// streams saw. It is safe for concurrent use. Call NewPaces.
+type Paces struct {
+	slowFrom float64
+
+	mu    sync.Mutex
+	paces map[string]pace
+}
+
+type pace struct {
+	perToken time.Duration // moving mean
+	at       time.Time     // last observation
+}
+
+// NewPaces returns a Paces that knows nothing yet and takes for slow what takes
+// slowFrom times the median's time: 0 means DefaultSlowFrom, and less that
+// nothing is slow.
+func NewPaces(slowFrom float64) *Paces {
+	switch {
+	case slowFrom == 0:
+		slowFrom = DefaultSlowFrom
+	case slowFrom < 0:
+		slowFrom = math.Inf(1)
+	}
+	return &Paces{slowFrom: slowFrom, paces: map[string]pace{}}
+}
+
+// Observe tells that a stream from the upstream at addr took perToken for each
+// token.
+func (p *Paces) Observe(addr string, perToken time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.paces[addr]
+	if ok && now.Sub(old.at) < paceMemory {
+		perToken = old.perToken + time.Duration(paceWeight*float64(perToken-old.perToken))
+	}
+	p.paces[addr] = pace{perToken: perToken, at: now}
+}
+
+// Slowness returns, for each of addrs, how many times the time of the (lower)
+// median it takes: 1 for those not slow and those not known, which are never held
+// against each other.
+func (p *Paces) Slowness(addrs []string, now time.Time) []float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make([]time.Duration, 0, len(addrs))
+	for _, a := range addrs {
+		if d, ok := p.known(a, now); ok {
+			known = append(known, d)
+		}
+	}
+	slices.Sort(known)
+	out := make([]float64, len(addrs))
+	for i, a := range addrs {
+		out[i] = 1
+		if d, ok := p.known(a, now); ok {
+			if ratio := float64(d) / float64(known[(len(known)-1)/2]); ratio >= p.slowFrom {
+				out[i] = min(ratio, maxSlowness)
+			}
+		}
+	}
+	return out
+}
+
+// known returns the pace of the upstream at addr, if it is recent.
+func (p *Paces) known(addr string, now time.Time) (time.Duration, bool) {
+	k, ok := p.paces[addr]
+	return max(k.perToken, 1), ok && now.Sub(k.at) < paceMemory
+}
