--- /dev/null
+++ b/pkg/entry/client.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+)
+
+// Client speaks to one entry instance, as callers and trainers do.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client for the instance at addr, such as
+// "127.0.0.1:7400". A nil hc means http.DefaultClient.
+func NewClient(addr string, hc *http.Client) *Client {
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	return &Client{base: "http://" + addr, http: hc}
+}
+
+// Answer is what a generation came to. It is whole if Last has Done set;
+// else Last tells the error and whether the generation may have run.
+type Answer struct {
+	Status int // of the HTTP answer
+	Text   string
+	Last   Event
+}
+
+// Generate sends req and reads its answer to the end. An error is of the
+// connection or of an answer that can't be read; refusals are in the Answer.
+func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Answer, error) {
+	b, err := json.Marshal(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/generate", bytes.NewReader(b))
+	if err != nil {
+		return Answer{}, err
+	}
+	hr.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	a := Answer{Status: resp.StatusCode}
+	var text strings.Builder
+	sc := bufio.NewScanner(resp.Body)
+	sc.Buffer(nil, httpjson.MaxBody)
+	for sc.Scan() {
+		a.Last = Event{}
+		if err := json.Unmarshal(sc.Bytes(), &a.Last); err != nil {
+			return a, fmt.Errorf("entry: bad event %q: %w", sc.Bytes(), err)
+		}
+		text.WriteString(a.Last.Text)
+	}
+	a.Text = text.String()
+	return a, sc.Err()
+}
+
+// Route returns the instance that a customer's requests with this key should
+// go to, and until when to keep that answer.
+func (c *Client) Route(ctx context.Context, customer, key string) (RouteAnswer, error) {
+	var ra RouteAnswer
+	q := url.Values{"customer": {customer}, "key": {key}}
+	err := httpjson.Do(ctx, c.http, http.MethodGet, c.base+"/v1/route?"+q.Encode(), nil, &ra)
+	return ra, err
+}
+
+// Call sends a plain service call.
+func (c *Client) Call(ctx context.Context, req CallRequest) (CallAnswer, error) {
+	var ans CallAnswer
+	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/call", req, &ans)
+	return ans, err
+}
+
+// NameWeights names a new weight version for the pool of a training entry.
+// It may be repeated after any error.
+func (c *Client) NameWeights(ctx context.Context, req WeightsRequest) error {
+	return httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/weights", req, nil)
+}
+
+// SubmitStep submits a training step, which is kept once it returns nil. It
+// may be repeated after any error.
+func (c *Client) SubmitStep(ctx context.Context, spec step.Spec) error {
+	return httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/steps", spec, nil)
+}
+
+// Step returns how far the step id of a customer's entry has got.
+func (c *Client) Step(ctx context.Context, customer, entry, id string) (StepStatus, error) {
+	var st StepStatus
+	err := httpjson.Do(ctx, c.http, http.MethodGet, c.stepURL(customer, entry, id), nil, &st)
+	return st, err
+}
+
+// CancelStep ends a step: no more of it is delivered. It may be repeated after
+// any error.
+func (c *Client) CancelStep(ctx context.Context, customer, entry, id string) error {
+	return httpjson.Do(ctx, c.http, http.MethodDelete, c.stepURL(customer, entry, id), nil, nil)
+}
+
+func (c *Client) stepURL(customer, entry, id string) string {
+	return fmt.Sprintf("%s/v1/steps/%s/%s/%s", c.base, url.PathEscape(customer), url.PathEscape(entry), url.PathEscape(id))
+}
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -113,6 +113,12 @@
 	return in.cfg.Platform.PutObject(ctx, step.ObjectName(spec.Key(), spec.Digest()), b)
 }
 
+func (in *Instance) getObject(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
+	defer cancel()
+	return in.cfg.Platform.GetObject(ctx, name)
+}
+
 // unkept is the error of a step that the platform did not confirm.
 func (in *Instance) unkept(v verdict.Verdict, err error) error {
 	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.cfg.Clock.Now().Add(time.Second),
--- /dev/null
+++ b/pkg/entry/stepupkeep.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/step"
+)
+
+// readHead reads the step's head again; it returns errStepClosed once the step has.
+func (r *shardRun) readHead(ctx context.Context) error {
+	head, row, err := r.in.readHead(ctx, r.id.Step)
+	if err != nil {
+		return err // what was read before still stands
+	}
+	r.head, r.headRow = head, row
+	if r.head.Closed != "" {
+		return errStepClosed
+	}
+	return nil
+}
+
+// renew takes or renews the lease, and reads back the progress kept with it.
+func (r *shardRun) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.in.cfg.PlatformTimeout)
+	defer cancel()
+	held, err := r.keeper.Take(ctx, nil)
+	if err != nil {
+		return err
+	}
+	r.held = held
+	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / renewalsPerTTL)
+	if now := r.in.cfg.Clock.Now(); now.Before(r.head.DueAt) && r.head.DueAt.Before(r.nextRenew) {
+		r.nextRenew = r.head.DueAt // when upkeep closes the step
+	}
+	if len(held.Data) > 0 {
+		return json.Unmarshal(held.Data, &r.progress)
+	}
+	return nil
+}
+
+// upkeep renews the lease when due, sees whether the step has closed, and
+// raises the floor of versions that samples may have.
+func (r *shardRun) upkeep(ctx context.Context) error {
+	now := r.in.cfg.Clock.Now()
+	view := r.in.View()
+	if newest := view.Newest[r.entry.Pool]; newest > r.entry.MaxVersionLag {
+		r.run.Reduce(step.Floor{Version: newest - r.entry.MaxVersionLag})
+	}
+	if now.Before(r.nextRenew) {
+		return nil
+	}
+	if !now.Before(r.head.DueAt) {
+		if err := r.in.closeStep(ctx, r.id.Step, step.Due); err == nil {
+			return errStepClosed
+		}
+	}
+	if err := r.readHead(ctx); errors.Is(err, errStepClosed) || errors.Is(err, platform.ErrNotFound) {
+		return errStepClosed
+	}
+	switch err := r.renew(ctx); {
+	case errors.Is(err, lease.ErrHeld):
+		return errShardLost
+	case err != nil && !now.Before(r.held.ValidUntil):
+		return errShardLost
+	case err != nil:
+		r.nextRenew = now.Add(r.in.cfg.StepTick) // the platform is away; the lease still holds
+	}
+	if err := r.keepAcks(ctx); err != nil {
+		return err
+	}
+	r.resend(ctx)
+	if r.uncounted {
+		return r.closeIfComplete(ctx)
+	}
+	return nil
+}
