entry: an instance that no one counts takes none of a shared engine; examples

Cause: the part of an engine shared with the older system was worked out over the members seen, and an instance that saw none, or not itself (its membership lapsed while it could still read, or taken over), took a part all the same, up to the whole; the counted ones share all of it between them, so the older system lost places.

--- a/pkg/entry/health_test.go
+++ b/pkg/entry/health_test.go
@@ -14,6 +14,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -151,6 +152,33 @@
 	}
 }
 
+// An instance that is not among the members it sees takes none of a shared
+// engine: the others share all of it between them.
+func TestSharedEngineIsNotUsedByAnUncountedInstance(t *testing.T) {
+	s := startSite(t, 2, 1, enginetest.Config{WeightVersion: 1, Slots: 64})
+	p := s.EnginePool("assistant-pool")
+	p.Upstreams[0].MaxInFlight, p.Upstreams[0].OlderSystem = 4, true
+	if err := s.Apply(catalogue.File{Pools: []catalogue.Pool{p}}); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	s.Platform.Put("member/entry-0", lease.Lease{Holder: "another", RenewedAt: now, ExpiresAt: now.Add(time.Hour), Data: []byte(`{"id":"another"}`)})
+	waitFor(t, 5*time.Second, "the instance to miss itself", func() bool {
+		m := s.Entries[0].View().Members
+		return len(m) == 1 && m[0].ID == "another"
+	})
+	before := s.Engines[0].Requests()
+	for i := range 20 {
+		if status, _, last := generate(t, s.Entries[0].Addr(), entry.GenerateRequest{Customer: "minho", Entry: "chat",
+			RequestID: fmt.Sprint("uncounted-", i), Prompt: fmt.Sprint("prompt ", i), MaxTokens: 2}); !last.Done {
+			t.Fatalf("status %d, %+v", status, last)
+		}
+	}
+	if n := s.Engines[0].Requests() - before; n != 0 {
+		t.Fatalf("%d requests to an engine of which this instance has no share", n)
+	}
+}
+
 // A request that waits in a busy engine's queue for longer than the idle
 // timeout is not taken for one on a dead connection: it is answered by that
 // engine, which keeps its good name; so is a stream that stands still while
--- /dev/null
+++ b/pkg/lease/example_test.go
@@ -0,0 +1,35 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+)
+
+// A lease passes to another holder once it has stood unchanged for its time,
+// with a higher fencing number.
+func ExampleKeeper() {
+	hs := httptest.NewServer(platformtest.New().Handler())
+	defer hs.Close()
+	ctx, fake := context.Background(), clock.NewFake(time.Unix(1_800_000_000, 0))
+	keeper := func(holder string) *lease.Keeper {
+		return &lease.Keeper{Table: platform.NewClient(hs.URL, nil), Clock: fake, Name: "rollout/assistant-pool", Holder: holder, TTL: 3 * time.Second}
+	}
+	a, b := keeper("entry-1"), keeper("entry-2")
+	first, _ := a.Take(ctx, nil)
+	_, err := b.Take(ctx, nil)
+	fmt.Println("held by another:", errors.Is(err, lease.ErrHeld))
+	fake.Advance(3 * time.Second) // entry-1 is paused
+	second, err := b.Take(ctx, nil)
+	fmt.Println("taken over:", err == nil, second.Fencing > first.Fencing)
+	// Output:
+	// held by another: true
+	// taken over: true true
+}
--- /dev/null
+++ b/pkg/route/example_test.go
@@ -0,0 +1,21 @@
+package route_test
+
+import (
+	"fmt"
+
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+)
+
+// Requests with the same prefix go to the same engine while it is about as
+// loaded as the least, and to the next in rank when it is not.
+func ExamplePolicy() {
+	policy := route.Policy{Slack: 3}
+	engines := []route.Candidate{{Key: "10.0.1.1:7101"}, {Key: "10.0.1.2:7101"}, {Key: "10.0.1.3:7101"}}
+	first := policy.Pick(engines, "You are a negotiation assistant.")
+	fmt.Println(first == policy.Pick(engines, "You are a negotiation assistant."))
+	engines[first].Load = 8
+	fmt.Println(first == policy.Pick(engines, "You are a negotiation assistant."))
+	// Output:
+	// true
+	// false
+}
