entry: the Client's errors tell the verdict and when to come back

The Client handed on an internal type that an embedder can't read. Its errors are now *verdict.Error: the instance's own verdict and Retry-After, not run if no connection could be made, else may have run. Checked against a draining instance in TestDrainingInstanceTellsCallersToMove. go vet, staticcheck and pkg/entry's step, rollout, call, staleness, drain and version tests passed.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -58,6 +58,7 @@
 // StatusError is an answer whose status was not the one expected.
 type StatusError struct {
 	Status int
+	Header http.Header
 	Body   string
 }
 
@@ -97,7 +98,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
 		b, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
-		return &StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(b))}
+		return &StatusError{Status: resp.StatusCode, Header: resp.Header, Body: string(bytes.TrimSpace(b))}
 	}
 	if out == nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -5,16 +5,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
-// Client speaks to one entry instance, as callers and trainers do.
+// Client speaks to one entry instance, as callers and trainers do. Its errors
+// are *verdict.Error: whether the request may have run, and when to come back.
 type Client struct {
 	base string
 	http *http.Client
@@ -38,7 +43,8 @@
 }
 
 // Generate sends req and reads its answer to the end. An error is of the
-// connection or of an answer that can't be read; refusals are in the Answer.
+// connection or of an answer that can't be read, with what came before it;
+// refusals are in the Answer.
 func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Answer, error) {
 	b, err := json.Marshal(req)
 	if err != nil {
@@ -51,7 +57,7 @@
 	hr.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(hr)
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, clientError(err, time.Now())
 	}
 	defer resp.Body.Close()
 	a := Answer{Status: resp.StatusCode}
@@ -74,42 +80,67 @@
 func (c *Client) Route(ctx context.Context, customer, key string) (RouteAnswer, error) {
 	var ra RouteAnswer
 	q := url.Values{"customer": {customer}, "key": {key}}
-	err := httpjson.Do(ctx, c.http, http.MethodGet, c.base+"/v1/route?"+q.Encode(), nil, &ra)
+	err := c.do(ctx, http.MethodGet, "/v1/route?"+q.Encode(), nil, &ra)
 	return ra, err
 }
 
 // Call sends a plain service call.
 func (c *Client) Call(ctx context.Context, req CallRequest) (CallAnswer, error) {
 	var ans CallAnswer
-	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/call", req, &ans)
+	err := c.do(ctx, http.MethodPost, "/v1/call", req, &ans)
 	return ans, err
 }
 
 // NameWeights names a new weight version for the pool of a training entry.
 // It may be repeated after any error.
 func (c *Client) NameWeights(ctx context.Context, req WeightsRequest) error {
-	return httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/weights", req, nil)
+	return c.do(ctx, http.MethodPost, "/v1/weights", req, nil)
 }
 
 // SubmitStep submits a training step, which is kept once it returns nil. It
 // may be repeated after any error.
 func (c *Client) SubmitStep(ctx context.Context, spec step.Spec) error {
-	return httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/steps", spec, nil)
+	return c.do(ctx, http.MethodPost, "/v1/steps", spec, nil)
 }
 
 // Step returns how far the step id of a customer's entry has got.
 func (c *Client) Step(ctx context.Context, customer, entry, id string) (StepStatus, error) {
 	var st StepStatus
-	err := httpjson.Do(ctx, c.http, http.MethodGet, c.stepURL(customer, entry, id), nil, &st)
+	err := c.do(ctx, http.MethodGet, stepPath(customer, entry, id), nil, &st)
 	return st, err
 }
 
 // CancelStep ends a step: no more of it is delivered. It may be repeated after
 // any error.
 func (c *Client) CancelStep(ctx context.Context, customer, entry, id string) error {
-	return httpjson.Do(ctx, c.http, http.MethodDelete, c.stepURL(customer, entry, id), nil, nil)
+	return c.do(ctx, http.MethodDelete, stepPath(customer, entry, id), nil, nil)
+}
+
+func stepPath(customer, entry, id string) string {
+	return fmt.Sprintf("/v1/steps/%s/%s/%s", url.PathEscape(customer), url.PathEscape(entry), url.PathEscape(id))
 }
 
-func (c *Client) stepURL(customer, entry, id string) string {
-	return fmt.Sprintf("%s/v1/steps/%s/%s/%s", c.base, url.PathEscape(customer), url.PathEscape(entry), url.PathEscape(id))
+// do sends in and decodes the answer into out; either may be nil.
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	return clientError(httpjson.Do(ctx, c.http, method, c.base+path, in, out), time.Now())
+}
+
+// clientError returns err as a *verdict.Error: with the verdict that the
+// instance told, or else not run if no connection could be made.
+func clientError(err error, now time.Time) error {
+	var se *httpjson.StatusError
+	switch {
+	case err == nil:
+		return nil
+	case httpjson.NotSent(err):
+		return verdict.New(verdict.NotRun, 0, err)
+	case !errors.As(err, &se):
+		return verdict.New(verdict.MayHaveRun, 0, err)
+	}
+	v, _ := verdict.Parse(se.Header.Get(verdict.Header)) // Unknown reads as may have run
+	e := verdict.New(v, se.Status, err)
+	if s, err := strconv.Atoi(se.Header.Get("Retry-After")); err == nil {
+		e.RetryAt = now.Add(time.Duration(s) * time.Second)
+	}
+	return e
 }
--- a/pkg/entry/drain_test.go
+++ b/pkg/entry/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -68,6 +69,11 @@
 		resp.Header.Get(entry.MoveHeader) == "" || resp.Header.Get("Retry-After") == "" {
 		t.Fatalf("draining instance answered %d %v", resp.StatusCode, resp.Header)
 	}
+	var refused *verdict.Error
+	_, err = entry.NewClient(s.Entries[1].Addr(), nil).Call(context.Background(), entry.CallRequest{Customer: "minho", Entry: "plans", Method: "balance", Key: "k"})
+	if !errors.As(err, &refused) || refused.Verdict != verdict.NotRun || refused.Status != http.StatusServiceUnavailable || refused.RetryAt.IsZero() {
+		t.Fatalf("the client tells %#v", err)
+	}
 	waitFor(t, 2*time.Second, "its route answers to name the other instance", func() bool {
 		ra, err := entry.NewClient(s.Entries[1].Addr(), nil).Route(context.Background(), "minho", "a")
 		return err == nil && ra.Address == s.Entries[0].Addr()
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/internal/site"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
@@ -64,12 +63,12 @@
 // statusOf returns the status of the answer that err tells of: 200 for nil.
 func statusOf(t testing.TB, err error) int {
 	t.Helper()
-	var se *httpjson.StatusError
+	var e *verdict.Error
 	switch {
 	case err == nil:
 		return http.StatusOK
-	case errors.As(err, &se):
-		return se.Status
+	case errors.As(err, &e) && e.Status != 0:
+		return e.Status
 	}
 	t.Fatal(err)
 	return 0
