--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -35,17 +35,7 @@
 
 // chooseFrom takes a place at the best of ups that has one.
 func (in *Instance) chooseFrom(v *View, ups []catalogue.Upstream, affinity string) (catalogue.Upstream, bool) {
-	cands := make([]route.Candidate, len(ups))
-	addrs := make([]string, len(ups))
-	for i, u := range ups {
-		addrs[i] = u.Address
-	}
-	slowness := in.paces.Slowness(addrs, in.cfg.Clock.Now())
-	for i, u := range ups {
-		// What a request more would wait for, in requests at the usual pace.
-		wait := (in.loadOf(v, u.Address)+1)*slowness[i] - 1
-		cands[i] = route.Candidate{Key: u.Address, Load: wait + in.distance(u)}
-	}
+	cands := in.candidates(v, ups)
 	for len(cands) > 0 {
 		i := in.policy.Pick(cands, affinity)
 		if in.enter(v, ups[i]) {
@@ -57,6 +47,22 @@
 	return catalogue.Upstream{}, false
 }
 
+// candidates returns ups with what one request more would wait for at each,
+// in requests at the usual pace.
+func (in *Instance) candidates(v *View, ups []catalogue.Upstream) []route.Candidate {
+	addrs := make([]string, len(ups))
+	for i, u := range ups {
+		addrs[i] = u.Address
+	}
+	slowness := in.paces.Slowness(addrs, in.cfg.Clock.Now())
+	cands := make([]route.Candidate, len(ups))
+	for i, u := range ups {
+		wait := (in.loadOf(v, u.Address)+1)*slowness[i] - 1
+		cands[i] = route.Candidate{Key: u.Address, Load: wait + in.distance(u)}
+	}
+	return cands
+}
+
 // affinitySlack is how many requests more than the least loaded engine one
 // may hold and still be chosen for its prefix cache. With less, prefixes
 // spread over more caches than can hold them; with more, requests queue at
