read once more: one HTTP client beneath the five, one revised commit, one way to ask the audit trail

What the change had written again, and what it had left behind: - The clients of engines, services, trainers, the platform and entry instances each had the same fields, constructor and request building; httpjson.Client (Send, Do) now serves them, and 'zinnialadder load' uses entry.Client. - weights.Name asked the audit trail after a lost reply in a way of its own; catalogue.Audited serves it and Apply, and compares the very record written. - Remove repeated CommitRevised's attempt; commitOnce serves both. - The oldest version of a sample (Sample.Oldest), deletes (platform.Delete), 'come back in a second' (ten places), the places' key prefix, the parts of a lease's time and StepStatus stood twice or more. - Member.ExpiresAt was set and reset and never read: gone, with sameMembers. - Paces looked each engine up twice for a choice; once now.

--- a/cmd/zinnialadder/load.go
+++ b/cmd/zinnialadder/load.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +17,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/entry"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
 // Bounds of a load run: load tests stay small and on this machine.
@@ -151,25 +149,17 @@
 			}
 		}
 	}
-	b, _ := json.Marshal(entry.GenerateRequest{Customer: s.customer, Entry: s.entryName,
+	a, err := entry.NewClient(s.target, hc).Generate(ctx, entry.GenerateRequest{Customer: s.customer, Entry: s.entryName,
 		RequestID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), i), Prompt: fmt.Sprint("prompt ", i%64), MaxTokens: s.tokens})
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.target+"/v1/generate", bytes.NewReader(b))
-	resp, err := hc.Do(req)
-	if err != nil {
+	switch {
+	case err != nil:
 		return "error", err
+	case a.Last.Done:
+		return verdict.Ran.String(), nil
+	case a.Last.Verdict == nil:
+		return "error", fmt.Errorf("status %d, cut short", a.Status)
 	}
-	defer resp.Body.Close()
-	var last entry.Event
-	sc := bufio.NewScanner(resp.Body)
-	for sc.Scan() {
-		last = entry.Event{}
-		_ = json.Unmarshal(sc.Bytes(), &last)
-	}
-	v := resp.Header.Get("Zinnia-Verdict")
-	if !last.Done {
-		return v, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return v, nil
+	return a.Last.Verdict.String(), fmt.Errorf("status %d: %s", a.Status, a.Last.Error)
 }
 
 func (r loadResult) write(w io.Writer) {
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -68,7 +68,7 @@
 		}
 		m.seen[r.Sample.ID] = true
 		m.whole[r.Sample.Group]++
-		oldest := slices.Min(r.Sample.WeightVersions)
+		oldest := r.Sample.Oldest()
 		lag := m.lagAt(oldest, r.At)
 		m.lag += lag
 		if lag > 0 {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -3,12 +3,9 @@
 package httpjson
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 )
@@ -72,40 +69,3 @@
 	var oe *net.OpError
 	return errors.As(err, &oe) && oe.Op == "dial"
 }
-
-// Do sends in (nil for no body) to url with method and decodes a JSON answer
-// into out (nil to discard it). An answer outside 2xx is a *StatusError.
-func Do(ctx context.Context, c *http.Client, method, url string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("encode request: %w", err)
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
-	if err != nil {
-		return err
-	}
-	if in != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := c.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		b, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
-		return &StatusError{Status: resp.StatusCode, Header: resp.Header, Body: string(bytes.TrimSpace(b))}
-	}
-	if out == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		return nil
-	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return fmt.Errorf("decode answer: %w", err)
-	}
-	return nil
-}
--- a/pkg/catalogue/audit.go
+++ b/pkg/catalogue/audit.go
@@ -1,8 +1,10 @@
 package catalogue
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -29,6 +31,16 @@
 	return platform.Put(fmt.Sprintf("%s%s/%08d", AuditPrefix, ch.Key, ch.Generation), 0, ch)
 }
 
+// Audited reports whether the audit record that op, of AuditOp, writes stands,
+// and so whether the change committed with it was accepted.
+func Audited(ctx context.Context, c *platform.Client, op platform.Op) (bool, error) {
+	kept, err := c.Get(ctx, op.Key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil && bytes.Equal(kept.Value, op.Value), err
+}
+
 // Audit returns the accepted changes of the items whose keys begin with
 // prefix, or of all if it is empty, oldest first per item.
 func Audit(ctx context.Context, c *platform.Client, prefix string) ([]Change, error) {
--- a/pkg/catalogue/remove.go
+++ b/pkg/catalogue/remove.go
@@ -27,20 +27,9 @@
 // pool that entries use is ErrInUse, also when an entry that uses it is
 // added meanwhile.
 func Remove(ctx context.Context, c *platform.Client, key, author string, now time.Time) error {
-	for try := 0; try < removeTries; try++ {
-		rev, version, err := ReadRevision(ctx, c)
-		if err != nil {
-			return err
-		}
-		ops, err := removal(ctx, c, key, author, now)
-		if err != nil {
-			return err
-		}
-		next, err := platform.Put(RevisionKey, version, rev.next(key))
-		if err != nil {
-			return err
-		}
-		_, err = c.Commit(ctx, append(ops, next)...)
+	remove := func() ([]platform.Op, error) { return removal(ctx, c, key, author, now) }
+	for range removeTries {
+		_, err := commitOnce(ctx, c, key, remove)
 		var ce *platform.ConflictError
 		if !errors.As(err, &ce) {
 			return err
--- a/pkg/catalogue/revision.go
+++ b/pkg/catalogue/revision.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
@@ -77,24 +78,36 @@
 // row moved. A failed condition of ops is a *platform.ConflictError; a
 // platform.ErrUnavailable means the outcome is unknown.
 func CommitRevised(ctx context.Context, c *platform.Client, key string, ops ...platform.Op) ([]platform.Row, error) {
-	for try := 0; try < revisionTries; try++ {
-		rev, version, err := ReadRevision(ctx, c)
-		if err != nil {
-			return nil, err
-		}
-		op, err := platform.Put(RevisionKey, version, rev.next(key))
-		if err != nil {
-			return nil, err
-		}
-		rows, err := c.Commit(ctx, append(append([]platform.Op(nil), ops...), op)...)
+	same := func() ([]platform.Op, error) { return ops, nil }
+	for range revisionTries {
+		rows, err := commitOnce(ctx, c, key, same)
 		var ce *platform.ConflictError
 		if errors.As(err, &ce) && ce.Key == RevisionKey {
 			continue
 		}
-		if err != nil {
-			return nil, err
-		}
-		return rows[:len(ops)], nil
+		return rows, err
 	}
 	return nil, fmt.Errorf("%w: the catalogue kept changing under %s", ErrConflict, key)
 }
+
+// commitOnce reads the revision, then asks for the operations, so that what
+// they rest on is no older than the revision, and commits both.
+func commitOnce(ctx context.Context, c *platform.Client, key string, build func() ([]platform.Op, error)) ([]platform.Row, error) {
+	rev, version, err := ReadRevision(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	ops, err := build()
+	if err != nil {
+		return nil, err
+	}
+	next, err := platform.Put(RevisionKey, version, rev.next(key))
+	if err != nil {
+		return nil, err
+	}
+	rows, err := c.Commit(ctx, append(slices.Clone(ops), next)...)
+	if err != nil {
+		return nil, err
+	}
+	return rows[:len(ops)], nil
+}
--- a/pkg/catalogue/store.go
+++ b/pkg/catalogue/store.go
@@ -1,7 +1,6 @@
 package catalogue
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -118,8 +117,7 @@
 // confirm finds out whether a change whose reply was lost was accepted, by
 // its audit record, and returns the item's row if so, or else cause.
 func confirm(ctx context.Context, c *platform.Client, key string, audit platform.Op, cause error) (platform.Row, error) {
-	kept, err := c.Get(ctx, audit.Key)
-	if err != nil || !bytes.Equal(kept.Value, audit.Value) {
+	if ok, err := Audited(ctx, c, audit); err != nil || !ok {
 		return platform.Row{}, cause
 	}
 	return c.Get(ctx, key)
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,17 +18,13 @@
 
 // Client speaks to one engine at an address such as "127.0.0.1:7101".
 type Client struct {
-	base string
-	http *http.Client
+	server httpjson.Client
 }
 
 // NewClient returns a Client for the engine at addr. A nil hc means
 // http.DefaultClient.
 func NewClient(addr string, hc *http.Client) *Client {
-	if hc == nil {
-		hc = http.DefaultClient
-	}
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
 }
 
 // Stream is an open generation. Call Next until it returns io.EOF, then Close.
@@ -46,23 +41,13 @@
 // Generate opens a generation stream. An error from Generate means no
 // chunk was produced; whether the engine started work is unknown.
 func (c *Client) Generate(ctx context.Context, req GenerateRequest) (*Stream, error) {
-	b, err := json.Marshal(req)
-	if err != nil {
-		return nil, err
-	}
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/generate", bytes.NewReader(b))
-	if err != nil {
-		return nil, err
-	}
-	hr.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(hr)
+	resp, err := c.server.Send(ctx, http.MethodPost, "/v1/generate", req)
 	if err != nil {
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		msg, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
-		resp.Body.Close()
-		return nil, &httpjson.StatusError{Status: resp.StatusCode, Body: string(msg)}
+		defer resp.Body.Close()
+		return nil, httpjson.Refused(resp)
 	}
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(make([]byte, 0, 64<<10), httpjson.MaxBody)
@@ -97,7 +82,7 @@
 // It returns ErrStaleFencing for an order with an old fencing number; any
 // other error leaves the outcome unknown.
 func (c *Client) Load(ctx context.Context, o LoadOrder) error {
-	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/load", o, nil)
+	err := c.server.Do(ctx, http.MethodPost, "/v1/load", o, nil)
 	var se *httpjson.StatusError
 	if errors.As(err, &se) && se.Status == http.StatusConflict {
 		return ErrStaleFencing
@@ -108,6 +93,6 @@
 // Report returns the engine's load report.
 func (c *Client) Report(ctx context.Context) (LoadReport, error) {
 	var r LoadReport
-	err := httpjson.Do(ctx, c.http, http.MethodGet, c.base+"/v1/load", nil, &r)
+	err := c.server.Do(ctx, http.MethodGet, "/v1/load", nil, &r)
 	return r, err
 }
--- a/pkg/engine/request.go
+++ b/pkg/engine/request.go
@@ -32,7 +32,7 @@
 // Request returns the status of the request named id.
 func (c *Client) Request(ctx context.Context, id string) (RequestStatus, error) {
 	var st RequestStatus
-	err := httpjson.Do(ctx, c.http, http.MethodGet, c.base+"/v1/requests/"+url.PathEscape(id), nil, &st)
+	err := c.server.Do(ctx, http.MethodGet, "/v1/requests/"+url.PathEscape(id), nil, &st)
 	var se *httpjson.StatusError
 	if errors.As(err, &se) && se.Status == http.StatusNotFound {
 		return RequestStatus{}, ErrNoStatus
--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -32,6 +31,9 @@
 	return e, release, err
 }
 
+// entryPlace goes before an entry's name in the key of its places.
+const entryPlace = "entry:"
+
 // place is one of the limits a request must keep within.
 type place struct {
 	key   string // of the count in Instance.load
@@ -43,7 +45,7 @@
 // customer and its class, to be given back with release.
 func (in *Instance) admitEntry(e catalogue.Entry) (release func(), err error) {
 	places := [...]place{
-		{"entry:" + e.Name, e.Limits.MaxInFlight, "entry " + e.Name},
+		{entryPlace + e.Name, e.Limits.MaxInFlight, "entry " + e.Name},
 		{"customer:" + e.Owner, in.View().Customers[e.Owner].MaxInFlight, "customer " + e.Owner},
 		{"instance", int(classShare[e.Class] * float64(in.cfg.MaxInFlight)), "this instance, for class " + string(e.Class) + ","},
 	}
@@ -55,7 +57,7 @@
 			in.load.release(held.key)
 		}
 		in.stats.refusedAdmission.Inc(1)
-		return nil, verdict.Refuse(http.StatusTooManyRequests, in.cfg.Clock.Now().Add(time.Second),
+		return nil, verdict.Refuse(http.StatusTooManyRequests, in.comeBackAt(),
 			fmt.Errorf("%s is at its limit of %d requests in flight", p.what, p.limit))
 	}
 	return func() {
--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
@@ -71,7 +70,7 @@
 
 // noUpstream is the refusal of a request for which no upstream has a place.
 func (in *Instance) noUpstream(e catalogue.Entry) error {
-	return verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now().Add(time.Second),
+	return verdict.Refuse(http.StatusServiceUnavailable, in.comeBackAt(),
 		fmt.Errorf("entry %s: no upstream of pool %q takes requests", e.Name, e.Pool))
 }
 
--- a/pkg/entry/claim.go
+++ b/pkg/entry/claim.go
@@ -179,6 +179,6 @@
 
 // unsent is the error of a call refused before it was sent.
 func (c *claimer) unsent(err error) error {
-	return verdict.Refuse(http.StatusServiceUnavailable, c.in.cfg.Clock.Now().Add(time.Second),
+	return verdict.Refuse(http.StatusServiceUnavailable, c.in.comeBackAt(),
 		fmt.Errorf("call: not sent: %w", err))
 }
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,17 +20,13 @@
 // Client speaks to one entry instance, as callers and trainers do. Its errors
 // are *verdict.Error: whether the request may have run, and when to come back.
 type Client struct {
-	base string
-	http *http.Client
+	server httpjson.Client
 }
 
 // NewClient returns a Client for the instance at addr, such as
 // "127.0.0.1:7400". A nil hc means http.DefaultClient.
 func NewClient(addr string, hc *http.Client) *Client {
-	if hc == nil {
-		hc = http.DefaultClient
-	}
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
 }
 
 // Answer is what a generation came to. It is whole if Last has Done set;
@@ -46,16 +41,7 @@
 // connection or of an answer that can't be read, with what came before it;
 // refusals are in the Answer.
 func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Answer, error) {
-	b, err := json.Marshal(req)
-	if err != nil {
-		return Answer{}, err
-	}
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/generate", bytes.NewReader(b))
-	if err != nil {
-		return Answer{}, err
-	}
-	hr.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(hr)
+	resp, err := c.server.Send(ctx, http.MethodPost, "/v1/generate", req)
 	if err != nil {
 		return Answer{}, clientError(err, time.Now())
 	}
@@ -122,7 +108,7 @@
 
 // do sends in and decodes the answer into out; either may be nil.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
-	return clientError(httpjson.Do(ctx, c.http, method, c.base+path, in, out), time.Now())
+	return clientError(c.server.Do(ctx, method, path, in, out), time.Now())
 }
 
 // clientError returns err as a *verdict.Error: with the verdict that the
--- a/pkg/entry/deadline.go
+++ b/pkg/entry/deadline.go
@@ -43,5 +43,5 @@
 		return err
 	}
 	return &verdict.Error{Verdict: verdict.Of(err), Status: http.StatusGatewayTimeout,
-		RetryAt: in.cfg.Clock.Now().Add(time.Second), Err: fmt.Errorf("%w: %w", errDeadline, err)}
+		RetryAt: in.comeBackAt(), Err: fmt.Errorf("%w: %w", errDeadline, err)}
 }
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -141,10 +140,7 @@
 func (d Delivery) oldest() uint64 {
 	oldest := uint64(math.MaxUint64)
 	for _, s := range d.Samples {
-		if len(s.WeightVersions) == 0 {
-			return 0
-		}
-		oldest = min(oldest, slices.Min(s.WeightVersions))
+		oldest = min(oldest, s.Oldest())
 	}
 	return oldest
 }
@@ -226,6 +222,6 @@
 	if err != nil {
 		return fmt.Errorf("forget %s: %w", key, err)
 	}
-	_, err = in.cfg.Platform.Commit(ctx, platform.Op{Key: key, ExpectVersion: row.Version, Delete: true})
+	_, err = in.cfg.Platform.Commit(ctx, platform.Delete(key, row.Version))
 	return err
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -88,7 +88,7 @@
 			steps: cfg.StepRefresh,
 			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
 				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
-			rolloutRenew: cfg.RolloutLeaseTTL / 3, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
+			rolloutRenew: cfg.RolloutLeaseTTL / renewalsPerTTL, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
 		events:     make(chan event, 64),
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -108,7 +107,7 @@
 	if !g.reached && g.tokens == 0 {
 		v, status = verdict.NotRun, http.StatusServiceUnavailable
 	}
-	return &verdict.Error{Verdict: v, Status: status, RetryAt: g.in.cfg.Clock.Now().Add(time.Second),
+	return &verdict.Error{Verdict: v, Status: status, RetryAt: g.in.comeBackAt(),
 		Err: fmt.Errorf("generate: gave up: %w", err)}
 }
 
--- a/pkg/entry/reduce_members.go
+++ b/pkg/entry/reduce_members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
@@ -60,7 +61,7 @@
 	}
 	s.sightings = sightings
 	sortMembers(live)
-	if sameMembers(live, s.view.Members) {
+	if slices.Equal(live, s.view.Members) {
 		return s, nil
 	}
 	v := s.view.clone()
@@ -98,7 +99,6 @@
 	if now.Sub(seen.at) >= l.TTL(s.timing.leaseTTL)+s.memberPeriod() {
 		return Member{}, false
 	}
-	m.ExpiresAt = l.ExpiresAt
 	return m, true
 }
 
@@ -127,20 +127,6 @@
 	return s, nil
 }
 
-func sameMembers(a, b []Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		x, y := a[i], b[i]
-		x.ExpiresAt, y.ExpiresAt = time.Time{}, time.Time{}
-		if x != y {
-			return false
-		}
-	}
-	return true
-}
-
 // onInstances applies changes of the platform's list of upstream instances.
 func (s state) onInstances(e instancesRead) (state, []effect) {
 	s = s.ended(task{kind: instancesTask})
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -46,7 +46,7 @@
 	if len(members) == 0 {
 		members = []Member{in.self} // membership not read yet: answer for ourselves
 		if in.View().Draining {
-			in.fail(w, verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now().Add(time.Second), errNoInstance))
+			in.fail(w, verdict.Refuse(http.StatusServiceUnavailable, in.comeBackAt(), errNoInstance))
 			return
 		}
 	}
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
@@ -61,6 +63,12 @@
 	Verdict verdict.Verdict `json:"verdict"`
 }
 
+// comeBackIn is how long callers are told to wait before they try again what
+// was refused or failed.
+const comeBackIn = time.Second
+
+func (in *Instance) comeBackAt() time.Time { return in.cfg.Clock.Now().Add(comeBackIn) }
+
 // fail answers err with its verdict, status and Retry-After at once.
 func (in *Instance) fail(w http.ResponseWriter, err error) {
 	ve := asVerdictError(err)
@@ -154,7 +162,7 @@
 func (f *inFlight) total() int64 {
 	var n int64
 	f.m.Range(func(k, v any) bool {
-		if s, ok := k.(string); ok && len(s) > 6 && s[:6] == "entry:" {
+		if s, ok := k.(string); ok && strings.HasPrefix(s, entryPlace) {
 			n += v.(*atomic.Int64).Load()
 		}
 		return true
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -56,7 +56,7 @@
 
 // refuse is the NotRun error of a call that reached no service.
 func (c *serviceCall) refuse(err error) error {
-	return verdict.Refuse(http.StatusServiceUnavailable, c.in.cfg.Clock.Now().Add(time.Second), fmt.Errorf("call: not run: %w", err))
+	return verdict.Refuse(http.StatusServiceUnavailable, c.in.comeBackAt(), fmt.Errorf("call: not run: %w", err))
 }
 
 // outcome is how one copy of a call ended.
--- a/pkg/entry/stepdeliver.go
+++ b/pkg/entry/stepdeliver.go
@@ -90,7 +90,7 @@
 	r.sending[group] = true
 	r.in.later(ctx, d, func(ctx context.Context) error {
 		learned, err := r.in.deliver(ctx, d)
-		a := ack{group: group, failed: err != nil, learned: learned, row: platform.Op{Key: d.Key, ExpectVersion: version, Delete: true}}
+		a := ack{group: group, failed: err != nil, learned: learned, row: platform.Delete(d.Key, version)}
 		select {
 		case r.acked <- a:
 			return err
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -25,6 +25,10 @@
 	Closed    step.Reason `json:"closed,omitempty"`
 }
 
+func stepStatus(head step.Head, delivered int) StepStatus {
+	return StepStatus{Desired: head.Desired, Groups: head.Groups, Delivered: delivered, DueAt: head.DueAt, Closed: head.Closed}
+}
+
 // serveStep answers POST /v1/steps: 202 once the step is kept, also if it
 // was kept before; from then on it runs whatever becomes of this instance.
 func (in *Instance) serveStep(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +44,7 @@
 		return
 	}
 	w.Header().Set(verdict.Header, verdict.Ran.String())
-	httpjson.Write(w, http.StatusAccepted, StepStatus{Desired: head.Desired, Groups: head.Groups, DueAt: head.DueAt, Closed: head.Closed})
+	httpjson.Write(w, http.StatusAccepted, stepStatus(head, 0))
 }
 
 func (in *Instance) acceptStep(ctx context.Context, spec step.Spec) (step.Head, error) {
@@ -121,7 +125,7 @@
 
 // unkept is the error of a step that the platform did not confirm.
 func (in *Instance) unkept(v verdict.Verdict, err error) error {
-	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.cfg.Clock.Now().Add(time.Second),
+	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.comeBackAt(),
 		Err: fmt.Errorf("step: not kept: %w", err)}
 }
 
@@ -138,7 +142,7 @@
 		in.fail(w, in.stepError(key, err))
 		return
 	}
-	httpjson.Write(w, http.StatusOK, StepStatus{Desired: head.Desired, Groups: head.Groups, Delivered: n, DueAt: head.DueAt, Closed: head.Closed})
+	httpjson.Write(w, http.StatusOK, stepStatus(head, n))
 }
 
 // serveStepCancel answers DELETE /v1/steps/{customer}/{entry}/{id}: 204 once
@@ -157,7 +161,7 @@
 		return verdict.New(verdict.NotRun, http.StatusNotFound, fmt.Errorf("no step %s", key))
 	}
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable,
-		RetryAt: in.cfg.Clock.Now().Add(time.Second), Err: err}
+		RetryAt: in.comeBackAt(), Err: err}
 }
 
 func (in *Instance) readHead(ctx context.Context, key string) (step.Head, uint64, error) {
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -129,7 +129,7 @@
 		case !errors.Is(err, lease.ErrHeld):
 			return err
 		}
-		if err := sleep(ctx, r.keeper.TTL/3); err != nil {
+		if err := sleep(ctx, r.keeper.TTL/renewalsPerTTL); err != nil {
 			return err
 		}
 		if err := r.readHead(ctx); err != nil {
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -85,7 +85,7 @@
 func (in *Instance) removeAll(ctx context.Context, rows []platform.Row) error {
 	ops := make([]platform.Op, len(rows))
 	for i, row := range rows {
-		ops[i] = platform.Op{Key: row.Key, ExpectVersion: row.Version, Delete: true}
+		ops[i] = platform.Delete(row.Key, row.Version)
 	}
 	_, err := in.commit(ctx, ops...)
 	return err
@@ -182,7 +182,7 @@
 // remove deletes rows as they were read; a row changed since is left alone.
 func (in *Instance) remove(ctx context.Context, rows ...platform.Row) error {
 	for _, row := range rows {
-		_, err := in.commit(ctx, platform.Op{Key: row.Key, ExpectVersion: row.Version, Delete: true})
+		_, err := in.commit(ctx, platform.Delete(row.Key, row.Version))
 		var ce *platform.ConflictError
 		if err != nil && !errors.As(err, &ce) {
 			return err
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"sort"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
@@ -15,12 +14,11 @@
 
 // Member is an entry instance as seen through its membership lease.
 type Member struct {
-	ID         string    `json:"id"`
-	Address    string    `json:"address"` // where callers connect
-	Peer       string    `json:"peer"`    // where other instances connect
-	DataCentre string    `json:"data_centre"`
-	Draining   bool      `json:"draining"`
-	ExpiresAt  time.Time `json:"-"`
+	ID         string `json:"id"`
+	Address    string `json:"address"` // where callers connect
+	Peer       string `json:"peer"`    // where other instances connect
+	DataCentre string `json:"data_centre"`
+	Draining   bool   `json:"draining"`
 }
 
 // View is the control state that traffic reads: published whole by the
--- a/pkg/entry/weights.go
+++ b/pkg/entry/weights.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -57,7 +56,7 @@
 	case err != nil:
 		// The write may have taken effect; naming the version again is safe.
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable,
-			RetryAt: in.cfg.Clock.Now().Add(time.Second), Err: err}
+			RetryAt: in.comeBackAt(), Err: err}
 	}
 	in.post(ctx, hinted{changed: true})
 	return nil
--- a/pkg/health/pace.go
+++ b/pkg/health/pace.go
@@ -65,20 +65,22 @@
 func (p *Paces) Slowness(addrs []string, now time.Time) []float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := make([]time.Duration, 0, len(addrs))
-	for _, a := range addrs {
+	out := make([]float64, len(addrs)) // first the times, 0 for those not known
+	known := make([]float64, 0, len(addrs))
+	for i, a := range addrs {
 		if d, ok := p.known(a, now); ok {
-			known = append(known, d)
+			out[i] = float64(d)
+			known = append(known, out[i])
 		}
 	}
 	slices.Sort(known)
-	out := make([]float64, len(addrs))
-	for i, a := range addrs {
+	for i, d := range out {
 		out[i] = 1
-		if d, ok := p.known(a, now); ok {
-			if ratio := float64(d) / float64(known[(len(known)-1)/2]); ratio >= p.slowFrom {
-				out[i] = min(ratio, maxSlowness)
-			}
+		if d == 0 {
+			continue
+		}
+		if ratio := d / known[(len(known)-1)/2]; ratio >= p.slowFrom {
+			out[i] = min(ratio, maxSlowness)
 		}
 	}
 	return out
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -12,17 +12,13 @@
 
 // Client speaks to one platform endpoint. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	server httpjson.Client
 }
 
 // NewClient returns a Client for the platform at base, such as
 // "http://127.0.0.1:7000". A nil hc means http.DefaultClient.
 func NewClient(base string, hc *http.Client) *Client {
-	if hc == nil {
-		hc = http.DefaultClient
-	}
-	return &Client{base: base, http: hc}
+	return &Client{server: httpjson.NewClient(base, hc)}
 }
 
 // Get returns the row at key, or ErrNotFound.
@@ -72,7 +68,7 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
-	err := httpjson.Do(ctx, c.http, method, c.base+path, in, out)
+	err := c.server.Do(ctx, method, path, in, out)
 	if err == nil {
 		return nil
 	}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -85,6 +85,11 @@
 	return Op{Key: key, ExpectVersion: expect, CheckOnly: true}
 }
 
+// Delete returns an Op that deletes the row under key if it is at expect.
+func Delete(key string, expect uint64) Op {
+	return Op{Key: key, ExpectVersion: expect, Delete: true}
+}
+
 // Put returns an Op that writes v as JSON under key if the row is at
 // expect (zero: absent).
 func Put(key string, expect uint64, v any) (Op, error) {
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -26,17 +26,13 @@
 
 // Client speaks to one service at an address such as "127.0.0.1:7201".
 type Client struct {
-	base string
-	http *http.Client
+	server httpjson.Client
 }
 
 // NewClient returns a Client for the service at addr. A nil hc means
 // http.DefaultClient.
 func NewClient(addr string, hc *http.Client) *Client {
-	if hc == nil {
-		hc = http.DefaultClient
-	}
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
 }
 
 // Call invokes method with body under key and returns the answer's body.
@@ -48,7 +44,7 @@
 // otherwise resend a request bearing an Idempotency-Key header by itself
 // when a reused connection breaks before the answer.
 func (c *Client) Call(ctx context.Context, method, key string, idempotent bool, body json.RawMessage) (json.RawMessage, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/calls/"+method, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.server.Base+"/v1/calls/"+method, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +53,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(KeyHeader, key)
-	resp, err := c.http.Do(req)
+	resp, err := c.server.HTTP.Do(req)
 	if httpjson.NotSent(err) {
 		return nil, verdict.New(verdict.NotRun, http.StatusBadGateway, err)
 	}
--- a/pkg/step/run.go
+++ b/pkg/step/run.go
@@ -322,7 +322,7 @@
 }
 
 func tooOld(s trainer.Sample, floor uint64) bool {
-	return len(s.WeightVersions) == 0 || slices.Min(s.WeightVersions) < floor
+	return s.Oldest() == 0 || s.Oldest() < floor
 }
 
 func sortedIndex(ds []time.Duration, d time.Duration) int {
--- a/pkg/trainer/trainer.go
+++ b/pkg/trainer/trainer.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 )
@@ -30,6 +31,15 @@
 	Text           string   `json:"text"`
 }
 
+// Oldest returns the oldest weight version that produced s, or 0 if s names
+// none.
+func (s Sample) Oldest() uint64 {
+	if len(s.WeightVersions) == 0 {
+		return 0
+	}
+	return slices.Min(s.WeightVersions)
+}
+
 // Group is a batch of samples sent together.
 type Group struct {
 	Samples []Sample `json:"samples"`
@@ -49,23 +59,19 @@
 
 // Client speaks to one trainer at an address such as "127.0.0.1:7301".
 type Client struct {
-	base string
-	http *http.Client
+	server httpjson.Client
 }
 
 // NewClient returns a Client for the trainer at addr. A nil hc means
 // http.DefaultClient.
 func NewClient(addr string, hc *http.Client) *Client {
-	if hc == nil {
-		hc = http.DefaultClient
-	}
-	return &Client{base: "http://" + addr, http: hc}
+	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
 }
 
 // Deliver sends g and returns the trainer's Ack. An error means the
 // delivery's outcome is unknown; delivering again is safe.
 func (c *Client) Deliver(ctx context.Context, g Group) (Ack, error) {
 	var a Ack
-	err := httpjson.Do(ctx, c.http, http.MethodPost, c.base+"/v1/samples", g, &a)
+	err := c.server.Do(ctx, http.MethodPost, "/v1/samples", g, &a)
 	return a, err
 }
--- a/pkg/trainer/trainertest/server.go
+++ b/pkg/trainer/trainertest/server.go
@@ -102,7 +102,7 @@
 	}
 	ack := trainer.Ack{New: []string{}, Duplicate: []string{}}
 	stale := slices.ContainsFunc(g.Samples, func(smp trainer.Sample) bool {
-		return s.received[smp.ID] == nil && slices.Min(smp.WeightVersions)+g.MaxVersionLag < s.newest
+		return s.received[smp.ID] == nil && smp.Oldest()+g.MaxVersionLag < s.newest
 	})
 	for _, smp := range g.Samples {
 		rec := s.received[smp.ID]
--- a/pkg/weights/target.go
+++ b/pkg/weights/target.go
@@ -50,7 +50,7 @@
 // ErrOlder.
 func Name(ctx context.Context, c *platform.Client, t Target) error {
 	var last error
-	unknown := false // whether an earlier try may have written t
+	var unsure []platform.Op // audit records of tries that may have written t
 	for range nameTries {
 		row, err := c.Get(ctx, TargetPrefix+t.Pool)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
@@ -65,48 +65,45 @@
 				return nil
 			}
 			if cur.Version > t.Version {
-				return older(ctx, c, cur, t, unknown)
+				return older(ctx, c, cur, t, unsure)
 			}
 		}
-		if last = replace(ctx, c, row, t); last == nil {
+		var audit platform.Op
+		if audit, last = replace(ctx, c, row, t); last == nil {
 			return nil
 		}
-		unknown = unknown || errors.Is(last, platform.ErrUnavailable)
+		if errors.Is(last, platform.ErrUnavailable) {
+			unsure = append(unsure, audit)
+		}
 	}
 	return last
 }
 
 // older returns the outcome of naming t when cur, which is newer, is in force:
-// nil if t may have been written and its audit record tells that it was, and
-// else ErrOlder.
-func older(ctx context.Context, c *platform.Client, cur, t Target, mayBeWritten bool) error {
-	refused := fmt.Errorf("%w: pool %s is at %d, not %d", ErrOlder, t.Pool, cur.Version, t.Version)
-	if !mayBeWritten {
-		return refused
-	}
-	trail, err := catalogue.Audit(ctx, c, fmt.Sprintf("%s%s/%08d", TargetPrefix, t.Pool, t.Version))
-	switch {
-	case err != nil:
-		return err
-	case len(trail) == 0 || trail[0].Author != t.Author || !trail[0].At.Equal(t.NamedAt):
-		return refused
+// nil if one of the unsure audit records stands, so that t was in force
+// before, and else ErrOlder.
+func older(ctx context.Context, c *platform.Client, cur, t Target, unsure []platform.Op) error {
+	for _, audit := range unsure {
+		if ok, err := catalogue.Audited(ctx, c, audit); ok || err != nil {
+			return err
+		}
 	}
-	return nil
+	return fmt.Errorf("%w: pool %s is at %d, not %d", ErrOlder, t.Pool, cur.Version, t.Version)
 }
 
 // replace writes t over row, the target of its pool as last read, together
-// with the audit record.
-func replace(ctx context.Context, c *platform.Client, row platform.Row, t Target) error {
+// with the audit record, which it returns.
+func replace(ctx context.Context, c *platform.Client, row platform.Row, t Target) (audit platform.Op, err error) {
 	key := TargetPrefix + t.Pool
 	put, err := platform.Put(key, row.Version, t)
 	if err != nil {
-		return err
+		return platform.Op{}, err
 	}
-	audit, err := catalogue.AuditOp(catalogue.Change{Key: key, Generation: t.Version, Author: t.Author, At: t.NamedAt,
+	audit, err = catalogue.AuditOp(catalogue.Change{Key: key, Generation: t.Version, Author: t.Author, At: t.NamedAt,
 		Before: string(row.Value), After: string(put.Value)})
 	if err != nil {
-		return err
+		return platform.Op{}, err
 	}
 	_, err = catalogue.CommitRevised(ctx, c, key, put, audit)
-	return err
+	return audit, err
 }
