--- /dev/null
+++ b/cmd/zinnialadder/node.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/internal/logs"
+	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/platform"
+)
+
+const (
+	// shutdownShare is the part of the grace that is left for requests under
+	// way when a node has drained.
+	shutdownShare = 8
+	// memoryShare is the part of its memory limit from which on a node
+	// collects garbage harder.
+	memoryShare = 0.6
+)
+
+func nodeCmd() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "node",
+		Short: "Run an instance on the users' platform",
+		Long: "Run an instance on the users' platform. Its settings file is the platform's; its path is\n" +
+			"taken from --settings or from the environment variable " + platform.SettingsVariable + ".",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			if path == "" {
+				return fmt.Errorf("no settings: give --settings or set %s", platform.SettingsVariable)
+			}
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signalContext()
+			defer stop()
+			return runNode(ctx, s)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "the platform's settings file")
+	return cmd
+}
+
+// runNode runs a node and the servers of its interfaces until ctx ends and it
+// has drained.
+func runNode(ctx context.Context, s platform.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	out := logs.NewWriter(os.Stdout)
+	defer out.Close()
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: log.InfoLevel}).With("node", s.Node)
+	n := node.New(node.Config{
+		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, Store: platform.NewStore(s.Store), Engines: platform.NewEngines(),
+		Decoder: platform.Decoder(), Logger: logger, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, Grace: s.Grace,
+	})
+	callers := platform.NewCallers(n)
+	var group errgroup.Group
+	var servers []*http.Server
+	for _, part := range []struct {
+		address string
+		handler http.Handler
+	}{{s.Callers, callers.Front()}, {s.Ready, callers.ReadyHandler()}, {s.Addresses, callers.AddressHandler()}} {
+		srv, err := startServer(&group, part.address, part.handler)
+		if err != nil {
+			return err
+		}
+		servers = append(servers, srv)
+	}
+	err := n.Run(ctx)
+	sctx, cancel := context.WithTimeout(context.Background(), s.Grace/shutdownShare)
+	defer cancel()
+	for _, srv := range servers {
+		err = errors.Join(err, srv.Shutdown(sctx))
+	}
+	return errors.Join(err, group.Wait())
+}
+
+// startServer serves h at address in group.
+func startServer(group *errgroup.Group, address string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen %s: %w", address, err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	group.Go(func() error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return srv, nil
+}
+
+const (
+	// headerTimeout bounds how long a caller may take to send a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's idle connection is kept: longer than
+	// callers keep theirs, so that none is closed as a request is on its way.
+	idleTimeout = 2 * time.Minute
+)
--- /dev/null
+++ b/pkg/feed/feed.go
@@ -0,0 +1,123 @@
+// Package feed follows tables of the platform's store: it reads a table once,
+// then what changes in it, and tells when the store is away.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+const (
+	// scanRows is how many rows are asked for in one call, the most that the
+	// store answers.
+	scanRows = 500
+	// minBackoff and maxBackoff bound the pause after a failed call, which
+	// doubles and of which a half is drawn, so that instances that lost the
+	// store together do not return together.
+	minBackoff = 80 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+)
+
+// Update is what a Follower learned at At.
+type Update struct {
+	Table string
+	At    time.Time
+	// Reset means that Changes hold the whole table.
+	Reset   bool
+	Changes []platform.Change
+	// Err means that the store could not be asked; Changes are empty.
+	Err error
+}
+
+// Follower follows one table.
+type Follower struct {
+	Store platform.Follower
+	Table string
+	// Prefixes cover the keys of the table, one for each partition.
+	Prefixes []string
+	// Wait is how long the store holds a call until there is a change, and so
+	// how often an idle table tells that the store is there.
+	Wait time.Duration
+	// Pause is the least time between two calls, so that changes in quick
+	// succession are read together.
+	Pause time.Duration
+	// Tell is given each Update, in order.
+	Tell func(Update)
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	backoff := minBackoff
+	failed := func(err error) {
+		f.Tell(Update{Table: f.Table, At: time.Now(), Err: err})
+		sleep(ctx, backoff/2+rand.N(backoff/2))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	for ctx.Err() == nil {
+		rows, version, err := f.scan(ctx)
+		if err != nil {
+			failed(err)
+			continue
+		}
+		backoff = minBackoff
+		f.Tell(Update{Table: f.Table, At: time.Now(), Reset: true, Changes: rows})
+		for ctx.Err() == nil {
+			ch, err := f.Store.Changes(ctx, f.Table, version, f.Wait)
+			if errors.Is(err, platform.ErrHistoryGone) {
+				break
+			}
+			if err != nil {
+				failed(err)
+				continue
+			}
+			backoff = minBackoff
+			version = ch.Version
+			f.Tell(Update{Table: f.Table, At: time.Now(), Changes: ch.Rows})
+			sleep(ctx, f.Pause)
+		}
+	}
+	return nil
+}
+
+// scan reads the whole table. The version is one after which changes are to be
+// followed; some of them may be in the rows already.
+func (f *Follower) scan(ctx context.Context) ([]platform.Change, uint64, error) {
+	var out []platform.Change
+	var version uint64
+	for _, prefix := range f.Prefixes {
+		from := ""
+		for {
+			page, err := f.Store.ScanFrom(ctx, prefix, from, scanRows)
+			if err != nil {
+				return nil, 0, err
+			}
+			if version == 0 || page.Version < version {
+				version = page.Version
+			}
+			for _, row := range page.Rows {
+				out = append(out, platform.Change{Row: row})
+			}
+			if !page.More || len(page.Rows) == 0 {
+				break
+			}
+			from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		}
+	}
+	return out, version, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pkg/forward/forward.go
@@ -0,0 +1,156 @@
+// Package forward sends callers' requests to upstreams: it chooses the
+// upstream, tries again where that is allowed, and tells whether a request
+// that got no answer may have run.
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Request is a request as its caller sent it.
+type Request struct {
+	ID     string
+	Method string
+	URI    string // path and query, as sent
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when its caller stops waiting; zero if the caller did not say.
+	Deadline time.Time
+}
+
+// Answer is the whole answer of an upstream.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Stamp  string // the upstream's proof that it served the request
+}
+
+// Errors of one attempt. An error that is neither may have run the request.
+var (
+	// ErrNotRun means that the request did not run, as the upstream had no
+	// room for it or took no connection.
+	ErrNotRun = errors.New("forward: not run")
+	// ErrMisdirected is an ErrNotRun: another upstream has the address.
+	ErrMisdirected = fmt.Errorf("%w: another upstream has the address", ErrNotRun)
+	// ErrUnreachable is an ErrNotRun: the upstream took no connection.
+	ErrUnreachable = fmt.Errorf("%w: upstream takes no connection", ErrNotRun)
+)
+
+// Transport sends one request to one upstream and returns its whole answer,
+// with the load that the upstream told, if any. It also returns answers whose
+// status tells a failure; errors mean that there is no answer of the upstream's.
+type Transport interface {
+	Send(ctx context.Context, to upstream.Entry, r Request) (Answer, *upstream.Load, error)
+}
+
+// Config configures a Forwarder.
+type Config struct {
+	Transport Transport
+	Registry  *upstream.Registry
+	// Observe is told of each attempt that has ended; nil for none.
+	Observe func(Attempt)
+}
+
+// Attempt is one try of a request at an upstream.
+type Attempt struct {
+	Request  string // its ID
+	Route    string
+	Upstream string
+	Number   int
+	Status   int // 0 without an answer
+	Took     time.Duration
+	Err      error
+}
+
+// Forwarder forwards requests whose answers are sent whole.
+type Forwarder struct {
+	cfg Config
+}
+
+// New returns a Forwarder.
+func New(cfg Config) *Forwarder {
+	if cfg.Observe == nil {
+		cfg.Observe = func(Attempt) {}
+	}
+	return &Forwarder{cfg: cfg}
+}
+
+// Do forwards r by route rt and returns the upstream's answer, or a
+// *verdict.Error that tells whether r may have run.
+func (f *Forwarder) Do(ctx context.Context, rt routetable.Route, r Request) (Answer, error) {
+	begun := time.Now()
+	plan := NewPlan(rt, begun, r.Deadline)
+	r.Deadline = plan.AnswerBy
+	ctx, cancel := context.WithDeadline(ctx, plan.AnswerBy)
+	defer cancel()
+	pool := rt.Pick(rand.Float64())
+	for {
+		now := time.Now()
+		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried()})
+		if !ok && len(plan.Tried()) > 0 && plan.MayRepeat() {
+			// Each upstream has been tried: one that had no room may have some now.
+			t, ok = f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now})
+		}
+		if !ok {
+			return plan.end(now, errors.New("no upstream can take the request"))
+		}
+		a, err := f.attempt(ctx, plan, t, rt, r)
+		done, err := plan.Ended(t.ID, a.Status, err, time.Now())
+		switch {
+		case done && err == nil:
+			return a, nil
+		case done:
+			return plan.end(time.Now(), err)
+		}
+	}
+}
+
+// attempt tries r once at the ticket's upstream.
+func (f *Forwarder) attempt(ctx context.Context, plan *Plan, t *upstream.Ticket, rt routetable.Route, r Request) (Answer, error) {
+	begun := time.Now()
+	actx, cancel := context.WithDeadline(ctx, plan.AttemptUntil(begun))
+	defer cancel()
+	a, load, err := f.cfg.Transport.Send(actx, t.Entry, r)
+	now := time.Now()
+	rep := upstream.Report{At: now, Load: load}
+	switch {
+	case err == nil:
+		rep.Pace = now.Sub(begun)
+		rep.Failed = a.Status >= http.StatusInternalServerError
+	case errors.Is(err, ErrMisdirected):
+		rep.Gone = true
+	case errors.Is(err, ErrUnreachable):
+		rep.Unreachable = true
+	case errors.Is(err, ErrNotRun):
+		rep.Busy, rep.BusyUntil = true, now.Add(busyPause)
+	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
+		// The caller left: that says nothing of the upstream.
+	default:
+		rep.Failed = true
+	}
+	t.Done(rep)
+	f.cfg.Observe(Attempt{Request: r.ID, Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: now.Sub(begun), Err: err})
+	return a, err
+}
+
+// end returns the error of a request that gets no answer of an upstream.
+func (p *Plan) end(now time.Time, cause error) (Answer, error) {
+	switch {
+	case p.ran > 0 && !now.Before(p.AnswerBy):
+		return Answer{}, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, cause)
+	case p.ran > 0:
+		return Answer{}, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, cause)
+	}
+	return Answer{}, verdict.Refuse(http.StatusServiceUnavailable, now.Add(returnAfter), cause)
+}
--- /dev/null
+++ b/pkg/forward/plan.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+)
+
+const (
+	// defaultWait bounds a request for which neither its caller nor its route
+	// sets a time.
+	defaultWait = 10 * time.Second
+	// answerMargin is how long before the end of the caller's time the answer
+	// leaves, so that it arrives in time.
+	answerMargin = 20 * time.Millisecond
+	// busyPause is how long an upstream that had no room is left alone: a few
+	// of its requests end in that time.
+	busyPause = 60 * time.Millisecond
+	// returnAfter is when a caller may come back that no upstream could serve:
+	// upstreams that had no room have some then, and entries that were missing
+	// are read again.
+	returnAfter = 300 * time.Millisecond
+	// patience is how many objectives an attempt may take before a request
+	// that may be repeated is tried elsewhere; at its objective an answer is
+	// late but an upstream that is only busy still gives it.
+	patience = 3
+	// minPatience bounds the patience for routes with short objectives or none.
+	minPatience = 300 * time.Millisecond
+	// extraRefusals is how many upstreams beyond the route's attempts may
+	// say that they did not run a request: such an attempt cost them nothing.
+	extraRefusals = 3
+)
+
+// Plan decides how often and for how long a request is tried. It answers an
+// upstream that has gone dark, whose requests would otherwise wait for their
+// deadline, without sending a request to more upstreams than its route allows.
+type Plan struct {
+	AnswerBy time.Time // the caller has its answer by then
+	route    routetable.Route
+	tried    []string // upstreams, in order
+	ran      int      // attempts that may have run
+	refused  int      // attempts that did not run
+}
+
+// NewPlan returns the plan of a request of route rt that came at now; deadline
+// is its caller's, or zero.
+func NewPlan(rt routetable.Route, now, deadline time.Time) *Plan {
+	by := now.Add(defaultWait)
+	if rt.Timeout > 0 {
+		by = now.Add(rt.Timeout)
+	}
+	if !deadline.IsZero() && deadline.Before(by) {
+		by = deadline
+	}
+	return &Plan{AnswerBy: by.Add(-answerMargin), route: rt}
+}
+
+// Tried returns the upstreams that the request was sent to.
+func (p *Plan) Tried() []string { return p.tried }
+
+// MayRepeat reports whether the request may be sent once more, now that
+// attempts have ended as they did.
+func (p *Plan) MayRepeat() bool {
+	if p.ran > 0 && p.route.Kind != routetable.Idempotent {
+		return false
+	}
+	return p.ran < p.route.MaxAttempts && p.refused < p.route.MaxAttempts+extraRefusals
+}
+
+// AttemptUntil returns when an attempt begun at now is given up. The last one
+// has all the time that is left.
+func (p *Plan) AttemptUntil(now time.Time) time.Time {
+	if p.route.Kind != routetable.Idempotent || p.ran+1 >= p.route.MaxAttempts {
+		return p.AnswerBy
+	}
+	left := p.AnswerBy.Sub(now)
+	limit := max(patience*p.route.Objective, minPatience)
+	return now.Add(min(limit, left/2))
+}
+
+// Ended tells how an attempt ended, and reports whether the request is done:
+// with the answer of that attempt if the error is nil.
+func (p *Plan) Ended(upstreamID string, status int, err error, now time.Time) (bool, error) {
+	if !slices.Contains(p.tried, upstreamID) {
+		p.tried = append(p.tried, upstreamID)
+	}
+	if err == nil {
+		p.ran++
+		again := status >= http.StatusInternalServerError && p.MayRepeat() && now.Before(p.AnswerBy)
+		return !again, nil
+	}
+	if errors.Is(err, ErrNotRun) {
+		p.refused++
+	} else {
+		p.ran++
+	}
+	if !p.MayRepeat() || !now.Before(p.AnswerBy) {
+		return true, err
+	}
+	return false, nil
+}
--- /dev/null
+++ b/pkg/membership/membership.go
@@ -0,0 +1,166 @@
+// Package membership tells which instances there are. Each keeps a row in the
+// platform's store that it rewrites periodically; one whose row has stood
+// unchanged for too long, by the reader's own clock, is taken for gone.
+package membership
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+const (
+	// Table is the table of the members' rows.
+	Table = "members"
+	// minPeriod is the least time between two renewals of a row.
+	minPeriod = time.Second
+	// renewals is how many renewals a second all members make together at the
+	// most: a tenth of what one partition of the store takes, and few enough
+	// for each member to read.
+	renewals = 20
+	// missedPeriods is how many periods a row may stand unchanged; one call may
+	// be lost and the next be slow.
+	missedPeriods = 3
+	// readingSlack is added, as rows are read in intervals.
+	readingSlack = 700 * time.Millisecond
+)
+
+// Prefix returns the prefix of the members' keys.
+func Prefix() string { return Table + "//" }
+
+// Key returns the key of the row of the instance named name.
+func Key(name string) string { return Prefix() + name }
+
+// Member is an instance as its row tells it.
+type Member struct {
+	Name       string `json:"-"`
+	Start      string `json:"-"`       // the holder of the row: one for each start of the instance
+	Address    string `json:"address"` // where callers connect
+	DataCentre string `json:"data_centre"`
+	Draining   bool   `json:"draining,omitempty"`
+}
+
+// Start returns what identifies one start of the instance named name.
+func Start(name string, at time.Time) string { return fmt.Sprintf("%s#%d", name, at.UnixNano()) }
+
+// NameOf returns the name of the instance that start is one of.
+func NameOf(start string) string {
+	name, _, _ := strings.Cut(start, "#")
+	return name
+}
+
+// Period returns how often members renew their rows when there are n of them.
+func Period(n int) time.Duration {
+	return max(minPeriod, time.Duration(n)*time.Second/renewals)
+}
+
+// View is what an instance knows of the members. It is not safe for
+// concurrent use.
+type View struct {
+	members map[string]*seen
+}
+
+type seen struct {
+	Member
+	version   uint64
+	changedAt time.Time
+}
+
+// NewView returns an empty View.
+func NewView() *View { return &View{members: map[string]*seen{}} }
+
+// Apply takes changes of the table read at at.
+func (v *View) Apply(changes []platform.Change, reset bool, at time.Time) error {
+	if reset {
+		kept := map[string]*seen{}
+		for _, ch := range changes {
+			name := strings.TrimPrefix(ch.Key, Prefix())
+			if s := v.members[name]; s != nil {
+				kept[name] = s
+			}
+		}
+		v.members = kept
+	}
+	var first error
+	for _, ch := range changes {
+		name := strings.TrimPrefix(ch.Key, Prefix())
+		if ch.Deleted {
+			delete(v.members, name)
+			continue
+		}
+		if err := v.put(name, ch.Row, at); err != nil {
+			first = errors.Join(first, err)
+		}
+	}
+	return first
+}
+
+func (v *View) put(name string, row platform.Row, at time.Time) error {
+	if s := v.members[name]; s != nil && s.version == row.Version {
+		return nil
+	}
+	l, err := lease.Decode(row)
+	if err != nil {
+		return err
+	}
+	m := Member{}
+	if err := json.Unmarshal(l.Data, &m); err != nil {
+		return fmt.Errorf("membership: %s: %w", name, err)
+	}
+	m.Name, m.Start = name, l.Holder
+	v.members[name] = &seen{Member: m, version: row.Version, changedAt: at}
+	return nil
+}
+
+// Excuse takes every row for changed at at: the table could not be read for a
+// while, so that members could have renewed their rows unseen, or could not
+// renew them.
+func (v *View) Excuse(at time.Time) {
+	for _, s := range v.members {
+		s.changedAt = at
+	}
+}
+
+// Live returns the members that are there at now, in order of name.
+func (v *View) Live(now time.Time) []Member {
+	limit := missedPeriods*Period(len(v.members)) + readingSlack
+	var out []Member
+	for _, s := range v.members {
+		if now.Sub(s.changedAt) < limit {
+			out = append(out, s.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Lapsed returns the names of members whose rows have stood unchanged for so
+// long that they can be deleted.
+func (v *View) Lapsed(now time.Time, after time.Duration) []string {
+	var out []string
+	for name, s := range v.members {
+		if now.Sub(s.changedAt) > after {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Size returns how many rows there are.
+func (v *View) Size() int { return len(v.members) }
+
+// StartOf returns the start that the row of the instance named name tells.
+func (v *View) StartOf(name string) (start string, ok bool) {
+	if s := v.members[name]; s != nil {
+		return s.Start, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/pkg/node/effects.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// effect is something that the control state asks for. carryOut must not
+// wait: it is called by the control goroutine.
+type effect interface {
+	carryOut(ctx context.Context, n *Node)
+}
+
+type (
+	note struct {
+		what   string
+		fields []any
+	}
+	setTable     struct{ table *routetable.Table }
+	setUpstreams struct{ entries []upstream.Entry }
+	setMembers   struct {
+		live []membership.Member
+		rows int // of live and lapsed members
+	}
+	setHead     struct{ submission.Owned }
+	becomeReady struct{}
+	leave       struct{} // tell the others that this instance drains
+
+	startRun struct {
+		submission.Owned
+		spec    submission.Spec
+		results []submission.Result
+	}
+	stopRun    struct{ id string }
+	releaseRun struct{ submission.Owned }
+	adopt      struct{ submission.Owned }
+
+	planOrders struct {
+		at         time.Time
+		named, lag map[string]uint64
+	}
+)
+
+func (e note) carryOut(_ context.Context, n *Node) { n.cfg.Logger.Info(e.what, e.fields...) }
+
+func (e setTable) carryOut(_ context.Context, n *Node) {
+	if cur := n.table.Load(); cur != nil && cur.Version >= e.table.Version {
+		return // never back to an older one
+	}
+	n.table.Store(e.table)
+	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.Routes())
+}
+
+func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Set(e.entries) }
+
+func (e setMembers) carryOut(_ context.Context, n *Node) {
+	n.people.Store(&e.live)
+	n.member.rows.Store(int64(e.rows))
+}
+
+func (e setHead) carryOut(_ context.Context, n *Node) { n.heads.set(e.Owned) }
+
+func (becomeReady) carryOut(_ context.Context, n *Node) {
+	if n.table.Load() != nil && !n.ready.Swap(true) {
+		n.cfg.Logger.Info("ready")
+	}
+}
+
+func (leave) carryOut(_ context.Context, n *Node) { n.member.leave() }
+
+func (e startRun) carryOut(ctx context.Context, n *Node) {
+	rctx, cancel := context.WithCancel(ctx)
+	r := submission.NewRunner(n.runnerConfig(), e.Owned, e.spec, e.results)
+	n.readers.own(e.ID, &ownRun{runner: r, spec: e.spec, cancel: cancel})
+	n.cfg.Logger.Info("submission runs", "submission", e.ID, "items", len(e.spec.Items), "listed", len(e.results), "fencing", e.Fencing)
+	n.group.Go(func() error {
+		err := r.Run(rctx)
+		cancel()
+		n.readers.disown(e.ID, r)
+		n.cfg.Logger.Info("submission runs no more", "submission", e.ID, "err", err)
+		n.tell(ctx, runEnded{e.ID, err})
+		return nil
+	})
+}
+
+func (e stopRun) carryOut(_ context.Context, n *Node) { n.readers.stop(e.id) }
+
+// carryOut stops the run and gives the submission up, so that another instance
+// need not wait for this one's row to lapse.
+func (e releaseRun) carryOut(ctx context.Context, n *Node) {
+	n.readers.stop(e.ID)
+	n.group.Go(func() error {
+		rctx, cancel := context.WithTimeout(ctx, storeTime)
+		defer cancel()
+		_, err := n.log.Change(rctx, e.Owned, func(h submission.Head) (submission.Head, bool) {
+			if h.Owner != n.start || !h.Open() {
+				return h, false
+			}
+			h.Owner = ""
+			return h, true
+		})
+		n.cfg.Logger.Info("submission handed over", "submission", e.ID, "err", err)
+		n.tell(ctx, runEnded{ID: e.ID, Err: err})
+		return nil
+	})
+}
+
+// storeTime bounds what is tried at the store for one purpose.
+const storeTime = 2 * time.Second
+
+// carryOut claims the submission and reads what was handed over and what has
+// been written of its results. The claim comes first: what is read after it is
+// complete, as no earlier owner can write any more.
+func (e adopt) carryOut(ctx context.Context, n *Node) {
+	n.group.Go(func() error {
+		actx, cancel := context.WithTimeout(ctx, 2*storeTime)
+		defer cancel()
+		out := adopted{ID: e.ID}
+		out.Owned, out.Err = n.log.Change(actx, e.Owned, func(h submission.Head) (submission.Head, bool) {
+			if h.Owner == n.start || !h.Open() {
+				return h, false
+			}
+			if h.Owner != e.Owner {
+				return h, false // another has adopted it
+			}
+			h.Owner = n.start
+			return h, true
+		})
+		if out.Err == nil && out.Owned.Owner == n.start && out.Owned.Open() {
+			out.Spec, out.Err = n.readers.spec(actx, e.ID)
+		}
+		if out.Err == nil && out.Owned.Owner == n.start && out.Owned.Open() {
+			out.Results, out.Err = n.log.AllResults(actx, e.ID)
+		}
+		if errors.Is(out.Err, context.Canceled) {
+			return nil
+		}
+		out.At = time.Now()
+		n.tell(ctx, out)
+		return nil
+	})
+}
+
+func (e planOrders) carryOut(_ context.Context, n *Node) { n.orders.plan(e) }
--- /dev/null
+++ b/pkg/node/member.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// memberRow keeps this instance's row among the members.
+type memberRow struct {
+	node *Node
+	rows atomic.Int64 // of all members, as last read
+	wake chan struct{}
+	left atomic.Bool
+}
+
+// leave has the row say at once that the instance drains.
+func (m *memberRow) leave() {
+	m.left.Store(true)
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// keep writes the row until ctx ends.
+func (m *memberRow) keep(ctx context.Context) error {
+	var held lease.Lease
+	for ctx.Err() == nil {
+		if !m.node.ready.Load() {
+			m.sleep(ctx, tickPeriod)
+			continue
+		}
+		held = m.write(ctx, held)
+		period := membership.Period(int(m.rows.Load()))
+		if held.Fencing == 0 {
+			period /= 4
+		}
+		m.sleep(ctx, period)
+	}
+	return nil
+}
+
+func (m *memberRow) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.wake:
+	}
+}
+
+// write writes the row once and returns it as it stands, or a zero Lease if
+// that is not known.
+func (m *memberRow) write(ctx context.Context, held lease.Lease) lease.Lease {
+	n := m.node
+	data, err := json.Marshal(membership.Member{Address: n.cfg.Address, DataCentre: n.cfg.DataCentre, Draining: m.left.Load()})
+	if err != nil {
+		n.cfg.Logger.Error("member row", "err", err)
+		return lease.Lease{}
+	}
+	now := time.Now()
+	l := lease.Lease{Name: membership.Key(n.cfg.Name), Holder: n.start, Fencing: held.Fencing}
+	until := now.Add(membership.Period(int(m.rows.Load())))
+	if l.Fencing == 0 {
+		row, err := n.cfg.Store.Get(ctx, l.Name)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return lease.Lease{}
+		}
+		l.Fencing = row.Version
+	}
+	op, err := platform.Put(l.Name, l.Fencing, lease.Lease{Holder: l.Holder, RenewedAt: now, ExpiresAt: until, Data: data})
+	if err != nil {
+		return lease.Lease{}
+	}
+	rows, err := n.cfg.Store.Commit(ctx, op)
+	if err != nil {
+		n.cfg.Logger.Debug("member row not written", "err", err)
+		return lease.Lease{}
+	}
+	l.Fencing = rows[0].Version
+	return l
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,198 @@
+// Package node is an instance that runs on the users' platform: it keeps what
+// it knows up to date from the platform's store, forwards callers' requests,
+// runs the submissions that it owns and, while it holds the lease for that,
+// orders engines to load weights.
+//
+// One goroutine owns the control state: it reduces events to effects, which
+// others carry out. Requests read snapshots that the effects publish.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
+)
+
+// Store is the platform's store.
+type Store interface {
+	platform.Table
+	platform.Follower
+	platform.Objects
+}
+
+// Engines speaks to upstreams.
+type Engines interface {
+	forward.Transport
+	submission.Generator
+	weights.Orderer
+}
+
+// Decoder reads the rows that the platform's operators, trainers and
+// upstreams write.
+type Decoder struct {
+	OperatorTable string // the configuration and the versions named
+	EntriesTable  string // the upstreams' entries
+
+	Configuration func(platform.Row) (t *routetable.Table, ok bool, err error)
+	NamedVersion  func(platform.Row) (model string, version uint64, ok bool)
+	Entry         func(platform.Row) (upstream.Entry, error)
+}
+
+// Config configures a Node.
+type Config struct {
+	Name       string
+	DataCentre string
+	Address    string // where callers connect
+	Store      Store
+	Engines    Engines
+	Decoder    Decoder
+	Logger     *log.Logger
+	MaxRow     int           // largest value of a row of the store, in bytes
+	LeaseTime  time.Duration // holders of orders must not alternate within it
+	Grace      time.Duration // from the request to stop until the process is killed
+}
+
+const (
+	// configurationWait and the like are how long the store holds a call for
+	// changes: a connection that has gone silent is found that late, and a
+	// configuration must be in force within two seconds.
+	configurationWait = 700 * time.Millisecond
+	entriesWait       = time.Second
+	membersWait       = time.Second
+	headsWait         = time.Second
+
+	// entriesPause and the like bound the calls that changes cause: upstreams
+	// and members each write about once a second.
+	entriesPause = 150 * time.Millisecond
+	membersPause = 500 * time.Millisecond
+	headsPause   = 40 * time.Millisecond
+
+	// tickPeriod is how often the control state looks at the time.
+	tickPeriod = 100 * time.Millisecond
+	// eventQueue is how many events may wait for the control goroutine.
+	eventQueue = 256
+)
+
+// Node is one instance. Call New, then Run.
+type Node struct {
+	cfg       Config
+	start     string // identifies this start of the instance
+	log       submission.Log
+	registry  *upstream.Registry
+	forwarder *forward.Forwarder
+	scorer    *forward.Forwarder
+	events    chan any
+	group     errgroup.Group
+
+	table    atomic.Pointer[routetable.Table]
+	ready    atomic.Bool // what callers need is known
+	draining atomic.Bool
+	heads    headIndex
+	readers  *readers
+	member   *memberRow
+	orders   *orderSender
+	people   atomic.Pointer[[]membership.Member]
+}
+
+// New returns a Node.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), registry: upstream.NewRegistry(cfg.DataCentre),
+		log: submission.Log{Store: cfg.Store, MaxRow: cfg.MaxRow}, events: make(chan any, eventQueue)}
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Registry: n.registry, Observe: n.attempted})
+	n.heads.init()
+	n.readers = newReaders(n)
+	n.member = &memberRow{node: n, wake: make(chan struct{}, 1)}
+	n.orders = newOrderSender(n)
+	return n
+}
+
+// Run runs the node until stop ends, then drains it: what it owns is handed
+// over, and Run returns after drainTime.
+func (n *Node) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.cfg.Logger.Info("start", "start", n.start, "address", n.cfg.Address)
+	d := n.cfg.Decoder
+	n.follow(ctx, d.OperatorTable, []string{d.OperatorTable + "//"}, configurationWait, 0)
+	n.follow(ctx, d.EntriesTable, []string{d.EntriesTable + "//"}, entriesWait, entriesPause)
+	n.follow(ctx, membership.Table, []string{membership.Prefix()}, membersWait, membersPause)
+	n.follow(ctx, submission.HeadsTable, submission.HeadPrefixes(), headsWait, headsPause)
+	n.group.Go(func() error { return n.member.keep(ctx) })
+	n.group.Go(func() error { return n.orders.keep(ctx) })
+	err := n.control(ctx, stop)
+	cancel()
+	_ = n.group.Wait() // its functions end with ctx
+	n.cfg.Logger.Info("stop", "start", n.start)
+	return err
+}
+
+func (n *Node) follow(ctx context.Context, table string, prefixes []string, wait, pause time.Duration) {
+	f := feed.Follower{Store: n.cfg.Store, Table: table, Prefixes: prefixes, Wait: wait, Pause: pause,
+		Tell: func(u feed.Update) { n.tell(ctx, u) }}
+	n.group.Go(func() error { return f.Run(ctx) })
+}
+
+// tell hands ev to the control goroutine.
+func (n *Node) tell(ctx context.Context, ev any) {
+	select {
+	case n.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// control owns the control state.
+func (n *Node) control(ctx, stop context.Context) error {
+	s := newState(n.cfg.Name, n.start, n.cfg.Decoder)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	stopped := stop.Done()
+	var deadline <-chan time.Time
+	for {
+		var ev any
+		select {
+		case ev = <-n.events:
+		case at := <-ticker.C:
+			ev = tick{At: at}
+		case <-stopped:
+			stopped = nil
+			n.draining.Store(true)
+			n.cfg.Logger.Info("draining", "owned", len(s.running))
+			deadline = time.After(drainTime(n.cfg.Grace))
+			ev = drain{At: time.Now(), ReleaseAt: time.Now().Add(releaseTime(n.cfg.Grace))}
+		case <-deadline:
+			return nil
+		}
+		for _, eff := range s.reduce(ev) {
+			eff.carryOut(ctx, n)
+		}
+	}
+}
+
+// drainTime is when a node that is told to stop ends, since callers go on using
+// its address for seconds, and releaseTime when it hands over what it still runs: most generations have
+// ended by then, and the rest have the time to go on elsewhere.
+func drainTime(grace time.Duration) time.Duration   { return grace * 6 / 8 }
+func releaseTime(grace time.Duration) time.Duration { return grace * 3 / 8 }
+
+func draw() float64 { return rand.Float64() }
+
+func (n *Node) attempted(a forward.Attempt) {
+	if a.Err == nil && a.Status < 500 {
+		n.cfg.Logger.Debug("served", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took)
+		return
+	}
+	n.cfg.Logger.Warn("attempt failed", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
+}
--- /dev/null
+++ b/pkg/node/service.go
@@ -0,0 +1,224 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+const (
+	// maxAddresses is how many addresses a caller is told.
+	maxAddresses = 64
+	// returnAfter is when a caller may come back that the store could not serve:
+	// it is asked again by then, or another instance reaches it.
+	returnAfter = 400 * time.Millisecond
+	// acceptTime bounds what a submission may take to be kept. Its sender tries
+	// another instance after it.
+	acceptTime = 2500 * time.Millisecond
+	// scoreTime bounds one call of a scorer on a route that sets no time.
+	scoreTime = 2 * time.Second
+)
+
+// Errors of requests that match no route.
+var (
+	errNoConfiguration = errors.New("node: no configuration yet")
+	errNoRoute         = errors.New("node: no route")
+)
+
+// Ready reports whether the instance takes requests.
+func (n *Node) Ready() bool { return n.ready.Load() && !n.draining.Load() }
+
+// Draining reports whether the instance is told to stop.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// Limits returns the limits in force for callers' requests.
+func (n *Node) Limits() routetable.Limits {
+	if t := n.table.Load(); t != nil {
+		return t.Limits
+	}
+	return routetable.Limits{}
+}
+
+// Addresses returns where callers may connect, in random order: the live
+// instances that are not draining. An instance that knows none tells its own.
+func (n *Node) Addresses() []string {
+	var out []string
+	if live := n.people.Load(); live != nil {
+		for _, m := range *live {
+			if !m.Draining && m.Name != n.cfg.Name {
+				out = append(out, m.Address)
+			}
+		}
+	}
+	if n.Ready() {
+		out = append(out, n.cfg.Address)
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), maxAddresses)]
+}
+
+// Route returns the route of a request, or a *verdict.Error.
+func (n *Node) Route(host, path string) (routetable.Route, error) {
+	t := n.table.Load()
+	if t == nil || !n.ready.Load() {
+		return routetable.Route{}, verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), errNoConfiguration)
+	}
+	rt, ok := t.Match(host, path)
+	if !ok {
+		return routetable.Route{}, verdict.New(verdict.NotRun, http.StatusNotFound, errNoRoute)
+	}
+	return rt, nil
+}
+
+// Forward forwards r by route rt.
+func (n *Node) Forward(ctx context.Context, rt routetable.Route, r forward.Request) (forward.Answer, error) {
+	return n.forwarder.Do(ctx, rt, r)
+}
+
+// Submit keeps a submission and runs it. After its errors of verdict NotRun no
+// part of it runs.
+func (n *Node) Submit(ctx context.Context, s submission.Spec) error {
+	if _, ok := n.heads.get(s.ID); ok {
+		return nil
+	}
+	if n.draining.Load() {
+		return verdict.Refuse(http.StatusServiceUnavailable, time.Now(), errors.New("node: draining"))
+	}
+	// The sender's leaving does not end it: what has begun may be kept.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTime)
+	defer cancel()
+	begun := time.Now()
+	o, err := n.log.Accept(ctx, s, n.start, begun)
+	if err != nil {
+		n.cfg.Logger.Warn("submission not kept", "submission", s.ID, "took", time.Since(begun), "err", err)
+		if errors.Is(err, platform.ErrNotDone) {
+			return verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), err)
+		}
+		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, err)
+	}
+	n.cfg.Logger.Info("submission kept", "submission", s.ID, "items", len(s.Items), "min_version", s.MinVersion, "owner", o.Owner, "took", time.Since(begun))
+	n.heads.set(o)
+	n.tell(ctx, accepted{o, s})
+	return nil
+}
+
+// head returns the head of a submission, from the store if it is not known.
+func (n *Node) head(ctx context.Context, id string) (submission.Owned, error) {
+	if o, ok := n.heads.get(id); ok {
+		return o, nil
+	}
+	o, err := n.log.Head(ctx, id)
+	if err == nil {
+		n.heads.set(o)
+	}
+	return o, err
+}
+
+// Results returns results of a submission from position after on, waiting for
+// one until the time given. Its errors are submission.ErrUnknown and ErrNotSure.
+func (n *Node) Results(ctx context.Context, id string, after int, until time.Time) (Page, error) {
+	o, err := n.head(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	return n.readers.page(ctx, o, after, until)
+}
+
+// Body returns the body of an item that submission holds. Its errors are
+// submission.ErrUnknown, ErrNoItem and ErrNotSure.
+func (n *Node) Body(ctx context.Context, id, item string) ([]byte, error) {
+	if _, err := n.head(ctx, id); err != nil {
+		return nil, err
+	}
+	s, err := n.readers.spec(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, it := range s.Items {
+		if it.ID == item {
+			return it.Body, nil
+		}
+	}
+	return nil, submission.ErrNoItem
+}
+
+// End ends a submission: what runs of it is cancelled, its results stay.
+func (n *Node) End(ctx context.Context, id string) error {
+	o, err := n.head(ctx, id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTime)
+	defer cancel()
+	o, err = n.log.Change(ctx, o, func(h submission.Head) (submission.Head, bool) {
+		if h.Ended {
+			return h, false
+		}
+		h.Ended = true
+		return h, true
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %w", submission.ErrNotSure, err)
+	}
+	n.cfg.Logger.Info("submission ended", "submission", id)
+	n.heads.set(o)
+	n.readers.stop(id)
+	return nil
+}
+
+// runnerConfig returns the configuration of the runners here.
+func (n *Node) runnerConfig() submission.Config {
+	return submission.Config{
+		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Score: n.score, Draw: draw, Observe: n.stepped,
+		Route: func(host, path string) (routetable.Route, bool, bool) {
+			t := n.table.Load()
+			if t == nil {
+				return routetable.Route{}, false, false
+			}
+			rt, ok := t.Match(host, path)
+			return rt, ok, true
+		},
+	}
+}
+
+// score sends a scorer's call once.
+func (n *Node) score(ctx context.Context, c submission.Call) submission.Scored {
+	rt, err := n.Route(c.Host, c.Path)
+	if err != nil {
+		return submission.Scored{}
+	}
+	s := submission.Scored{MaxAttempts: rt.MaxAttempts}
+	wait := rt.Timeout
+	if wait == 0 {
+		wait = scoreTime
+	}
+	rt.MaxAttempts = 1 // each of its failures is counted
+	a, err := n.forwarder.Do(ctx, rt, forward.Request{ID: c.ID, Method: http.MethodPost, URI: c.Path, Host: c.Host,
+		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait)})
+	if err != nil {
+		return s
+	}
+	s.Status = a.Status
+	if a.Status/100 == 2 {
+		s.Score = a.Stamp
+	}
+	return s
+}
+
+func (n *Node) stepped(s submission.Step) {
+	fields := []any{"submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events, "status", s.Status, "position", s.Position}
+	if s.Err != nil {
+		n.cfg.Logger.Warn(s.What, append(fields, "err", s.Err)...)
+		return
+	}
+	n.cfg.Logger.Debug(s.What, fields...)
+}
--- /dev/null
+++ b/pkg/node/state.go
@@ -0,0 +1,386 @@
+package node
+
+import (
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+const (
+	// awayFrom is how long the store must have been unreachable for entries
+	// that are missing afterwards to be kept for returnTime.
+	awayFrom = 700 * time.Millisecond
+	// returnTime is how long entries that lapsed while the store was away take
+	// to come back: about two seconds.
+	returnTime = 2200 * time.Millisecond
+	// orphanPatience is how long a submission whose owner is not among the
+	// members waits before it is adopted: the owner's row may be seen later
+	// than the submission's.
+	orphanPatience = 1200 * time.Millisecond
+	// successionPeriod is how long each instance in rank has to adopt before
+	// the next may.
+	successionPeriod = 1500 * time.Millisecond
+	// adoptPause is the pause before an adoption that failed is tried again.
+	adoptPause = 300 * time.Millisecond
+)
+
+// Events, beside feed.Update.
+type (
+	// tick tells the time.
+	tick struct{ At time.Time }
+	// accepted tells that this instance has accepted a submission.
+	accepted struct {
+		submission.Owned
+		Spec submission.Spec
+	}
+	// adopted tells the outcome of an adopt.
+	adopted struct {
+		ID      string
+		Owned   submission.Owned
+		Spec    submission.Spec
+		Results []submission.Result
+		Err     error
+		At      time.Time
+	}
+	// runEnded tells that a submission runs no more here.
+	runEnded struct {
+		ID  string
+		Err error
+	}
+	// drain tells that the instance is to stop, and when it hands over what it runs.
+	drain struct{ At, ReleaseAt time.Time }
+)
+
+// state is the control state of a node.
+type state struct {
+	name, start string
+	decoder     Decoder
+
+	members *membership.View
+	heads   map[string]submission.Owned
+	orphans map[string]time.Time // open submissions without a live owner, since when
+	retryAt map[string]time.Time // of adoptions that failed
+	running map[string]bool      // submissions that run here or are being adopted
+
+	entries   map[string]upstream.Entry
+	missing   map[string]time.Time // entries that are gone, and kept until then
+	graceTill time.Time            // entries that go until then may come back
+
+	named map[string]uint64 // newest weight version, by model
+	lag   map[string]uint64 // how many versions behind it requests accept, by model
+
+	read      map[string]bool      // tables that have been read
+	awaySince map[string]time.Time // tables that cannot be read
+
+	draining  bool
+	releaseAt time.Time
+	released  bool
+}
+
+func newState(name, start string, d Decoder) *state {
+	return &state{name: name, start: start, decoder: d, members: membership.NewView(),
+		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
+		entries: map[string]upstream.Entry{}, missing: map[string]time.Time{},
+		named: map[string]uint64{}, lag: map[string]uint64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
+}
+
+// reduce applies ev and returns what to do.
+func (s *state) reduce(ev any) []effect {
+	switch e := ev.(type) {
+	case feed.Update:
+		return s.onUpdate(e)
+	case tick:
+		return s.onTick(e.At)
+	case accepted:
+		return s.onAccepted(e)
+	case adopted:
+		return s.onAdopted(e)
+	case runEnded:
+		delete(s.running, e.ID)
+		return nil
+	case drain:
+		s.draining, s.releaseAt = true, e.ReleaseAt
+		return []effect{leave{}}
+	}
+	return nil
+}
+
+func (s *state) onUpdate(u feed.Update) []effect {
+	if u.Err != nil {
+		if _, away := s.awaySince[u.Table]; !away {
+			s.awaySince[u.Table] = u.At
+			return []effect{note{"store lost", []any{"table", u.Table, "err", u.Err}}}
+		}
+		return nil
+	}
+	var effs []effect
+	since, wasAway := s.awaySince[u.Table]
+	away := wasAway && u.At.Sub(since) > awayFrom
+	if wasAway {
+		delete(s.awaySince, u.Table)
+		effs = append(effs, note{"store regained", []any{"table", u.Table, "away", u.At.Sub(since)}})
+	}
+	s.read[u.Table] = true
+	switch u.Table {
+	case s.decoder.OperatorTable:
+		effs = append(effs, s.onOperator(u)...)
+	case s.decoder.EntriesTable:
+		effs = append(effs, s.onEntries(u, away)...)
+	case membership.Table:
+		effs = append(effs, s.onMembers(u, away)...)
+	case submission.HeadsTable:
+		effs = append(effs, s.onHeads(u)...)
+	}
+	if s.read[s.decoder.OperatorTable] && s.read[s.decoder.EntriesTable] {
+		effs = append(effs, becomeReady{})
+	}
+	return effs
+}
+
+func (s *state) onOperator(u feed.Update) []effect {
+	var effs []effect
+	for _, ch := range u.Changes {
+		if ch.Deleted {
+			continue
+		}
+		if t, ok, err := s.decoder.Configuration(ch.Row); ok {
+			if err != nil {
+				effs = append(effs, note{"configuration not understood", []any{"row_version", ch.Version, "err", err}})
+				continue
+			}
+			effs = append(effs, setTable{t})
+		} else if model, version, ok := s.decoder.NamedVersion(ch.Row); ok && version > s.named[model] {
+			s.named[model] = version
+			effs = append(effs, note{"version named", []any{"model", model, "version", version}})
+		}
+	}
+	return effs
+}
+
+// onEntries takes what upstreams registered. Entries that lapse while the
+// store is away come back soon after its return if their upstreams live, so
+// those that are missing then are kept for that time.
+func (s *state) onEntries(u feed.Update, away bool) []effect {
+	if away {
+		s.graceTill = u.At.Add(returnTime)
+	}
+	var effs []effect
+	present := map[string]bool{}
+	for _, ch := range u.Changes {
+		id := strings.TrimPrefix(ch.Key, s.decoder.EntriesTable+"//")
+		present[id] = true
+		if ch.Deleted {
+			s.entryGone(id, u.At)
+			continue
+		}
+		e, err := s.decoder.Entry(ch.Row)
+		if err != nil {
+			effs = append(effs, note{"entry not usable", []any{"upstream", id, "err", err}})
+			s.entryGone(id, u.At)
+			continue
+		}
+		delete(s.missing, id)
+		if old, ok := s.entries[id]; !ok || !old.SameStart(e) || old.Draining != e.Draining {
+			effs = append(effs, note{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}})
+		}
+		s.entries[id] = e
+	}
+	if u.Reset {
+		for id := range s.entries {
+			if !present[id] {
+				s.entryGone(id, u.At)
+			}
+		}
+	}
+	if len(u.Changes) == 0 && !u.Reset {
+		return effs
+	}
+	return append(effs, s.publishEntries())
+}
+
+func (s *state) entryGone(id string, at time.Time) {
+	if _, ok := s.entries[id]; !ok {
+		return
+	}
+	if at.Before(s.graceTill) {
+		s.missing[id] = s.graceTill
+		return
+	}
+	delete(s.entries, id)
+	delete(s.missing, id)
+}
+
+func (s *state) publishEntries() effect {
+	out := make([]upstream.Entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		out = append(out, e)
+	}
+	return setUpstreams{out}
+}
+
+func (s *state) onMembers(u feed.Update, away bool) []effect {
+	var effs []effect
+	if err := s.members.Apply(u.Changes, u.Reset, u.At); err != nil {
+		effs = append(effs, note{"member not understood", []any{"err", err}})
+	}
+	if away {
+		s.members.Excuse(u.At)
+	}
+	return append(effs, setMembers{s.members.Live(u.At), s.members.Size()})
+}
+
+// onHeads takes what became of submissions.
+func (s *state) onHeads(u feed.Update) []effect {
+	var effs []effect
+	for _, ch := range u.Changes {
+		if ch.Deleted {
+			continue
+		}
+		h, err := submission.DecodeHead(ch.Row)
+		if err != nil {
+			effs = append(effs, note{"submission not understood", []any{"row", ch.Key, "err", err}})
+			continue
+		}
+		effs = append(effs, s.setHead(submission.Owned{Head: h, Fencing: ch.Version})...)
+	}
+	return effs
+}
+
+func (s *state) setHead(o submission.Owned) []effect {
+	old, known := s.heads[o.ID]
+	if known && old.Fencing >= o.Fencing {
+		return nil
+	}
+	s.heads[o.ID] = o
+	effs := []effect{setHead{o}}
+	if named := s.named[o.Model]; !known && o.Model != "" && named >= o.MinVersion {
+		s.lag[o.Model] = min(named-o.MinVersion, 1)
+	}
+	if s.running[o.ID] && (o.Ended || o.Owner != s.start) {
+		effs = append(effs, stopRun{o.ID})
+	}
+	return effs
+}
+
+func (s *state) onAccepted(e accepted) []effect {
+	effs := s.setHead(e.Owned)
+	if s.running[e.ID] || e.Owner != s.start || !e.Open() {
+		return effs
+	}
+	s.running[e.ID] = true
+	return append(effs, startRun{e.Owned, e.Spec, nil})
+}
+
+func (s *state) onAdopted(e adopted) []effect {
+	if e.Err != nil {
+		delete(s.running, e.ID)
+		s.retryAt[e.ID] = e.At.Add(adoptPause)
+		return []effect{note{"adoption failed", []any{"submission", e.ID, "err", e.Err}}}
+	}
+	effs := s.setHead(e.Owned)
+	if e.Owned.Owner != s.start || !e.Owned.Open() {
+		delete(s.running, e.ID)
+		return effs
+	}
+	return append(effs, startRun{e.Owned, e.Spec, e.Results})
+}
+
+func (s *state) onTick(now time.Time) []effect {
+	var effs []effect
+	for id, till := range s.missing {
+		if now.Before(till) {
+			continue
+		}
+		delete(s.missing, id)
+		delete(s.entries, id)
+		effs = append(effs, note{"upstream gone", []any{"upstream", id}}, s.publishEntries())
+	}
+	if s.read[membership.Table] {
+		effs = append(effs, setMembers{s.members.Live(now), s.members.Size()})
+	}
+	if s.draining {
+		return append(effs, s.release(now)...)
+	}
+	effs = append(effs, s.adopt(now)...)
+	return append(effs, planOrders{now, s.named, s.lag})
+}
+
+// release hands over what runs here when its time has come.
+func (s *state) release(now time.Time) []effect {
+	if s.released || now.Before(s.releaseAt) {
+		return nil
+	}
+	s.released = true
+	var effs []effect
+	for id := range s.running {
+		effs = append(effs, releaseRun{s.heads[id]})
+	}
+	return effs
+}
+
+// adopt takes over open submissions that no live instance runs. Of the live
+// instances the one that the submission ranks first adopts it, and each next
+// one after successionPeriod more, should those before it not manage to.
+func (s *state) adopt(now time.Time) []effect {
+	if !s.read[membership.Table] || len(s.awaySince) > 0 {
+		return nil
+	}
+	live := s.members.Live(now)
+	starts := make(map[string]bool, len(live))
+	var candidates []string
+	for _, m := range live {
+		starts[m.Start] = true
+		if !m.Draining {
+			candidates = append(candidates, m.Name)
+		}
+	}
+	var effs []effect
+	for id, o := range s.heads {
+		if !o.Open() || s.running[id] || starts[o.Owner] && o.Owner != s.start {
+			delete(s.orphans, id)
+			continue
+		}
+		since, ok := s.orphans[id]
+		if !ok {
+			since = now
+			s.orphans[id] = now
+		}
+		if now.Before(s.retryAt[id]) || now.Sub(since) < s.patience(o.Owner, id, candidates) {
+			continue
+		}
+		s.running[id] = true
+		effs = append(effs, note{"adopting", []any{"submission", id, "owner", o.Owner, "orphan_for", now.Sub(since)}}, adopt{o})
+	}
+	return effs
+}
+
+// patience is how long this instance leaves an orphan of owner to others.
+func (s *state) patience(owner, id string, candidates []string) time.Duration {
+	name := membership.NameOf(owner)
+	if name == s.name {
+		return 0 // this start, or an earlier one of the same instance
+	}
+	wait := s.rank(id, candidates)
+	if owner == "" {
+		return wait // given up by its owner
+	}
+	if start, ok := s.members.StartOf(name); ok && start != owner {
+		return wait // its owner has started again
+	}
+	return orphanPatience + wait
+}
+
+func (s *state) rank(id string, candidates []string) time.Duration {
+	ranked := route.Rank(candidates, func(n string) string { return n }, id)
+	for i, n := range ranked {
+		if n == s.name {
+			return time.Duration(i) * successionPeriod
+		}
+	}
+	return time.Duration(len(ranked)) * successionPeriod
+}
--- /dev/null
+++ b/pkg/submission/log.go
@@ -0,0 +1,289 @@
+package submission
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+// Store is the part of the platform's store that submissions need.
+type Store interface {
+	platform.Table
+	platform.Scanner
+	platform.Objects
+}
+
+const (
+	// retryPause is the pause before a call of the store is made again.
+	retryPause = 60 * time.Millisecond
+	// scanRows is how many results are read in one call, fewer than the 1 MB
+	// that the store answers at most if each is of the usual size.
+	scanRows = 100
+)
+
+// Log keeps submissions and their results in the store.
+type Log struct {
+	Store Store
+	// MaxRow is the largest value of a row, in bytes; results that are longer
+	// are kept as objects.
+	MaxRow int
+}
+
+// Owned is a submission's head as it was written by its owner.
+type Owned struct {
+	Head
+	Fencing uint64 // version of the head's row
+}
+
+// DecodeHead reads a head from its row.
+func DecodeHead(row platform.Row) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return Head{}, fmt.Errorf("submission: head %s: %w", row.Key, err)
+	}
+	return h, nil
+}
+
+// Accept keeps s, owned by owner, until ctx ends. Its errors tell whether s
+// may have been kept: platform.ErrNotDone means that it is not and will not
+// be. Another copy of s that is kept already is no error; its head is returned.
+func (l Log) Accept(ctx context.Context, s Spec, owner string, now time.Time) (Owned, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return Owned{}, fmt.Errorf("submission %s: %w", s.ID, err)
+	}
+	for {
+		err = l.Store.PutObject(ctx, objectPrefix+s.ID, data)
+		if err == nil {
+			break
+		}
+		if !pause(ctx, retryPause) {
+			return Owned{}, fmt.Errorf("%w: its object: %v", platform.ErrNotDone, err) // without a head, nothing is kept
+		}
+	}
+	h := Head{ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Step: s.Step,
+		Total: len(s.Items), AcceptedAt: now.UTC().Round(0), Owner: owner} // as it is read back
+	return l.put(ctx, h, 0)
+}
+
+// put writes h if its row is at expect, until ctx ends or the outcome is known.
+// A row that stands there already is returned instead.
+func (l Log) put(ctx context.Context, h Head, expect uint64) (Owned, error) {
+	op, err := platform.Put(headKey(h.ID), expect, h)
+	if err != nil {
+		return Owned{}, err
+	}
+	unknown := false // an earlier call may still be carried out
+	for {
+		rows, err := l.Store.Commit(ctx, op)
+		var ce *platform.ConflictError
+		switch {
+		case err == nil:
+			return Owned{Head: h, Fencing: rows[0].Version}, nil
+		case errors.As(err, &ce):
+			if ce.Current.Version == 0 {
+				return Owned{}, ErrUnknown
+			}
+			cur, err := DecodeHead(ce.Current)
+			return Owned{Head: cur, Fencing: ce.Current.Version}, err
+		case !errors.Is(err, platform.ErrUnavailable):
+			return Owned{}, err
+		}
+		unknown = unknown || !errors.Is(err, platform.ErrNotDone)
+		if !pause(ctx, retryPause) {
+			if unknown {
+				return Owned{}, fmt.Errorf("submission %s: outcome unknown: %w", h.ID, platform.ErrUnavailable)
+			}
+			return Owned{}, fmt.Errorf("submission %s: %w", h.ID, err)
+		}
+	}
+}
+
+// Head reads the head of a submission, or ErrUnknown, or ErrNotSure.
+func (l Log) Head(ctx context.Context, id string) (Owned, error) {
+	row, err := l.Store.Get(ctx, headKey(id))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return Owned{}, ErrUnknown
+	case err != nil:
+		return Owned{}, fmt.Errorf("%w: %v", ErrNotSure, err)
+	}
+	h, err := DecodeHead(row)
+	return Owned{Head: h, Fencing: row.Version}, err
+}
+
+// Change rewrites a head until ctx ends: change returns the new head, or false
+// if nothing is to be written. It returns the head as it stands then.
+func (l Log) Change(ctx context.Context, cur Owned, change func(Head) (Head, bool)) (Owned, error) {
+	for {
+		next, ok := change(cur.Head)
+		if !ok {
+			return cur, nil
+		}
+		got, err := l.put(ctx, next, cur.Fencing)
+		if err != nil {
+			return Owned{}, err
+		}
+		if got.Head == next {
+			return got, nil
+		}
+		cur = got
+	}
+}
+
+// Spec reads what the sender handed over.
+func (l Log) Spec(ctx context.Context, id string) (Spec, error) {
+	data, err := l.Store.GetObject(ctx, objectPrefix+id)
+	if err != nil {
+		return Spec{}, fmt.Errorf("%w: %w", ErrNotSure, err)
+	}
+	var s Spec
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Spec{}, fmt.Errorf("submission %s: %w", id, err)
+	}
+	return s, nil
+}
+
+// Results reads up to limit results from position on.
+func (l Log) Results(ctx context.Context, id string, position, limit int) ([]Result, error) {
+	page, err := l.Store.ScanFrom(ctx, resultsPrefix(id), resultKey(id, position), limit)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrNotSure, err)
+	}
+	out := make([]Result, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		r, err := l.decodeResult(ctx, row)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// AllResults reads every result.
+func (l Log) AllResults(ctx context.Context, id string) ([]Result, error) {
+	var out []Result
+	for {
+		rs, err := l.Results(ctx, id, len(out), scanRows)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, rs...)
+		if len(rs) == 0 {
+			return out, nil
+		}
+	}
+}
+
+// storedResult is a row of a result: the result, or the name of its object.
+type storedResult struct {
+	Result
+	Object string `json:"object,omitempty"`
+}
+
+func (l Log) decodeResult(ctx context.Context, row platform.Row) (Result, error) {
+	var s storedResult
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		return Result{}, fmt.Errorf("submission: result %s: %w", row.Key, err)
+	}
+	if s.Object == "" {
+		return s.Result, nil
+	}
+	data, err := l.Store.GetObject(ctx, s.Object)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: %v", ErrNotSure, err)
+	}
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Result{}, fmt.Errorf("submission: result object %s: %w", s.Object, err)
+	}
+	return r, nil
+}
+
+// Batch is a run of results at consecutive positions, ready to be written in
+// one transaction. It must be written again as it is until its outcome is known.
+type Batch struct {
+	Position int
+	Results  []Result
+	ops      []platform.Op
+}
+
+// Prepare makes a Batch of the first of results, as many as fit into one
+// transaction.
+func (l Log) Prepare(ctx context.Context, o Owned, position int, results []Result) (Batch, error) {
+	b := Batch{Position: position, ops: []platform.Op{platform.Check(headKey(o.ID), o.Fencing)}}
+	bytes := 0
+	for _, r := range results {
+		op, err := l.resultOp(ctx, o.ID, position+len(b.Results), r)
+		if err != nil {
+			return Batch{}, err
+		}
+		if bytes += len(op.Value); len(b.Results) == maxBatch || bytes > maxBatchBytes && len(b.Results) > 0 {
+			break
+		}
+		b.ops, b.Results = append(b.ops, op), append(b.Results, r)
+	}
+	return b, nil
+}
+
+const (
+	// maxBatch is how many results one transaction holds; the store takes 100
+	// entries in all, of which each result is two.
+	maxBatch = 48
+	// maxBatchBytes bounds the values of one transaction: the store takes 1 MB,
+	// of which base64 adds a third.
+	maxBatchBytes = 600 << 10
+)
+
+func (l Log) resultOp(ctx context.Context, id string, position int, r Result) (platform.Op, error) {
+	op, err := platform.Put(resultKey(id, position), 0, storedResult{Result: r})
+	if err != nil || len(op.Value) <= l.MaxRow {
+		return op, err
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return platform.Op{}, err
+	}
+	name := objectPrefix + id + "-result-" + r.Item
+	if err := l.Store.PutObject(ctx, name, data); err != nil {
+		return platform.Op{}, err
+	}
+	return platform.Put(resultKey(id, position), 0, storedResult{Result: Result{Item: r.Item, State: r.State}, Object: name})
+}
+
+// ErrLost is returned by Append when the submission has ended or another
+// instance owns it.
+var ErrLost = errors.New("submission: no longer owned")
+
+// Append writes b. It returns ErrLost if o is no longer the submission's head,
+// or an error of the platform, after which b is to be written again.
+func (l Log) Append(ctx context.Context, o Owned, b Batch) error {
+	_, err := l.Store.Commit(ctx, b.ops...)
+	var ce *platform.ConflictError
+	if !errors.As(err, &ce) {
+		return err
+	}
+	if ce.Key == headKey(o.ID) {
+		return ErrLost
+	}
+	// A position is taken under the same head: by an earlier call of this
+	// batch, whose answer was lost.
+	return nil
+}
+
+// pause waits for d and reports whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/submission/run.go
@@ -0,0 +1,237 @@
+package submission
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// phase is where an item of a Run stands.
+type phase int
+
+const (
+	waiting  phase = iota // for an engine
+	running               // at an engine
+	unscored              // its text is whole, and waits for a call of its scorer
+	scoring               // a call of its scorer is under way
+	finished              // its result is to be written
+	listed                // its result has a position
+)
+
+const (
+	// attemptPause is the pause before an item or its scorer's call is tried
+	// again after a failure that may pass at once.
+	attemptPause = 50 * time.Millisecond
+	// giveUpMargin is added to the time after which an item may be given up:
+	// instances' clocks may differ by seconds.
+	giveUpMargin = 10 * time.Second
+)
+
+// Terms are what a submission's route asks of its items.
+type Terms struct {
+	MaxAttempts   int           // answers of 500 after which an item is given up
+	MaxAge        time.Duration // 0 for never
+	SingleVersion bool
+}
+
+// Run is the progress of a submission at the instance that owns it. It decides
+// what runs next and what an attempt's end means; it is not safe for concurrent
+// use.
+type Run struct {
+	spec    Spec
+	items   []item
+	results []Result // finished, in the order in which they are to be written
+	listed  int
+}
+
+type item struct {
+	phase     phase
+	notBefore time.Time
+	errors    int // answers of 500 to the generation
+	declined  int // answers of 500 to the scorer's call
+	text      []string
+	after     int // last event of the text
+	versions  []uint64
+}
+
+// NewRun returns the run of s, of which the results given are written already.
+func NewRun(s Spec, written []Result) *Run {
+	r := &Run{spec: s, items: make([]item, len(s.Items)), listed: len(written)}
+	done := make(map[string]bool, len(written))
+	for _, w := range written {
+		done[w.Item] = true
+	}
+	for i, it := range s.Items {
+		if done[it.ID] {
+			r.items[i].phase = listed
+		}
+	}
+	return r
+}
+
+// Waiting returns the items that want an engine at now, those first that have
+// a part of their text already, then in the order of the submission, in which
+// a trainer puts the groups that it needs first.
+func (r *Run) Waiting(now time.Time) []int { return r.in(waiting, now) }
+
+// Unscored returns the items whose scorer is to be called at now.
+func (r *Run) Unscored(now time.Time) []int { return r.in(unscored, now) }
+
+func (r *Run) in(p phase, now time.Time) []int {
+	var begun, fresh []int
+	for i, it := range r.items {
+		switch {
+		case it.phase != p || now.Before(it.notBefore):
+		case it.after > 0:
+			begun = append(begun, i)
+		default:
+			fresh = append(fresh, i)
+		}
+	}
+	return append(begun, fresh...)
+}
+
+// Started tells that item i, waiting or unscored, is under way.
+func (r *Run) Started(i int) {
+	if it := &r.items[i]; it.phase == waiting {
+		it.phase = running
+	} else {
+		it.phase = scoring
+	}
+}
+
+// After returns the last event of item i's text so far, and the weight
+// versions that made it.
+func (r *Run) After(i int) (event int, versions []uint64) {
+	return r.items[i].after, r.items[i].versions
+}
+
+// Progress is what an attempt at an item's text gave.
+type Progress struct {
+	Events   []Event
+	Versions []uint64 // that made Events, oldest first
+	Whole    bool     // the text is complete
+	Status   int      // of an answer that was no text; 0 for none
+}
+
+// Generated tells how an attempt at item i ended at now.
+func (r *Run) Generated(i int, p Progress, t Terms, now time.Time) {
+	it := &r.items[i]
+	it.phase = waiting
+	switch p.Status {
+	case http.StatusUnprocessableEntity:
+		r.finish(i, Result{State: Dead})
+		return
+	case http.StatusInternalServerError:
+		it.errors++
+		if it.errors >= t.MaxAttempts {
+			r.finish(i, Result{State: Dead})
+			return
+		}
+	}
+	it.extend(p, r.spec.MinVersion, t)
+	switch {
+	case p.Whole && it.after > 0 && r.spec.Items[i].Scorer != nil:
+		it.phase = unscored
+	case p.Whole && it.after > 0:
+		r.finish(i, Result{State: Done})
+	case len(p.Events) == 0:
+		it.notBefore = now.Add(attemptPause)
+	}
+}
+
+// extend adds an attempt's events to the text. A text that may not be
+// delivered as it is, too old or of several versions, is begun anew.
+func (it *item) extend(p Progress, minVersion uint64, t Terms) {
+	for _, e := range p.Events {
+		it.text = append(it.text, e.Data)
+		it.after = e.ID
+	}
+	for _, v := range p.Versions {
+		if !slices.Contains(it.versions, v) {
+			it.versions = append(it.versions, v)
+		}
+	}
+	slices.Sort(it.versions)
+	tooOld := len(it.versions) > 0 && it.versions[0] < minVersion
+	if tooOld || t.SingleVersion && len(it.versions) > 1 {
+		it.text, it.versions, it.after = nil, nil, 0
+	}
+}
+
+// Scored is what a call of a scorer gave.
+type Scored struct {
+	Score       string // the scorer's proof; empty if the call failed
+	Status      int    // of its answer; 0 for none
+	MaxAttempts int    // answers of 500 after which its item is given up
+}
+
+// Scored tells how a call of item i's scorer ended.
+func (r *Run) Scored(i int, s Scored, now time.Time) {
+	it := &r.items[i]
+	it.phase = unscored
+	if s.Score != "" {
+		r.finish(i, Result{State: Done, Score: s.Score})
+		return
+	}
+	if s.Status == http.StatusInternalServerError {
+		it.declined++
+		if it.declined >= s.MaxAttempts {
+			r.finish(i, Result{State: Dead})
+			return
+		}
+	}
+	it.notBefore = now.Add(attemptPause)
+}
+
+// GiveUp ends the items that are too old, given the age of the submission by
+// a clock that may be seconds off, and those whose route is gone.
+func (r *Run) GiveUp(age time.Duration, t Terms, routeGone bool) {
+	if !routeGone && (t.MaxAge == 0 || age < t.MaxAge+giveUpMargin) {
+		return
+	}
+	for i, it := range r.items {
+		if it.phase == waiting || it.phase == unscored {
+			r.finish(i, Result{State: Dead})
+		}
+	}
+}
+
+func (r *Run) finish(i int, res Result) {
+	it := &r.items[i]
+	res.Item = r.spec.Items[i].ID
+	if res.State == Done {
+		res.Output, res.Versions = strings.Join(it.text, "\n"), it.versions
+	}
+	it.phase, it.text = finished, nil
+	r.results = append(r.results, res)
+}
+
+// Unwritten returns the results that have no position yet, in order, and the
+// position of the first.
+func (r *Run) Unwritten() (position int, results []Result) { return r.listed, r.results }
+
+// Written tells that the first n of the unwritten results have their positions.
+func (r *Run) Written(n int) {
+	r.results = slices.Delete(r.results, 0, n)
+	r.listed += n
+}
+
+// Done reports whether every item's result is written.
+func (r *Run) Done() bool { return r.listed == len(r.items) }
+
+// Counts returns how many items wait for an engine, run, and have a result.
+func (r *Run) Counts() (waits, runs, results int) {
+	for _, it := range r.items {
+		switch it.phase {
+		case waiting:
+			waits++
+		case running:
+			runs++
+		case finished, listed:
+			results++
+		}
+	}
+	return waits, runs, results
+}
--- /dev/null
+++ b/pkg/submission/runner.go
@@ -0,0 +1,356 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+const (
+	// firstEventLimit is how long an engine may take to begin a text: its
+	// queue is short, since owners bound what they send.
+	firstEventLimit = 2500 * time.Millisecond
+	// eventGapLimit is how long a text may stand still; a slow engine takes
+	// some hundred milliseconds for an event.
+	eventGapLimit = 1200 * time.Millisecond
+	// roomPeriod is how often an owner looks for room at engines while items wait.
+	roomPeriod = 15 * time.Millisecond
+	// idlePeriod is how often it looks otherwise.
+	idlePeriod = 200 * time.Millisecond
+	// appendPause is the pause before results are written again after a failure,
+	// which doubles up to maxAppendPause so that a store in trouble is not pressed.
+	appendPause    = 50 * time.Millisecond
+	maxAppendPause = 400 * time.Millisecond
+	// refusedPause is how long an engine that refused a text is left alone.
+	refusedPause = 100 * time.Millisecond
+)
+
+// Config configures a Runner.
+type Config struct {
+	Log       Log
+	Registry  *upstream.Registry
+	Generator Generator
+	// Score sends one call of a scorer.
+	Score func(ctx context.Context, c Call) Scored
+	// Route returns the route in force for a host and path; known is false
+	// while no configuration is.
+	Route func(host, path string) (rt routetable.Route, ok, known bool)
+	// Draw returns a number drawn evenly from [0, 1).
+	Draw func() float64
+	// Observe is told what happens; nil for nothing.
+	Observe func(Step)
+}
+
+// Step is something that happened to an item or a submission, for the log.
+type Step struct {
+	What       string
+	Submission string
+	Item       string
+	Upstream   string
+	Events     int
+	Status     int
+	Position   int
+	Err        error
+}
+
+// Runner runs one submission at the instance that owns it.
+type Runner struct {
+	cfg    Config
+	owned  Owned
+	spec   Spec
+	run    *Run
+	events chan func(now time.Time)
+	group  errgroup.Group
+
+	appending bool
+	pause     time.Duration // before the next append, after a failure
+	batch     *Batch        // not known to be written
+
+	mu      sync.Mutex
+	results []Result
+	changed chan struct{} // closed when results grow
+}
+
+// NewRunner returns the Runner of a submission with the results written so far.
+func NewRunner(cfg Config, o Owned, s Spec, written []Result) *Runner {
+	if cfg.Observe == nil {
+		cfg.Observe = func(Step) {}
+	}
+	return &Runner{cfg: cfg, owned: o, spec: s, run: NewRun(s, written), results: written,
+		events: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), pause: appendPause}
+}
+
+// Results returns the results written from position on, and a channel that is
+// closed when there are more.
+func (r *Runner) Results(position int) ([]Result, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results[min(position, len(r.results)):], r.changed
+}
+
+// Run runs the submission until every result is written, it is no longer
+// owned (ErrLost), or ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		_ = r.group.Wait() // its functions return nil
+	}()
+	for !r.run.Done() {
+		now := time.Now()
+		r.startAll(ctx, now)
+		if err := r.append(ctx); err != nil {
+			return err
+		}
+		period := idlePeriod
+		if waits, _, _ := r.run.Counts(); waits > 0 {
+			period = roomPeriod
+		}
+		if err := r.await(ctx, period); err != nil {
+			return err
+		}
+	}
+	return r.complete(ctx)
+}
+
+// await applies what ends within period, all that has ended at once.
+func (r *Runner) await(ctx context.Context, period time.Duration) error {
+	t := time.NewTimer(period)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	case apply := <-r.events:
+		apply(time.Now())
+	}
+	for {
+		select {
+		case apply := <-r.events:
+			apply(time.Now())
+		default:
+			return nil
+		}
+	}
+}
+
+// tell has the owner's goroutine apply f.
+func (r *Runner) tell(ctx context.Context, f func(now time.Time)) {
+	select {
+	case r.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+func terms(rt routetable.Route) Terms {
+	return Terms{MaxAttempts: rt.MaxAttempts, MaxAge: rt.MaxAge, SingleVersion: rt.SingleVersion}
+}
+
+// startAll starts what may run now.
+func (r *Runner) startAll(ctx context.Context, now time.Time) {
+	rt, ok, known := r.cfg.Route(r.spec.Host, r.spec.Path)
+	if !known {
+		return
+	}
+	r.run.GiveUp(now.Sub(r.owned.AcceptedAt), terms(rt), !ok)
+	if !ok {
+		return
+	}
+	for _, i := range r.run.Waiting(now) {
+		if !r.start(ctx, i, rt, now) {
+			break
+		}
+	}
+	for _, i := range r.run.Unscored(now) {
+		r.run.Started(i)
+		r.group.Go(func() error {
+			s := r.cfg.Score(ctx, *r.spec.Items[i].Scorer)
+			r.cfg.Observe(Step{What: "scored", Submission: r.spec.ID, Item: r.spec.Items[i].ID, Status: s.Status})
+			r.tell(ctx, func(now time.Time) { r.run.Scored(i, s, now) })
+			return nil
+		})
+	}
+}
+
+// start starts item i and reports whether an engine had room for it.
+func (r *Runner) start(ctx context.Context, i int, rt routetable.Route, now time.Time) bool {
+	it := r.spec.Items[i]
+	after, versions := r.run.After(i)
+	w := upstream.Want{Pool: rt.Pick(r.cfg.Draw()), At: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, Bounded: true}
+	t, ok := r.cfg.Registry.Acquire(w)
+	if !ok {
+		return false
+	}
+	g := Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after}
+	if rt.SingleVersion && len(versions) > 0 {
+		g.Version = versions[0]
+	}
+	r.run.Started(i)
+	r.group.Go(func() error {
+		p, err := r.generate(ctx, t, g)
+		r.cfg.Observe(Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err})
+		r.tell(ctx, func(now time.Time) { r.run.Generated(i, p, terms(rt), now) })
+		return nil
+	})
+	return true
+}
+
+// generate reads one text, or a part of it, from the ticket's engine.
+func (r *Runner) generate(owned context.Context, t *upstream.Ticket, g Generation) (Progress, error) {
+	ctx, cancel := context.WithCancel(owned)
+	defer cancel()
+	silence := time.AfterFunc(firstEventLimit, cancel)
+	defer silence.Stop()
+	begun := time.Now()
+	var p Progress
+	s, load, err := r.cfg.Generator.Generate(ctx, t.Entry, g)
+	if err == nil {
+		defer s.Close()
+		t.Observe(upstream.Report{At: time.Now(), Load: load, Versions: r.version(s.Version())})
+		p, err = r.read(s, silence)
+	}
+	now := time.Now()
+	rep := upstream.Report{At: now, Load: load}
+	var se *StatusError
+	switch {
+	case err == nil:
+		p.Whole = true
+		rep.Pace = now.Sub(begun) / time.Duration(max(len(p.Events), 1))
+	case errors.As(err, &se):
+		p.Status, rep.Load = se.Status, se.Load
+		rep.Failed = se.Status >= http.StatusInternalServerError && se.Status != http.StatusInternalServerError
+	case errors.Is(err, forward.ErrMisdirected):
+		rep.Gone = true
+	case errors.Is(err, forward.ErrUnreachable):
+		rep.Unreachable = true
+	case errors.Is(err, forward.ErrNotRun):
+		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
+	case owned.Err() != nil:
+		// Cancelled here: that says nothing of the engine.
+	default:
+		rep.Failed = true
+	}
+	t.Done(rep)
+	return p, err
+}
+
+// version tells what an engine's answer showed of its weights.
+func (r *Runner) version(v uint64) map[string]uint64 {
+	if r.spec.Model == "" || v == 0 {
+		return nil
+	}
+	return map[string]uint64{r.spec.Model: v}
+}
+
+// read reads the events of s. It ends early, with an error, at a version that
+// is too old for the submission.
+func (r *Runner) read(s Stream, silence *time.Timer) (Progress, error) {
+	var p Progress
+	version := s.Version()
+	for {
+		e, err := s.Next()
+		if err == io.EOF {
+			return p, nil
+		}
+		if err != nil {
+			return p, err
+		}
+		silence.Reset(eventGapLimit)
+		if e.Version != 0 {
+			version = e.Version
+		}
+		if version != 0 && version < r.spec.MinVersion {
+			return p, errTooOld
+		}
+		if version != 0 && (len(p.Versions) == 0 || p.Versions[len(p.Versions)-1] != version) {
+			p.Versions = append(p.Versions, version)
+		}
+		p.Events = append(p.Events, e)
+	}
+}
+
+var errTooOld = errors.New("submission: the engine's weights are too old")
+
+// append writes the results that are ready, one batch at a time.
+func (r *Runner) append(ctx context.Context) error {
+	if r.appending {
+		return nil
+	}
+	if r.lost() {
+		return ErrLost
+	}
+	position, results := r.run.Unwritten()
+	if len(results) == 0 {
+		return nil
+	}
+	r.appending = true
+	batch, wait := r.batch, r.pause
+	r.group.Go(func() error {
+		b, err := r.write(ctx, batch, position, results)
+		if err != nil && !errors.Is(err, ErrLost) {
+			pause(ctx, wait)
+		}
+		r.tell(ctx, func(time.Time) { r.appended(b, err) })
+		return nil
+	})
+	return nil
+}
+
+func (r *Runner) lost() bool { return r.owned.Fencing == 0 }
+
+// write writes batch, or a new one of results if it is nil.
+func (r *Runner) write(ctx context.Context, batch *Batch, position int, results []Result) (*Batch, error) {
+	if batch == nil {
+		b, err := r.cfg.Log.Prepare(ctx, r.owned, position, results)
+		if err != nil {
+			return nil, err
+		}
+		batch = &b
+	}
+	return batch, r.cfg.Log.Append(ctx, r.owned, *batch)
+}
+
+// appended takes the outcome of a write.
+func (r *Runner) appended(b *Batch, err error) {
+	r.appending = false
+	switch {
+	case errors.Is(err, ErrLost):
+		r.owned.Fencing = 0
+		return
+	case err != nil:
+		r.batch = b
+		r.pause = min(2*r.pause, maxAppendPause)
+		r.cfg.Observe(Step{What: "results not written", Submission: r.spec.ID, Err: err})
+		return
+	}
+	r.batch, r.pause = nil, appendPause
+	r.run.Written(len(b.Results))
+	r.mu.Lock()
+	r.results = append(r.results, b.Results...)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	r.cfg.Observe(Step{What: "listed", Submission: r.spec.ID, Position: b.Position, Events: len(b.Results)})
+}
+
+// complete marks the submission as one of which nothing runs any more.
+func (r *Runner) complete(ctx context.Context) error {
+	_, err := r.cfg.Log.Change(ctx, r.owned, func(h Head) (Head, bool) {
+		if h.Owner != r.owned.Owner || !h.Open() {
+			return h, false
+		}
+		h.Complete = true
+		return h, true
+	})
+	return err
+}
--- /dev/null
+++ b/pkg/submission/submission.go
@@ -0,0 +1,180 @@
+// Package submission keeps and runs batch submissions: many requests that are
+// handed over at once, run later, and whose results are read by position. A
+// submission and its results lie in the platform's store; the instance that
+// owns it runs its items, and any instance serves its readers.
+package submission
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// Spec is a submission as its sender handed it over.
+type Spec struct {
+	ID         string `json:"id"`
+	Host       string `json:"host"`
+	Path       string `json:"path"`
+	Model      string `json:"model,omitempty"`
+	MinVersion uint64 `json:"min_version"` // oldest weight version that may make its samples
+	Step       int    `json:"step"`        // of the trainer
+	Desired    int    `json:"desired"`     // complete groups that the trainer waits for
+	Items      []Item `json:"items"`
+}
+
+// Item is one request of a submission. Its path and header are sent as they are.
+type Item struct {
+	ID     string            `json:"id"`
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body,omitempty"`
+	Group  string            `json:"group,omitempty"` // items of a group share their prompt
+	// Affinity names the prompt that the item shares with others; empty for none.
+	Affinity string `json:"affinity,omitempty"`
+	Scorer   *Call  `json:"scorer,omitempty"` // scores the item's text
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
+}
+
+// State is where an item's result stands.
+type State string
+
+// The states of results.
+const (
+	Done State = "done" // the whole text, scored if it has a scorer
+	Dead State = "dead" // given up
+)
+
+// Result is the final result of an item.
+type Result struct {
+	Item     string   `json:"item"` // its ID
+	State    State    `json:"state"`
+	Output   string   `json:"output,omitempty"` // the data of its events, one a line
+	Versions []uint64 `json:"versions,omitempty"`
+	Score    string   `json:"score,omitempty"`
+}
+
+// Head is the row of a submission. Its row version fences its owner: each
+// change of owner, and the submission's end, raises it, and results are only
+// written by who knows it.
+type Head struct {
+	ID         string    `json:"id"`
+	Host       string    `json:"host"`
+	Path       string    `json:"path"`
+	Model      string    `json:"model,omitempty"`
+	MinVersion uint64    `json:"min_version"`
+	Step       int       `json:"step"`
+	Total      int       `json:"total"` // items
+	AcceptedAt time.Time `json:"accepted_at"`
+	Owner      string    `json:"owner"` // instance that runs it; empty if it gave it up
+	Ended      bool      `json:"ended"` // by its sender; what runs is cancelled
+	Complete   bool      `json:"complete"`
+}
+
+// Open reports whether items of the submission may still run.
+func (h Head) Open() bool { return !h.Ended && !h.Complete }
+
+// Errors of submissions.
+var (
+	ErrUnknown = errors.New("submission: no such submission")
+	ErrNotSure = errors.New("submission: the store cannot be asked")
+	ErrNoItem  = errors.New("submission: no such item")
+)
+
+// Tables of submissions in the platform's store.
+const (
+	HeadsTable   = "submissions"
+	resultsTable = "results"
+	objectPrefix = "submission-"
+)
+
+// partitions is how many partitions submissions are spread over. One takes 200
+// transactions a second, and a submission asks for about ten; a reader of all
+// heads makes one call for each.
+const partitions = 8
+
+func partition(id string) string {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return strconv.Itoa(int(h.Sum32() % partitions))
+}
+
+// HeadPrefixes returns the prefixes of the keys of all heads.
+func HeadPrefixes() []string {
+	out := make([]string, partitions)
+	for i := range out {
+		out[i] = HeadsTable + "/" + strconv.Itoa(i) + "/"
+	}
+	return out
+}
+
+func headKey(id string) string { return HeadsTable + "/" + partition(id) + "/" + id }
+
+func resultsPrefix(id string) string { return resultsTable + "/" + partition(id) + "/" + id + "/" }
+
+// positionDigits is enough for the items of any submission.
+const positionDigits = 6
+
+func resultKey(id string, position int) string {
+	p := strconv.Itoa(position)
+	for len(p) < positionDigits {
+		p = "0" + p
+	}
+	return resultsPrefix(id) + p
+}
+
+// Event is one event of a generated text.
+type Event struct {
+	ID      int
+	Data    string
+	Version uint64 // weight version from this event on; 0 if it has not changed
+}
+
+// Stream is the text of a generation as it is made.
+type Stream interface {
+	// Next returns the next event, io.EOF after the whole text, or an error if
+	// the stream broke off.
+	Next() (Event, error)
+	// Version returns the weight version that the stream began under, or 0.
+	Version() uint64
+	Close()
+}
+
+// Generation asks an engine for the text of an item.
+type Generation struct {
+	ID     string
+	Host   string
+	Path   string
+	Header map[string]string
+	Body   []byte
+	After  int // go on after this event; 0 to begin
+	// Version is the weight version that the engine must hold; 0 for any.
+	Version uint64
+}
+
+// StatusError is an engine's answer that is not a text.
+type StatusError struct {
+	Status int
+	Load   *upstream.Load
+}
+
+func (e *StatusError) Error() string {
+	return "submission: engine answered " + strconv.Itoa(e.Status) + " " + http.StatusText(e.Status)
+}
+
+// Generator asks engines for texts. Its errors are those of forward.Transport,
+// or a *StatusError.
+type Generator interface {
+	Generate(ctx context.Context, to upstream.Entry, g Generation) (Stream, *upstream.Load, error)
+}
--- /dev/null
+++ b/pkg/upstream/entry.go
@@ -0,0 +1,52 @@
+// Package upstream keeps what an instance knows of the upstreams that it may
+// send requests to, and chooses among them.
+package upstream
+
+import "time"
+
+// Entry is what an upstream has registered of itself.
+type Entry struct {
+	ID         string // one for each start, unless the upstream starts again under it; see Born
+	Born       int64  // Unix millisecond of its start; 0 if not told
+	Pool       string
+	Address    string // IP:port
+	DataCentre string
+	Slots      int // requests that it serves at once
+	Draining   bool
+	// Versions are the weight versions that it holds, by model; empty for a
+	// plain service.
+	Versions map[string]uint64
+}
+
+// SameStart reports whether e and o are of the same start of an upstream: what
+// is known of one holds for the other.
+func (e Entry) SameStart(o Entry) bool {
+	return e.ID == o.ID && e.Born == o.Born && e.Address == o.Address && e.Pool == o.Pool
+}
+
+// Load is what an upstream told of its load with an answer.
+type Load struct {
+	Running, Waiting int
+	Slots            int
+}
+
+// Report tells a Registry how an attempt at an upstream went.
+type Report struct {
+	At   time.Time
+	Load *Load // nil if the upstream told none
+
+	// Failed means that the upstream gave no usable answer.
+	Failed bool
+	// Unreachable means that it took no connection.
+	Unreachable bool
+	// Gone means that another upstream has its address now.
+	Gone bool
+	// Busy means that it had no room, and is left alone until BusyUntil.
+	Busy      bool
+	BusyUntil time.Time
+
+	// Pace is the time that it took for a unit of work, 0 if not measured.
+	Pace time.Duration
+	// Versions are weight versions that its answer showed, by model.
+	Versions map[string]uint64
+}
--- /dev/null
+++ b/pkg/upstream/registry.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/health"
+)
+
+const (
+	// loadBelief is how long the load that an upstream told is believed. It
+	// changes with each request, tens of them a second.
+	loadBelief = 500 * time.Millisecond
+	// firstEjection is how long an upstream that failed is left alone; short,
+	// as the platform removes crashed ones after three of its heartbeats and
+	// others recover within seconds.
+	firstEjection = 400 * time.Millisecond
+	// maxEjection bounds the doubling of firstEjection, so that an upstream
+	// that has recovered is used again within a second or two.
+	maxEjection = 2 * time.Second
+)
+
+// Registry knows the upstreams of all pools. It is safe for concurrent use.
+type Registry struct {
+	dataCentre string
+	health     *health.Tracker
+	paces      *health.Paces
+
+	mu    sync.Mutex
+	byID  map[string]*known
+	pools map[string][]*known // in order of ID
+}
+
+// known is one upstream.
+type known struct {
+	Entry
+	inFlight  int // of this process
+	others    int // requests of others, when last told
+	othersAt  time.Time
+	busyUntil time.Time
+	gone      bool // another upstream has its address
+	confirmed map[string]uint64
+}
+
+// NewRegistry returns an empty Registry of an instance in dataCentre.
+func NewRegistry(dataCentre string) *Registry {
+	return &Registry{dataCentre: dataCentre, byID: map[string]*known{}, pools: map[string][]*known{},
+		health: health.NewTracker(health.Config{Failures: 2, EjectFor: firstEjection, MaxEjectFor: maxEjection}),
+		paces:  health.NewPaces(0)}
+}
+
+// Set replaces the upstreams by entries. What is known of one that has
+// started again under its ID is forgotten.
+func (r *Registry) Set(entries []Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byID := make(map[string]*known, len(entries))
+	pools := map[string][]*known{}
+	for _, e := range entries {
+		k := r.byID[e.ID]
+		if k == nil || !k.SameStart(e) {
+			k = &known{confirmed: map[string]uint64{}}
+			r.health.Succeeded(e.ID)
+		}
+		k.Entry = e
+		byID[e.ID] = k
+		pools[e.Pool] = append(pools[e.Pool], k)
+	}
+	for _, ks := range pools {
+		slices.SortFunc(ks, func(a, b *known) int { return compare(a.ID, b.ID) })
+	}
+	r.byID, r.pools = byID, pools
+}
+
+// Entries returns the upstreams of a pool, in order of ID, with the weight
+// versions that answers have shown since they told them.
+func (r *Registry) Entries(pool string) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Entry
+	for _, k := range r.pools[pool] {
+		e := k.Entry
+		e.Versions = k.versions()
+		out = append(out, e)
+	}
+	return out
+}
+
+// InFlight returns how many requests of this process run at the upstream.
+func (r *Registry) InFlight(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k := r.byID[id]; k != nil {
+		return k.inFlight
+	}
+	return 0
+}
+
+// versions returns the newest weight versions that k is known to hold.
+func (k *known) versions() map[string]uint64 {
+	v := maps.Clone(k.Versions)
+	for m, n := range k.confirmed {
+		if n > v[m] {
+			if v == nil {
+				v = map[string]uint64{}
+			}
+			v[m] = n
+		}
+	}
+	return v
+}
+
+// Ticket is one request's place at an upstream. Its holder calls Done once.
+type Ticket struct {
+	Entry
+	registry *Registry
+	known    *known
+}
+
+// Acquire chooses an upstream for a request and counts it there. It reports
+// false if no upstream may take it now.
+func (r *Registry) Acquire(w Want) (*Ticket, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ks := r.pools[w.Pool]
+	cands, from := make([]Candidate, 0, len(ks)), make([]*known, 0, len(ks))
+	slowness := r.slowness(ks, w.At)
+	for i, k := range ks {
+		if !r.usable(k, w) {
+			continue
+		}
+		cands = append(cands, Candidate{
+			ID: k.ID, Load: k.load(w.At), InFlight: k.inFlight, Slots: max(k.Slots, 1),
+			Slowness: slowness[i], Near: k.DataCentre == r.dataCentre,
+		})
+		from = append(from, k)
+	}
+	i := Choose(cands, w)
+	if i < 0 {
+		return nil, false
+	}
+	k := from[i]
+	k.inFlight++
+	r.health.Trying(k.ID, w.At)
+	e := k.Entry
+	e.Versions = k.versions()
+	return &Ticket{Entry: e, registry: r, known: k}, true
+}
+
+func (r *Registry) slowness(ks []*known, now time.Time) []float64 {
+	ids := make([]string, len(ks))
+	for i, k := range ks {
+		ids[i] = k.ID
+	}
+	return r.paces.Slowness(ids, now)
+}
+
+func (r *Registry) usable(k *known, w Want) bool {
+	switch {
+	case k.Draining, k.gone, w.At.Before(k.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
+		return false
+	case w.Model != "" && k.versions()[w.Model] < w.MinVersion:
+		return false
+	}
+	return true
+}
+
+// load returns how many requests k is believed to hold.
+func (k *known) load(now time.Time) int {
+	if now.Sub(k.othersAt) > loadBelief {
+		return k.inFlight
+	}
+	return k.inFlight + k.others
+}
+
+// Done ends the ticket's request and tells how it went.
+func (t *Ticket) Done(rep Report) {
+	r := t.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.known.inFlight--
+	r.learn(t.known, rep)
+}
+
+// Observe tells what was seen while the ticket's request still runs.
+func (t *Ticket) Observe(rep Report) {
+	t.registry.mu.Lock()
+	defer t.registry.mu.Unlock()
+	t.registry.learn(t.known, rep)
+}
+
+func (r *Registry) learn(k *known, rep Report) {
+	if rep.Load != nil {
+		k.others = max(0, rep.Load.Running+rep.Load.Waiting-k.inFlight)
+		k.othersAt = rep.At
+	}
+	if rep.Busy {
+		k.busyUntil = rep.BusyUntil
+	}
+	k.gone = k.gone || rep.Gone
+	for m, v := range rep.Versions {
+		k.confirmed[m] = max(k.confirmed[m], v)
+	}
+	if rep.Pace > 0 {
+		r.paces.Observe(k.ID, rep.Pace, rep.At)
+	}
+	switch {
+	case rep.Failed || rep.Unreachable:
+		r.health.Failed(k.ID, rep.At, rep.Unreachable)
+	case !rep.Busy && !rep.Gone:
+		r.health.Succeeded(k.ID)
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
