--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -49,7 +52,7 @@
 			}
 			ctx, stop := signalContext()
 			defer stop()
-			return runNode(ctx, s)
+			return runNode(ctx, path, s)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "the platform's settings file")
@@ -58,13 +61,14 @@
 
 // runNode runs a node and the servers of its interfaces until ctx ends and it
 // has drained.
-func runNode(ctx context.Context, s platform.Settings) error {
+func runNode(ctx context.Context, path string, s platform.Settings) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
 	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: log.InfoLevel}).With("node", s.Node)
+	store := platform.NewStore(s.Store)
 	n := node.New(node.Config{
-		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, Store: platform.NewStore(s.Store), Engines: platform.NewEngines(),
+		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, Cores: s.Cores, Store: store, Engines: platform.NewEngines(),
 		Decoder: platform.Decoder(), Logger: logger, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, Grace: s.Grace,
 	})
 	callers := platform.NewCallers(n)
@@ -80,7 +84,11 @@
 		}
 		servers = append(servers, srv)
 	}
+	rctx, stopReloading := context.WithCancel(context.Background())
+	defer stopReloading()
+	group.Go(func() error { return reload(rctx, logger, path, store) })
 	err := n.Run(ctx)
+	stopReloading()
 	sctx, cancel := context.WithTimeout(context.Background(), s.Grace/shutdownShare)
 	defer cancel()
 	for _, srv := range servers {
@@ -105,6 +113,46 @@
 	return srv, nil
 }
 
+// reloadPeriod is how often the settings file is read: it may change without
+// a signal.
+const reloadPeriod = time.Second
+
+// reload takes up changes of the settings file until ctx ends. Of what a
+// running process can change, that is where the store is; the rest is logged.
+func reload(ctx context.Context, logger *log.Logger, path string, store *platform.Store) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	before, _ := os.ReadFile(path) // read and checked at start
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			logger.Info("signal to reload", "settings", path)
+		case <-ticker.C:
+		}
+		now, err := os.ReadFile(path)
+		if err != nil {
+			logger.Warn("settings not read, the ones in force stay", "err", err)
+			continue
+		}
+		if bytes.Equal(now, before) {
+			continue
+		}
+		before = now
+		s, err := platform.ParseSettings(bytes.NewReader(now))
+		if err != nil {
+			logger.Error("settings not taken, the ones in force stay", "err", err)
+			continue
+		}
+		store.SetAddress(s.Store)
+		logger.Info("settings reloaded", "store", s.Store, "bytes", len(now))
+	}
+}
+
 const (
 	// headerTimeout bounds how long a caller may take to send a request's header.
 	headerTimeout = 5 * time.Second
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -58,6 +58,10 @@
 type Config struct {
 	Transport Transport
 	Registry  *upstream.Registry
+	// Affinity is what requests prefer an upstream by, among those about as
+	// loaded. An instance's own name keeps it to few connections, each of which
+	// is then used again before its upstream closes it.
+	Affinity string
 	// Observe is told of each attempt that has ended; nil for none.
 	Observe func(Attempt)
 }
@@ -97,7 +101,7 @@
 	pool := rt.Pick(rand.Float64())
 	for {
 		now := time.Now()
-		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried()})
+		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Affinity: f.cfg.Affinity})
 		if !ok && len(plan.Tried()) > 0 && plan.MayRepeat() {
 			// Each upstream has been tried: one that had no room may have some now.
 			t, ok = f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now})
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -45,6 +45,8 @@
 	Address    string `json:"address"` // where callers connect
 	DataCentre string `json:"data_centre"`
 	Draining   bool   `json:"draining,omitempty"`
+	// Cores is how much work it can carry, in processor cores.
+	Cores float64 `json:"cores"`
 }
 
 // Start returns what identifies one start of the instance named name.
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
@@ -34,8 +36,8 @@
 
 	startRun struct {
 		submission.Owned
-		spec    submission.Spec
-		results []submission.Result
+		spec submission.Spec
+		left submission.Left
 	}
 	stopRun    struct{ id string }
 	releaseRun struct{ submission.Owned }
@@ -76,12 +78,14 @@
 
 func (e startRun) carryOut(ctx context.Context, n *Node) {
 	rctx, cancel := context.WithCancel(ctx)
-	r := submission.NewRunner(n.runnerConfig(), e.Owned, e.spec, e.results)
-	n.readers.own(e.ID, &ownRun{runner: r, spec: e.spec, cancel: cancel})
-	n.cfg.Logger.Info("submission runs", "submission", e.ID, "items", len(e.spec.Items), "listed", len(e.results), "fencing", e.Fencing)
+	r := submission.NewRunner(n.runnerConfig(), e.Owned, e.spec, e.left)
+	run := &ownRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
+	n.readers.own(e.ID, run)
+	n.cfg.Logger.Info("submission runs", "submission", e.ID, "items", len(e.spec.Items), "listed", len(e.left.Results), "begun", len(e.left.Texts), "fencing", e.Fencing)
 	n.group.Go(func() error {
 		err := r.Run(rctx)
 		cancel()
+		close(run.ended)
 		n.readers.disown(e.ID, r)
 		n.cfg.Logger.Info("submission runs no more", "submission", e.ID, "err", err)
 		n.tell(ctx, runEnded{e.ID, err})
@@ -91,18 +95,28 @@
 
 func (e stopRun) carryOut(_ context.Context, n *Node) { n.readers.stop(e.id) }
 
-// carryOut stops the run and gives the submission up, so that another instance
-// need not wait for this one's row to lapse.
+// carryOut stops the run, keeps its texts for a successor and gives the
+// submission up, so that another instance need not wait for this one's row to
+// lapse.
 func (e releaseRun) carryOut(ctx context.Context, n *Node) {
-	n.readers.stop(e.ID)
+	run := n.readers.run(e.ID)
+	if run != nil {
+		run.cancel()
+	}
 	n.group.Go(func() error {
 		rctx, cancel := context.WithTimeout(ctx, storeTime)
 		defer cancel()
+		if run != nil {
+			<-run.ended
+			if err := n.log.PutProgress(rctx, e.Owned, run.runner.Partials()); err != nil {
+				n.cfg.Logger.Warn("progress not kept", "submission", e.ID, "err", err)
+			}
+		}
 		_, err := n.log.Change(rctx, e.Owned, func(h submission.Head) (submission.Head, bool) {
 			if h.Owner != n.start || !h.Open() {
 				return h, false
 			}
-			h.Owner = ""
+			h.Owner, h.Claimed, h.Progress = "", false, e.Fencing
 			return h, true
 		})
 		n.cfg.Logger.Info("submission handed over", "submission", e.ID, "err", err)
@@ -122,21 +136,16 @@
 		actx, cancel := context.WithTimeout(ctx, 2*storeTime)
 		defer cancel()
 		out := adopted{ID: e.ID}
+		left := e.Owned // as the owner before left it
 		out.Owned, out.Err = n.log.Change(actx, e.Owned, func(h submission.Head) (submission.Head, bool) {
-			if h.Owner == n.start || !h.Open() {
-				return h, false
-			}
-			if h.Owner != e.Owner {
-				return h, false // another has adopted it
+			if !h.Open() || h.Owner != e.Owner || h.Owner == n.start && h.Claimed {
+				return h, false // ended, or another has adopted it, or it is claimed already
 			}
-			h.Owner = n.start
+			h.Owner, h.Claimed, h.Progress = n.start, true, 0
 			return h, true
 		})
 		if out.Err == nil && out.Owned.Owner == n.start && out.Owned.Open() {
-			out.Spec, out.Err = n.readers.spec(actx, e.ID)
-		}
-		if out.Err == nil && out.Owned.Owner == n.start && out.Owned.Open() {
-			out.Results, out.Err = n.log.AllResults(actx, e.ID)
+			out.Spec, out.Left, out.Err = n.readLeft(actx, left)
 		}
 		if errors.Is(out.Err, context.Canceled) {
 			return nil
@@ -147,4 +156,30 @@
 	})
 }
 
+// readLeft reads what the owners before have left of a submission.
+func (n *Node) readLeft(ctx context.Context, left submission.Owned) (submission.Spec, submission.Left, error) {
+	var spec submission.Spec
+	var out submission.Left
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		spec, err = n.readers.spec(gctx, left.ID)
+		return err
+	})
+	if left.Claimed || left.Progress != 0 {
+		g.Go(func() (err error) {
+			out.Results, err = n.log.AllResults(gctx, left.ID)
+			return err
+		})
+		g.Go(func() error {
+			var err error
+			if out.Texts, err = n.log.Progress(gctx, left); err != nil {
+				n.cfg.Logger.Warn("progress not read", "submission", left.ID, "err", err) // its texts are begun anew
+				out.Texts = nil
+			}
+			return nil
+		})
+	}
+	return spec, out, g.Wait()
+}
+
 func (e planOrders) carryOut(_ context.Context, n *Node) { n.orders.plan(e) }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -55,7 +55,8 @@
 type Config struct {
 	Name       string
 	DataCentre string
-	Address    string // where callers connect
+	Address    string  // where callers connect
+	Cores      float64 // processor cores that the instance has
 	Store      Store
 	Engines    Engines
 	Decoder    Decoder
@@ -93,7 +94,6 @@
 	log       submission.Log
 	registry  *upstream.Registry
 	forwarder *forward.Forwarder
-	scorer    *forward.Forwarder
 	events    chan any
 	group     errgroup.Group
 
@@ -111,7 +111,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), registry: upstream.NewRegistry(cfg.DataCentre),
 		log: submission.Log{Store: cfg.Store, MaxRow: cfg.MaxRow}, events: make(chan any, eventQueue)}
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Registry: n.registry, Observe: n.attempted})
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.attempted})
 	n.heads.init()
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: make(chan struct{}, 1)}
@@ -171,7 +171,7 @@
 			n.draining.Store(true)
 			n.cfg.Logger.Info("draining", "owned", len(s.running))
 			deadline = time.After(drainTime(n.cfg.Grace))
-			ev = drain{At: time.Now(), ReleaseAt: time.Now().Add(releaseTime(n.cfg.Grace))}
+			ev = drain{}
 		case <-deadline:
 			return nil
 		}
@@ -181,11 +181,9 @@
 	}
 }
 
-// drainTime is when a node that is told to stop ends, since callers go on using
-// its address for seconds, and releaseTime when it hands over what it still runs: most generations have
-// ended by then, and the rest have the time to go on elsewhere.
-func drainTime(grace time.Duration) time.Duration   { return grace * 6 / 8 }
-func releaseTime(grace time.Duration) time.Duration { return grace * 3 / 8 }
+// drainTime is when a node that is told to stop ends: callers go on using its
+// address for seconds, and requests under way need the rest of the grace.
+func drainTime(grace time.Duration) time.Duration { return grace * 6 / 8 }
 
 func draw() float64 { return rand.Float64() }
 
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -33,6 +33,7 @@
 	runner *submission.Runner
 	spec   submission.Spec
 	cancel context.CancelFunc
+	ended  chan struct{} // closed when the runner has returned
 }
 
 // readers serves those who read submissions, from the runs here, from what it
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -97,7 +97,8 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTime)
 	defer cancel()
 	begun := time.Now()
-	o, err := n.log.Accept(ctx, s, n.start, begun)
+	owner := n.owner(s)
+	o, err := n.log.Accept(ctx, s, owner, owner == n.start, begun)
 	if err != nil {
 		n.cfg.Logger.Warn("submission not kept", "submission", s.ID, "took", time.Since(begun), "err", err)
 		if errors.Is(err, platform.ErrNotDone) {
@@ -111,6 +112,16 @@
 	return nil
 }
 
+// owner returns the instance that is to run s.
+func (n *Node) owner(s submission.Spec) string {
+	if live := n.people.Load(); live != nil {
+		for _, m := range owners(*live, submission.Head{Host: s.Host, Path: s.Path, Model: s.Model}) {
+			return m.Start
+		}
+	}
+	return n.start
+}
+
 // head returns the head of a submission, from the store if it is not known.
 func (n *Node) head(ctx context.Context, id string) (submission.Owned, error) {
 	if o, ok := n.heads.get(id); ok {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -22,9 +23,12 @@
 	// members waits before it is adopted: the owner's row may be seen later
 	// than the submission's.
 	orphanPatience = 1200 * time.Millisecond
+	// claimPatience is how long an owner that another instance has chosen may
+	// take to claim a submission: it learns of it in some ten milliseconds.
+	claimPatience = 400 * time.Millisecond
 	// successionPeriod is how long each instance in rank has to adopt before
 	// the next may.
-	successionPeriod = 1500 * time.Millisecond
+	successionPeriod = 600 * time.Millisecond
 	// adoptPause is the pause before an adoption that failed is tried again.
 	adoptPause = 300 * time.Millisecond
 )
@@ -40,20 +44,20 @@
 	}
 	// adopted tells the outcome of an adopt.
 	adopted struct {
-		ID      string
-		Owned   submission.Owned
-		Spec    submission.Spec
-		Results []submission.Result
-		Err     error
-		At      time.Time
+		ID    string
+		Owned submission.Owned
+		Spec  submission.Spec
+		Left  submission.Left
+		Err   error
+		At    time.Time
 	}
 	// runEnded tells that a submission runs no more here.
 	runEnded struct {
 		ID  string
 		Err error
 	}
-	// drain tells that the instance is to stop, and when it hands over what it runs.
-	drain struct{ At, ReleaseAt time.Time }
+	// drain tells that the instance is to stop.
+	drain struct{}
 )
 
 // state is the control state of a node.
@@ -77,9 +81,7 @@
 	read      map[string]bool      // tables that have been read
 	awaySince map[string]time.Time // tables that cannot be read
 
-	draining  bool
-	releaseAt time.Time
-	released  bool
+	draining bool
 }
 
 func newState(name, start string, d Decoder) *state {
@@ -104,8 +106,7 @@
 		delete(s.running, e.ID)
 		return nil
 	case drain:
-		s.draining, s.releaseAt = true, e.ReleaseAt
-		return []effect{leave{}}
+		return s.onDrain()
 	}
 	return nil
 }
@@ -261,19 +262,23 @@
 	if named := s.named[o.Model]; !known && o.Model != "" && named >= o.MinVersion {
 		s.lag[o.Model] = min(named-o.MinVersion, 1)
 	}
-	if s.running[o.ID] && (o.Ended || o.Owner != s.start) {
+	switch {
+	case s.running[o.ID] && (o.Ended || o.Owner != s.start):
 		effs = append(effs, stopRun{o.ID})
+	case !s.running[o.ID] && o.Owner == s.start && !o.Claimed && o.Open() && !s.draining:
+		s.running[o.ID] = true
+		effs = append(effs, adopt{o})
 	}
 	return effs
 }
 
 func (s *state) onAccepted(e accepted) []effect {
 	effs := s.setHead(e.Owned)
-	if s.running[e.ID] || e.Owner != s.start || !e.Open() {
+	if s.draining || s.running[e.ID] || e.Owner != s.start || !e.Claimed || !e.Open() {
 		return effs
 	}
 	s.running[e.ID] = true
-	return append(effs, startRun{e.Owned, e.Spec, nil})
+	return append(effs, startRun{e.Owned, e.Spec, submission.Left{}})
 }
 
 func (s *state) onAdopted(e adopted) []effect {
@@ -287,7 +292,10 @@
 		delete(s.running, e.ID)
 		return effs
 	}
-	return append(effs, startRun{e.Owned, e.Spec, e.Results})
+	if s.draining {
+		return append(effs, releaseRun{e.Owned})
+	}
+	return append(effs, startRun{e.Owned, e.Spec, e.Left})
 }
 
 func (s *state) onTick(now time.Time) []effect {
@@ -304,19 +312,17 @@
 		effs = append(effs, setMembers{s.members.Live(now), s.members.Size()})
 	}
 	if s.draining {
-		return append(effs, s.release(now)...)
+		return effs
 	}
 	effs = append(effs, s.adopt(now)...)
 	return append(effs, planOrders{now, s.named, s.lag})
 }
 
-// release hands over what runs here when its time has come.
-func (s *state) release(now time.Time) []effect {
-	if s.released || now.Before(s.releaseAt) {
-		return nil
-	}
-	s.released = true
-	var effs []effect
+// onDrain hands over what runs here. Its texts go on at another instance where
+// they are, so that to wait for their end would gain nothing.
+func (s *state) onDrain() []effect {
+	s.draining = true
+	effs := []effect{leave{}}
 	for id := range s.running {
 		effs = append(effs, releaseRun{s.heads[id]})
 	}
@@ -332,16 +338,13 @@
 	}
 	live := s.members.Live(now)
 	starts := make(map[string]bool, len(live))
-	var candidates []string
 	for _, m := range live {
 		starts[m.Start] = true
-		if !m.Draining {
-			candidates = append(candidates, m.Name)
-		}
 	}
 	var effs []effect
 	for id, o := range s.heads {
-		if !o.Open() || s.running[id] || starts[o.Owner] && o.Owner != s.start {
+		theirs := starts[o.Owner] && o.Owner != s.start
+		if !o.Open() || s.running[id] || theirs && o.Claimed {
 			delete(s.orphans, id)
 			continue
 		}
@@ -350,7 +353,7 @@
 			since = now
 			s.orphans[id] = now
 		}
-		if now.Before(s.retryAt[id]) || now.Sub(since) < s.patience(o.Owner, id, candidates) {
+		if now.Before(s.retryAt[id]) || now.Sub(since) < s.patience(o, theirs, live) {
 			continue
 		}
 		s.running[id] = true
@@ -359,28 +362,47 @@
 	return effs
 }
 
-// patience is how long this instance leaves an orphan of owner to others.
-func (s *state) patience(owner, id string, candidates []string) time.Duration {
-	name := membership.NameOf(owner)
+// patience is how long this instance leaves an orphan to others. live says that
+// its owner is among the members, but has not claimed it.
+func (s *state) patience(o submission.Owned, live bool, members []membership.Member) time.Duration {
+	name := membership.NameOf(o.Owner)
 	if name == s.name {
 		return 0 // this start, or an earlier one of the same instance
 	}
-	wait := s.rank(id, candidates)
-	if owner == "" {
+	wait := s.rank(o, members)
+	switch start, ok := s.members.StartOf(name); {
+	case live:
+		return claimPatience + wait
+	case o.Owner == "":
 		return wait // given up by its owner
-	}
-	if start, ok := s.members.StartOf(name); ok && start != owner {
+	case ok && start != o.Owner:
 		return wait // its owner has started again
 	}
 	return orphanPatience + wait
 }
 
-func (s *state) rank(id string, candidates []string) time.Duration {
-	ranked := route.Rank(candidates, func(n string) string { return n }, id)
-	for i, n := range ranked {
-		if n == s.name {
-			return time.Duration(i) * successionPeriod
+// rank is how long this instance leaves an orphan to those before it in rank.
+func (s *state) rank(o submission.Owned, members []membership.Member) time.Duration {
+	i := 0
+	for _, m := range owners(members, o.Head) {
+		if m.Name == s.name {
+			break
+		}
+		if m.Start != o.Owner {
+			i++
 		}
 	}
-	return time.Duration(len(ranked)) * successionPeriod
+	return time.Duration(i) * successionPeriod
+}
+
+// owners returns the members that may own a submission, first the one that
+// should. Those of one model go to the same instance, so that its connections
+// to the engines are used again and again, and larger instances own more.
+func owners(members []membership.Member, h submission.Head) []membership.Member {
+	key := h.Model
+	if key == "" {
+		key = h.Host + h.Path
+	}
+	able := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Draining })
+	return route.RankWeighted(able, func(m membership.Member) string { return m.Name }, func(m membership.Member) float64 { return m.Cores }, key)
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -66,6 +67,23 @@
 	return best
 }
 
+// RankWeighted returns items in the order that key ranks them by, as Rank does,
+// but so that an item comes first for a share of the keys proportional to its
+// weight (weighted rendezvous hashing).
+func RankWeighted[T any](items []T, name func(T) string, weight func(T) float64, key string) []T {
+	const top = 1 << 53 // scores are taken as numbers in (0, 1)
+	at := func(it T) float64 {
+		u := (float64(score(name(it), key)>>11) + 0.5) / top
+		return -math.Log(u) / max(weight(it), minWeight)
+	}
+	ranked := slices.Clone(items)
+	slices.SortStableFunc(ranked, func(a, b T) int { return cmp.Compare(at(a), at(b)) })
+	return ranked
+}
+
+// minWeight stands for weights that are not positive.
+const minWeight = 1e-3
+
 // Rank returns items in the order that key ranks them by, best first: the
 // first is the one Rendezvous chooses.
 func Rank[T any](items []T, name func(T) string, key string) []T {
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
@@ -48,10 +49,11 @@
 	return h, nil
 }
 
-// Accept keeps s, owned by owner, until ctx ends. Its errors tell whether s
+// Accept keeps s, owned by owner, who runs it already if claimed says so, and
+// tries that until ctx ends. Its errors tell whether s
 // may have been kept: platform.ErrNotDone means that it is not and will not
 // be. Another copy of s that is kept already is no error; its head is returned.
-func (l Log) Accept(ctx context.Context, s Spec, owner string, now time.Time) (Owned, error) {
+func (l Log) Accept(ctx context.Context, s Spec, owner string, claimed bool, now time.Time) (Owned, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
 		return Owned{}, fmt.Errorf("submission %s: %w", s.ID, err)
@@ -66,7 +68,7 @@
 		}
 	}
 	h := Head{ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Step: s.Step,
-		Total: len(s.Items), AcceptedAt: now.UTC().Round(0), Owner: owner} // as it is read back
+		Total: len(s.Items), AcceptedAt: now.UTC().Round(0), Owner: owner, Claimed: claimed} // as it is read back
 	return l.put(ctx, h, 0)
 }
 
@@ -205,6 +207,45 @@
 	return r, nil
 }
 
+// Partial is the text of an item that is not whole yet.
+type Partial struct {
+	Item     string   `json:"item"`
+	Text     []string `json:"text"`
+	After    int      `json:"after"`
+	Versions []uint64 `json:"versions"`
+}
+
+func progressName(id string, fencing uint64) string {
+	return objectPrefix + id + "-progress-" + strconv.FormatUint(fencing, 10)
+}
+
+// PutProgress keeps the texts that the owner o has so far, for its successor.
+func (l Log) PutProgress(ctx context.Context, o Owned, ps []Partial) error {
+	data, err := json.Marshal(ps)
+	if err != nil {
+		return err
+	}
+	return l.Store.PutObject(ctx, progressName(o.ID, o.Fencing), data)
+}
+
+// Progress returns the texts that the owner before kept, given the head as that
+// owner left it. There are none if it kept none.
+func (l Log) Progress(ctx context.Context, left Owned) ([]Partial, error) {
+	fencing := left.Fencing
+	if left.Owner == "" {
+		fencing = left.Head.Progress
+	}
+	data, err := l.Store.GetObject(ctx, progressName(left.ID, fencing))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var ps []Partial
+	return ps, json.Unmarshal(data, &ps)
+}
+
 // Batch is a run of results at consecutive positions, ready to be written in
 // one transaction. It must be written again as it is until its outcome is known.
 type Batch struct {
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -55,21 +55,40 @@
 	versions  []uint64
 }
 
-// NewRun returns the run of s, of which the results given are written already.
-func NewRun(s Spec, written []Result) *Run {
+// NewRun returns the run of s, of which the results given are written already
+// and the texts given are begun.
+func NewRun(s Spec, written []Result, begun []Partial) *Run {
 	r := &Run{spec: s, items: make([]item, len(s.Items)), listed: len(written)}
 	done := make(map[string]bool, len(written))
 	for _, w := range written {
 		done[w.Item] = true
 	}
+	texts := make(map[string]Partial, len(begun))
+	for _, p := range begun {
+		texts[p.Item] = p
+	}
 	for i, it := range s.Items {
 		if done[it.ID] {
 			r.items[i].phase = listed
+			continue
 		}
+		p := texts[it.ID]
+		r.items[i].text, r.items[i].after, r.items[i].versions = p.Text, p.After, p.Versions
 	}
 	return r
 }
 
+// Partials returns the texts that are begun and have no result.
+func (r *Run) Partials() []Partial {
+	var out []Partial
+	for i, it := range r.items {
+		if it.after > 0 && it.phase != finished && it.phase != listed {
+			out = append(out, Partial{Item: r.spec.Items[i].ID, Text: it.text, After: it.after, Versions: slices.Clone(it.versions)})
+		}
+	}
+	return out
+}
+
 // Waiting returns the items that want an engine at now, those first that have
 // a part of their text already, then in the order of the submission, in which
 // a trainer puts the groups that it needs first.
@@ -107,7 +126,7 @@
 	return r.items[i].after, r.items[i].versions
 }
 
-// Progress is what an attempt at an item's text gave.
+// Progress is what an attempt at an item's text gave, or a part of it.
 type Progress struct {
 	Events   []Event
 	Versions []uint64 // that made Events, oldest first
@@ -115,6 +134,13 @@
 	Status   int      // of an answer that was no text; 0 for none
 }
 
+// Extended tells of events that item i's attempt has given, while it goes on.
+func (r *Run) Extended(i int, p Progress, t Terms) {
+	if it := &r.items[i]; it.phase == running {
+		it.extend(p, r.spec.MinVersion, t)
+	}
+}
+
 // Generated tells how an attempt at item i ended at now.
 func (r *Run) Generated(i int, p Progress, t Terms, now time.Time) {
 	it := &r.items[i]
@@ -130,21 +156,25 @@
 			return
 		}
 	}
-	it.extend(p, r.spec.MinVersion, t)
+	whole := it.extend(p, r.spec.MinVersion, t) && p.Whole && it.after > 0
 	switch {
-	case p.Whole && it.after > 0 && r.spec.Items[i].Scorer != nil:
+	case whole && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
-	case p.Whole && it.after > 0:
+	case whole:
 		r.finish(i, Result{State: Done})
 	case len(p.Events) == 0:
 		it.notBefore = now.Add(attemptPause)
 	}
 }
 
-// extend adds an attempt's events to the text. A text that may not be
-// delivered as it is, too old or of several versions, is begun anew.
-func (it *item) extend(p Progress, minVersion uint64, t Terms) {
+// extend adds an attempt's events to the text and reports whether the text
+// stands. One that may not be delivered as it is, too old or of several
+// versions, is begun anew; what its attempt still gives does not follow on then.
+func (it *item) extend(p Progress, minVersion uint64, t Terms) bool {
 	for _, e := range p.Events {
+		if e.ID != it.after+1 {
+			return false
+		}
 		it.text = append(it.text, e.Data)
 		it.after = e.ID
 	}
@@ -157,7 +187,9 @@
 	tooOld := len(it.versions) > 0 && it.versions[0] < minVersion
 	if tooOld || t.SingleVersion && len(it.versions) > 1 {
 		it.text, it.versions, it.after = nil, nil, 0
+		return false
 	}
+	return true
 }
 
 // Scored is what a call of a scorer gave.
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -18,10 +18,19 @@
 const (
 	// firstEventLimit is how long an engine may take to begin a text: its
 	// queue is short, since owners bound what they send.
-	firstEventLimit = 2500 * time.Millisecond
-	// eventGapLimit is how long a text may stand still; a slow engine takes
-	// some hundred milliseconds for an event.
-	eventGapLimit = 1200 * time.Millisecond
+	firstEventLimit = 1500 * time.Millisecond
+	// eventGapLimit is how long a text may stand still; an engine takes tens of
+	// milliseconds for an event and a slow one some hundred. To go on elsewhere
+	// costs little: the engine there reads the text so far in milliseconds.
+	eventGapLimit = 700 * time.Millisecond
+	// flushEvents is how many events of a text are told to the owner's
+	// goroutine at once.
+	flushEvents = 6
+	// progressPeriod is how often the texts so far are kept for a successor.
+	progressPeriod = 700 * time.Millisecond
+	// slowEngine is how many times the usual time an engine takes from which on
+	// a text goes on at another.
+	slowEngine = 2
 	// roomPeriod is how often an owner looks for room at engines while items wait.
 	roomPeriod = 15 * time.Millisecond
 	// idlePeriod is how often it looks otherwise.
@@ -73,19 +82,27 @@
 
 	appending bool
 	pause     time.Duration // before the next append, after a failure
-	batch     *Batch        // not known to be written
+	keepAt    time.Time     // when progress is kept next
+	keeping   bool
+	batch     *Batch // not known to be written
 
 	mu      sync.Mutex
 	results []Result
 	changed chan struct{} // closed when results grow
 }
 
-// NewRunner returns the Runner of a submission with the results written so far.
-func NewRunner(cfg Config, o Owned, s Spec, written []Result) *Runner {
+// Left is what the owners before have left of a submission.
+type Left struct {
+	Results []Result  // written
+	Texts   []Partial // begun
+}
+
+// NewRunner returns the Runner of a submission.
+func NewRunner(cfg Config, o Owned, s Spec, left Left) *Runner {
 	if cfg.Observe == nil {
 		cfg.Observe = func(Step) {}
 	}
-	return &Runner{cfg: cfg, owned: o, spec: s, run: NewRun(s, written), results: written,
+	return &Runner{cfg: cfg, owned: o, spec: s, run: NewRun(s, left.Results, left.Texts), results: left.Results,
 		events: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), pause: appendPause}
 }
 
@@ -111,6 +128,7 @@
 		if err := r.append(ctx); err != nil {
 			return err
 		}
+		r.keep(ctx, now)
 		period := idlePeriod
 		if waits, _, _ := r.run.Counts(); waits > 0 {
 			period = roomPeriod
@@ -197,7 +215,9 @@
 	}
 	r.run.Started(i)
 	r.group.Go(func() error {
-		p, err := r.generate(ctx, t, g)
+		p, err := r.generate(ctx, t, g, func(p Progress) {
+			r.tell(ctx, func(time.Time) { r.run.Extended(i, p, terms(rt)) })
+		})
 		r.cfg.Observe(Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err})
 		r.tell(ctx, func(now time.Time) { r.run.Generated(i, p, terms(rt), now) })
 		return nil
@@ -205,19 +225,19 @@
 	return true
 }
 
-// generate reads one text, or a part of it, from the ticket's engine.
-func (r *Runner) generate(owned context.Context, t *upstream.Ticket, g Generation) (Progress, error) {
+// generate reads one text, or a part of it, from the ticket's engine. flush is
+// given the events as they come; the last of them are returned.
+func (r *Runner) generate(owned context.Context, t *upstream.Ticket, g Generation, flush func(Progress)) (Progress, error) {
 	ctx, cancel := context.WithCancel(owned)
 	defer cancel()
 	silence := time.AfterFunc(firstEventLimit, cancel)
 	defer silence.Stop()
-	begun := time.Now()
 	var p Progress
 	s, load, err := r.cfg.Generator.Generate(ctx, t.Entry, g)
 	if err == nil {
 		defer s.Close()
 		t.Observe(upstream.Report{At: time.Now(), Load: load, Versions: r.version(s.Version())})
-		p, err = r.read(s, silence)
+		p, err = r.read(t, s, silence, flush)
 	}
 	now := time.Now()
 	rep := upstream.Report{At: now, Load: load}
@@ -225,7 +245,7 @@
 	switch {
 	case err == nil:
 		p.Whole = true
-		rep.Pace = now.Sub(begun) / time.Duration(max(len(p.Events), 1))
+	case errors.Is(err, errSlow):
 	case errors.As(err, &se):
 		p.Status, rep.Load = se.Status, se.Load
 		rep.Failed = se.Status >= http.StatusInternalServerError && se.Status != http.StatusInternalServerError
@@ -253,10 +273,11 @@
 }
 
 // read reads the events of s. It ends early, with an error, at a version that
-// is too old for the submission.
-func (r *Runner) read(s Stream, silence *time.Timer) (Progress, error) {
+// is too old for the submission, and when the engine is slow and another has room.
+func (r *Runner) read(t *upstream.Ticket, s Stream, silence *time.Timer, flush func(Progress)) (Progress, error) {
 	var p Progress
 	version := s.Version()
+	last := time.Now()
 	for {
 		e, err := s.Next()
 		if err == io.EOF {
@@ -276,9 +297,48 @@
 			p.Versions = append(p.Versions, version)
 		}
 		p.Events = append(p.Events, e)
+		if len(p.Events) < flushEvents {
+			continue
+		}
+		now := time.Now()
+		t.Observe(upstream.Report{At: now, Pace: now.Sub(last) / flushEvents})
+		if t.Better(now, slowEngine) {
+			return p, errSlow
+		}
+		flush(p)
+		p, last = Progress{Versions: []uint64{version}}, now
+		if version == 0 {
+			p.Versions = nil
+		}
 	}
 }
 
+// errSlow ends a text that goes on at a faster engine.
+var errSlow = errors.New("submission: another engine is faster")
+
+// keep keeps the texts so far for a successor, from time to time.
+func (r *Runner) keep(ctx context.Context, now time.Time) {
+	if r.keeping || now.Before(r.keepAt) {
+		return
+	}
+	r.keepAt = now.Add(progressPeriod)
+	ps := r.run.Partials()
+	if len(ps) == 0 {
+		return
+	}
+	r.keeping = true
+	r.group.Go(func() error {
+		if err := r.cfg.Log.PutProgress(ctx, r.owned, ps); err != nil {
+			r.cfg.Observe(Step{What: "progress not kept", Submission: r.spec.ID, Err: err})
+		}
+		r.tell(ctx, func(time.Time) { r.keeping = false })
+		return nil
+	})
+}
+
+// Partials returns the texts that are begun. It is called after Run has returned.
+func (r *Runner) Partials() []Partial { return r.run.Partials() }
+
 var errTooOld = errors.New("submission: the engine's weights are too old")
 
 // append writes the results that are ready, one batch at a time.
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -77,9 +77,13 @@
 	Step       int       `json:"step"`
 	Total      int       `json:"total"` // items
 	AcceptedAt time.Time `json:"accepted_at"`
-	Owner      string    `json:"owner"` // instance that runs it; empty if it gave it up
-	Ended      bool      `json:"ended"` // by its sender; what runs is cancelled
-	Complete   bool      `json:"complete"`
+	Owner      string    `json:"owner"`   // instance that is to run it; empty if it gave it up
+	Claimed    bool      `json:"claimed"` // the owner runs it
+	// Progress is the fencing token under which the last owner kept its
+	// progress, where it gave the submission up.
+	Progress uint64 `json:"progress,omitempty"`
+	Ended    bool   `json:"ended"`    // by its sender; what runs is cancelled
+	Complete bool   `json:"complete"` // every result is written
 }
 
 // Open reports whether items of the submission may still run.
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -53,8 +53,8 @@
 	scored := make([]route.Candidate, 0, len(cands))
 	index := make([]int, 0, len(cands))
 	for i, c := range cands {
-		if w.Bounded && c.InFlight >= c.Slots {
-			continue
+		if w.Bounded && float64(c.InFlight) >= float64(c.Slots)/max(c.Slowness, 1) {
+			continue // a slow one is given what it serves in the usual time
 		}
 		load := float64(c.Load+1) / float64(c.Slots) * max(c.Slowness, 1)
 		if !c.Near {
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -184,6 +184,26 @@
 	r.learn(t.known, rep)
 }
 
+// Better reports whether the ticket's upstream has been from times slower than
+// usual, while another of its pool that is not has room.
+func (t *Ticket) Better(now time.Time, from float64) bool {
+	r := t.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ks := r.pools[t.Pool]
+	slowness := r.slowness(ks, now)
+	slow, better := false, false
+	for i, k := range ks {
+		switch {
+		case k == t.known:
+			slow = slowness[i] >= from
+		case slowness[i] < from && r.usable(k, Want{At: now}) && k.load(now) < k.Slots:
+			better = true
+		}
+	}
+	return slow && better
+}
+
 // Observe tells what was seen while the ticket's request still runs.
 func (t *Ticket) Observe(rep Report) {
 	t.registry.mu.Lock()
