--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -11,6 +11,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 // effect is something that the control state asks for. carryOut must not
@@ -25,6 +26,7 @@
 		fields []any
 	}
 	setTable     struct{ table *routetable.Table }
+	setNamed     struct{ versions map[string]uint64 }
 	setUpstreams struct{ entries []upstream.Entry }
 	setMembers   struct {
 		live []membership.Member
@@ -44,8 +46,8 @@
 	adopt      struct{ submission.Owned }
 
 	planOrders struct {
-		at         time.Time
-		named, lag map[string]uint64
+		at      time.Time
+		demands []weights.Demand
 	}
 )
 
@@ -59,6 +61,8 @@
 	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.Routes())
 }
 
+func (e setNamed) carryOut(_ context.Context, n *Node) { n.named.Store(&e.versions) }
+
 func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Set(e.entries) }
 
 func (e setMembers) carryOut(_ context.Context, n *Node) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,6 +104,7 @@
 	readers  *readers
 	member   *memberRow
 	orders   *orderSender
+	named    atomic.Pointer[map[string]uint64]
 	people   atomic.Pointer[[]membership.Member]
 }
 
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -33,6 +35,13 @@
 	// orderPause is the pause before an engine that did not take an order is
 	// ordered again.
 	orderPause = 250 * time.Millisecond
+	// firstAsk is after how long the first engine is asked whether it has loaded.
+	// Later ones are asked from askShare of the shortest load seen on, since each
+	// asking costs, and each askPeriod, since an engine that has loaded lets the
+	// next begin.
+	firstAsk  = 500 * time.Millisecond
+	askShare  = 0.95
+	askPeriod = 100 * time.Millisecond
 	// confirmPeriod is how often it is looked whether an engine has loaded.
 	confirmPeriod = 40 * time.Millisecond
 	// loadingShare is the part of a pool's engines that may load at once; loads
@@ -51,7 +60,14 @@
 	held     lease.Held
 	rollouts map[string]weights.Rollout // by pool and model
 	accepted map[string]acceptedOrders  // by engine ID
-	last     planOrders
+	ordered  map[string]orderCount      // by pool and model
+	shortest time.Duration              // load seen; 0 for none
+}
+
+// orderCount counts the orders given for a version.
+type orderCount struct {
+	version uint64
+	orders  int
 }
 
 // acceptedOrders counts the orders that one start of an engine has accepted.
@@ -61,7 +77,7 @@
 }
 
 func newOrderSender(n *Node) *orderSender {
-	return &orderSender{node: n, rollouts: map[string]weights.Rollout{}, accepted: map[string]acceptedOrders{}}
+	return &orderSender{node: n, rollouts: map[string]weights.Rollout{}, accepted: map[string]acceptedOrders{}, ordered: map[string]orderCount{}}
 }
 
 // keep takes and renews the lease while this instance is one of the candidates.
@@ -135,52 +151,95 @@
 	}
 	until := o.held.ValidUntil.Add(-o.node.cfg.LeaseTime - time.Second/2)
 	for _, pool := range t.Pools {
-		entries := o.node.registry.Entries(pool.Name)
-		for _, model := range pool.Models {
-			if named := p.named[model]; named > 0 {
-				o.planModel(p, entries, pool.Name, model, named, until)
-			}
+		if len(pool.Models) > 0 {
+			o.planPool(p, pool, until, !t.SingleVersion())
 		}
 	}
 }
 
-func (o *orderSender) planModel(p planOrders, entries []upstream.Entry, pool, model string, named uint64, until time.Time) {
-	held := map[string]uint64{}
+// planPool gives the orders that are due in one pool, of which a part may load
+// at once.
+func (o *orderSender) planPool(p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
 	byID := map[string]upstream.Entry{}
-	for _, e := range entries {
-		if v, ok := e.Versions[model]; ok && !e.Draining {
-			held[e.ID] = v
+	var ids []string
+	for _, e := range o.node.registry.Entries(pool.Name) {
+		if !e.Draining {
 			byID[e.ID] = e
+			ids = append(ids, e.ID)
 		}
 	}
-	key := pool + "/" + model
+	var demands []weights.Demand
+	for _, d := range p.demands {
+		if slices.Contains(pool.Models, d.Model) {
+			demands = append(demands, d)
+		}
+	}
+	parts := weights.Partition(ids, demands)
+	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
+	for _, d := range demands {
+		if d.Named == 0 {
+			continue
+		}
+		held := map[string]uint64{}
+		for _, id := range parts[d.Model] {
+			held[id] = byID[id].Versions[d.Model]
+		}
+		key := pool.Name + "/" + d.Model
+		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
+		for _, ord := range orders {
+			e := byID[ord.Address]
+			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing, Continue: carryOn}
+			o.node.group.Go(func() error {
+				o.send(key, e, mo, ord.NotAfter)
+				return nil
+			})
+		}
+	}
+}
+
+// loading returns how many engines of a pool load, or may, for other models
+// than that of key.
+func (o *orderSender) loading(pool, key string) int {
+	n := 0
+	for k, r := range o.rollouts {
+		if k == key || !strings.HasPrefix(k, pool+"/") {
+			continue
+		}
+		for _, e := range r.Engines {
+			if !e.OrderEndsAt.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// reduce brings the rollout of one model up to date and returns its orders.
+func (o *orderSender) reduce(key string, d weights.Demand, held map[string]uint64, budget, free int, at, until time.Time) []weights.Order {
 	r, ok := o.rollouts[key]
 	if !ok {
 		r = weights.Rollout{Config: weights.Config{SendMargin: orderMargin, OrderTimeout: orderTimeout, RetryDelay: orderPause}}
 	}
-	r.Config.MaxLoading = max(minLoading, int(loadingShare*float64(len(held))+0.5))
-	ids := weights.Stagger(held, named, p.lag[model])
+	r.Config.MaxLoading = budget
+	if o.ordered[key].version != d.Named {
+		o.ordered[key] = orderCount{version: d.Named}
+	}
+	ids := weights.Due(held, d, free-o.ordered[key].orders)
 	for id, e := range r.Engines {
-		if _, there := held[id]; there && (!e.OrderEndsAt.IsZero() || p.at.Before(e.RetryAt)) && !slices.Contains(ids, id) {
+		if _, there := held[id]; there && (!e.OrderEndsAt.IsZero() || at.Before(e.RetryAt)) && !slices.Contains(ids, id) {
 			ids = append(ids, id)
 		}
 	}
 	r, _ = r.Reduce(weights.Pool{Addresses: ids})
-	r, _ = r.Reduce(weights.Named{Version: named})
+	r, _ = r.Reduce(weights.Named{Version: d.Named})
 	r, _ = r.Reduce(weights.Held{Fencing: o.held.Fencing, Until: until})
 	for _, id := range ids {
-		r, _ = r.Reduce(weights.Reported{Address: id, Report: engine.LoadReport{WeightVersion: held[id]}, At: p.at})
+		r, _ = r.Reduce(weights.Reported{Address: id, Report: engine.LoadReport{WeightVersion: held[id]}, At: at})
 	}
-	r, orders := r.Reduce(weights.Tick{At: p.at})
+	r, orders := r.Reduce(weights.Tick{At: at})
 	o.rollouts[key] = r
-	for _, ord := range orders {
-		e := byID[ord.Address]
-		mo := weights.ModelOrder{Model: model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing}
-		o.node.group.Go(func() error {
-			o.send(key, e, mo, ord.NotAfter)
-			return nil
-		})
-	}
+	o.ordered[key] = orderCount{version: d.Named, orders: o.ordered[key].orders + len(orders)}
+	return orders
 }
 
 // count returns how many orders e has accepted: as counted here, or as e tells.
@@ -223,7 +282,7 @@
 		err = errTooLate
 	}
 	if err != nil {
-		o.ordered(key, to.ID, mo.Version, err)
+		o.done(key, to.ID, mo.Version, err)
 		return
 	}
 	outcome, err := n.cfg.Engines.Order(ctx, to, mo)
@@ -232,6 +291,7 @@
 	case weights.OrderAccepted:
 		o.setCount(to, mo.AfterOrders+1)
 		err = o.confirm(to, mo, begun.Add(orderTimeout))
+		n.cfg.Logger.Info("load", "upstream", to.ID, "model", mo.Model, "version", mo.Version, "took", time.Since(begun), "err", err)
 	case weights.OrderUnknown:
 		o.forget(to)
 		err = o.confirm(to, mo, begun.Add(orderTimeout))
@@ -240,7 +300,7 @@
 	case weights.OrderRefused:
 		o.forget(to)
 	}
-	o.ordered(key, to.ID, mo.Version, err)
+	o.done(key, to.ID, mo.Version, err)
 }
 
 var (
@@ -251,7 +311,16 @@
 
 // confirm waits until the engine is seen to hold the version.
 func (o *orderSender) confirm(to upstream.Entry, mo weights.ModelOrder, until time.Time) error {
+	begun := time.Now()
+	ask := begun.Add(o.askAfter())
 	for time.Now().Before(until) {
+		if now := time.Now(); !now.Before(ask) {
+			ask = now.Add(askPeriod)
+			if o.loaded(to, mo) {
+				o.learnLoad(time.Since(begun))
+				return nil
+			}
+		}
 		found := false
 		for _, e := range o.node.registry.Entries(to.Pool) {
 			if e.ID != to.ID {
@@ -270,7 +339,37 @@
 	return errNotLoaded
 }
 
-func (o *orderSender) ordered(key, id string, version uint64, err error) {
+// askAfter is how long after an order its engine is asked whether it has loaded.
+func (o *orderSender) askAfter() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.shortest == 0 {
+		return firstAsk
+	}
+	return time.Duration(askShare * float64(o.shortest))
+}
+
+func (o *orderSender) learnLoad(took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.shortest == 0 || took < o.shortest {
+		o.shortest = took
+	}
+}
+
+// loaded asks the engine whether it holds the version.
+func (o *orderSender) loaded(e upstream.Entry, mo weights.ModelOrder) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), orderCall)
+	defer cancel()
+	rep, err := o.node.cfg.Engines.Report(ctx, e)
+	if err != nil {
+		o.node.cfg.Logger.Warn("engine does not report", "upstream", e.ID, "err", err)
+		return false
+	}
+	return rep.Versions[mo.Model] >= mo.Version
+}
+
+func (o *orderSender) done(key, id string, version uint64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r, _ := o.rollouts[key].Reduce(weights.Ordered{Address: id, Version: version, Err: err, At: time.Now()})
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -190,6 +190,13 @@
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
 		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Score: n.score, Draw: draw, Observe: n.stepped,
+		ScoreRoom: n.scoreRoom,
+		Named: func(model string) uint64 {
+			if named := n.named.Load(); named != nil {
+				return (*named)[model]
+			}
+			return 0
+		},
 		Route: func(host, path string) (routetable.Route, bool, bool) {
 			t := n.table.Load()
 			if t == nil {
@@ -201,6 +208,24 @@
 	}
 }
 
+// scoreRoom returns how many calls of c's scorer may be under way at once: as
+// many as its upstreams have slots.
+func (n *Node) scoreRoom(c submission.Call) int {
+	rt, err := n.Route(c.Host, c.Path)
+	if err != nil {
+		return 1
+	}
+	slots := 0
+	for _, s := range rt.Shares {
+		for _, e := range n.registry.Entries(s.Pool) {
+			if !e.Draining {
+				slots += e.Slots
+			}
+		}
+	}
+	return max(slots, 1)
+}
+
 // score sends a scorer's call once.
 func (n *Node) score(ctx context.Context, c submission.Call) submission.Scored {
 	rt, err := n.Route(c.Host, c.Path)
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 const (
@@ -75,8 +77,9 @@
 	missing   map[string]time.Time // entries that are gone, and kept until then
 	graceTill time.Time            // entries that go until then may come back
 
-	named map[string]uint64 // newest weight version, by model
-	lag   map[string]uint64 // how many versions behind it requests accept, by model
+	named map[string]uint64  // newest weight version, by model
+	lag   map[string]uint64  // how many versions behind it requests accept, by model
+	work  map[string]float64 // mean of the work of recent submissions, by model
 
 	read      map[string]bool      // tables that have been read
 	awaySince map[string]time.Time // tables that cannot be read
@@ -88,7 +91,7 @@
 	return &state{name: name, start: start, decoder: d, members: membership.NewView(),
 		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
 		entries: map[string]upstream.Entry{}, missing: map[string]time.Time{},
-		named: map[string]uint64{}, lag: map[string]uint64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
+		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
 }
 
 // reduce applies ev and returns what to do.
@@ -157,7 +160,7 @@
 			effs = append(effs, setTable{t})
 		} else if model, version, ok := s.decoder.NamedVersion(ch.Row); ok && version > s.named[model] {
 			s.named[model] = version
-			effs = append(effs, note{"version named", []any{"model", model, "version", version}})
+			effs = append(effs, note{"version named", []any{"model", model, "version", version}}, setNamed{maps.Clone(s.named)})
 		}
 	}
 	return effs
@@ -262,6 +265,9 @@
 	if named := s.named[o.Model]; !known && o.Model != "" && named >= o.MinVersion {
 		s.lag[o.Model] = min(named-o.MinVersion, 1)
 	}
+	if !known && o.Model != "" {
+		s.learnWork(o.Head)
+	}
 	switch {
 	case s.running[o.ID] && (o.Ended || o.Owner != s.start):
 		effs = append(effs, stopRun{o.ID})
@@ -272,6 +278,40 @@
 	return effs
 }
 
+// workWeight is the weight of a new submission in the mean of a model's work.
+const workWeight = 0.3
+
+func (s *state) learnWork(h submission.Head) {
+	mean, ok := s.work[h.Model]
+	if !ok {
+		mean = float64(h.Work)
+	}
+	s.work[h.Model] = mean + workWeight*(float64(h.Work)-mean)
+}
+
+// demands returns what is asked of each model of which a version is named or a
+// submission was seen, in order of name.
+func (s *state) demands() []weights.Demand {
+	busy := map[string]bool{}
+	for _, o := range s.heads {
+		if o.Open() {
+			busy[o.Model] = true
+		}
+	}
+	models := map[string]bool{}
+	for m := range s.named {
+		models[m] = true
+	}
+	for m := range s.work {
+		models[m] = true
+	}
+	var out []weights.Demand
+	for _, m := range slices.Sorted(maps.Keys(models)) {
+		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.work[m], Busy: busy[m]})
+	}
+	return out
+}
+
 func (s *state) onAccepted(e accepted) []effect {
 	effs := s.setHead(e.Owned)
 	if s.draining || s.running[e.ID] || e.Owner != s.start || !e.Claimed || !e.Open() {
@@ -315,7 +355,7 @@
 		return effs
 	}
 	effs = append(effs, s.adopt(now)...)
-	return append(effs, planOrders{now, s.named, s.lag})
+	return append(effs, planOrders{now, s.demands()})
 }
 
 // onDrain hands over what runs here. Its texts go on at another instance where
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -111,6 +111,18 @@
 	return Route{}, false
 }
 
+// SingleVersion reports whether a route wants samples of one weight version.
+func (t *Table) SingleVersion() bool {
+	for _, rs := range t.byHost {
+		for _, r := range rs {
+			if r.SingleVersion {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -68,7 +68,7 @@
 		}
 	}
 	h := Head{ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Step: s.Step,
-		Total: len(s.Items), AcceptedAt: now.UTC().Round(0), Owner: owner, Claimed: claimed} // as it is read back
+		Total: len(s.Items), Work: s.Work(), AcceptedAt: now.UTC().Round(0), Owner: owner, Claimed: claimed} // as it is read back
 	return l.put(ctx, h, 0)
 }
 
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -89,26 +90,31 @@
 	return out
 }
 
-// Waiting returns the items that want an engine at now, those first that have
-// a part of their text already, then in the order of the submission, in which
-// a trainer puts the groups that it needs first.
-func (r *Run) Waiting(now time.Time) []int { return r.in(waiting, now) }
+// Waiting returns the items that want an engine at now: those first that have
+// a part of their text already, then those whose texts are expected to be the
+// longest. A step is as long as its longest texts, so that with fewer places at
+// engines than items they must not be the last to begin.
+func (r *Run) Waiting(now time.Time) []int {
+	out := r.in(waiting, now)
+	slices.SortStableFunc(out, func(a, b int) int {
+		return cmp.Or(cmp.Compare(r.begun(b), r.begun(a)), cmp.Compare(r.spec.Items[b].Length, r.spec.Items[a].Length))
+	})
+	return out
+}
+
+func (r *Run) begun(i int) int { return min(r.items[i].after, 1) }
 
 // Unscored returns the items whose scorer is to be called at now.
 func (r *Run) Unscored(now time.Time) []int { return r.in(unscored, now) }
 
 func (r *Run) in(p phase, now time.Time) []int {
-	var begun, fresh []int
+	var out []int
 	for i, it := range r.items {
-		switch {
-		case it.phase != p || now.Before(it.notBefore):
-		case it.after > 0:
-			begun = append(begun, i)
-		default:
-			fresh = append(fresh, i)
+		if it.phase == p && !now.Before(it.notBefore) {
+			out = append(out, i)
 		}
 	}
-	return append(begun, fresh...)
+	return out
 }
 
 // Started tells that item i, waiting or unscored, is under way.
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -38,7 +38,7 @@
 	// appendPause is the pause before results are written again after a failure,
 	// which doubles up to maxAppendPause so that a store in trouble is not pressed.
 	appendPause    = 50 * time.Millisecond
-	maxAppendPause = 400 * time.Millisecond
+	maxAppendPause = 150 * time.Millisecond
 	// refusedPause is how long an engine that refused a text is left alone.
 	refusedPause = 100 * time.Millisecond
 )
@@ -50,9 +50,13 @@
 	Generator Generator
 	// Score sends one call of a scorer.
 	Score func(ctx context.Context, c Call) Scored
+	// ScoreRoom returns how many calls of c's scorer may be under way at once.
+	ScoreRoom func(c Call) int
 	// Route returns the route in force for a host and path; known is false
 	// while no configuration is.
 	Route func(host, path string) (rt routetable.Route, ok, known bool)
+	// Named returns the newest version that is named of a model, 0 if none is.
+	Named func(model string) uint64
 	// Draw returns a number drawn evenly from [0, 1).
 	Draw func() float64
 	// Observe is told what happens; nil for nothing.
@@ -80,6 +84,7 @@
 	events chan func(now time.Time)
 	group  errgroup.Group
 
+	scoring   int // calls of scorers under way
 	appending bool
 	pause     time.Duration // before the next append, after a failure
 	keepAt    time.Time     // when progress is kept next
@@ -190,11 +195,18 @@
 		}
 	}
 	for _, i := range r.run.Unscored(now) {
+		if r.scoring >= r.cfg.ScoreRoom(*r.spec.Items[i].Scorer) {
+			break // more would only wait at the scorers, on connections of their own
+		}
+		r.scoring++
 		r.run.Started(i)
 		r.group.Go(func() error {
 			s := r.cfg.Score(ctx, *r.spec.Items[i].Scorer)
 			r.cfg.Observe(Step{What: "scored", Submission: r.spec.ID, Item: r.spec.Items[i].ID, Status: s.Status})
-			r.tell(ctx, func(now time.Time) { r.run.Scored(i, s, now) })
+			r.tell(ctx, func(now time.Time) {
+				r.scoring--
+				r.run.Scored(i, s, now)
+			})
 			return nil
 		})
 	}
@@ -204,8 +216,16 @@
 func (r *Runner) start(ctx context.Context, i int, rt routetable.Route, now time.Time) bool {
 	it := r.spec.Items[i]
 	after, versions := r.run.After(i)
+	expect := uint64(0)
 	w := upstream.Want{Pool: rt.Pick(r.cfg.Draw()), At: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, Bounded: true}
 	t, ok := r.cfg.Registry.Acquire(w)
+	named := r.cfg.Named(r.spec.Model)
+	if !ok && named >= r.spec.MinVersion && named > 0 {
+		// An engine may hold the version before its entry tells so. It is asked
+		// to turn the request away if it does not.
+		w.Outdated, expect = true, named
+		t, ok = r.cfg.Registry.Acquire(w)
+	}
 	if !ok {
 		return false
 	}
@@ -213,7 +233,11 @@
 	if rt.SingleVersion && len(versions) > 0 {
 		g.Version = versions[0]
 	}
+	if expect != 0 {
+		g.Version = expect
+	}
 	r.run.Started(i)
+	r.cfg.Observe(Step{What: "generating", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: after})
 	r.group.Go(func() error {
 		p, err := r.generate(ctx, t, g, func(p Progress) {
 			r.tell(ctx, func(time.Time) { r.run.Extended(i, p, terms(rt)) })
@@ -249,6 +273,8 @@
 	case errors.As(err, &se):
 		p.Status, rep.Load = se.Status, se.Load
 		rep.Failed = se.Status >= http.StatusInternalServerError && se.Status != http.StatusInternalServerError
+	case errors.Is(err, ErrOtherVersion):
+		rep.OtherVersion = true
 	case errors.Is(err, forward.ErrMisdirected):
 		rep.Gone = true
 	case errors.Is(err, forward.ErrUnreachable):
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -7,11 +7,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
@@ -37,6 +39,9 @@
 	// Affinity names the prompt that the item shares with others; empty for none.
 	Affinity string `json:"affinity,omitempty"`
 	Scorer   *Call  `json:"scorer,omitempty"` // scores the item's text
+	// Length is its sender's estimate of how long its text will be; 0 for none.
+	// It orders items and decides nothing else, as it is often far off.
+	Length int `json:"length,omitempty"`
 }
 
 // Call is a request to a plain service.
@@ -47,6 +52,16 @@
 	Body []byte `json:"body,omitempty"`
 }
 
+// Work returns the estimated length of all texts of s, counting one for texts
+// without an estimate.
+func (s Spec) Work() int {
+	n := 0
+	for _, it := range s.Items {
+		n += max(it.Length, 1)
+	}
+	return n
+}
+
 // State is where an item's result stands.
 type State string
 
@@ -76,6 +91,7 @@
 	MinVersion uint64    `json:"min_version"`
 	Step       int       `json:"step"`
 	Total      int       `json:"total"` // items
+	Work       int       `json:"work"`  // estimated length of all texts
 	AcceptedAt time.Time `json:"accepted_at"`
 	Owner      string    `json:"owner"`   // instance that is to run it; empty if it gave it up
 	Claimed    bool      `json:"claimed"` // the owner runs it
@@ -96,6 +112,10 @@
 	ErrNoItem  = errors.New("submission: no such item")
 )
 
+// ErrOtherVersion is a forward.ErrNotRun: the engine's weights have another
+// version than the request asked for.
+var ErrOtherVersion = fmt.Errorf("%w: the engine has another weight version", forward.ErrNotRun)
+
 // Tables of submissions in the platform's store.
 const (
 	HeadsTable   = "submissions"
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -26,6 +26,10 @@
 	Model      string
 	MinVersion uint64
 
+	// Outdated asks for an upstream whose version is believed to be older than
+	// MinVersion, to find out whether it still is.
+	Outdated bool
+
 	// Affinity names what requests share, such as a prompt; empty for none.
 	Affinity string
 	// Bounded means that the request waits rather than be sent to an upstream
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -45,6 +45,9 @@
 	Busy      bool
 	BusyUntil time.Time
 
+	// OtherVersion means that it turned the request away for its weight version.
+	OtherVersion bool
+
 	// Pace is the time that it took for a unit of work, 0 if not measured.
 	Pace time.Duration
 	// Versions are weight versions that its answer showed, by model.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -13,6 +13,9 @@
 	// loadBelief is how long the load that an upstream told is believed. It
 	// changes with each request, tens of them a second.
 	loadBelief = 500 * time.Millisecond
+	// askAgainAfter is how soon an upstream is asked again whether its weights
+	// are new enough; it takes a round trip of a millisecond or two.
+	askAgainAfter = 100 * time.Millisecond
 	// firstEjection is how long an upstream that failed is left alone; short,
 	// as the platform removes crashed ones after three of its heartbeats and
 	// others recover within seconds.
@@ -40,7 +43,8 @@
 	others    int // requests of others, when last told
 	othersAt  time.Time
 	busyUntil time.Time
-	gone      bool // another upstream has its address
+	askedAt   time.Time // whether it still holds an old version
+	gone      bool      // another upstream has its address
 	confirmed map[string]uint64
 }
 
@@ -143,6 +147,9 @@
 	}
 	k := from[i]
 	k.inFlight++
+	if w.Outdated {
+		k.askedAt = w.At
+	}
 	r.health.Trying(k.ID, w.At)
 	e := k.Entry
 	e.Versions = k.versions()
@@ -161,10 +168,12 @@
 	switch {
 	case k.Draining, k.gone, w.At.Before(k.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
 		return false
-	case w.Model != "" && k.versions()[w.Model] < w.MinVersion:
-		return false
+	case w.Model == "":
+		return true
+	case w.Outdated:
+		return k.versions()[w.Model] < w.MinVersion && w.At.Sub(k.askedAt) >= askAgainAfter
 	}
-	return true
+	return k.versions()[w.Model] >= w.MinVersion
 }
 
 // load returns how many requests k is believed to hold.
@@ -229,7 +238,7 @@
 	switch {
 	case rep.Failed || rep.Unreachable:
 		r.health.Failed(k.ID, rep.At, rep.Unreachable)
-	case !rep.Busy && !rep.Gone:
+	case !rep.Busy && !rep.Gone && !rep.OtherVersion:
 		r.health.Succeeded(k.ID)
 	}
 }
--- /dev/null
+++ b/pkg/weights/demand.go
@@ -0,0 +1,116 @@
+package weights
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// ModelOrder is an order to an engine to load a version of a model.
+type ModelOrder struct {
+	Model   string
+	Version uint64
+	Holder  string // the instance that gives it
+	Fencing uint64
+	// AfterOrders is how many orders the engine has accepted before this one,
+	// so that one that arrives late, after newer ones, is not carried out.
+	AfterOrders uint64
+	// Continue lets the engine's running requests go on under the new version
+	// rather than have the order wait for their end.
+	Continue bool
+}
+
+// OrderOutcome is what became of an order.
+type OrderOutcome int
+
+// The outcomes of an order.
+const (
+	OrderUnknown  OrderOutcome = iota // it may be carried out, also later
+	OrderAccepted                     // it is being carried out, or already holds
+	OrderRefused                      // it is not carried out
+	OrderFenced                       // the engine knows of a later holder
+)
+
+// EngineReport is what an engine tells when it is asked. It lags by some
+// hundred milliseconds.
+type EngineReport struct {
+	Orders   uint64 // accepted since its start
+	Busy     bool   // with an order
+	Versions map[string]uint64
+}
+
+// Orderer gives orders to engines.
+type Orderer interface {
+	Report(ctx context.Context, from upstream.Entry) (EngineReport, error)
+	Order(ctx context.Context, to upstream.Entry, o ModelOrder) (OrderOutcome, error)
+}
+
+// Demand is what is asked of one model.
+type Demand struct {
+	Model string
+	Named uint64 // newest version
+	Lag   uint64 // how many versions behind it requests accept
+	Work  float64
+	// Busy means that requests of the model are under way or wait.
+	Busy bool
+}
+
+// minEngines is how many engines a model has at least, where there are enough,
+// so that one may crash.
+const minEngines = 2
+
+// Partition deals the engines to the models by their work, each engine to one
+// model, so that an engine loads new versions of one model only and the loads of
+// one model take nothing away from another. Engines are dealt in order of their
+// IDs, so that one that comes or goes moves few others.
+func Partition(engines []string, demands []Demand) map[string][]string {
+	ids := slices.Sorted(slices.Values(engines))
+	total := 0.0
+	for _, d := range demands {
+		total += d.Work
+	}
+	out := make(map[string][]string, len(demands))
+	if len(ids) < len(demands)*minEngines || total <= 0 {
+		for _, d := range demands {
+			out[d.Model] = ids // too few to deal
+		}
+		return out
+	}
+	spare := len(ids) - len(demands)*minEngines
+	before, from := 0.0, 0
+	for i, d := range demands {
+		before += d.Work
+		to := (i+1)*minEngines + int(math.Round(before/total*float64(spare)))
+		out[d.Model] = ids[from:to]
+		from = to
+	}
+	return out
+}
+
+// Due returns the engines to move to the version named, of those given with the
+// versions that they hold, the most urgent first. Engines that are too old for
+// requests to come are moved at once: they serve nothing as they are. The others
+// still serve, and are moved while the model is idle, at most spare of them, so
+// that fewer are too old when the next version is named.
+func Due(held map[string]uint64, d Demand, spare int) []string {
+	ids := make([]string, 0, len(held))
+	for id := range held {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(held[a], held[b]), cmp.Compare(a, b))
+	})
+	var out []string
+	for _, id := range ids {
+		switch v := held[id]; {
+		case v+d.Lag < d.Named:
+			out = append(out, id)
+		case v < d.Named && !d.Busy && len(out) < spare:
+			out = append(out, id)
+		}
+	}
+	return out
+}
