node: a cut-off holder of orders is followed after 4 s, a cut-off owner after 2

Also: streams that an engine ends in good order do not eject it (it loads weights), engines far too old are not asked for their version.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -20,11 +20,11 @@
 	// Table is the table of the members' rows.
 	Table = "members"
 	// minPeriod is the least time between two renewals of a row.
-	minPeriod = time.Second
+	minPeriod = 500 * time.Millisecond
 	// renewals is how many renewals a second all members make together at the
-	// most: a tenth of what one partition of the store takes, and few enough
+	// most: a fifth of what one partition of the store takes, and few enough
 	// for each member to read.
-	renewals = 20
+	renewals = 40
 	// missedPeriods is how many periods a row may stand unchanged; one call may
 	// be lost and the next be slow.
 	missedPeriods = 3
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -21,12 +21,17 @@
 const (
 	// ordersLease is the lease of the one instance that orders engines.
 	ordersLease = "leases//orders"
-	// orderRenewal is how often the lease is renewed, or asked for.
-	orderRenewal = time.Second
+	// orderTime is how long after a renewal of the lease orders are given: it is
+	// short, as the next holder waits for its end and for the time within which
+	// holders must not alternate.
+	orderTime = 900 * time.Millisecond
+	// orderRenewal is how often the lease is renewed, or asked for: twice in
+	// orderTime, since a call may fail.
+	orderRenewal = 350 * time.Millisecond
 	// orderCandidates is how many instances ask for the lease.
 	orderCandidates = 3
 	// orderMargin is how long before the end of its time no order is sent.
-	orderMargin = 300 * time.Millisecond
+	orderMargin = 150 * time.Millisecond
 	// orderTimeout is how long a load may take before its outcome is unknown: a
 	// load takes about a second, and the engine's entry tells it up to 1.2 s later.
 	orderTimeout = 4 * time.Second
@@ -81,11 +86,9 @@
 }
 
 // keep takes and renews the lease while this instance is one of the candidates.
-// Its row lives for twice the time within which holders must not alternate, and
-// orders are given in the first half of that only.
 func (o *orderSender) keep(ctx context.Context) error {
 	n := o.node
-	keeper := &lease.Keeper{Table: n.cfg.Store, Clock: clock.System{}, Name: ordersLease, Holder: n.cfg.Name, TTL: 2*n.cfg.LeaseTime + time.Second}
+	keeper := &lease.Keeper{Table: n.cfg.Store, Clock: clock.System{}, Name: ordersLease, Holder: n.cfg.Name, TTL: orderTime + n.cfg.LeaseTime + orderMargin}
 	for ctx.Err() == nil {
 		if o.candidate() {
 			before := o.current().Fencing
@@ -149,7 +152,7 @@
 	if t == nil || o.held.Fencing == 0 {
 		return
 	}
-	until := o.held.ValidUntil.Add(-o.node.cfg.LeaseTime - time.Second/2)
+	until := o.held.ValidUntil.Add(-o.node.cfg.LeaseTime - orderMargin)
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
 			o.planPool(p, pool, until, !t.SingleVersion())
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -283,6 +283,10 @@
 		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
 	case owned.Err() != nil:
 		// Cancelled here: that says nothing of the engine.
+	case ctx.Err() == nil && s != nil && s.Last() > g.After:
+		// Its engine ended a stream that went well: it loads weights, is moved
+		// away or has crashed, which the next request finds out.
+		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
 	default:
 		rep.Failed = true
 	}
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -172,6 +172,9 @@
 	Next() (Event, error)
 	// Version returns the weight version that the stream began under, or 0.
 	Version() uint64
+	// Last returns the last event that Next returned, or the one that the
+	// generation went on after.
+	Last() int
 	Close()
 }
 
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -16,6 +16,10 @@
 	// askAgainAfter is how soon an upstream is asked again whether its weights
 	// are new enough; it takes a round trip of a millisecond or two.
 	askAgainAfter = 100 * time.Millisecond
+	// askWithin is how many versions too old an upstream may be believed to be
+	// and still be asked: one that is moved from version to version is no further
+	// behind.
+	askWithin = 2
 	// firstEjection is how long an upstream that failed is left alone; short,
 	// as the platform removes crashed ones after three of its heartbeats and
 	// others recover within seconds.
@@ -171,7 +175,8 @@
 	case w.Model == "":
 		return true
 	case w.Outdated:
-		return k.versions()[w.Model] < w.MinVersion && w.At.Sub(k.askedAt) >= askAgainAfter
+		v := k.versions()[w.Model]
+		return v < w.MinVersion && v+askWithin >= w.MinVersion && w.At.Sub(k.askedAt) >= askAgainAfter
 	}
 	return k.versions()[w.Model] >= w.MinVersion
 }
