--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -121,18 +121,24 @@
 	return nil
 }
 
-// Excuse takes every row for changed at at: the table could not be read for a
-// while, so that members could have renewed their rows unseen, or could not
-// renew them.
-func (v *View) Excuse(at time.Time) {
+// Excuse takes the rows of the members that were there at since for changed at
+// at: the table could not be read from since to at, so that they could have
+// renewed them unseen, or could not renew them.
+func (v *View) Excuse(since, at time.Time) {
+	limit := v.limit()
 	for _, s := range v.members {
-		s.changedAt = at
+		if since.Sub(s.changedAt) < limit && s.changedAt.Before(at) {
+			s.changedAt = at
+		}
 	}
 }
 
+// limit is how long a row may stand unchanged.
+func (v *View) limit() time.Duration { return missedPeriods*Period(len(v.members)) + readingSlack }
+
 // Live returns the members that are there at now, in order of name.
 func (v *View) Live(now time.Time) []Member {
-	limit := missedPeriods*Period(len(v.members)) + readingSlack
+	limit := v.limit()
 	var out []Member
 	for _, s := range v.members {
 		if now.Sub(s.changedAt) < limit {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -73,7 +73,7 @@
 	configurationWait = 700 * time.Millisecond
 	entriesWait       = time.Second
 	membersWait       = time.Second
-	headsWait         = time.Second
+	headsWait         = 700 * time.Millisecond
 
 	// entriesPause and the like bound the calls that changes cause: upstreams
 	// and members each write about once a second.
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -136,7 +136,7 @@
 	case s.decoder.EntriesTable:
 		effs = append(effs, s.onEntries(u, away)...)
 	case membership.Table:
-		effs = append(effs, s.onMembers(u, away)...)
+		effs = append(effs, s.onMembers(u, away, since)...)
 	case submission.HeadsTable:
 		effs = append(effs, s.onHeads(u)...)
 	}
@@ -227,13 +227,13 @@
 	return setUpstreams{out}
 }
 
-func (s *state) onMembers(u feed.Update, away bool) []effect {
+func (s *state) onMembers(u feed.Update, away bool, since time.Time) []effect {
 	var effs []effect
 	if err := s.members.Apply(u.Changes, u.Reset, u.At); err != nil {
 		effs = append(effs, note{"member not understood", []any{"err", err}})
 	}
 	if away {
-		s.members.Excuse(u.At)
+		s.members.Excuse(since, u.At)
 	}
 	return append(effs, setMembers{s.members.Live(u.At), s.members.Size()})
 }
