--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -136,12 +136,21 @@
 // limit is how long a row may stand unchanged.
 func (v *View) limit() time.Duration { return missedPeriods*Period(len(v.members)) + readingSlack }
 
-// Live returns the members that are there at now, in order of name.
-func (v *View) Live(now time.Time) []Member {
+// Live returns the members that are there at now, in order of name, as seen by
+// the one named self. While its own row stands unchanged, or is not there, the
+// others may be unable to write theirs as well: the platform's store can serve
+// a part of its tables only. No member lapses in that time.
+func (v *View) Live(now time.Time, self string) []Member {
 	limit := v.limit()
+	own := v.members[self]
+	if own != nil {
+		if stood := own.changedAt.Add(limit / 2); now.After(stood) {
+			now = stood
+		}
+	}
 	var out []Member
 	for _, s := range v.members {
-		if now.Sub(s.changedAt) < limit {
+		if own == nil || now.Sub(s.changedAt) < limit {
 			out = append(out, s.Member)
 		}
 	}
--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,103 @@
+package membership_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+func row(t *testing.T, name, start string, version uint64) platform.Change {
+	t.Helper()
+	data, err := json.Marshal(membership.Member{Address: name + ":1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := json.Marshal(lease.Lease{Holder: start, Data: data})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Change{Row: platform.Row{Key: membership.Key(name), Version: version, Value: value}}
+}
+
+func names(ms []membership.Member) string {
+	out := ""
+	for _, m := range ms {
+		out += m.Name
+	}
+	return out
+}
+
+// A member whose row stands unchanged lapses; one that is renewed does not.
+func TestSilentMemberLapses(t *testing.T) {
+	v, now := membership.NewView(), time.Unix(1_800_000_000, 0)
+	apply := func(chs ...platform.Change) {
+		if err := v.Apply(chs, false, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(row(t, "a", "a#1", 1), row(t, "b", "b#1", 2))
+	for i := range 10 {
+		now = now.Add(500 * time.Millisecond)
+		apply(row(t, "a", "a#1", uint64(10+i)))
+	}
+	if got := names(v.Live(now, "a")); got != "a" {
+		t.Fatalf("live: %s, want a", got)
+	}
+}
+
+// While an instance's own row cannot be written, as when a part of the store is
+// away, it takes no other for gone.
+func TestNobodyLapsesWhileOwnRowStands(t *testing.T) {
+	v, now := membership.NewView(), time.Unix(1_800_000_000, 0)
+	for i, n := range []string{"a", "b", "c"} {
+		if err := v.Apply([]platform.Change{row(t, n, n+"#1", uint64(i+1))}, false, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(time.Minute)
+	if got := names(v.Live(now, "a")); got != "abc" {
+		t.Fatalf("live: %s, want all", got)
+	}
+	if got := names(v.Live(now, "new")); got != "abc" {
+		t.Fatalf("an instance that has written no row yet sees %s, want all", got)
+	}
+}
+
+// After the table could not be read, members that were there before are given
+// time; those that had lapsed before are not taken for live again.
+func TestExcuse(t *testing.T) {
+	v, now := membership.NewView(), time.Unix(1_800_000_000, 0)
+	if err := v.Apply([]platform.Change{row(t, "gone", "gone#1", 1)}, false, now); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(time.Minute)
+	if err := v.Apply([]platform.Change{row(t, "a", "a#1", 2), row(t, "b", "b#1", 3)}, false, now); err != nil {
+		t.Fatal(err)
+	}
+	away := now
+	now = now.Add(time.Minute)
+	v.Excuse(away, now)
+	if got := names(v.Live(now, "a")); got != "ab" {
+		t.Fatalf("live: %s, want ab", got)
+	}
+}
+
+// However many members there are, their renewals together are bounded.
+func TestRenewalsAreBounded(t *testing.T) {
+	for _, n := range []int{1, 11, 84, 370} {
+		if rate := float64(n) / membership.Period(n).Seconds(); rate > 41 {
+			t.Errorf("%d members renew %.0f times a second", n, rate)
+		}
+	}
+}
+
+func ExampleStart() {
+	start := membership.Start("edge-1", time.Unix(0, 7))
+	fmt.Println(start, membership.NameOf(start))
+	// Output: edge-1#7 edge-1
+}
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -140,16 +140,8 @@
 		actx, cancel := context.WithTimeout(ctx, 2*storeTime)
 		defer cancel()
 		out := adopted{ID: e.ID}
-		left := e.Owned // as the owner before left it
-		out.Owned, out.Err = n.log.Change(actx, e.Owned, func(h submission.Head) (submission.Head, bool) {
-			if !h.Open() || h.Owner != e.Owner || h.Owner == n.start && h.Claimed {
-				return h, false // ended, or another has adopted it, or it is claimed already
-			}
-			h.Owner, h.Claimed, h.Progress = n.start, true, 0
-			return h, true
-		})
-		if out.Err == nil && out.Owned.Owner == n.start && out.Owned.Open() {
-			out.Spec, out.Left, out.Err = n.readLeft(actx, left)
+		if out.Owned, out.Err = n.log.Claim(actx, e.Owned, n.start); out.Err == nil {
+			out.Spec, out.Left, out.Err = n.readLeft(actx, e.Owned)
 		}
 		if errors.Is(out.Err, context.Canceled) {
 			return nil
@@ -169,20 +161,10 @@
 		spec, err = n.readers.spec(gctx, left.ID)
 		return err
 	})
-	if left.Claimed || left.Progress != 0 {
-		g.Go(func() (err error) {
-			out.Results, err = n.log.AllResults(gctx, left.ID)
-			return err
-		})
-		g.Go(func() error {
-			var err error
-			if out.Texts, err = n.log.Progress(gctx, left); err != nil {
-				n.cfg.Logger.Warn("progress not read", "submission", left.ID, "err", err) // its texts are begun anew
-				out.Texts = nil
-			}
-			return nil
-		})
-	}
+	g.Go(func() (err error) {
+		out, err = n.log.Left(gctx, left)
+		return err
+	})
 	return spec, out, g.Wait()
 }
 
--- /dev/null
+++ b/pkg/node/export_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+)
+
+// State is the control state, for tests.
+type State struct{ s *state }
+
+// NewState returns the control state of the instance named name.
+func NewState(name, start string, d Decoder) State { return State{newState(name, start, d)} }
+
+// Update, Tick and Adopted give events to the state and return the effects, each
+// as text such as "adopt l1".
+func (s State) Update(u feed.Update) []string { return texts(s.s.reduce(u)) }
+
+func (s State) Tick(at time.Time) []string { return texts(s.s.reduce(tick{At: at})) }
+
+func (s State) Adopted(o submission.Owned, at time.Time) []string {
+	return texts(s.s.reduce(adopted{ID: o.ID, Owned: o, At: at}))
+}
+
+func (s State) Drain() []string { return texts(s.s.reduce(drain{})) }
+
+// Upstreams returns the IDs of the entries in the last setUpstreams of effs.
+func (s State) Upstreams() int { return len(s.s.entries) }
+
+func texts(effs []effect) []string {
+	var out []string
+	for _, e := range effs {
+		switch e := e.(type) {
+		case adopt:
+			out = append(out, "adopt "+e.ID)
+		case startRun:
+			out = append(out, "start "+e.ID)
+		case stopRun:
+			out = append(out, "stop "+e.id)
+		case releaseRun:
+			out = append(out, "release "+e.ID)
+		case setUpstreams:
+			out = append(out, fmt.Sprintf("upstreams %d", len(e.entries)))
+		case leave:
+			out = append(out, "leave")
+		}
+	}
+	return out
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -122,8 +122,11 @@
 
 // Run runs the node until stop ends, then drains it: what it owns is handed
 // over, and Run returns after drainTime.
-func (n *Node) Run(stop context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
+func (n *Node) Run(stop context.Context) error { return n.RunUntil(context.Background(), stop) }
+
+// RunUntil is Run for a node that ends without draining when life ends.
+func (n *Node) RunUntil(life, stop context.Context) error {
+	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	n.cfg.Logger.Info("start", "start", n.start, "address", n.cfg.Address)
 	d := n.cfg.Decoder
@@ -175,6 +178,8 @@
 			ev = drain{}
 		case <-deadline:
 			return nil
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 		for _, eff := range s.reduce(ev) {
 			eff.carryOut(ctx, n)
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -40,6 +40,9 @@
 // Draining reports whether the instance is told to stop.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// Owns reports whether the instance runs the submission.
+func (n *Node) Owns(id string) bool { return n.readers.run(id) != nil }
+
 // Limits returns the limits in force for callers' requests.
 func (n *Node) Limits() routetable.Limits {
 	if t := n.table.Load(); t != nil {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -235,7 +235,7 @@
 	if away {
 		s.members.Excuse(since, u.At)
 	}
-	return append(effs, setMembers{s.members.Live(u.At), s.members.Size()})
+	return append(effs, setMembers{s.members.Live(u.At, s.name), s.members.Size()})
 }
 
 // onHeads takes what became of submissions.
@@ -328,8 +328,8 @@
 		return []effect{note{"adoption failed", []any{"submission", e.ID, "err", e.Err}}}
 	}
 	effs := s.setHead(e.Owned)
-	if e.Owned.Owner != s.start || !e.Owned.Open() {
-		delete(s.running, e.ID)
+	if cur := s.heads[e.ID]; cur.Fencing != e.Owned.Fencing || !cur.Open() {
+		delete(s.running, e.ID) // it has ended, or passed on, since it was claimed
 		return effs
 	}
 	if s.draining {
@@ -349,7 +349,7 @@
 		effs = append(effs, note{"upstream gone", []any{"upstream", id}}, s.publishEntries())
 	}
 	if s.read[membership.Table] {
-		effs = append(effs, setMembers{s.members.Live(now), s.members.Size()})
+		effs = append(effs, setMembers{s.members.Live(now, s.name), s.members.Size()})
 	}
 	if s.draining {
 		return effs
@@ -376,7 +376,7 @@
 	if !s.read[membership.Table] || len(s.awaySince) > 0 {
 		return nil
 	}
-	live := s.members.Live(now)
+	live := s.members.Live(now, s.name)
 	starts := make(map[string]bool, len(live))
 	for _, m := range live {
 		starts[m.Start] = true
--- /dev/null
+++ b/pkg/node/state_test.go
@@ -0,0 +1,208 @@
+package node_test
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+const entries = "entries"
+
+var decoder = node.Decoder{OperatorTable: "operator", EntriesTable: entries,
+	Configuration: func(platform.Row) (*routetable.Table, bool, error) { return nil, false, nil },
+	NamedVersion:  func(platform.Row) (string, uint64, bool) { return "", 0, false },
+	Entry: func(r platform.Row) (upstream.Entry, error) {
+		if string(r.Value) == "bad" {
+			return upstream.Entry{}, errors.New("bad")
+		}
+		return upstream.Entry{ID: strings.TrimPrefix(r.Key, entries+"//"), Pool: "p", Address: "10.0.0.1:1"}, nil
+	}}
+
+func encode(t *testing.T, v any) json.RawMessage {
+	t.Helper()
+	b, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// member returns the change of a member's row.
+func member(t *testing.T, name, start string, version uint64) platform.Change {
+	data := encode(t, membership.Member{Address: name, Cores: 1})
+	return platform.Change{Row: platform.Row{Key: membership.Key(name), Version: version, Value: encode(t, lease.Lease{Holder: start, Data: data})}}
+}
+
+func members(at time.Time, chs ...platform.Change) feed.Update {
+	return feed.Update{Table: membership.Table, At: at, Changes: chs}
+}
+
+func head(t *testing.T, h submission.Head, version uint64) platform.Change {
+	return platform.Change{Row: platform.Row{Key: submission.HeadsTable + "/0/" + h.ID, Version: version, Value: encode(t, h)}}
+}
+
+func heads(at time.Time, chs ...platform.Change) feed.Update {
+	return feed.Update{Table: submission.HeadsTable, At: at, Changes: chs}
+}
+
+func start() time.Time { return time.Unix(1_800_000_000, 0) }
+
+// A submission that ends between its claim and the news of it is not started:
+// what ran of it would be a run that its sender has cancelled.
+func TestEndedWhileAdopted(t *testing.T) {
+	now := start()
+	s := node.NewState("a", "a#1", decoder)
+	s.Update(members(now, member(t, "a", "a#1", 1)))
+	left := submission.Head{ID: "l1", Owner: "b#1", Claimed: true, Total: 1}
+	s.Update(heads(now, head(t, left, 2)))
+	var effs []string
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		s.Update(members(now, member(t, "a", "a#1", uint64(now.UnixMilli()))))
+		if effs = s.Tick(now); len(effs) > 0 {
+			break
+		}
+	}
+	if !slices.Contains(effs, "adopt l1") {
+		t.Fatalf("effects %v, want an adoption", effs)
+	}
+	claimed := left
+	claimed.Owner = "a#1"
+	ended := claimed
+	ended.Ended = true
+	s.Update(heads(now, head(t, claimed, 3)))
+	s.Update(heads(now, head(t, ended, 4)))
+	if effs := s.Adopted(submission.Owned{Head: claimed, Fencing: 3}, now); len(effs) != 0 {
+		t.Fatalf("effects %v after the end, want none", effs)
+	}
+}
+
+// A submission whose owner is live and has claimed it is left alone, however
+// long; one that its chosen owner does not claim is adopted soon.
+func TestAdoption(t *testing.T) {
+	for name, c := range map[string]struct {
+		head    submission.Head
+		adopted bool
+		within  time.Duration
+	}{
+		"live owner":            {submission.Head{Owner: "b#1", Claimed: true}, false, 20 * time.Second},
+		"owner does not claim":  {submission.Head{Owner: "b#1"}, true, 1500 * time.Millisecond},
+		"given up":              {submission.Head{Owner: "", Progress: 3}, true, time.Second},
+		"owner started again":   {submission.Head{Owner: "b#0", Claimed: true}, true, time.Second},
+		"own, of earlier start": {submission.Head{Owner: "a#0", Claimed: true}, true, 200 * time.Millisecond},
+		"owner gone":            {submission.Head{Owner: "c#1", Claimed: true}, true, 4 * time.Second},
+		"ended":                 {submission.Head{Owner: "c#1", Claimed: true, Ended: true}, false, 20 * time.Second},
+		"complete":              {submission.Head{Owner: "c#1", Claimed: true, Complete: true}, false, 20 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun := start()
+			s := node.NewState("a", "a#1", decoder)
+			c.head.ID = "l1"
+			s.Update(members(begun, member(t, "a", "a#1", 1), member(t, "b", "b#1", 2)))
+			s.Update(heads(begun, head(t, c.head, 3)))
+			for now := begun; now.Sub(begun) < c.within; now = now.Add(100 * time.Millisecond) {
+				s.Update(members(now, member(t, "a", "a#1", uint64(now.UnixMilli())), member(t, "b", "b#1", uint64(now.UnixMilli()+1))))
+				if slices.Contains(s.Tick(now), "adopt l1") {
+					if !c.adopted {
+						t.Fatalf("adopted after %v", now.Sub(begun))
+					}
+					return
+				}
+			}
+			if c.adopted {
+				t.Fatalf("not adopted within %v", c.within)
+			}
+		})
+	}
+}
+
+// While a part of the store is away and no member can renew its row, nobody
+// adopts what others run.
+func TestNoAdoptionWhileNobodyCanRenew(t *testing.T) {
+	begun := start()
+	s := node.NewState("a", "a#1", decoder)
+	s.Update(members(begun, member(t, "a", "a#1", 1), member(t, "b", "b#1", 2)))
+	s.Update(heads(begun, head(t, submission.Head{ID: "l1", Owner: "b#1", Claimed: true}, 3)))
+	for now := begun; now.Sub(begun) < 30*time.Second; now = now.Add(100 * time.Millisecond) {
+		s.Update(members(now)) // the table is read, and stands
+		if effs := s.Tick(now); len(effs) > 0 {
+			t.Fatalf("effects %v after %v", effs, now.Sub(begun))
+		}
+	}
+}
+
+// A run stops when another instance owns its submission or it has ended, and an
+// instance that drains hands its runs over and takes no more.
+func TestRunsStop(t *testing.T) {
+	now := start()
+	s := node.NewState("a", "a#1", decoder)
+	s.Update(members(now, member(t, "a", "a#1", 1)))
+	mine := submission.Head{ID: "l1", Owner: "a#1"}
+	if effs := s.Update(heads(now, head(t, mine, 2))); !slices.Contains(effs, "adopt l1") {
+		t.Fatalf("effects %v", effs)
+	}
+	mine.Claimed = true
+	if effs := s.Adopted(submission.Owned{Head: mine, Fencing: 3}, now); !slices.Contains(effs, "start l1") {
+		t.Fatalf("effects %v", effs)
+	}
+	other := mine
+	other.Owner = "b#1"
+	if effs := s.Update(heads(now, head(t, other, 4))); !slices.Contains(effs, "stop l1") {
+		t.Fatalf("effects %v", effs)
+	}
+	if effs := s.Drain(); !slices.Contains(effs, "leave") || !slices.Contains(effs, "release l1") {
+		t.Fatalf("effects %v", effs)
+	}
+	if effs := s.Update(heads(now, head(t, submission.Head{ID: "l2", Owner: "a#1"}, 5))); len(effs) != 0 {
+		t.Fatalf("effects %v while draining", effs)
+	}
+}
+
+func entry(id, value string, version uint64) platform.Change {
+	return platform.Change{Row: platform.Row{Key: entries + "//" + id, Version: version, Value: []byte(value)}}
+}
+
+// Entries that lapse while the store is away are kept until their upstreams
+// have had the time to come back; entries that go at other times, or that
+// cannot be read, go at once.
+func TestEntriesLapseWhileTheStoreIsAway(t *testing.T) {
+	now := start()
+	s := node.NewState("a", "a#1", decoder)
+	update := func(reset bool, chs ...platform.Change) {
+		s.Update(feed.Update{Table: entries, At: now, Reset: reset, Changes: chs})
+	}
+	update(true, entry("i1", "", 1), entry("i2", "", 2), entry("i3", "", 3))
+	gone := entry("i1", "", 4)
+	gone.Deleted = true
+	update(false, gone)
+	if n := s.Upstreams(); n != 2 {
+		t.Fatalf("%d upstreams after one has left", n)
+	}
+	s.Update(feed.Update{Table: entries, At: now, Err: errors.New("away")})
+	now = now.Add(5 * time.Second)
+	update(true, entry("i2", "", 5)) // i3 lapsed meanwhile
+	if n := s.Upstreams(); n != 2 {
+		t.Fatalf("%d upstreams as the store returns, want those from before", n)
+	}
+	now = now.Add(2300 * time.Millisecond)
+	s.Tick(now)
+	if n := s.Upstreams(); n != 1 {
+		t.Fatalf("%d upstreams 2.3 s after the store's return, want 1", n)
+	}
+	update(false, entry("i2", "bad", 6))
+	if n := s.Upstreams(); n != 0 {
+		t.Fatalf("%d upstreams, want none: the entry cannot be read", n)
+	}
+}
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -1,6 +1,7 @@
 package submission
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -137,6 +140,50 @@
 	}
 }
 
+// Claim makes owner the one that runs a submission, given the head as it was
+// left, and returns the head that fences it. It returns ErrLost if the head has
+// changed: what was left is then another's, or more than the caller knows of.
+func (l Log) Claim(ctx context.Context, left Owned, owner string) (Owned, error) {
+	if !left.Open() {
+		return Owned{}, ErrLost
+	}
+	claimed := left.Head
+	claimed.Owner, claimed.Claimed, claimed.Progress = owner, true, 0
+	if claimed == left.Head {
+		return left, nil // claimed before
+	}
+	got, err := l.put(ctx, claimed, left.Fencing)
+	if err == nil && got.Head != claimed {
+		return Owned{}, ErrLost
+	}
+	return got, err
+}
+
+// Left is what the owners before have left of a submission.
+type Left struct {
+	Results []Result  // written
+	Texts   []Partial // begun
+}
+
+// Left reads what the owners before have left, given the head as they left it,
+// which has been claimed since so that none of them can write any more.
+func (l Log) Left(ctx context.Context, left Owned) (Left, error) {
+	var out Left
+	if !left.Claimed && left.Head.Progress == 0 {
+		return out, nil // nobody has run it
+	}
+	var g errgroup.Group
+	g.Go(func() (err error) {
+		out.Results, err = l.AllResults(ctx, left.ID)
+		return err
+	})
+	g.Go(func() (err error) {
+		out.Texts, err = l.progress(ctx, left)
+		return err
+	})
+	return out, g.Wait()
+}
+
 // Spec reads what the sender handed over.
 func (l Log) Spec(ctx context.Context, id string) (Spec, error) {
 	data, err := l.Store.GetObject(ctx, objectPrefix+id)
@@ -228,9 +275,9 @@
 	return l.Store.PutObject(ctx, progressName(o.ID, o.Fencing), data)
 }
 
-// Progress returns the texts that the owner before kept, given the head as that
+// progress returns the texts that the owner before kept, given the head as that
 // owner left it. There are none if it kept none.
-func (l Log) Progress(ctx context.Context, left Owned) ([]Partial, error) {
+func (l Log) progress(ctx context.Context, left Owned) ([]Partial, error) {
 	fencing := left.Fencing
 	if left.Owner == "" {
 		fencing = left.Head.Progress
@@ -312,9 +359,12 @@
 	if ce.Key == headKey(o.ID) {
 		return ErrLost
 	}
-	// A position is taken under the same head: by an earlier call of this
-	// batch, whose answer was lost.
-	return nil
+	for _, op := range b.ops {
+		if op.Key == ce.Key && !bytes.Equal(op.Value, ce.Current.Value) {
+			return fmt.Errorf("%w: %s holds another result", ErrLost, ce.Key)
+		}
+	}
+	return nil // written by an earlier call of this batch, whose answer was lost
 }
 
 // pause waits for d and reports whether ctx goes on.
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -23,9 +23,10 @@
 	// milliseconds for an event and a slow one some hundred. To go on elsewhere
 	// costs little: the engine there reads the text so far in milliseconds.
 	eventGapLimit = 700 * time.Millisecond
-	// flushEvents is how many events of a text are told to the owner's
-	// goroutine at once.
+	// flushEvents and flushPeriod bound the events of a text that are not yet
+	// told to the owner's goroutine, and with it to a successor.
 	flushEvents = 6
+	flushPeriod = 250 * time.Millisecond
 	// progressPeriod is how often the texts so far are kept for a successor.
 	progressPeriod = 700 * time.Millisecond
 	// slowEngine is how many times the usual time an engine takes from which on
@@ -96,12 +97,6 @@
 	changed chan struct{} // closed when results grow
 }
 
-// Left is what the owners before have left of a submission.
-type Left struct {
-	Results []Result  // written
-	Texts   []Partial // begun
-}
-
 // NewRunner returns the Runner of a submission.
 func NewRunner(cfg Config, o Owned, s Spec, left Left) *Runner {
 	if cfg.Observe == nil {
@@ -327,11 +322,11 @@
 			p.Versions = append(p.Versions, version)
 		}
 		p.Events = append(p.Events, e)
-		if len(p.Events) < flushEvents {
+		now := time.Now()
+		if len(p.Events) < flushEvents && now.Sub(last) < flushPeriod {
 			continue
 		}
-		now := time.Now()
-		t.Observe(upstream.Report{At: now, Pace: now.Sub(last) / flushEvents})
+		t.Observe(upstream.Report{At: now, Pace: now.Sub(last) / time.Duration(len(p.Events))})
 		if t.Better(now, slowEngine) {
 			return p, errSlow
 		}
