--- a/pkg/submission/run_test.go
+++ b/pkg/submission/run_test.go
@@ -14,7 +14,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
 
-func TestMain(m *testing.M) { rapidseed.Main(m, 300) }
+func TestMain(m *testing.M) { rapidseed.Main(m, 4000) }
 
 const textEvents = 5
 
