forward: streams to callers, passed on as they come and gone on with elsewhere

Callers' streaming routes: events pass on whole, a resumable stream goes on at another upstream in the same answer, any other ends as broken off.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -61,6 +61,7 @@
 // Config configures a Forwarder.
 type Config struct {
 	Transport Transport
+	Opener    Opener // of streams
 	Registry  *upstream.Registry
 	// Affinity is what requests prefer an upstream by, among those about as
 	// loaded. An instance's own name keeps it to few connections, each of which
@@ -114,6 +115,9 @@
 			// Each upstream has been tried: one that had no room may have some now.
 			t, ok = f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now})
 		}
+		if !ok && plan.MayWait(now) && sleep(ctx, waitStep) {
+			continue
+		}
 		if !ok {
 			return plan.end(now, errors.New("no upstream can take the request"))
 		}
@@ -134,26 +138,46 @@
 	actx, cancel := context.WithDeadline(ctx, plan.AttemptUntil(begun))
 	defer cancel()
 	a, load, err := f.cfg.Transport.Send(actx, t.Entry, r)
-	now := time.Now()
-	rep := upstream.Report{At: now, Load: load}
+	rep := report(ctx, actx, err, load)
+	if err == nil {
+		rep.Pace = rep.At.Sub(begun)
+		rep.Failed = a.Status >= http.StatusInternalServerError
+	}
+	t.Done(rep)
+	f.cfg.Observe(Attempt{Request: r.ID, Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err})
+	return a, err
+}
+
+// report returns what an attempt's error says of its upstream, where ctx is the
+// request's and actx the attempt's.
+func report(ctx, actx context.Context, err error, load *upstream.Load) upstream.Report {
+	rep := upstream.Report{At: time.Now(), Load: load}
 	switch {
 	case err == nil:
-		rep.Pace = now.Sub(begun)
-		rep.Failed = a.Status >= http.StatusInternalServerError
 	case errors.Is(err, ErrMisdirected):
 		rep.Gone = true
 	case errors.Is(err, ErrUnreachable):
 		rep.Unreachable = true
 	case errors.Is(err, ErrNotRun):
-		rep.Busy, rep.BusyUntil = true, now.Add(busyPause)
+		rep.Busy, rep.BusyUntil = true, rep.At.Add(busyPause)
 	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
 		// The caller left: that says nothing of the upstream.
 	default:
 		rep.Failed = true
 	}
-	t.Done(rep)
-	f.cfg.Observe(Attempt{Request: r.ID, Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: now.Sub(begun), Err: err})
-	return a, err
+	return rep
+}
+
+// sleep waits for d and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
 }
 
 // end returns the error of a request that gets no answer of an upstream.
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -19,6 +19,8 @@
 	// busyPause is how long an upstream that had no room is left alone: a few
 	// of its requests end in that time.
 	busyPause = 60 * time.Millisecond
+	// waitStep is how often a request that waits for room looks for it.
+	waitStep = 15 * time.Millisecond
 	// returnAfter is when a caller may come back that no upstream could serve:
 	// upstreams that had no room have some then, and entries that were missing
 	// are read again.
@@ -39,6 +41,7 @@
 // deadline, without sending a request to more upstreams than its route allows.
 type Plan struct {
 	AnswerBy time.Time // the caller has its answer by then
+	begun    time.Time
 	route    routetable.Route
 	tried    []string // upstreams, in order
 	ran      int      // attempts that may have run
@@ -56,7 +59,18 @@
 		by = deadline
 	}
 	margin := min(answerMargin, max(by.Sub(now), 0)/4)
-	return &Plan{AnswerBy: by.Add(-margin), route: rt}
+	return &Plan{AnswerBy: by.Add(-margin), begun: now, route: rt}
+}
+
+// MayWait reports whether a request for which no upstream has room at now waits
+// a little rather than be turned away: those that refused others are left alone
+// for busyPause only.
+func (p *Plan) MayWait(now time.Time) bool {
+	limit := busyPause + waitStep
+	if p.route.Objective > 0 {
+		limit = min(limit, p.route.Objective/4)
+	}
+	return now.Sub(p.begun) < limit && now.Before(p.AnswerBy)
 }
 
 // Tried returns the upstreams that the request was sent to.
--- /dev/null
+++ b/pkg/forward/stream.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// Event is one whole event of an upstream's stream.
+type Event struct {
+	ID  int
+	Raw []byte // as sent, with the blank line that ends it
+}
+
+// EventStream is a stream of events as an upstream makes it. Next returns
+// io.EOF after its last event.
+type EventStream interface {
+	Next() (Event, error)
+	Close()
+}
+
+// Opened is an upstream's answer to a request for a stream: the stream, or a
+// whole answer if Events is nil.
+type Opened struct {
+	Answer
+	Events EventStream
+}
+
+// Opener asks an upstream for a stream that goes on after an event (0 to
+// begin). Its errors are those of Transport.
+type Opener interface {
+	Open(ctx context.Context, to upstream.Entry, r Request, after int) (Opened, *upstream.Load, error)
+}
+
+// Sink takes the answer to a caller as it comes.
+type Sink interface {
+	Begin(a Answer)         // status and header, of the first upstream
+	Event(raw []byte) error // one event, to be sent at once
+	Whole(a Answer)         // instead of both: an answer that is no stream
+}
+
+// ErrBroken is returned by Stream when a stream that had begun cannot go on:
+// the caller must not take what it has for the whole.
+var ErrBroken = errors.New("forward: the stream broke off")
+
+// firstEventWait is how long a stream that may be asked for again is waited for
+// at one upstream, at the least.
+const firstEventWait = 2 * time.Second
+
+// Stream forwards a request for a stream of events by route rt. Events pass on
+// as they come. When the stream breaks off, it goes on at another upstream if
+// its route allows that; else Stream returns ErrBroken. A request that got
+// nothing ends in a *verdict.Error.
+func (f *Forwarder) Stream(ctx context.Context, rt routetable.Route, r Request, model, prompt string, sink Sink) error {
+	if rt.Resumable {
+		rt.Kind = routetable.Idempotent // it may be asked for again
+	}
+	plan := NewPlan(rt, time.Now(), r.Deadline)
+	r.Deadline = plan.AnswerBy
+	ctx, cancel := context.WithDeadline(ctx, plan.AnswerBy)
+	defer cancel()
+	s := &streaming{f: f, plan: plan, route: rt, request: r, sink: sink}
+	pool := rt.Pick(rand.Float64())
+	for {
+		now := time.Now()
+		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: model, Affinity: prompt})
+		if !ok && plan.MayWait(now) && sleep(ctx, waitStep) {
+			continue
+		}
+		if !ok {
+			return s.end(now, errors.New("no upstream can take the request"))
+		}
+		status, err := s.attempt(ctx, t)
+		if err == nil && s.complete {
+			return nil
+		}
+		done, err := plan.Ended(t.ID, status, err, time.Now())
+		if done {
+			return s.end(time.Now(), err)
+		}
+	}
+}
+
+// streaming is one request for a stream under way.
+type streaming struct {
+	f        *Forwarder
+	plan     *Plan
+	route    routetable.Route
+	request  Request
+	sink     Sink
+	begun    bool // the caller has the header
+	last     int  // last event that the caller has
+	complete bool // the caller has all
+}
+
+// end ends a request that no upstream serves any more.
+func (s *streaming) end(now time.Time, err error) error {
+	if s.begun {
+		return errors.Join(ErrBroken, err)
+	}
+	_, err = s.plan.end(now, err)
+	return err
+}
+
+// attempt asks one upstream, and passes on what it gives.
+func (s *streaming) attempt(ctx context.Context, t *upstream.Ticket) (int, error) {
+	actx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begun := time.Now()
+	if s.route.Resumable {
+		silence := time.AfterFunc(max(firstEventWait, patience*s.route.Objective), cancel)
+		defer silence.Stop()
+		return s.run(ctx, actx, t, begun, func(d time.Duration) { silence.Reset(d) })
+	}
+	return s.run(ctx, actx, t, begun, func(time.Duration) {})
+}
+
+func (s *streaming) run(ctx, actx context.Context, t *upstream.Ticket, begun time.Time, heard func(time.Duration)) (int, error) {
+	o, load, err := s.f.cfg.Opener.Open(actx, t.Entry, s.request, s.last)
+	events := 0
+	switch {
+	case err != nil:
+	case o.Events == nil:
+		if !s.begun && (o.Status < http.StatusInternalServerError || !s.plan.MayRepeat()) {
+			s.sink.Whole(o.Answer)
+			s.complete = true
+		}
+	default:
+		if !s.begun {
+			s.sink.Begin(o.Answer)
+			s.begun = true
+		}
+		events, err = s.pass(o.Events, heard)
+		o.Events.Close()
+	}
+	rep := report(ctx, actx, err, load)
+	if events > 0 {
+		rep.Pace = time.Since(begun) / time.Duration(events)
+	}
+	rep.Failed = rep.Failed || err == nil && o.Status >= http.StatusInternalServerError
+	t.Done(rep)
+	s.f.cfg.Observe(Attempt{Request: s.request.ID, Route: s.route.Name, Upstream: t.ID, Number: len(s.plan.Tried()) + 1, Status: o.Status, Took: time.Since(begun), Err: err})
+	return o.Status, err
+}
+
+// pass passes events on to the caller and returns how many.
+func (s *streaming) pass(events EventStream, heard func(time.Duration)) (int, error) {
+	for n := 0; ; n++ {
+		e, err := events.Next()
+		if err == io.EOF {
+			s.complete = true
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+		heard(firstEventWait)
+		if err := s.sink.Event(e.Raw); err != nil {
+			return n, err
+		}
+		s.last = e.ID
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -36,6 +36,7 @@
 // Engines speaks to upstreams.
 type Engines interface {
 	forward.Transport
+	forward.Opener
 	submission.Generator
 	weights.Orderer
 }
@@ -112,7 +113,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), registry: upstream.NewRegistry(cfg.DataCentre),
 		log: submission.Log{Store: cfg.Store, MaxRow: cfg.MaxRow}, events: make(chan any, eventQueue)}
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.attempted})
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.attempted})
 	n.heads.init()
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: make(chan struct{}, 1)}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -87,6 +87,12 @@
 	return n.forwarder.Do(ctx, rt, r)
 }
 
+// Stream forwards a request for a stream of events by route rt. model and prompt
+// name the model that it asks for and the prompt that it shares, if any.
+func (n *Node) Stream(ctx context.Context, rt routetable.Route, r forward.Request, model, prompt string, sink forward.Sink) error {
+	return n.forwarder.Stream(ctx, rt, r, model, prompt, sink)
+}
+
 // Submit keeps a submission and runs it. After its errors of verdict NotRun no
 // part of it runs.
 func (n *Node) Submit(ctx context.Context, s submission.Spec) error {
