--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -5,20 +5,25 @@
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/internal/exposition"
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
+	pkgplatform "github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/platform"
 )
 
@@ -33,6 +38,7 @@
 
 func nodeCmd() *cobra.Command {
 	var path string
+	var metricsPort int
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run an instance on the users' platform",
@@ -52,24 +58,34 @@
 			}
 			ctx, stop := signalContext()
 			defer stop()
-			return runNode(ctx, path, s)
+			return runNode(ctx, path, s, metricsPort)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "the platform's settings file")
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the machine's address on which /metrics is served; 0 for the control address, if there is one")
 	return cmd
 }
 
 // runNode runs a node and the servers of its interfaces until ctx ends and it
 // has drained.
-func runNode(ctx context.Context, path string, s platform.Settings) error {
+func runNode(ctx context.Context, path string, s platform.Settings, metricsPort int) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
 	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: log.InfoLevel}).With("node", s.Node)
+	stdlog.SetOutput(out) // what libraries log; it must not block either
+	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.Store)
+	store.Observe = func(call string, took time.Duration, err error) {
+		metrics.GetOrRegisterTimer("store."+call, registry).Update(took)
+		if err != nil && !errors.Is(err, pkgplatform.ErrNotFound) {
+			metrics.GetOrRegisterCounter("store."+call+".failed", registry).Inc(1)
+		}
+	}
+	metrics.NewRegisteredFunctionalGauge("log.lines.dropped", registry, out.Dropped)
 	n := node.New(node.Config{
 		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, Cores: s.Cores, Store: store, Engines: platform.NewEngines(),
-		Decoder: platform.Decoder(), Logger: logger, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, Grace: s.Grace,
+		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, Grace: s.Grace,
 	})
 	callers := platform.NewCallers(n)
 	var group errgroup.Group
@@ -77,7 +93,10 @@
 	for _, part := range []struct {
 		address string
 		handler http.Handler
-	}{{s.Callers, callers.Front()}, {s.Ready, callers.ReadyHandler()}, {s.Addresses, callers.AddressHandler()}} {
+	}{{s.Callers, callers.Front()}, {s.Ready, callers.ReadyHandler()}, {s.Addresses, callers.AddressHandler()}, {metricsAddress(s, metricsPort), metricsHandler(registry)}} {
+		if part.address == "" {
+			continue
+		}
 		srv, err := startServer(&group, part.address, part.handler)
 		if err != nil {
 			return err
@@ -97,6 +116,24 @@
 	return errors.Join(err, group.Wait())
 }
 
+// metricsAddress returns where metrics are served, empty for nowhere.
+func metricsAddress(s platform.Settings, port int) string {
+	if port == 0 {
+		return s.Control
+	}
+	host, _, err := net.SplitHostPort(s.Callers)
+	if err != nil {
+		return s.Control
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+func metricsHandler(r metrics.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", exposition.Handler(r, "zinnia"))
+	return mux
+}
+
 // startServer serves h at address in group.
 func startServer(group *errgroup.Group, address string, h http.Handler) (*http.Server, error) {
 	ln, err := net.Listen("tcp", address)
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -54,3 +54,28 @@
 		t.Fatal("the drop is not told")
 	}
 }
+
+// Replays six times the load that a budget allows: no second has more lines
+// than the budget, and the lines skipped are told.
+func TestBudget(t *testing.T) {
+	b := logs.NewBudget(10)
+	now := time.Unix(1_800_000_000, 0)
+	lines, told := 0, 0
+	for range 5 {
+		inSecond := 0
+		for range 60 {
+			if skipped, ok := b.Take(now); ok {
+				inSecond++
+				told += skipped
+			}
+			now = now.Add(time.Second / 60)
+		}
+		lines += inSecond
+		if inSecond > 20 { // a span of a second can meet two of the clock's
+			t.Fatalf("%d lines in a second", inSecond)
+		}
+	}
+	if skipped, ok := b.Take(now.Add(time.Second)); !ok || lines+told+skipped != 300 {
+		t.Fatalf("%d lines and %d told as skipped, of 300", lines, told+skipped)
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
@@ -62,9 +63,10 @@
 	Engines    Engines
 	Decoder    Decoder
 	Logger     *log.Logger
-	MaxRow     int           // largest value of a row of the store, in bytes
-	LeaseTime  time.Duration // holders of orders must not alternate within it
-	Grace      time.Duration // from the request to stop until the process is killed
+	Metrics    metrics.Registry // counters and timers; nil for ones that nobody reads
+	MaxRow     int              // largest value of a row of the store, in bytes
+	LeaseTime  time.Duration    // holders of orders must not alternate within it
+	Grace      time.Duration    // from the request to stop until the process is killed
 }
 
 const (
@@ -103,6 +105,7 @@
 	draining atomic.Bool
 	heads    headIndex
 	readers  *readers
+	observer *observer
 	member   *memberRow
 	orders   *orderSender
 	named    atomic.Pointer[map[string]uint64]
@@ -113,7 +116,11 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), registry: upstream.NewRegistry(cfg.DataCentre),
 		log: submission.Log{Store: cfg.Store, MaxRow: cfg.MaxRow}, events: make(chan any, eventQueue)}
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.attempted})
+	if n.cfg.Metrics == nil {
+		n.cfg.Metrics = metrics.NewRegistry()
+	}
+	n.observer = newObserver(n)
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.observer.attempt})
 	n.heads.init()
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: make(chan struct{}, 1)}
@@ -171,6 +178,7 @@
 		case ev = <-n.events:
 		case at := <-ticker.C:
 			ev = tick{At: at}
+			n.observer.state(s)
 		case <-stopped:
 			stopped = nil
 			n.draining.Store(true)
@@ -194,10 +202,10 @@
 
 func draw() float64 { return rand.Float64() }
 
-func (n *Node) attempted(a forward.Attempt) {
-	if a.Err == nil && a.Status < 500 {
-		n.cfg.Logger.Debug("served", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took)
-		return
+// configurationVersion returns the version in force, 0 for none.
+func (n *Node) configurationVersion() uint64 {
+	if t := n.table.Load(); t != nil {
+		return t.Version
 	}
-	n.cfg.Logger.Warn("attempt failed", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
+	return 0
 }
--- /dev/null
+++ b/pkg/node/observe.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinnialadder/zinnialadder/internal/logs"
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Lines a second of each kind. An instance's usual load is a few requests a
+// second and, where it owns a submission, some tens of items; a line costs
+// about 20 µs.
+const (
+	failureLines = 40
+	requestLines = 15
+	itemLines    = 25
+)
+
+// observer counts and logs what happens to requests and items.
+type observer struct {
+	node     *Node
+	failures *logs.Budget
+	requests *logs.Budget
+	items    *logs.Budget
+}
+
+func newObserver(n *Node) *observer {
+	return &observer{node: n, failures: logs.NewBudget(failureLines), requests: logs.NewBudget(requestLines), items: logs.NewBudget(itemLines)}
+}
+
+func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(1) }
+
+func (o *observer) time(name string, d time.Duration) {
+	metrics.GetOrRegisterTimer(name, o.node.cfg.Metrics).Update(d)
+}
+
+func (o *observer) gauge(name string, v int64) {
+	metrics.GetOrRegisterGauge(name, o.node.cfg.Metrics).Update(v)
+}
+
+// line writes a line if budget has one left: a warning if err tells a failure.
+func (o *observer) line(budget *logs.Budget, failed bool, what string, fields ...any) {
+	skipped, ok := budget.Take(time.Now())
+	if !ok {
+		o.count("log.lines.skipped")
+		return
+	}
+	if skipped > 0 {
+		fields = append(fields, "skipped", skipped)
+	}
+	if failed {
+		o.node.cfg.Logger.Warn(what, fields...)
+		return
+	}
+	o.node.cfg.Logger.Info(what, fields...)
+}
+
+// attempt is told of each attempt at an upstream.
+func (o *observer) attempt(a forward.Attempt) {
+	switch {
+	case a.Err == nil && a.Status < 500:
+		o.count("attempts.answered")
+		return // its request's own line tells it
+	case errors.Is(a.Err, forward.ErrNotRun):
+		o.count("attempts.not_run")
+	default:
+		o.count("attempts.failed")
+	}
+	o.line(o.failures, true, "attempt failed", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
+}
+
+// request is told how a caller's request ended.
+func (o *observer) request(rt routetable.Route, r forward.Request, status int, begun time.Time, err error) {
+	took := time.Since(begun)
+	v := verdict.Of(err)
+	o.count("requests." + v.String())
+	o.time("requests.took", took)
+	budget := o.requests
+	if err != nil {
+		budget = o.failures
+		o.count("rejections." + rejection(err))
+	}
+	o.line(budget, err != nil, "request", "request", r.ID, "route", rt.Name, "status", status, "verdict", v, "took", took,
+		"left", time.Until(r.Deadline), "configuration", o.node.configurationVersion(), "err", err)
+}
+
+// rejection names the reason of an error, for the counters.
+func rejection(err error) string {
+	switch {
+	case errors.Is(err, errNoRoute):
+		return "no_route"
+	case errors.Is(err, errNoConfiguration):
+		return "no_configuration"
+	case errors.Is(err, forward.ErrNotRun):
+		return "upstreams_full"
+	case errors.Is(err, forward.ErrBroken):
+		return "stream_broken"
+	}
+	return "no_answer"
+}
+
+// step is told what happens to items and submissions that run here.
+func (o *observer) step(s submission.Step) {
+	o.count("items." + s.What)
+	budget := o.items
+	if s.Err != nil {
+		budget = o.failures
+	}
+	o.line(budget, s.Err != nil, s.What, "submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events,
+		"status", s.Status, "position", s.Position, "err", s.Err)
+}
+
+// state tells the gauges what the control state holds.
+func (o *observer) state(s *state) {
+	open := 0
+	for _, h := range s.heads {
+		if h.Open() {
+			open++
+		}
+	}
+	o.gauge("submissions.open", int64(open))
+	o.gauge("submissions.running_here", int64(len(s.running)))
+	o.gauge("upstreams", int64(len(s.entries)))
+	o.gauge("members", int64(s.members.Size()))
+	o.gauge("configuration.version", int64(o.node.configurationVersion()))
+	o.gauge("orders.fencing_token_held", int64(o.node.orders.current().Fencing))
+	o.gauge("store.tables_away", int64(len(s.awaySince)))
+	for model, v := range s.named {
+		o.gauge("weights.named."+model, int64(v))
+	}
+}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -73,10 +73,13 @@
 func (n *Node) Route(host, path string) (routetable.Route, error) {
 	t := n.table.Load()
 	if t == nil || !n.ready.Load() {
+		n.observer.count("rejections.no_configuration")
 		return routetable.Route{}, verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), errNoConfiguration)
 	}
 	rt, ok := t.Match(host, path)
 	if !ok {
+		n.observer.count("rejections.no_route")
+		n.observer.line(n.observer.failures, true, "no route", "host", host, "path", path, "configuration", t.Version)
 		return routetable.Route{}, verdict.New(verdict.NotRun, http.StatusNotFound, errNoRoute)
 	}
 	return rt, nil
@@ -84,13 +87,19 @@
 
 // Forward forwards r by route rt.
 func (n *Node) Forward(ctx context.Context, rt routetable.Route, r forward.Request) (forward.Answer, error) {
-	return n.forwarder.Do(ctx, rt, r)
+	begun := time.Now()
+	a, err := n.forwarder.Do(ctx, rt, r)
+	n.observer.request(rt, r, a.Status, begun, err)
+	return a, err
 }
 
 // Stream forwards a request for a stream of events by route rt. model and prompt
 // name the model that it asks for and the prompt that it shares, if any.
 func (n *Node) Stream(ctx context.Context, rt routetable.Route, r forward.Request, model, prompt string, sink forward.Sink) error {
-	return n.forwarder.Stream(ctx, rt, r, model, prompt, sink)
+	begun := time.Now()
+	err := n.forwarder.Stream(ctx, rt, r, model, prompt, sink)
+	n.observer.request(rt, r, 0, begun, err)
+	return err
 }
 
 // Submit keeps a submission and runs it. After its errors of verdict NotRun no
@@ -109,12 +118,15 @@
 	owner := n.owner(s)
 	o, err := n.log.Accept(ctx, s, owner, owner == n.start, begun)
 	if err != nil {
+		n.observer.count("submissions.not_kept")
 		n.cfg.Logger.Warn("submission not kept", "submission", s.ID, "took", time.Since(begun), "err", err)
 		if errors.Is(err, platform.ErrNotDone) {
 			return verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), err)
 		}
 		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, err)
 	}
+	n.observer.count("submissions.kept")
+	n.observer.time("submissions.keep", time.Since(begun))
 	n.cfg.Logger.Info("submission kept", "submission", s.ID, "items", len(s.Items), "min_version", s.MinVersion, "owner", o.Owner, "took", time.Since(begun))
 	n.heads.set(o)
 	n.tell(ctx, accepted{o, s})
@@ -198,7 +210,7 @@
 // runnerConfig returns the configuration of the runners here.
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
-		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Score: n.score, Draw: draw, Observe: n.stepped,
+		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Score: n.score, Draw: draw, Observe: n.observer.step,
 		ScoreRoom: n.scoreRoom,
 		Named: func(model string) uint64 {
 			if named := n.named.Load(); named != nil {
@@ -258,12 +270,3 @@
 	}
 	return s
 }
-
-func (n *Node) stepped(s submission.Step) {
-	fields := []any{"submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events, "status", s.Status, "position", s.Position}
-	if s.Err != nil {
-		n.cfg.Logger.Warn(s.What, append(fields, "err", s.Err)...)
-		return
-	}
-	n.cfg.Logger.Debug(s.What, fields...)
-}
