--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -45,6 +46,9 @@
 	releaseRun struct{ submission.Owned }
 	adopt      struct{ submission.Owned }
 
+	// dealEngines deals the engines of each pool to the models.
+	dealEngines struct{ demands []weights.Demand }
+
 	planOrders struct {
 		at      time.Time
 		demands []weights.Demand
@@ -168,4 +172,18 @@
 	return spec, out, g.Wait()
 }
 
+func (e dealEngines) carryOut(_ context.Context, n *Node) {
+	t := n.table.Load()
+	if t == nil {
+		return
+	}
+	parts := map[string][]string{}
+	for _, pool := range t.Pools {
+		if len(pool.Models) > 0 {
+			maps.Copy(parts, weights.Partition(n.orderable(pool.Name), ofPool(pool, e.demands)))
+		}
+	}
+	n.registry.SetParts(parts)
+}
+
 func (e planOrders) carryOut(_ context.Context, n *Node) { n.orders.plan(e) }
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -164,19 +164,10 @@
 // at once.
 func (o *orderSender) planPool(p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
 	byID := map[string]upstream.Entry{}
-	var ids []string
 	for _, e := range o.node.registry.Entries(pool.Name) {
-		if !e.Draining {
-			byID[e.ID] = e
-			ids = append(ids, e.ID)
-		}
-	}
-	var demands []weights.Demand
-	for _, d := range p.demands {
-		if slices.Contains(pool.Models, d.Model) {
-			demands = append(demands, d)
-		}
+		byID[e.ID] = e
 	}
+	ids, demands := o.node.orderable(pool.Name), ofPool(pool, p.demands)
 	parts := weights.Partition(ids, demands)
 	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
 	for _, d := range demands {
@@ -200,6 +191,28 @@
 	}
 }
 
+// orderable returns the IDs of a pool's engines that do not leave.
+func (n *Node) orderable(pool string) []string {
+	var ids []string
+	for _, e := range n.registry.Entries(pool) {
+		if !e.Draining {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
+// ofPool returns the demands for the models of a pool.
+func ofPool(pool routetable.Pool, demands []weights.Demand) []weights.Demand {
+	var out []weights.Demand
+	for _, d := range demands {
+		if slices.Contains(pool.Models, d.Model) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // loading returns how many engines of a pool load, or may, for other models
 // than that of key.
 func (o *orderSender) loading(pool, key string) int {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -355,7 +355,8 @@
 		return effs
 	}
 	effs = append(effs, s.adopt(now)...)
-	return append(effs, planOrders{now, s.demands()})
+	demands := s.demands()
+	return append(effs, dealEngines{demands}, planOrders{now, demands})
 }
 
 // onDrain hands over what runs here. Its texts go on at another instance where
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -38,8 +38,12 @@
 	mu    sync.Mutex
 	byID  map[string]*known
 	pools map[string][]*known // in order of ID
+	parts map[string]part     // by model
 }
 
+// part is the upstreams that a model is dealt.
+type part map[string]bool
+
 // known is one upstream.
 type known struct {
 	Entry
@@ -47,6 +51,8 @@
 	others    int // requests of others, when last told
 	othersAt  time.Time
 	busyUntil time.Time
+	doubted   bool      // it had no room when last asked, and is asked by one request at a time
+	asking    bool      // such a request is under way
 	askedAt   time.Time // whether it still holds an old version
 	gone      bool      // another upstream has its address
 	confirmed map[string]uint64
@@ -82,6 +88,22 @@
 	r.byID, r.pools = byID, pools
 }
 
+// SetParts tells which upstreams each model is dealt, by ID. Requests for a model
+// go to its own as long as one of them may take requests at all, so that the
+// instances that run a model's requests keep connections to few upstreams.
+func (r *Registry) SetParts(parts map[string][]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts = make(map[string]part, len(parts))
+	for model, ids := range parts {
+		p := make(part, len(ids))
+		for _, id := range ids {
+			p[id] = true
+		}
+		r.parts[model] = p
+	}
+}
+
 // Entries returns the upstreams of a pool, in order of ID, with the weight
 // versions that answers have shown since they told them.
 func (r *Registry) Entries(pool string) []Entry {
@@ -132,13 +154,10 @@
 func (r *Registry) Acquire(w Want) (*Ticket, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ks := r.pools[w.Pool]
+	ks := r.usablePart(w)
 	cands, from := make([]Candidate, 0, len(ks)), make([]*known, 0, len(ks))
 	slowness := r.slowness(ks, w.At)
 	for i, k := range ks {
-		if !r.usable(k, w) {
-			continue
-		}
 		cands = append(cands, Candidate{
 			ID: k.ID, Load: k.load(w.At), InFlight: k.inFlight, Slots: max(k.Slots, 1),
 			Slowness: slowness[i], Near: k.DataCentre == r.dataCentre,
@@ -151,6 +170,7 @@
 	}
 	k := from[i]
 	k.inFlight++
+	k.asking = k.doubted
 	if w.Outdated {
 		k.askedAt = w.At
 	}
@@ -160,6 +180,26 @@
 	return &Ticket{Entry: e, registry: r, known: k}, true
 }
 
+// usablePart returns the upstreams that may take a request: of those that its
+// model is dealt if there are any.
+func (r *Registry) usablePart(w Want) []*known {
+	p := r.parts[w.Model]
+	var own, all []*known
+	for _, k := range r.pools[w.Pool] {
+		if !r.usable(k, w) {
+			continue
+		}
+		all = append(all, k)
+		if p[k.ID] {
+			own = append(own, k)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	return all
+}
+
 func (r *Registry) slowness(ks []*known, now time.Time) []float64 {
 	ids := make([]string, len(ks))
 	for i, k := range ks {
@@ -170,7 +210,7 @@
 
 func (r *Registry) usable(k *known, w Want) bool {
 	switch {
-	case k.Draining, k.gone, w.At.Before(k.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
+	case k.Draining, k.gone, k.asking, w.At.Before(k.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
 		return false
 	case w.Model == "":
 		return true
@@ -230,8 +270,11 @@
 		k.others = max(0, rep.Load.Running+rep.Load.Waiting-k.inFlight)
 		k.othersAt = rep.At
 	}
+	k.asking = false
 	if rep.Busy {
-		k.busyUntil = rep.BusyUntil
+		k.busyUntil, k.doubted = rep.BusyUntil, true
+	} else if !rep.OtherVersion {
+		k.doubted = false
 	}
 	k.gone = k.gone || rep.Gone
 	for m, v := range rep.Versions {
