node: fewer connections: some instances for callers, owners that stay, engines dealt from the start

Owners now renew their member rows twice a second and are missed after 2.2 s however many members there are (an owner cut off among 84 was missed after 8.9 s).

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -47,9 +48,11 @@
 	ErrUnreachable = fmt.Errorf("%w: upstream takes no connection", ErrNotRun)
 )
 
-// explore is one in how many requests prefer an upstream of their own, so that
-// an instance learns how fast the others are, and that its usual one is slow.
-const explore = 8
+// exploreFrom is from which part of its route's objective on an answer is slow
+// enough for the next request to prefer an upstream of its own: so an instance
+// learns how fast the others are, and that its usual one is slow, and opens few
+// connections while it is not.
+const exploreFrom = 1.0 / 3
 
 // Transport sends one request to one upstream and returns its whole answer,
 // with the load that the upstream told, if any. It also returns answers whose
@@ -84,7 +87,8 @@
 
 // Forwarder forwards requests whose answers are sent whole.
 type Forwarder struct {
-	cfg Config
+	cfg      Config
+	lastTook atomic.Int64 // of the last attempt that was answered, as a time.Duration
 }
 
 // New returns a Forwarder.
@@ -105,7 +109,7 @@
 	defer cancel()
 	pool := rt.Pick(rand.Float64())
 	affinity := f.cfg.Affinity
-	if rand.IntN(explore) == 0 {
+	if took := time.Duration(f.lastTook.Load()); rt.Objective > 0 && float64(took) > exploreFrom*float64(rt.Objective) {
 		affinity = r.ID
 	}
 	for {
@@ -141,6 +145,7 @@
 	rep := report(ctx, actx, err, load)
 	if err == nil {
 		rep.Pace = rep.At.Sub(begun)
+		f.lastTook.Store(int64(rep.Pace))
 		rep.Failed = a.Status >= http.StatusInternalServerError
 	}
 	t.Done(rep)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -19,7 +19,8 @@
 const (
 	// Table is the table of the members' rows.
 	Table = "members"
-	// minPeriod is the least time between two renewals of a row.
+	// minPeriod is the time between two renewals of the row of a member that
+	// owns work, which others must take over soon should it be gone; few do.
 	minPeriod = 500 * time.Millisecond
 	// renewals is how many renewals a second all members make together at the
 	// most: a fifth of what one partition of the store takes, and few enough
@@ -58,11 +59,18 @@
 	return name
 }
 
-// Period returns how often members renew their rows when there are n of them.
-func Period(n int) time.Duration {
+// Period returns how often a member renews its row when there are n of them.
+func Period(n int, owner bool) time.Duration {
+	if owner {
+		return minPeriod
+	}
 	return max(minPeriod, time.Duration(n)*time.Second/renewals)
 }
 
+// TTL returns how long a row that is renewed each period may stand unchanged.
+// It is written in the row.
+func TTL(period time.Duration) time.Duration { return missedPeriods*period + readingSlack }
+
 // View is what an instance knows of the members. It is not safe for
 // concurrent use.
 type View struct {
@@ -72,6 +80,7 @@
 type seen struct {
 	Member
 	version   uint64
+	ttl       time.Duration // how long the row may stand unchanged
 	changedAt time.Time
 }
 
@@ -117,7 +126,7 @@
 		return fmt.Errorf("membership: %s: %w", name, err)
 	}
 	m.Name, m.Start = name, l.Holder
-	v.members[name] = &seen{Member: m, version: row.Version, changedAt: at}
+	v.members[name] = &seen{Member: m, version: row.Version, ttl: l.TTL(TTL(minPeriod)), changedAt: at}
 	return nil
 }
 
@@ -125,32 +134,27 @@
 // at: the table could not be read from since to at, so that they could have
 // renewed them unseen, or could not renew them.
 func (v *View) Excuse(since, at time.Time) {
-	limit := v.limit()
 	for _, s := range v.members {
-		if since.Sub(s.changedAt) < limit && s.changedAt.Before(at) {
+		if since.Sub(s.changedAt) < s.ttl && s.changedAt.Before(at) {
 			s.changedAt = at
 		}
 	}
 }
 
-// limit is how long a row may stand unchanged.
-func (v *View) limit() time.Duration { return missedPeriods*Period(len(v.members)) + readingSlack }
-
 // Live returns the members that are there at now, in order of name, as seen by
 // the one named self. While its own row stands unchanged, or is not there, the
 // others may be unable to write theirs as well: the platform's store can serve
 // a part of its tables only. No member lapses in that time.
 func (v *View) Live(now time.Time, self string) []Member {
-	limit := v.limit()
 	own := v.members[self]
 	if own != nil {
-		if stood := own.changedAt.Add(limit / 2); now.After(stood) {
+		if stood := own.changedAt.Add(own.ttl * 2 / 3); now.After(stood) {
 			now = stood
 		}
 	}
 	var out []Member
 	for _, s := range v.members {
-		if own == nil || now.Sub(s.changedAt) < limit {
+		if own == nil || now.Sub(s.changedAt) < s.ttl {
 			out = append(out, s.Member)
 		}
 	}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -90,10 +90,13 @@
 // However many members there are, their renewals together are bounded.
 func TestRenewalsAreBounded(t *testing.T) {
 	for _, n := range []int{1, 11, 84, 370} {
-		if rate := float64(n) / membership.Period(n).Seconds(); rate > 41 {
+		if rate := float64(n) / membership.Period(n, false).Seconds(); rate > 41 {
 			t.Errorf("%d members renew %.0f times a second", n, rate)
 		}
 	}
+	if ttl := membership.TTL(membership.Period(370, true)); ttl > 2500*time.Millisecond {
+		t.Errorf("an owner among 370 is missed after %v", ttl)
+	}
 }
 
 func ExampleStart() {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -89,6 +89,7 @@
 	r := submission.NewRunner(n.runnerConfig(), e.Owned, e.spec, e.left)
 	run := &ownRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
 	n.readers.own(e.ID, run)
+	n.member.changed()
 	n.cfg.Logger.Info("submission runs", "submission", e.ID, "items", len(e.spec.Items), "listed", len(e.left.Results), "begun", len(e.left.Texts), "fencing", e.Fencing)
 	n.group.Go(func() error {
 		err := r.Run(rctx)
--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -20,15 +20,25 @@
 	left atomic.Bool
 }
 
-// leave has the row say at once that the instance drains.
-func (m *memberRow) leave() {
-	m.left.Store(true)
+// changed has the row written at once, as what it tells has changed: that the
+// instance owns work, or drains.
+func (m *memberRow) changed() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
 	}
 }
 
+func (m *memberRow) period() time.Duration {
+	return membership.Period(int(m.rows.Load()), m.node.readers.owning() > 0)
+}
+
+// leave has the row say at once that the instance drains.
+func (m *memberRow) leave() {
+	m.left.Store(true)
+	m.changed()
+}
+
 // keep writes the row until ctx ends.
 func (m *memberRow) keep(ctx context.Context) error {
 	var held lease.Lease
@@ -38,7 +48,7 @@
 			continue
 		}
 		held = m.write(ctx, held)
-		period := membership.Period(int(m.rows.Load()))
+		period := m.period()
 		if held.Fencing == 0 {
 			period /= 4
 		}
@@ -68,7 +78,7 @@
 	}
 	now := time.Now()
 	l := lease.Lease{Name: membership.Key(n.cfg.Name), Holder: n.start, Fencing: held.Fencing}
-	until := now.Add(membership.Period(int(m.rows.Load())))
+	until := now.Add(membership.TTL(m.period()))
 	if l.Fencing == 0 {
 		row, err := n.cfg.Store.Get(ctx, l.Name)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -202,12 +202,23 @@
 	return ids
 }
 
-// ofPool returns the demands for the models of a pool.
+// ofPool returns the demands for the models of a pool. While no work is known of
+// any, all are given the same.
 func ofPool(pool routetable.Pool, demands []weights.Demand) []weights.Demand {
 	var out []weights.Demand
-	for _, d := range demands {
-		if slices.Contains(pool.Models, d.Model) {
-			out = append(out, d)
+	known := false
+	for _, m := range slices.Sorted(slices.Values(pool.Models)) {
+		i := slices.IndexFunc(demands, func(d weights.Demand) bool { return d.Model == m })
+		d := weights.Demand{Model: m}
+		if i >= 0 {
+			d = demands[i]
+		}
+		known = known || d.Work > 0
+		out = append(out, d)
+	}
+	for i := range out {
+		if !known {
+			out[i].Work = 1
 		}
 	}
 	return out
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// owning returns how many submissions run here.
+func (r *readers) owning() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
 func (r *readers) stop(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,16 +214,31 @@
 type headIndex struct {
 	mu    sync.Mutex
 	heads map[string]submission.Owned
+	last  map[string]submission.Owned // by ownerKey, that which changed last
 }
 
-func (x *headIndex) init() { x.heads = map[string]submission.Owned{} }
+func (x *headIndex) init() {
+	x.heads, x.last = map[string]submission.Owned{}, map[string]submission.Owned{}
+}
 
 func (x *headIndex) set(o submission.Owned) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if o.Fencing > x.heads[o.ID].Fencing {
-		x.heads[o.ID] = o
+	if o.Fencing <= x.heads[o.ID].Fencing {
+		return
 	}
+	x.heads[o.ID] = o
+	if key := ownerKey(o.Head); o.Owner != "" && o.Fencing > x.last[key].Fencing {
+		x.last[key] = o
+	}
+}
+
+// lastOwner returns the owner of the submission of a kind whose head changed
+// last, empty for none.
+func (x *headIndex) lastOwner(key string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.last[key].Owner
 }
 
 func (x *headIndex) get(id string) (submission.Owned, bool) {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
@@ -16,8 +18,13 @@
 )
 
 const (
-	// maxAddresses is how many addresses a caller is told.
+	// maxAddresses is how many addresses a caller is told at the most.
 	maxAddresses = 64
+	// minAddresses and addressShare are how many of the instances callers are
+	// told: enough to bear the loss of some, and few enough that the instances'
+	// connections to plain services are used again before they are closed.
+	minAddresses = 6
+	addressShare = 0.1
 	// returnAfter is when a caller may come back that the store could not serve:
 	// it is asked again by then, or another instance reaches it.
 	returnAfter = 400 * time.Millisecond
@@ -51,24 +58,30 @@
 	return routetable.Limits{}
 }
 
-// Addresses returns where callers may connect, in random order: the live
-// instances that are not draining. An instance that knows none tells its own.
+// Addresses returns where callers may connect, in random order: some of the live
+// instances that are not draining, the same ones from every instance, larger ones
+// rather than small. An instance that knows none tells its own.
 func (n *Node) Addresses() []string {
-	var out []string
+	var able []membership.Member
 	if live := n.people.Load(); live != nil {
-		for _, m := range *live {
-			if !m.Draining && m.Name != n.cfg.Name {
-				out = append(out, m.Address)
-			}
-		}
+		able = owners(*live, submission.Head{Host: addressKey})
 	}
-	if n.Ready() {
+	able = slices.DeleteFunc(able, func(m membership.Member) bool { return m.Name == n.cfg.Name && !n.Ready() })
+	count := min(max(minAddresses, int(addressShare*float64(len(able)))), len(able), maxAddresses)
+	var out []string
+	for _, m := range able[:count] {
+		out = append(out, m.Address)
+	}
+	if len(out) == 0 && n.Ready() {
 		out = append(out, n.cfg.Address)
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(len(out), maxAddresses)]
+	return out
 }
 
+// addressKey ranks the instances that callers are told.
+const addressKey = "callers"
+
 // Route returns the route of a request, or a *verdict.Error.
 func (n *Node) Route(host, path string) (routetable.Route, error) {
 	t := n.table.Load()
@@ -133,12 +146,22 @@
 	return nil
 }
 
-// owner returns the instance that is to run s.
+// owner returns the instance that is to run s: the one that was chosen for the
+// last submission of its kind if that can, so that ownership does not wander as
+// instances come and go.
 func (n *Node) owner(s submission.Spec) string {
-	if live := n.people.Load(); live != nil {
-		for _, m := range owners(*live, submission.Head{Host: s.Host, Path: s.Path, Model: s.Model}) {
-			return m.Start
-		}
+	h := submission.Head{Host: s.Host, Path: s.Path, Model: s.Model}
+	live := n.people.Load()
+	if live == nil {
+		return n.start
+	}
+	able := owners(*live, h)
+	last := n.heads.lastOwner(ownerKey(h))
+	if slices.ContainsFunc(able, func(m membership.Member) bool { return m.Start == last }) {
+		return last
+	}
+	if len(able) > 0 {
+		return able[0].Start
 	}
 	return n.start
 }
@@ -229,8 +252,13 @@
 	}
 }
 
-// scoreRoom returns how many calls of c's scorer may be under way at once: as
-// many as its upstreams have slots.
+// minScoreRoom is how many calls of a scorer an instance has under way at least
+// where there are items to score.
+const minScoreRoom = 8
+
+// scoreRoom returns how many calls of c's scorer may be under way at once: this
+// instance's part of its upstreams' slots, as each model's submissions run at one
+// instance.
 func (n *Node) scoreRoom(c submission.Call) int {
 	rt, err := n.Route(c.Host, c.Path)
 	if err != nil {
@@ -244,7 +272,11 @@
 			}
 		}
 	}
-	return max(slots, 1)
+	models := 1
+	if named := n.named.Load(); named != nil {
+		models = max(1, len(*named))
+	}
+	return max(slots/models, min(slots, minScoreRoom), 1)
 }
 
 // score sends a scorer's call once.
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -24,7 +25,7 @@
 	// orphanPatience is how long a submission whose owner is not among the
 	// members waits before it is adopted: the owner's row may be seen later
 	// than the submission's.
-	orphanPatience = 1200 * time.Millisecond
+	orphanPatience = 800 * time.Millisecond
 	// claimPatience is how long an owner that another instance has chosen may
 	// take to claim a submission: it learns of it in some ten milliseconds.
 	claimPatience = 400 * time.Millisecond
@@ -80,6 +81,7 @@
 	named map[string]uint64  // newest weight version, by model
 	lag   map[string]uint64  // how many versions behind it requests accept, by model
 	work  map[string]float64 // mean of the work of recent submissions, by model
+	dealt map[string]float64 // the work by which engines are dealt to models
 
 	read      map[string]bool      // tables that have been read
 	awaySince map[string]time.Time // tables that cannot be read
@@ -91,7 +93,7 @@
 	return &state{name: name, start: start, decoder: d, members: membership.NewView(),
 		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
 		entries: map[string]upstream.Entry{}, missing: map[string]time.Time{},
-		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
+		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, dealt: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
 }
 
 // reduce applies ev and returns what to do.
@@ -305,13 +307,38 @@
 	for m := range s.work {
 		models[m] = true
 	}
+	s.deal()
 	var out []weights.Demand
 	for _, m := range slices.Sorted(maps.Keys(models)) {
-		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.work[m], Busy: busy[m]})
+		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.dealt[m], Busy: busy[m]})
 	}
 	return out
 }
 
+// dealStep is by how many engines a model's share must be off before engines are
+// dealt anew: the work of submissions varies, and each engine that moves loads
+// weights and takes new connections.
+const dealStep = 1.5
+
+// deal takes up the work of recent submissions if it has changed enough.
+func (s *state) deal() {
+	now, before := total(s.work), total(s.dealt)
+	for m, w := range s.work {
+		if before == 0 || math.Abs(w/now-s.dealt[m]/before)*float64(len(s.entries)) > dealStep {
+			s.dealt = maps.Clone(s.work)
+			return
+		}
+	}
+}
+
+func total(work map[string]float64) float64 {
+	sum := 0.0
+	for _, w := range work {
+		sum += w
+	}
+	return sum
+}
+
 func (s *state) onAccepted(e accepted) []effect {
 	effs := s.setHead(e.Owned)
 	if s.draining || s.running[e.ID] || e.Owner != s.start || !e.Claimed || !e.Open() {
@@ -436,14 +463,19 @@
 	return time.Duration(i) * successionPeriod
 }
 
+// ownerKey names the submissions that are run by one instance.
+func ownerKey(h submission.Head) string {
+	if h.Model != "" {
+		return h.Model
+	}
+	return h.Host + h.Path
+}
+
 // owners returns the members that may own a submission, first the one that
 // should. Those of one model go to the same instance, so that its connections
 // to the engines are used again and again, and larger instances own more.
 func owners(members []membership.Member, h submission.Head) []membership.Member {
-	key := h.Model
-	if key == "" {
-		key = h.Host + h.Path
-	}
+	key := ownerKey(h)
 	able := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Draining })
 	return route.RankWeighted(able, func(m membership.Member) string { return m.Name }, func(m membership.Member) float64 { return m.Cores }, key)
 }
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -194,8 +194,8 @@
 			own = append(own, k)
 		}
 	}
-	if len(own) > 0 {
-		return own
+	if len(own) > 0 || w.Outdated && len(p) > 0 {
+		return own // others are not moved to the model's versions
 	}
 	return all
 }
