--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -21,7 +21,7 @@
 	Table = "members"
 	// minPeriod is the time between two renewals of the row of a member that
 	// owns work, which others must take over soon should it be gone; few do.
-	minPeriod = 500 * time.Millisecond
+	minPeriod = 400 * time.Millisecond
 	// renewals is how many renewals a second all members make together at the
 	// most: a fifth of what one partition of the store takes, and few enough
 	// for each member to read.
@@ -30,7 +30,7 @@
 	// be lost and the next be slow.
 	missedPeriods = 3
 	// readingSlack is added, as rows are read in intervals.
-	readingSlack = 700 * time.Millisecond
+	readingSlack = 600 * time.Millisecond
 )
 
 // Prefix returns the prefix of the members' keys.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -81,7 +81,7 @@
 	// entriesPause and the like bound the calls that changes cause: upstreams
 	// and members each write about once a second.
 	entriesPause = 150 * time.Millisecond
-	membersPause = 500 * time.Millisecond
+	membersPause = 300 * time.Millisecond
 	headsPause   = 40 * time.Millisecond
 
 	// tickPeriod is how often the control state looks at the time.
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -113,7 +113,7 @@
 		budget = o.failures
 	}
 	o.line(budget, s.Err != nil, s.What, "submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events,
-		"status", s.Status, "position", s.Position, "err", s.Err)
+		"status", s.Status, "position", s.Position, "waiting", s.Waiting, "running", s.Running, "err", s.Err)
 }
 
 // state tells the gauges what the control state holds.
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -42,11 +42,11 @@
 	orderPause = 250 * time.Millisecond
 	// firstAsk is after how long the first engine is asked whether it has loaded.
 	// Later ones are asked from askShare of the shortest load seen on, since each
-	// asking costs, and each askPeriod, since an engine that has loaded lets the
-	// next begin.
+	// asking costs: most have loaded by then. askPeriod is how often from then on,
+	// since an engine that has loaded lets the next begin.
 	firstAsk  = 500 * time.Millisecond
-	askShare  = 0.95
-	askPeriod = 100 * time.Millisecond
+	askShare  = 1.03
+	askPeriod = 150 * time.Millisecond
 	// confirmPeriod is how often it is looked whether an engine has loaded.
 	confirmPeriod = 40 * time.Millisecond
 	// loadingShare is the part of a pool's engines that may load at once; loads
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -438,13 +438,12 @@
 		return 0 // this start, or an earlier one of the same instance
 	}
 	wait := s.rank(o, members)
-	switch start, ok := s.members.StartOf(name); {
+	_, known := s.members.StartOf(name)
+	switch {
 	case live:
 		return claimPatience + wait
-	case o.Owner == "":
-		return wait // given up by its owner
-	case ok && start != o.Owner:
-		return wait // its owner has started again
+	case o.Owner == "", known:
+		return wait // given up by its owner, which has started again or lapsed
 	}
 	return orphanPatience + wait
 }
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -73,6 +73,8 @@
 	Events     int
 	Status     int
 	Position   int
+	Waiting    int // items that wait for an engine
+	Running    int // items at one
 	Err        error
 }
 
@@ -347,6 +349,8 @@
 		return
 	}
 	r.keepAt = now.Add(progressPeriod)
+	waits, runs, results := r.run.Counts()
+	r.cfg.Observe(Step{What: "progress", Submission: r.spec.ID, Waiting: waits, Running: runs, Position: results})
 	ps := r.run.Partials()
 	if len(ps) == 0 {
 		return
