entry: peers, claims and admission in packages of their own

Each is used alone by its tests; entry keeps their configuration. No behaviour changes: pkg/entry's tests pass as they were. Steps, delivery, generation and the reducer are still in one room.

--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,64 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/admission"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 300) }
+
+func ExampleInFlight() {
+	var f admission.InFlight
+	places := []admission.Place{{Key: "entry:drafts", Limit: 1}, {Key: "customer:minho", Limit: 2}}
+	fmt.Println(f.AcquireAll(places), f.AcquireAll(places))
+	f.ReleaseAll(places)
+	fmt.Println(f.AcquireAll(places), f.Total("entry:"))
+	// Output:
+	// -1 0
+	// -1 1
+}
+
+// Whatever is taken and given back, no limit is passed, and a request that is
+// turned away takes no place.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f admission.InFlight
+		limits := map[string]int{"a": 3, "b": 2, "c": 0}
+		var held [][]admission.Place
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				var ps []admission.Place
+				for _, k := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3, rapid.ID[string]).Draw(t, "keys") {
+					ps = append(ps, admission.Place{Key: k, Limit: limits[k]})
+				}
+				if f.AcquireAll(ps) < 0 {
+					held = append(held, ps)
+				}
+			},
+			"give back": func(*rapid.T) {
+				if len(held) > 0 {
+					f.ReleaseAll(held[0])
+					held = held[1:]
+				}
+			},
+			"": func(t *rapid.T) {
+				count := map[string]int64{}
+				for _, ps := range held {
+					for _, p := range ps {
+						count[p.Key]++
+					}
+				}
+				for k, limit := range limits {
+					if n := f.Get(k); n != count[k] || limit > 0 && n > int64(limit) {
+						t.Fatalf("%s: %d in flight, %d held, limit %d", k, n, count[k], limit)
+					}
+				}
+			},
+		})
+	})
+}
--- a/pkg/entry/claim.go
+++ b/pkg/claim/claim.go
@@ -1,4 +1,7 @@
-package entry
+// Package claim keeps a record of each non-idempotent call in the platform's
+// table, so that a call with one key is sent at most once by all instances
+// together, and its answer is given again to those who repeat it.
+package claim
 
 import (
 	"context"
@@ -8,29 +11,30 @@
 	"net/http"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
-const claimPrefix = "claim/"
+const prefix = "claim/"
 
-// claimState is where a non-idempotent call stands.
-type claimState string
+// State is where a non-idempotent call stands.
+type State string
 
 // The states of a claim. A call is sent only by the attempt that moved its
 // claim from claimed to sending by compare-and-set on the version it wrote
 // itself; so a claim still claimed was never sent, and any attempt may take
 // it over, which fences out the attempt that wrote it.
 const (
-	claimed claimState = "claimed"
-	sending claimState = "sending"
-	done    claimState = "done"
+	Claimed State = "claimed"
+	Sending State = "sending"
+	Done    State = "done"
 )
 
-// claim is the record of a non-idempotent call in the platform's table.
-type claim struct {
+// Record is the record of a non-idempotent call in the platform's table.
+type Record struct {
 	Attempt string          `json:"attempt"` // the entry instance and request that hold it
-	State   claimState      `json:"state"`
+	State   State           `json:"state"`
 	Answer  json.RawMessage `json:"answer,omitempty"`
 }
 
@@ -39,42 +43,54 @@
 // and the day after too: a key is remembered for a day at least, and by
 // instances whose clocks are up to a day apart.
 const (
-	day         = 24 * time.Hour
-	claimDayFmt = time.DateOnly
-	// claimDaysKept is how many days before today a bucket is kept.
-	claimDaysKept = 2
+	day       = 24 * time.Hour
+	dayFormat = time.DateOnly
+	// DaysKept is how many days before today a bucket is kept.
+	DaysKept = 2
 )
 
-// claimKey returns the row key of a call's claim in the bucket of day at.
-func claimKey(at time.Time, call string) string {
-	return claimPrefix + at.UTC().Format(claimDayFmt) + "/" + call
+// Key returns the row key of a call's claim in the bucket of day at.
+func Key(at time.Time, call string) string {
+	return prefix + at.UTC().Format(dayFormat) + "/" + call
 }
 
-// claimer takes and moves one call's claim.
-type claimer struct {
-	in      *Instance
+// Config is what claimers need.
+type Config struct {
+	Get        func(ctx context.Context, key string) (platform.Row, error)
+	Commit     func(ctx context.Context, ops ...platform.Op) ([]platform.Row, error)
+	Clock      clock.Clock
+	Timeout    time.Duration    // of a read that confirms a write
+	ComeBackAt func() time.Time // when a caller that is turned away may come back
+}
+
+// Claimer takes and moves one call's claim.
+type Claimer struct {
+	cfg     Config
 	attempt string
 	key     string   // of the row that is or will be the claim
 	absent  []string // keys of rows that must not exist
 }
 
-// newClaimer returns the claimer of a new attempt at the call with req's key.
-func (in *Instance) newClaimer(req CallRequest) *claimer {
-	now, call := in.cfg.Clock.Now(), req.Customer+"/"+req.Entry+"/"+req.Key
-	return &claimer{in: in, attempt: fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)),
-		key: claimKey(now, call), absent: []string{claimKey(now.Add(-day), call), claimKey(now.Add(day), call)}}
+// New returns the Claimer of the attempt named attempt, which is unique, at the
+// call named call.
+func New(cfg Config, attempt, call string) *Claimer {
+	now := cfg.Clock.Now()
+	return &Claimer{cfg: cfg, attempt: attempt, key: Key(now, call), absent: []string{Key(now.Add(-day), call), Key(now.Add(day), call)}}
 }
 
-// claimTries bounds take under attempts that race.
-const claimTries = 4
+// Key returns the key of the claim's row.
+func (c *Claimer) Key() string { return c.key }
+
+// tries bounds Take under attempts that race.
+const tries = 4
 
-// take makes this attempt the claim's holder, in state claimed. A claim
+// Take makes this attempt the claim's holder, in state claimed. A claim
 // that is done gives its recorded answer instead; one that is sending
 // means the call may have run, and it is not sent again.
-func (c *claimer) take(ctx context.Context) (platform.Row, *CallAnswer, error) {
+func (c *Claimer) Take(ctx context.Context) (platform.Row, json.RawMessage, error) {
 	var expect uint64
-	for range claimTries {
-		row, err := c.write(ctx, expect, claim{Attempt: c.attempt, State: claimed})
+	for range tries {
+		row, err := c.write(ctx, expect, Record{Attempt: c.attempt, State: Claimed})
 		var ce *platform.ConflictError
 		switch {
 		case err == nil:
@@ -89,7 +105,7 @@
 			c.takeOver(ce.Key)
 			expect = ce.Current.Version
 		default:
-			got, ok := c.confirm(ctx, claimed)
+			got, ok := c.confirm(ctx, Claimed)
 			if !ok {
 				return platform.Row{}, nil, c.unsent(err)
 			}
@@ -101,7 +117,7 @@
 
 // takeOver makes key, in whichever day's bucket, the claim's row: the claim
 // there was never sent.
-func (c *claimer) takeOver(key string) {
+func (c *Claimer) takeOver(key string) {
 	for i, k := range c.absent {
 		if k == key {
 			c.key, c.absent[i] = key, c.key
@@ -111,7 +127,7 @@
 
 // write writes the claim at expect, on condition that no other day's bucket
 // holds one.
-func (c *claimer) write(ctx context.Context, expect uint64, cl claim) (platform.Row, error) {
+func (c *Claimer) write(ctx context.Context, expect uint64, cl Record) (platform.Row, error) {
 	put, err := platform.Put(c.key, expect, cl)
 	if err != nil {
 		return platform.Row{}, err
@@ -120,17 +136,17 @@
 	for _, k := range c.absent {
 		ops = append(ops, platform.Check(k, 0))
 	}
-	rows, err := c.in.commit(ctx, ops...)
+	rows, err := c.cfg.Commit(ctx, ops...)
 	if err != nil {
 		return platform.Row{}, err
 	}
 	return rows[0], nil
 }
 
-// move rewrites the claim from row to next, failing NotRun if another
+// Move rewrites the claim from row to state next, with the answer if there is one, failing NotRun if another
 // attempt took it over meanwhile.
-func (c *claimer) move(ctx context.Context, row platform.Row, next claim) (platform.Row, error) {
-	got, err := c.write(ctx, row.Version, next)
+func (c *Claimer) Move(ctx context.Context, row platform.Row, next State, answer json.RawMessage) (platform.Row, error) {
+	got, err := c.write(ctx, row.Version, Record{Attempt: c.attempt, State: next, Answer: answer})
 	var ce *platform.ConflictError
 	switch {
 	case err == nil:
@@ -138,7 +154,7 @@
 	case errors.As(err, &ce):
 		return platform.Row{}, c.unsent(errors.New("another attempt took the claim over"))
 	}
-	if got, ok := c.confirm(ctx, next.State); ok {
+	if got, ok := c.confirm(ctx, next); ok {
 		return got, nil
 	}
 	return platform.Row{}, c.unsent(err)
@@ -146,14 +162,14 @@
 
 // confirm re-reads the claim after a write whose answer was lost, and
 // reports whether the write took effect.
-func (c *claimer) confirm(ctx context.Context, want claimState) (platform.Row, bool) {
-	ctx, cancel := context.WithTimeout(ctx, c.in.cfg.PlatformTimeout)
+func (c *Claimer) confirm(ctx context.Context, want State) (platform.Row, bool) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	row, err := c.in.cfg.Platform.Get(ctx, c.key)
+	row, err := c.cfg.Get(ctx, c.key)
 	if err != nil {
 		return platform.Row{}, false
 	}
-	var cl claim
+	var cl Record
 	if json.Unmarshal(row.Value, &cl) != nil || cl.Attempt != c.attempt || cl.State != want {
 		return platform.Row{}, false
 	}
@@ -162,15 +178,15 @@
 
 // standing reads a claim found in the way: its answer if done, an error if
 // sending, or neither if only claimed.
-func (c *claimer) standing(row platform.Row) (*CallAnswer, error) {
-	var cl claim
+func (c *Claimer) standing(row platform.Row) (json.RawMessage, error) {
+	var cl Record
 	if err := json.Unmarshal(row.Value, &cl); err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, fmt.Errorf("call: unreadable claim: %w", err))
 	}
 	switch cl.State {
-	case done:
-		return &CallAnswer{Body: cl.Answer, Replayed: true}, nil
-	case sending:
+	case Done:
+		return cl.Answer, nil
+	case Sending:
 		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict,
 			errors.New("call: a call with this key was sent before and its outcome is unknown; it will not be sent again"))
 	}
@@ -178,7 +194,7 @@
 }
 
 // unsent is the error of a call refused before it was sent.
-func (c *claimer) unsent(err error) error {
-	return verdict.Refuse(http.StatusServiceUnavailable, c.in.comeBackAt(),
+func (c *Claimer) unsent(err error) error {
+	return verdict.Refuse(http.StatusServiceUnavailable, c.cfg.ComeBackAt(),
 		fmt.Errorf("call: not sent: %w", err))
 }
--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,50 @@
+package claim_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/claim"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/platform/platformtest"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// A claim that was never sent passes to another attempt, one that may have been
+// sent does not, and one that is done gives its answer, also a day later.
+func TestClaim(t *testing.T) {
+	hs := httptest.NewServer(platformtest.New().Handler())
+	defer hs.Close()
+	ctx, store := context.Background(), platform.NewClient(hs.URL, nil)
+	now := clock.NewFake(time.Unix(1_800_000_000, 0))
+	cfg := claim.Config{Get: store.Get, Commit: store.Commit, Clock: now, Timeout: time.Second, ComeBackAt: now.Now}
+	first, second := claim.New(cfg, "a/1", "minho/plans/k"), claim.New(cfg, "b/1", "minho/plans/k")
+	row, _, err := first.Take(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, answer, err := second.Take(ctx)
+	if err != nil || answer != nil {
+		t.Fatal(answer, err)
+	}
+	if _, err := first.Move(ctx, row, claim.Sending, nil); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("sent though another attempt took it over: %v", err)
+	}
+	if taken, err = second.Move(ctx, taken, claim.Sending, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := claim.New(cfg, "c/1", "minho/plans/k").Take(ctx); verdict.Of(err) != verdict.MayHaveRun {
+		t.Fatalf("a call that may have run is claimed: %v", err)
+	}
+	if _, err := second.Move(ctx, taken, claim.Done, json.RawMessage(`"answer"`)); err != nil {
+		t.Fatal(err)
+	}
+	now.Advance(23 * time.Hour)
+	if _, answer, err := claim.New(cfg, "d/1", "minho/plans/k").Take(ctx); err != nil || string(answer) != `"answer"` {
+		t.Fatal(string(answer), err)
+	}
+}
--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/zinnialadder/zinnialadder/pkg/admission"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -34,35 +35,19 @@
 // entryPlace goes before an entry's name in the key of its places.
 const entryPlace = "entry:"
 
-// place is one of the limits a request must keep within.
-type place struct {
-	key   string // of the count in Instance.load
-	limit int    // 0: none
-	what  string // for the refusal
-}
-
 // admitEntry takes a place for a request of e under the limits of e, its
 // customer and its class, to be given back with release.
 func (in *Instance) admitEntry(e catalogue.Entry) (release func(), err error) {
-	places := [...]place{
-		{entryPlace + e.Name, e.Limits.MaxInFlight, "entry " + e.Name},
-		{"customer:" + e.Owner, in.View().Customers[e.Owner].MaxInFlight, "customer " + e.Owner},
-		{"instance", int(classShare[e.Class] * float64(in.cfg.MaxInFlight)), "this instance, for class " + string(e.Class) + ","},
+	places := []admission.Place{
+		{Key: entryPlace + e.Name, Limit: e.Limits.MaxInFlight},
+		{Key: "customer:" + e.Owner, Limit: in.View().Customers[e.Owner].MaxInFlight},
+		{Key: "instance", Limit: int(classShare[e.Class] * float64(in.cfg.MaxInFlight))},
 	}
-	for i, p := range places {
-		if in.load.acquire(p.key, p.limit) {
-			continue
-		}
-		for _, held := range places[:i] {
-			in.load.release(held.key)
-		}
+	if i := in.load.AcquireAll(places); i >= 0 {
+		what := [...]string{"entry " + e.Name, "customer " + e.Owner, "this instance, for class " + string(e.Class) + ","}[i]
 		in.stats.refusedAdmission.Inc(1)
 		return nil, verdict.Refuse(http.StatusTooManyRequests, in.comeBackAt(),
-			fmt.Errorf("%s is at its limit of %d requests in flight", p.what, p.limit))
+			fmt.Errorf("%s is at its limit of %d requests in flight", what, places[i].Limit))
 	}
-	return func() {
-		for _, p := range places {
-			in.load.release(p.key)
-		}
-	}, nil
+	return func() { in.load.ReleaseAll(places) }, nil
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/claim"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
@@ -63,30 +65,35 @@
 	if req.Idempotent {
 		return c.repeatable(ctx)
 	}
-	cl := in.newClaimer(req)
-	row, replay, err := cl.take(ctx)
+	cl := claim.New(in.claims(), fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)), req.Customer+"/"+req.Entry+"/"+req.Key)
+	row, replay, err := cl.Take(ctx)
 	if err != nil {
 		return CallAnswer{}, err
 	}
 	if replay != nil {
-		return *replay, nil
+		return CallAnswer{Body: replay, Replayed: true}, nil
 	}
-	if row, err = cl.move(ctx, row, claim{Attempt: cl.attempt, State: sending}); err != nil {
+	if row, err = cl.Move(ctx, row, claim.Sending, nil); err != nil {
 		return CallAnswer{}, err
 	}
 	ans, err := c.once(ctx)
 	if verdict.Of(err) == verdict.NotRun {
 		// It reached no service: let the key be claimed again.
-		if _, merr := cl.move(ctx, row, claim{Attempt: cl.attempt, State: claimed}); merr != nil {
-			in.cfg.Logger.Debug("claim of a call not sent left standing", "key", cl.key, "err", merr)
+		if _, merr := cl.Move(ctx, row, claim.Claimed, nil); merr != nil {
+			in.cfg.Logger.Debug("claim of a call not sent left standing", "key", cl.Key(), "err", merr)
 		}
 		return CallAnswer{}, err
 	}
 	if err != nil {
 		return CallAnswer{}, err // the claim stays at sending: the call may have run
 	}
-	if _, err := cl.move(ctx, row, claim{Attempt: cl.attempt, State: done, Answer: ans.Body}); err != nil {
-		in.cfg.Logger.Warn("call ran but its answer was not recorded", "key", cl.key, "err", err)
+	if _, err := cl.Move(ctx, row, claim.Done, ans.Body); err != nil {
+		in.cfg.Logger.Warn("call ran but its answer was not recorded", "key", cl.Key(), "err", err)
 	}
 	return ans, nil
 }
+
+// claims returns what claims of calls need.
+func (in *Instance) claims() claim.Config {
+	return claim.Config{Get: in.cfg.Platform.Get, Commit: in.commit, Clock: in.cfg.Clock, Timeout: in.cfg.PlatformTimeout, ComeBackAt: in.comeBackAt}
+}
--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -10,7 +10,7 @@
 )
 
 // choose chooses one of ups by load, distance and affinity, and takes a place
-// at it, which the caller gives back with in.load.release. Upstreams that are
+// at it, which the caller gives back with in.load.Release. Upstreams that are
 // ejected, or that avoid holds for, are chosen only if there is no other. It
 // reports false if no upstream has a place.
 func (in *Instance) choose(v *View, ups []catalogue.Upstream, avoid func(catalogue.Upstream) bool, affinity string) (addr string, ok bool) {
@@ -77,7 +77,7 @@
 // loadOf is the believed load of an upstream: this instance's own requests in
 // flight to it, which are exact, and those of others when it last told.
 func (in *Instance) loadOf(v *View, addr string) float64 {
-	return float64(in.load.get(addr) + v.loads.others(addr))
+	return float64(in.load.Get(addr) + v.loads.others(addr))
 }
 
 // distanceLoad is the load that sending to another data centre counts for: it
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,7 +23,9 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/admission"
 	"github.com/zinnialadder/zinnialadder/pkg/health"
+	"github.com/zinnialadder/zinnialadder/pkg/peer"
 	"github.com/zinnialadder/zinnialadder/pkg/retry"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -61,11 +63,11 @@
 	http       *http.Client
 	reportHTTP *http.Client // for load reports: its connections are kept briefly, as engines are many
 	policy     route.Policy
-	load       inFlight
+	load       admission.InFlight
 	paces      *health.Paces
 	health     *health.Tracker
 	retries    *retry.Budget
-	peers      *peers
+	peers      *peer.Links
 	// life tells this process from earlier ones with the same ID, and
 	// attempts numbers its claims on non-idempotent calls.
 	life     string
@@ -102,7 +104,7 @@
 	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
 	in.sendsCtx, in.leaveSends = context.WithCancel(context.Background())
 	in.view.Store(newState(in.self, in.timing).view)
-	in.peers = newPeers(in)
+	in.peers = newLinks(in)
 	return in, nil
 }
 
@@ -122,7 +124,7 @@
 	g, gctx := errgroup.WithContext(ctlCtx)
 	in.group = g
 	g.Go(func() error { return in.control(gctx) })
-	g.Go(func() error { return in.peers.serve(gctx) })
+	g.Go(func() error { return in.peers.Serve(gctx) })
 	g.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -147,7 +149,7 @@
 // requests in flight.
 func (in *Instance) drain(srv *http.Server) {
 	in.events <- drainBegun{}
-	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.total())
+	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.Total(entryPlace))
 	in.stopSteps()
 	time.Sleep(in.cfg.DrainNotice)
 	_ = srv.Shutdown(context.Background())
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -162,7 +162,7 @@
 // stream runs one attempt on the engine at addr, relaying chunks to the
 // caller. It reports whether the generation is now whole.
 func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
-	defer g.in.load.release(addr) // taken by pick
+	defer g.in.load.Release(addr) // taken by pick
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	req := engine.GenerateRequest{
@@ -179,7 +179,7 @@
 	}
 	defer s.Close()
 	if s.HasLoad {
-		g.in.View().loads.told(addr, s.Load, g.in.load.get(addr))
+		g.in.View().loads.told(addr, s.Load, g.in.load.Get(addr))
 	}
 	watch := paceWatch{clock: g.in.cfg.Clock}
 	defer watch.tell(g.in.paces, addr)
--- /dev/null
+++ b/pkg/entry/hints.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+	"slices"
+
+	"github.com/zinnialadder/zinnialadder/internal/peerpb"
+	"github.com/zinnialadder/zinnialadder/pkg/peer"
+)
+
+// newLinks returns the links over which in tells its peers what it learned.
+func newLinks(in *Instance) *peer.Links {
+	return peer.New(peer.Config{
+		Listener: in.cfg.PeerListener, Listen: in.cfg.PeerListen, KeepAlive: in.cfg.PeerKeepAlive,
+		Go:      func(f func() error) { in.group.Go(f) },
+		Targets: in.hintTargets,
+		Receive: func(ctx context.Context, h *peerpb.Hint) {
+			in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining, steps: h.Steps})
+		},
+	})
+}
+
+// hintTargets returns the addresses of the peers that in sends hints to.
+func (in *Instance) hintTargets() []string {
+	members := in.View().Members
+	self := slices.IndexFunc(members, func(m Member) bool { return m.ID == in.cfg.ID })
+	var out []string
+	for _, m := range peer.Fingers(members, self) {
+		if m.ID != in.cfg.ID && m.Peer != "" {
+			out = append(out, m.Peer)
+		}
+	}
+	return out
+}
+
+// hint returns the message of an effect that tells peers something.
+func (in *Instance) hint(e hintPeers) *peerpb.Hint {
+	return &peerpb.Hint{From: in.cfg.ID, CatalogueRevision: e.revision, Draining: e.draining, Steps: e.steps}
+}
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -65,13 +65,13 @@
 	for _, eff := range effs {
 		switch e := eff.(type) {
 		case storeReport:
-			in.View().loads.put(e.addr, e.rep, in.load.get(e.addr))
+			in.View().loads.put(e.addr, e.rep, in.load.Get(e.addr))
 		case publish:
 			in.view.Store(e.view)
 		case logChange:
 			in.cfg.Logger.Info(e.msg, e.kv...)
 		case hintPeers:
-			in.peers.hint(e)
+			in.peers.Hint(in.hint(e))
 		case runShard:
 			in.shard(ctx, e)
 		default:
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -5,9 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/pprof"
-	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -131,45 +128,6 @@
 	}
 }
 
-// inFlight counts requests in flight by key (an upstream address or an
-// entry name). It is traffic state, shared by request goroutines.
-type inFlight struct {
-	m sync.Map // key → *atomic.Int64
-}
-
-func (f *inFlight) counter(key string) *atomic.Int64 {
-	if c, ok := f.m.Load(key); ok {
-		return c.(*atomic.Int64)
-	}
-	c, _ := f.m.LoadOrStore(key, new(atomic.Int64))
-	return c.(*atomic.Int64)
-}
-
-// acquire adds one to key unless that would pass limit (0: no limit).
-func (f *inFlight) acquire(key string, limit int) bool {
-	c := f.counter(key)
-	if n := c.Add(1); limit > 0 && n > int64(limit) {
-		c.Add(-1)
-		return false
-	}
-	return true
-}
-
-func (f *inFlight) release(key string) { f.counter(key).Add(-1) }
-
-func (f *inFlight) get(key string) int64 { return f.counter(key).Load() }
-
-func (f *inFlight) total() int64 {
-	var n int64
-	f.m.Range(func(k, v any) bool {
-		if s, ok := k.(string); ok && strings.HasPrefix(s, entryPlace) {
-			n += v.(*atomic.Int64).Load()
-		}
-		return true
-	})
-	return n
-}
-
 func writeJSONLine(w http.ResponseWriter, v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -139,7 +139,7 @@
 
 // send sends one copy of the call to the service at addr.
 func (c *serviceCall) send(ctx context.Context, addr string) (CallAnswer, error) {
-	defer c.in.load.release(addr) // taken by pick
+	defer c.in.load.Release(addr) // taken by pick
 	start := time.Now()
 	body, err := service.NewClient(addr, c.in.http).Call(ctx, c.req.Method, c.req.Key, c.req.Idempotent, c.req.Body)
 	if err == nil || verdict.Of(err) == verdict.Ran {
--- a/pkg/entry/share.go
+++ b/pkg/entry/share.go
@@ -39,8 +39,8 @@
 }
 
 // enter takes a place at u within this instance's share of it, to be given
-// back by in.load.release(u.Address).
+// back by in.load.Release(u.Address).
 func (in *Instance) enter(v *View, u catalogue.Upstream) bool {
 	share := in.share(v, u)
-	return share >= 0 && in.load.acquire(u.Address, share)
+	return share >= 0 && in.load.Acquire(u.Address, share)
 }
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/claim"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
@@ -62,8 +63,8 @@
 // would run again, as docs/OPERATIONS.md says.
 func (in *Instance) sweepClaims(ctx context.Context, now time.Time) error {
 	removes := 0
-	for ago := claimDaysKept + 1; ago <= claimDaysKept+claimDaysSwept; ago++ {
-		prefix := claimKey(now.Add(-time.Duration(ago)*day), "")
+	for ago := claim.DaysKept + 1; ago <= claim.DaysKept+claimDaysSwept; ago++ {
+		prefix := claim.Key(now.AddDate(0, 0, -ago), "")
 		for ; removes < claimRemoves; removes++ {
 			rows, err := in.cfg.Platform.ScanSome(ctx, prefix, claimsPerRemove)
 			if err != nil {
--- a/pkg/entry/peers.go
+++ b/pkg/peer/peer.go
@@ -1,11 +1,14 @@
-package entry
+// Package peer carries hints between instances of the system: yamux sessions
+// over TCP, one outgoing session and stream to each peer, each hint a
+// length-delimited protobuf message. A hint only makes its receiver look sooner;
+// one that is lost costs at most a period.
+package peer
 
 import (
 	"context"
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,12 +19,19 @@
 	"github.com/zinnialadder/zinnialadder/internal/peerpb"
 )
 
-// peers carries hints between entry instances: yamux sessions over TCP,
-// one outgoing session and stream per peer, each hint a length-delimited
-// protobuf message. A hint only makes the receiver read the platform now;
-// losing one costs at most one refresh period.
-type peers struct {
-	in  *Instance
+// Config configures Links.
+type Config struct {
+	Listener  net.Listener // where peers connect; nil to listen on Listen
+	Listen    string       // IP:port; empty, with no Listener, to carry no hints
+	KeepAlive time.Duration
+	Go        func(func() error) // starts a goroutine of the instance's group
+	Targets   func() []string    // addresses of the peers that hints are sent to
+	Receive   func(context.Context, *peerpb.Hint)
+}
+
+// Links are an instance's links to its peers. Call New, then Serve.
+type Links struct {
+	cfg Config
 	out chan *peerpb.Hint // latest hint to send; older ones are replaced
 
 	mu       sync.Mutex
@@ -37,23 +47,23 @@
 // gets its hints at its next period instead.
 const peerDialTimeout = time.Second
 
-func newPeers(in *Instance) *peers {
-	return &peers{in: in, out: make(chan *peerpb.Hint, 1), sessions: map[string]*peerLink{}}
+// New returns Links that carry nothing yet.
+func New(cfg Config) *Links {
+	return &Links{cfg: cfg, out: make(chan *peerpb.Hint, 1), sessions: map[string]*peerLink{}}
 }
 
 // yamuxConfig finds and closes a link that has gone silent within two of
 // its keepalives.
-func (p *peers) yamuxConfig() *yamux.Config {
+func (p *Links) yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = p.in.cfg.PeerKeepAlive
-	c.ConnectionWriteTimeout = p.in.cfg.PeerKeepAlive
+	c.KeepAliveInterval = p.cfg.KeepAlive
+	c.ConnectionWriteTimeout = p.cfg.KeepAlive
 	c.LogOutput = io.Discard
 	return c
 }
 
-// hint queues h for every peer without blocking the control goroutine.
-func (p *peers) hint(e hintPeers) {
-	h := &peerpb.Hint{From: p.in.cfg.ID, CatalogueRevision: e.revision, Draining: e.draining, Steps: e.steps}
+// Hint queues h for every peer and does not block.
+func (p *Links) Hint(h *peerpb.Hint) {
 	for {
 		select {
 		case p.out <- h:
@@ -68,20 +78,20 @@
 	}
 }
 
-// serve accepts peers' sessions and sends queued hints until ctx ends.
-func (p *peers) serve(ctx context.Context) error {
-	ln := p.in.cfg.PeerListener
-	if ln == nil && p.in.cfg.PeerListen == "" {
+// Serve accepts peers' sessions and sends queued hints until ctx ends.
+func (p *Links) Serve(ctx context.Context) error {
+	ln := p.cfg.Listener
+	if ln == nil && p.cfg.Listen == "" {
 		<-ctx.Done()
 		return nil
 	}
 	if ln == nil {
 		var err error
-		if ln, err = net.Listen("tcp", p.in.cfg.PeerListen); err != nil {
+		if ln, err = net.Listen("tcp", p.cfg.Listen); err != nil {
 			return err
 		}
 	}
-	p.in.group.Go(func() error { return p.accept(ctx, ln) })
+	p.cfg.Go(func() error { return p.accept(ctx, ln) })
 	defer p.closeAll()
 	defer ln.Close()
 	for {
@@ -94,7 +104,7 @@
 	}
 }
 
-func (p *peers) accept(ctx context.Context, ln net.Listener) error {
+func (p *Links) accept(ctx context.Context, ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -108,12 +118,12 @@
 			conn.Close()
 			continue
 		}
-		p.in.group.Go(func() error { return p.receive(ctx, session) })
+		p.cfg.Go(func() error { return p.receive(ctx, session) })
 	}
 }
 
 // receive reads hints from every stream of one session.
-func (p *peers) receive(ctx context.Context, session *yamux.Session) error {
+func (p *Links) receive(ctx context.Context, session *yamux.Session) error {
 	stop := context.AfterFunc(ctx, func() { session.Close() })
 	defer stop()
 	for {
@@ -121,7 +131,7 @@
 		if err != nil {
 			return nil // the session ended
 		}
-		p.in.group.Go(func() error {
+		p.cfg.Go(func() error {
 			defer stream.Close()
 			r := protodelim.UnmarshalOptions{MaxSize: 4096}
 			br := newByteReader(stream)
@@ -130,36 +140,32 @@
 				if err := r.UnmarshalFrom(br, &h); err != nil {
 					return nil
 				}
-				p.in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining, steps: h.Steps})
+				p.cfg.Receive(ctx, &h)
 			}
 		})
 	}
 }
 
-// fingers returns the members that the one with the given ID sends hints
-// to: those 1, 2, 4, ... places after it in the order of IDs. Each member
-// that learns something new from a hint sends its own, so a hint reaches
-// all of n members in at most log2(n) steps over log2(n) links a member.
-func fingers(members []Member, id string) []Member {
-	self := slices.IndexFunc(members, func(m Member) bool { return m.ID == id })
-	var out []Member
+// Fingers returns the members that the one at index self sends hints to: those
+// 1, 2, 4, ... places after it. Each member that learns something new from a hint
+// sends its own, so a hint reaches all of n members in at most log2(n) steps over
+// log2(n) links a member.
+func Fingers[T any](members []T, self int) []T {
+	var out []T
 	for step := 1; step < len(members); step *= 2 {
 		out = append(out, members[(self+step+len(members))%len(members)])
 	}
 	return out
 }
 
-// broadcast sends h to this member's fingers, all at once, so that peers that
+// broadcast sends h to the targets, all at once, so that peers that
 // cannot be reached do not hold up the others.
-func (p *peers) broadcast(ctx context.Context, h *peerpb.Hint) {
+func (p *Links) broadcast(ctx context.Context, h *peerpb.Hint) {
 	var sends errgroup.Group
-	for _, m := range fingers(p.in.View().Members, p.in.cfg.ID) {
-		if m.ID == p.in.cfg.ID || m.Peer == "" {
-			continue
-		}
+	for _, addr := range p.cfg.Targets() {
 		sends.Go(func() error {
-			if err := p.send(ctx, m.Peer, h); err != nil {
-				p.drop(m.Peer)
+			if err := p.send(ctx, addr, h); err != nil {
+				p.drop(addr)
 			}
 			return nil
 		})
@@ -167,7 +173,7 @@
 	_ = sends.Wait()
 }
 
-func (p *peers) send(ctx context.Context, addr string, h *peerpb.Hint) error {
+func (p *Links) send(ctx context.Context, addr string, h *peerpb.Hint) error {
 	link, err := p.link(ctx, addr)
 	if err != nil {
 		return err
@@ -179,7 +185,7 @@
 
 // link returns the link to the peer at addr, made anew if there is none. One
 // broadcast runs at a time, so no two calls are for the same peer.
-func (p *peers) link(ctx context.Context, addr string) (*peerLink, error) {
+func (p *Links) link(ctx context.Context, addr string) (*peerLink, error) {
 	p.mu.Lock()
 	l, ok := p.sessions[addr]
 	p.mu.Unlock()
@@ -196,7 +202,7 @@
 	return l, nil
 }
 
-func (p *peers) dial(ctx context.Context, addr string) (*peerLink, error) {
+func (p *Links) dial(ctx context.Context, addr string) (*peerLink, error) {
 	d := net.Dialer{Timeout: peerDialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -215,7 +221,7 @@
 	return &peerLink{session: session, stream: stream}, nil
 }
 
-func (p *peers) drop(addr string) {
+func (p *Links) drop(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, ok := p.sessions[addr]; ok {
@@ -224,7 +230,7 @@
 	}
 }
 
-func (p *peers) closeAll() {
+func (p *Links) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, l := range p.sessions {
--- a/pkg/submission/run_test.go
+++ b/pkg/submission/run_test.go
@@ -69,19 +69,18 @@
 			run.Generated(a.item, p, terms, now)
 		}
 		take := func(t *rapid.T) {
-			for _, i := range run.Waiting(now) {
+			if wait := run.Waiting(now); len(wait) > 0 {
+				i := wait[0]
 				after, _ := run.After(i)
 				if after == 0 {
 					made[i] = nil
 				}
 				run.Started(i)
 				flying = append(flying, &attempt{item: i, begun: after, given: after, version: rapid.Uint64Range(2, 5).Draw(t, "version")})
-				break
 			}
-			for _, i := range run.Unscored(now) {
-				run.Started(i)
-				flying = append(flying, &attempt{item: i, scoring: true})
-				break
+			if wait := run.Unscored(now); len(wait) > 0 {
+				run.Started(wait[0])
+				flying = append(flying, &attempt{item: wait[0], scoring: true})
 			}
 		}
 		give := func(a *attempt, n int) submission.Progress {
