soak: real processes on loopback under random faults, by seed

zinnialadder soak starts instances as processes against the stand-ins, kills, stops, pauses and reloads them, silences and refuses the store, breaks upstreams, and checks what callers and upstreams see.

--- a/cmd/zinnialadder/main.go
+++ b/cmd/zinnialadder/main.go
@@ -28,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(entryCmd(), nodeCmd(), explainCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd(), capacityCmd())
+	root.AddCommand(entryCmd(), nodeCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd(), capacityCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/zinnialadder/soak.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinnialadder/zinnialadder/platform/soak"
+)
+
+func soakCmd() *cobra.Command {
+	var cfg soak.Config
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run instances as processes on loopback under random faults and check their promises",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			cfg.Program, cfg.Log = program, cmd.ErrOrStderr()
+			ctx, stop := signalContext()
+			defer stop()
+			return runSoak(ctx, cmd, cfg, seeds)
+		},
+	}
+	f := cmd.Flags()
+	f.Uint64Var(&cfg.Seed, "seed", uint64(time.Now().Unix()), "seed of the faults; by default a fresh one")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds to run, one after the other")
+	f.DurationVar(&cfg.Duration, "duration", 20*time.Second, "how long faults are injected")
+	f.DurationVar(&cfg.Calm, "calm", 4*time.Second, "how long the site is left alone after that")
+	f.IntVar(&cfg.Nodes, "nodes", 4, "instances, each a process")
+	f.IntVar(&cfg.Engines, "engines", 4, "model engines")
+	f.IntVar(&cfg.Services, "services", 3, "plain services")
+	return cmd
+}
+
+// runSoak runs seeds until one breaks a promise.
+func runSoak(ctx context.Context, cmd *cobra.Command, cfg soak.Config, seeds int) error {
+	for range seeds {
+		report, err := soak.Run(ctx, cfg)
+		report.Write(cmd.OutOrStdout())
+		if err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("soak: stopped: %w", ctx.Err())
+		}
+		cfg.Seed++
+	}
+	return nil
+}
