--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -41,3 +42,18 @@
 	f.now = f.now.Add(d)
 	f.mu.Unlock()
 }
+
+// Sleep waits for d and reports whether ctx goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -8,6 +8,8 @@
 	"math"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
@@ -168,9 +170,9 @@
 			in.stats.samplesStale.Inc(1)
 			return nil
 		}
-		if err := sleep(ctx, recordPause); err != nil {
+		if !clock.Sleep(ctx, recordPause) {
 			in.stats.samplesLost.Inc(1)
-			return err
+			return ctx.Err()
 		}
 	}
 }
@@ -199,8 +201,8 @@
 	for try := range deliveryTries {
 		if try > 0 {
 			in.stats.deliveryRetries.Inc(1)
-			if err := sleep(ctx, time.Duration(try)*deliveryPause); err != nil {
-				return false, err
+			if !clock.Sleep(ctx, time.Duration(try)*deliveryPause) {
+				return false, ctx.Err()
 			}
 		}
 		if ack, err = tc.Deliver(ctx, trainer.Group{Samples: d.Samples, MaxVersionLag: d.MaxVersionLag}); err == nil {
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -129,8 +131,8 @@
 		case !errors.Is(err, lease.ErrHeld):
 			return err
 		}
-		if err := sleep(ctx, r.keeper.TTL/renewalsPerTTL); err != nil {
-			return err
+		if !clock.Sleep(ctx, r.keeper.TTL/renewalsPerTTL) {
+			return ctx.Err()
 		}
 		if err := r.readHead(ctx); err != nil {
 			return err
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -54,7 +56,7 @@
 	backoff := minBackoff
 	failed := func(err error) {
 		f.Tell(Update{Table: f.Table, At: time.Now(), Err: err})
-		sleep(ctx, backoff/2+rand.N(backoff/2))
+		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	for ctx.Err() == nil {
@@ -77,7 +79,7 @@
 			backoff = minBackoff
 			version = ch.Version
 			f.Tell(Update{Table: f.Table, At: time.Now(), Changes: ch.Rows})
-			sleep(ctx, f.Pause)
+			clock.Sleep(ctx, f.Pause)
 		}
 	}
 	return nil
@@ -109,15 +111,3 @@
 	}
 	return out, version, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -119,7 +121,7 @@
 			// Each upstream has been tried: one that had no room may have some now.
 			t, ok = f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now})
 		}
-		if !ok && plan.MayWait(now) && sleep(ctx, waitStep) {
+		if !ok && plan.MayWait(now) && clock.Sleep(ctx, waitStep) {
 			continue
 		}
 		if !ok {
@@ -173,18 +175,6 @@
 	return rep
 }
 
-// sleep waits for d and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // end returns the error of a request that gets no answer of an upstream.
 func (p *Plan) end(now time.Time, cause error) (Answer, error) {
 	switch {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -70,7 +72,7 @@
 	for {
 		now := time.Now()
 		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: model, Affinity: prompt})
-		if !ok && plan.MayWait(now) && sleep(ctx, waitStep) {
+		if !ok && plan.MayWait(now) && clock.Sleep(ctx, waitStep) {
 			continue
 		}
 		if !ok {
--- /dev/null
+++ b/pkg/node/demand.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
+)
+
+// workWeight is the weight of a new submission in the mean of a model's work.
+const workWeight = 0.3
+
+func (s *state) learnWork(h submission.Head) {
+	mean, ok := s.work[h.Model]
+	if !ok {
+		mean = float64(h.Work)
+	}
+	s.work[h.Model] = mean + workWeight*(float64(h.Work)-mean)
+}
+
+// demands returns what is asked of each model of which a version is named or a
+// submission was seen, in order of name.
+func (s *state) demands() []weights.Demand {
+	busy := map[string]bool{}
+	for _, o := range s.heads {
+		if o.Open() {
+			busy[o.Model] = true
+		}
+	}
+	models := map[string]bool{}
+	for m := range s.named {
+		models[m] = true
+	}
+	for m := range s.work {
+		models[m] = true
+	}
+	s.deal()
+	var out []weights.Demand
+	for _, m := range slices.Sorted(maps.Keys(models)) {
+		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.dealt[m], Busy: busy[m]})
+	}
+	return out
+}
+
+// dealStep is by how many engines a model's share must be off before engines are
+// dealt anew: the work of submissions varies, and each engine that moves loads
+// weights and takes new connections.
+const dealStep = 1.5
+
+// deal takes up the work of recent submissions if it has changed enough.
+func (s *state) deal() {
+	now, before := total(s.work), total(s.dealt)
+	for m, w := range s.work {
+		if before == 0 || math.Abs(w/now-s.dealt[m]/before)*float64(len(s.entries)) > dealStep {
+			s.dealt = maps.Clone(s.work)
+			return
+		}
+	}
+}
+
+func total(work map[string]float64) float64 {
+	sum := 0.0
+	for _, w := range work {
+		sum += w
+	}
+	return sum
+}
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -70,7 +70,7 @@
 func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Set(e.entries) }
 
 func (e setMembers) carryOut(_ context.Context, n *Node) {
-	n.people.Store(&e.live)
+	n.members.Store(&e.live)
 	n.member.rows.Store(int64(e.rows))
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -109,7 +109,7 @@
 	member   *memberRow
 	orders   *orderSender
 	named    atomic.Pointer[map[string]uint64]
-	people   atomic.Pointer[[]membership.Member]
+	members  atomic.Pointer[[]membership.Member]
 }
 
 // New returns a Node.
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +11,6 @@
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
-	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -104,7 +101,7 @@
 				n.cfg.Logger.Info("lease lost", "lease", ordersLease)
 			}
 		}
-		sleepFor(ctx, orderRenewal)
+		clock.Sleep(ctx, orderRenewal)
 	}
 	return nil
 }
@@ -131,7 +128,7 @@
 	if o.current().Fencing != 0 {
 		return true
 	}
-	live := n.people.Load()
+	live := n.members.Load()
 	if live == nil {
 		return false
 	}
@@ -144,131 +141,6 @@
 	return false
 }
 
-// plan gives the orders that are due.
-func (o *orderSender) plan(p planOrders) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	t := o.node.table.Load()
-	if t == nil || o.held.Fencing == 0 {
-		return
-	}
-	until := o.held.ValidUntil.Add(-o.node.cfg.LeaseTime - orderMargin)
-	for _, pool := range t.Pools {
-		if len(pool.Models) > 0 {
-			o.planPool(p, pool, until, !t.SingleVersion())
-		}
-	}
-}
-
-// planPool gives the orders that are due in one pool, of which a part may load
-// at once.
-func (o *orderSender) planPool(p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
-	byID := map[string]upstream.Entry{}
-	for _, e := range o.node.registry.Entries(pool.Name) {
-		byID[e.ID] = e
-	}
-	ids, demands := o.node.orderable(pool.Name), ofPool(pool, p.demands)
-	parts := weights.Partition(ids, demands)
-	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
-	for _, d := range demands {
-		if d.Named == 0 {
-			continue
-		}
-		held := map[string]uint64{}
-		for _, id := range parts[d.Model] {
-			held[id] = byID[id].Versions[d.Model]
-		}
-		key := pool.Name + "/" + d.Model
-		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
-		for _, ord := range orders {
-			e := byID[ord.Address]
-			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing, Continue: carryOn}
-			o.node.group.Go(func() error {
-				o.send(key, e, mo, ord.NotAfter)
-				return nil
-			})
-		}
-	}
-}
-
-// orderable returns the IDs of a pool's engines that do not leave.
-func (n *Node) orderable(pool string) []string {
-	var ids []string
-	for _, e := range n.registry.Entries(pool) {
-		if !e.Draining {
-			ids = append(ids, e.ID)
-		}
-	}
-	return ids
-}
-
-// ofPool returns the demands for the models of a pool. While no work is known of
-// any, all are given the same.
-func ofPool(pool routetable.Pool, demands []weights.Demand) []weights.Demand {
-	var out []weights.Demand
-	known := false
-	for _, m := range slices.Sorted(slices.Values(pool.Models)) {
-		i := slices.IndexFunc(demands, func(d weights.Demand) bool { return d.Model == m })
-		d := weights.Demand{Model: m}
-		if i >= 0 {
-			d = demands[i]
-		}
-		known = known || d.Work > 0
-		out = append(out, d)
-	}
-	for i := range out {
-		if !known {
-			out[i].Work = 1
-		}
-	}
-	return out
-}
-
-// loading returns how many engines of a pool load, or may, for other models
-// than that of key.
-func (o *orderSender) loading(pool, key string) int {
-	n := 0
-	for k, r := range o.rollouts {
-		if k == key || !strings.HasPrefix(k, pool+"/") {
-			continue
-		}
-		for _, e := range r.Engines {
-			if !e.OrderEndsAt.IsZero() {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// reduce brings the rollout of one model up to date and returns its orders.
-func (o *orderSender) reduce(key string, d weights.Demand, held map[string]uint64, budget, free int, at, until time.Time) []weights.Order {
-	r, ok := o.rollouts[key]
-	if !ok {
-		r = weights.Rollout{Config: weights.Config{SendMargin: orderMargin, OrderTimeout: orderTimeout, RetryDelay: orderPause}}
-	}
-	r.Config.MaxLoading = budget
-	if o.ordered[key].version != d.Named {
-		o.ordered[key] = orderCount{version: d.Named}
-	}
-	ids := weights.Due(held, d, free-o.ordered[key].orders)
-	for id, e := range r.Engines {
-		if _, there := held[id]; there && (!e.OrderEndsAt.IsZero() || at.Before(e.RetryAt)) && !slices.Contains(ids, id) {
-			ids = append(ids, id)
-		}
-	}
-	r, _ = r.Reduce(weights.Pool{Addresses: ids})
-	r, _ = r.Reduce(weights.Named{Version: d.Named})
-	r, _ = r.Reduce(weights.Held{Fencing: o.held.Fencing, Until: until})
-	for _, id := range ids {
-		r, _ = r.Reduce(weights.Reported{Address: id, Report: engine.LoadReport{WeightVersion: held[id]}, At: at})
-	}
-	r, orders := r.Reduce(weights.Tick{At: at})
-	o.rollouts[key] = r
-	o.ordered[key] = orderCount{version: d.Named, orders: o.ordered[key].orders + len(orders)}
-	return orders
-}
-
 // count returns how many orders e has accepted: as counted here, or as e tells.
 func (o *orderSender) count(ctx context.Context, e upstream.Entry) (uint64, error) {
 	o.mu.Lock()
@@ -405,12 +277,3 @@
 		o.held = lease.Held{}
 	}
 }
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -63,7 +63,7 @@
 // rather than small. An instance that knows none tells its own.
 func (n *Node) Addresses() []string {
 	var able []membership.Member
-	if live := n.people.Load(); live != nil {
+	if live := n.members.Load(); live != nil {
 		able = owners(*live, submission.Head{Host: addressKey})
 	}
 	able = slices.DeleteFunc(able, func(m membership.Member) bool { return m.Name == n.cfg.Name && !n.Ready() })
@@ -151,7 +151,7 @@
 // instances come and go.
 func (n *Node) owner(s submission.Spec) string {
 	h := submission.Head{Host: s.Host, Path: s.Path, Model: s.Model}
-	live := n.people.Load()
+	live := n.members.Load()
 	if live == nil {
 		return n.start
 	}
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -1,15 +1,13 @@
 package submission
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
-	"golang.org/x/sync/errgroup"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
@@ -66,7 +64,7 @@
 		if err == nil {
 			break
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return Owned{}, fmt.Errorf("%w: its object: %v", platform.ErrNotDone, err) // without a head, nothing is kept
 		}
 	}
@@ -99,7 +97,7 @@
 			return Owned{}, err
 		}
 		unknown = unknown || !errors.Is(err, platform.ErrNotDone)
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			if unknown {
 				return Owned{}, fmt.Errorf("submission %s: outcome unknown: %w", h.ID, platform.ErrUnavailable)
 			}
@@ -159,31 +157,6 @@
 	return got, err
 }
 
-// Left is what the owners before have left of a submission.
-type Left struct {
-	Results []Result  // written
-	Texts   []Partial // begun
-}
-
-// Left reads what the owners before have left, given the head as they left it,
-// which has been claimed since so that none of them can write any more.
-func (l Log) Left(ctx context.Context, left Owned) (Left, error) {
-	var out Left
-	if !left.Claimed && left.Head.Progress == 0 {
-		return out, nil // nobody has run it
-	}
-	var g errgroup.Group
-	g.Go(func() (err error) {
-		out.Results, err = l.AllResults(ctx, left.ID)
-		return err
-	})
-	g.Go(func() (err error) {
-		out.Texts, err = l.progress(ctx, left)
-		return err
-	})
-	return out, g.Wait()
-}
-
 // Spec reads what the sender handed over.
 func (l Log) Spec(ctx context.Context, id string) (Spec, error) {
 	data, err := l.Store.GetObject(ctx, objectPrefix+id)
@@ -254,71 +227,6 @@
 	return r, nil
 }
 
-// Partial is the text of an item that is not whole yet.
-type Partial struct {
-	Item     string   `json:"item"`
-	Text     []string `json:"text"`
-	After    int      `json:"after"`
-	Versions []uint64 `json:"versions"`
-}
-
-func progressName(id string, fencing uint64) string {
-	return objectPrefix + id + "-progress-" + strconv.FormatUint(fencing, 10)
-}
-
-// PutProgress keeps the texts that the owner o has so far, for its successor.
-func (l Log) PutProgress(ctx context.Context, o Owned, ps []Partial) error {
-	data, err := json.Marshal(ps)
-	if err != nil {
-		return err
-	}
-	return l.Store.PutObject(ctx, progressName(o.ID, o.Fencing), data)
-}
-
-// progress returns the texts that the owner before kept, given the head as that
-// owner left it. There are none if it kept none.
-func (l Log) progress(ctx context.Context, left Owned) ([]Partial, error) {
-	fencing := left.Fencing
-	if left.Owner == "" {
-		fencing = left.Head.Progress
-	}
-	data, err := l.Store.GetObject(ctx, progressName(left.ID, fencing))
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	var ps []Partial
-	return ps, json.Unmarshal(data, &ps)
-}
-
-// Batch is a run of results at consecutive positions, ready to be written in
-// one transaction. It must be written again as it is until its outcome is known.
-type Batch struct {
-	Position int
-	Results  []Result
-	ops      []platform.Op
-}
-
-// Prepare makes a Batch of the first of results, as many as fit into one
-// transaction.
-func (l Log) Prepare(ctx context.Context, o Owned, position int, results []Result) (Batch, error) {
-	b := Batch{Position: position, ops: []platform.Op{platform.Check(headKey(o.ID), o.Fencing)}}
-	bytes := 0
-	for _, r := range results {
-		op, err := l.resultOp(ctx, o.ID, position+len(b.Results), r)
-		if err != nil {
-			return Batch{}, err
-		}
-		if bytes += len(op.Value); len(b.Results) == maxBatch || bytes > maxBatchBytes && len(b.Results) > 0 {
-			break
-		}
-		b.ops, b.Results = append(b.ops, op), append(b.Results, r)
-	}
-	return b, nil
-}
-
 const (
 	// maxBatch is how many results one transaction holds; the store takes 100
 	// entries in all, of which each result is two.
@@ -327,54 +235,3 @@
 	// of which base64 adds a third.
 	maxBatchBytes = 600 << 10
 )
-
-func (l Log) resultOp(ctx context.Context, id string, position int, r Result) (platform.Op, error) {
-	op, err := platform.Put(resultKey(id, position), 0, storedResult{Result: r})
-	if err != nil || len(op.Value) <= l.MaxRow {
-		return op, err
-	}
-	data, err := json.Marshal(r)
-	if err != nil {
-		return platform.Op{}, err
-	}
-	name := objectPrefix + id + "-result-" + r.Item
-	if err := l.Store.PutObject(ctx, name, data); err != nil {
-		return platform.Op{}, err
-	}
-	return platform.Put(resultKey(id, position), 0, storedResult{Result: Result{Item: r.Item, State: r.State}, Object: name})
-}
-
-// ErrLost is returned by Append when the submission has ended or another
-// instance owns it.
-var ErrLost = errors.New("submission: no longer owned")
-
-// Append writes b. It returns ErrLost if o is no longer the submission's head,
-// or an error of the platform, after which b is to be written again.
-func (l Log) Append(ctx context.Context, o Owned, b Batch) error {
-	_, err := l.Store.Commit(ctx, b.ops...)
-	var ce *platform.ConflictError
-	if !errors.As(err, &ce) {
-		return err
-	}
-	if ce.Key == headKey(o.ID) {
-		return ErrLost
-	}
-	for _, op := range b.ops {
-		if op.Key == ce.Key && !bytes.Equal(op.Value, ce.Current.Value) {
-			return fmt.Errorf("%w: %s holds another result", ErrLost, ce.Key)
-		}
-	}
-	return nil // written by an earlier call of this batch, whose answer was lost
-}
-
-// pause waits for d and reports whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+
 	"golang.org/x/sync/errgroup"
 
-	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -209,140 +208,6 @@
 	}
 }
 
-// start starts item i and reports whether an engine had room for it.
-func (r *Runner) start(ctx context.Context, i int, rt routetable.Route, now time.Time) bool {
-	it := r.spec.Items[i]
-	after, versions := r.run.After(i)
-	expect := uint64(0)
-	w := upstream.Want{Pool: rt.Pick(r.cfg.Draw()), At: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, Bounded: true}
-	t, ok := r.cfg.Registry.Acquire(w)
-	named := r.cfg.Named(r.spec.Model)
-	if !ok && named >= r.spec.MinVersion && named > 0 {
-		// An engine may hold the version before its entry tells so. It is asked
-		// to turn the request away if it does not.
-		w.Outdated, expect = true, named
-		t, ok = r.cfg.Registry.Acquire(w)
-	}
-	if !ok {
-		return false
-	}
-	g := Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after}
-	if rt.SingleVersion && len(versions) > 0 {
-		g.Version = versions[0]
-	}
-	if expect != 0 {
-		g.Version = expect
-	}
-	r.run.Started(i)
-	r.cfg.Observe(Step{What: "generating", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: after})
-	r.group.Go(func() error {
-		p, err := r.generate(ctx, t, g, func(p Progress) {
-			r.tell(ctx, func(time.Time) { r.run.Extended(i, p, terms(rt)) })
-		})
-		r.cfg.Observe(Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err})
-		r.tell(ctx, func(now time.Time) { r.run.Generated(i, p, terms(rt), now) })
-		return nil
-	})
-	return true
-}
-
-// generate reads one text, or a part of it, from the ticket's engine. flush is
-// given the events as they come; the last of them are returned.
-func (r *Runner) generate(owned context.Context, t *upstream.Ticket, g Generation, flush func(Progress)) (Progress, error) {
-	ctx, cancel := context.WithCancel(owned)
-	defer cancel()
-	silence := time.AfterFunc(firstEventLimit, cancel)
-	defer silence.Stop()
-	var p Progress
-	s, load, err := r.cfg.Generator.Generate(ctx, t.Entry, g)
-	if err == nil {
-		defer s.Close()
-		t.Observe(upstream.Report{At: time.Now(), Load: load, Versions: r.version(s.Version())})
-		p, err = r.read(t, s, silence, flush)
-	}
-	now := time.Now()
-	rep := upstream.Report{At: now, Load: load}
-	var se *StatusError
-	switch {
-	case err == nil:
-		p.Whole = true
-	case errors.Is(err, errSlow):
-	case errors.As(err, &se):
-		p.Status, rep.Load = se.Status, se.Load
-		rep.Failed = se.Status >= http.StatusInternalServerError && se.Status != http.StatusInternalServerError
-	case errors.Is(err, ErrOtherVersion):
-		rep.OtherVersion = true
-	case errors.Is(err, forward.ErrMisdirected):
-		rep.Gone = true
-	case errors.Is(err, forward.ErrUnreachable):
-		rep.Unreachable = true
-	case errors.Is(err, forward.ErrNotRun):
-		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
-	case owned.Err() != nil:
-		// Cancelled here: that says nothing of the engine.
-	case ctx.Err() == nil && s != nil && s.Last() > g.After:
-		// Its engine ended a stream that went well: it loads weights, is moved
-		// away or has crashed, which the next request finds out.
-		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
-	default:
-		rep.Failed = true
-	}
-	t.Done(rep)
-	return p, err
-}
-
-// version tells what an engine's answer showed of its weights.
-func (r *Runner) version(v uint64) map[string]uint64 {
-	if r.spec.Model == "" || v == 0 {
-		return nil
-	}
-	return map[string]uint64{r.spec.Model: v}
-}
-
-// read reads the events of s. It ends early, with an error, at a version that
-// is too old for the submission, and when the engine is slow and another has room.
-func (r *Runner) read(t *upstream.Ticket, s Stream, silence *time.Timer, flush func(Progress)) (Progress, error) {
-	var p Progress
-	version := s.Version()
-	last := time.Now()
-	for {
-		e, err := s.Next()
-		if err == io.EOF {
-			return p, nil
-		}
-		if err != nil {
-			return p, err
-		}
-		silence.Reset(eventGapLimit)
-		if e.Version != 0 {
-			version = e.Version
-		}
-		if version != 0 && version < r.spec.MinVersion {
-			return p, errTooOld
-		}
-		if version != 0 && (len(p.Versions) == 0 || p.Versions[len(p.Versions)-1] != version) {
-			p.Versions = append(p.Versions, version)
-		}
-		p.Events = append(p.Events, e)
-		now := time.Now()
-		if len(p.Events) < flushEvents && now.Sub(last) < flushPeriod {
-			continue
-		}
-		t.Observe(upstream.Report{At: now, Pace: now.Sub(last) / time.Duration(len(p.Events))})
-		if t.Better(now, slowEngine) {
-			return p, errSlow
-		}
-		flush(p)
-		p, last = Progress{Versions: []uint64{version}}, now
-		if version == 0 {
-			p.Versions = nil
-		}
-	}
-}
-
-// errSlow ends a text that goes on at a faster engine.
-var errSlow = errors.New("submission: another engine is faster")
-
 // keep keeps the texts so far for a successor, from time to time.
 func (r *Runner) keep(ctx context.Context, now time.Time) {
 	if r.keeping || now.Before(r.keepAt) {
@@ -368,8 +233,6 @@
 // Partials returns the texts that are begun. It is called after Run has returned.
 func (r *Runner) Partials() []Partial { return r.run.Partials() }
 
-var errTooOld = errors.New("submission: the engine's weights are too old")
-
 // append writes the results that are ready, one batch at a time.
 func (r *Runner) append(ctx context.Context) error {
 	if r.appending {
@@ -387,7 +250,7 @@
 	r.group.Go(func() error {
 		b, err := r.write(ctx, batch, position, results)
 		if err != nil && !errors.Is(err, ErrLost) {
-			pause(ctx, wait)
+			clock.Sleep(ctx, wait)
 		}
 		r.tell(ctx, func(time.Time) { r.appended(b, err) })
 		return nil
