--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 )
@@ -14,7 +15,7 @@
 const MaxBody = 1 << 20
 
 // ErrTooLarge is returned by Decode for a body over MaxBody.
-var ErrTooLarge = errors.New("httpjson: body too large")
+var ErrTooLarge = fmt.Errorf("body over the limit of %d bytes", MaxBody)
 
 // Decode reads one JSON value from r's body into v, refusing unknown
 // fields, trailing data and bodies over MaxBody bytes.
@@ -23,23 +24,35 @@
 	dec := json.NewDecoder(body)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		var mb *http.MaxBytesError
-		if errors.As(err, &mb) {
-			return ErrTooLarge
-		}
-		return fmt.Errorf("malformed JSON: %w", err)
+		return malformed(err)
 	}
-	if dec.More() {
+	switch _, err := dec.Token(); {
+	case err == nil:
 		return errors.New("malformed JSON: trailing data after the value")
+	case err != io.EOF:
+		return malformed(err)
 	}
 	return nil
 }
 
+// malformed returns the error of a body that could not be read.
+func malformed(err error) error {
+	var mb *http.MaxBytesError
+	if errors.As(err, &mb) {
+		return ErrTooLarge
+	}
+	return fmt.Errorf("malformed JSON: %w", err)
+}
+
 // Read decodes r's body into v, or answers 400 with the reason and reports
 // false.
 func Read(w http.ResponseWriter, r *http.Request, v any) bool {
 	if err := Decode(w, r, v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		status := http.StatusBadRequest
+		if errors.Is(err, ErrTooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		http.Error(w, err.Error(), status)
 		return false
 	}
 	return true
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -36,6 +36,9 @@
 	Attempt string          `json:"attempt"` // the entry instance and request that hold it
 	State   State           `json:"state"`
 	Answer  json.RawMessage `json:"answer,omitempty"`
+	// Digest tells the call's request from another with the same key; empty in
+	// records of before it was kept.
+	Digest string `json:"digest,omitempty"`
 }
 
 // Claims are kept in a bucket for each day, so that old ones can be removed
@@ -54,6 +57,10 @@
 	return prefix + at.UTC().Format(dayFormat) + "/" + call
 }
 
+// ErrOtherRequest is wrapped by the error of a call whose key was used before
+// with another method or body: the answer to that is not its own.
+var ErrOtherRequest = errors.New("call: the key was used before for another request")
+
 // Config is what claimers need.
 type Config struct {
 	Get        func(ctx context.Context, key string) (platform.Row, error)
@@ -67,15 +74,16 @@
 type Claimer struct {
 	cfg     Config
 	attempt string
+	digest  string
 	key     string   // of the row that is or will be the claim
 	absent  []string // keys of rows that must not exist
 }
 
 // New returns the Claimer of the attempt named attempt, which is unique, at the
-// call named call.
-func New(cfg Config, attempt, call string) *Claimer {
+// call named call, whose request has the given digest.
+func New(cfg Config, attempt, call, digest string) *Claimer {
 	now := cfg.Clock.Now()
-	return &Claimer{cfg: cfg, attempt: attempt, key: Key(now, call), absent: []string{Key(now.Add(-day), call), Key(now.Add(day), call)}}
+	return &Claimer{cfg: cfg, attempt: attempt, digest: digest, key: Key(now, call), absent: []string{Key(now.Add(-day), call), Key(now.Add(day), call)}}
 }
 
 // Key returns the key of the claim's row.
@@ -90,7 +98,7 @@
 func (c *Claimer) Take(ctx context.Context) (platform.Row, json.RawMessage, error) {
 	var expect uint64
 	for range tries {
-		row, err := c.write(ctx, expect, Record{Attempt: c.attempt, State: Claimed})
+		row, err := c.write(ctx, expect, Record{Attempt: c.attempt, State: Claimed, Digest: c.digest})
 		var ce *platform.ConflictError
 		switch {
 		case err == nil:
@@ -146,7 +154,7 @@
 // Move rewrites the claim from row to state next, with the answer if there is one, failing NotRun if another
 // attempt took it over meanwhile.
 func (c *Claimer) Move(ctx context.Context, row platform.Row, next State, answer json.RawMessage) (platform.Row, error) {
-	got, err := c.write(ctx, row.Version, Record{Attempt: c.attempt, State: next, Answer: answer})
+	got, err := c.write(ctx, row.Version, Record{Attempt: c.attempt, State: next, Answer: answer, Digest: c.digest})
 	var ce *platform.ConflictError
 	switch {
 	case err == nil:
@@ -183,6 +191,9 @@
 	if err := json.Unmarshal(row.Value, &cl); err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, http.StatusConflict, fmt.Errorf("call: unreadable claim: %w", err))
 	}
+	if cl.Digest != "" && cl.Digest != c.digest {
+		return nil, verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, ErrOtherRequest)
+	}
 	switch cl.State {
 	case Done:
 		return cl.Answer, nil
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
@@ -37,16 +41,28 @@
 	switch {
 	case r.Customer == "" || r.Entry == "":
 		return verdict.BadRequest("call: customer and entry are required")
-	case r.Method == "" || strings.ContainsAny(r.Method, "/?# "):
-		return verdict.BadRequest("call: method is required and may not hold '/', '?', '#' or spaces")
-	case r.Key == "" || len(r.Key) > 128:
-		return verdict.BadRequest("call: key is required, up to 128 characters")
+	case r.Method == "" || strings.ContainsAny(r.Method, "/?# ") || !printable(r.Method):
+		return verdict.BadRequest("call: method is required and may not hold '/', '?', '#', spaces or control characters")
+	case r.Key == "" || len(r.Key) > 128 || !printable(r.Key):
+		return verdict.BadRequest("call: key is required, up to 128 characters, none of them a control character")
 	case len(r.Body) == 0:
 		return verdict.BadRequest("call: body is required")
 	}
 	return nil
 }
 
+// digest tells the request from others with the same key.
+func (r CallRequest) digest() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%s", r.Method, r.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// printable reports whether s can be carried in a header as it is.
+func printable(s string) bool {
+	return !strings.ContainsFunc(s, unicode.IsControl) && utf8.ValidString(s)
+}
+
 func (in *Instance) serveCall(w http.ResponseWriter, r *http.Request) {
 	var req CallRequest
 	serve(in, w, r, &req, func(ctx context.Context, v *View, e catalogue.Entry) error {
@@ -65,7 +81,7 @@
 	if req.Idempotent {
 		return c.repeatable(ctx)
 	}
-	cl := claim.New(in.claims(), fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)), req.Customer+"/"+req.Entry+"/"+req.Key)
+	cl := claim.New(in.claims(), fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)), req.Customer+"/"+req.Entry+"/"+req.Key, req.digest())
 	row, replay, err := cl.Take(ctx)
 	if err != nil {
 		return CallAnswer{}, err
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -46,7 +46,7 @@
 		return verdict.BadRequest("generate: customer is required")
 	case r.Entry == "":
 		return verdict.BadRequest("generate: entry is required")
-	case r.RequestID == "" || len(r.RequestID) > 128 || strings.ContainsAny(r.RequestID, "/ \n"):
+	case r.RequestID == "" || len(r.RequestID) > 128 || strings.ContainsAny(r.RequestID, "/ \n") || !printable(r.RequestID):
 		return verdict.BadRequest("generate: request_id is required: up to 128 characters, no '/' or spaces")
 	case r.MaxTokens <= 0:
 		return verdict.BadRequest("generate: max_tokens must be positive")
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -44,9 +44,9 @@
 	// Wait is how long the store holds a call until there is a change, and so
 	// how often an idle table tells that the store is there.
 	Wait time.Duration
-	// Pause is the least time between two calls, so that changes in quick
-	// succession are read together.
-	Pause time.Duration
+	// Pause returns the least time between two calls, so that changes in quick
+	// succession are read together; nil for none.
+	Pause func() time.Duration
 	// Tell is given each Update, in order.
 	Tell func(Update)
 }
@@ -79,7 +79,9 @@
 			backoff = minBackoff
 			version = ch.Version
 			f.Tell(Update{Table: f.Table, At: time.Now(), Changes: ch.Rows})
-			clock.Sleep(ctx, f.Pause)
+			if f.Pause != nil {
+				clock.Sleep(ctx, f.Pause())
+			}
 		}
 	}
 	return nil
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,10 +79,13 @@
 	headsWait         = 700 * time.Millisecond
 
 	// entriesPause and the like bound the calls that changes cause: upstreams
-	// and members each write about once a second.
-	entriesPause = 150 * time.Millisecond
-	membersPause = 300 * time.Millisecond
-	headsPause   = 40 * time.Millisecond
+	// and members each write about once a second. pausePerMember bounds those of
+	// all instances together, to 250 a second for each table, an eighth of what
+	// the store serves.
+	entriesPause   = 150 * time.Millisecond
+	membersPause   = 300 * time.Millisecond
+	headsPause     = 40 * time.Millisecond
+	pausePerMember = 4 * time.Millisecond
 
 	// tickPeriod is how often the control state looks at the time.
 	tickPeriod = 100 * time.Millisecond
@@ -138,10 +141,10 @@
 	defer cancel()
 	n.cfg.Logger.Info("start", "start", n.start, "address", n.cfg.Address)
 	d := n.cfg.Decoder
-	n.follow(ctx, d.OperatorTable, []string{d.OperatorTable + "//"}, configurationWait, 0)
-	n.follow(ctx, d.EntriesTable, []string{d.EntriesTable + "//"}, entriesWait, entriesPause)
-	n.follow(ctx, membership.Table, []string{membership.Prefix()}, membersWait, membersPause)
-	n.follow(ctx, submission.HeadsTable, submission.HeadPrefixes(), headsWait, headsPause)
+	n.follow(ctx, d.OperatorTable, []string{d.OperatorTable + "//"}, configurationWait, nil)
+	n.follow(ctx, d.EntriesTable, []string{d.EntriesTable + "//"}, entriesWait, n.pause(entriesPause))
+	n.follow(ctx, membership.Table, []string{membership.Prefix()}, membersWait, n.pause(membersPause))
+	n.follow(ctx, submission.HeadsTable, submission.HeadPrefixes(), headsWait, func() time.Duration { return headsPause })
 	n.group.Go(func() error { return n.member.keep(ctx) })
 	n.group.Go(func() error { return n.orders.keep(ctx) })
 	err := n.control(ctx, stop)
@@ -151,12 +154,18 @@
 	return err
 }
 
-func (n *Node) follow(ctx context.Context, table string, prefixes []string, wait, pause time.Duration) {
+func (n *Node) follow(ctx context.Context, table string, prefixes []string, wait time.Duration, pause func() time.Duration) {
 	f := feed.Follower{Store: n.cfg.Store, Table: table, Prefixes: prefixes, Wait: wait, Pause: pause,
 		Tell: func(u feed.Update) { n.tell(ctx, u) }}
 	n.group.Go(func() error { return f.Run(ctx) })
 }
 
+// pause returns the least time between two calls for a table that changes with
+// the number of instances or upstreams.
+func (n *Node) pause(least time.Duration) func() time.Duration {
+	return func() time.Duration { return max(least, time.Duration(n.member.rows.Load())*pausePerMember) }
+}
+
 // tell hands ev to the control goroutine.
 func (n *Node) tell(ctx context.Context, ev any) {
 	select {
