submission: what nobody runs or reads any more is swept from the store

Purpose: rows and objects of submissions stayed for ever; the store takes 400 MB in all, then refuses new submissions.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -85,7 +85,7 @@
 	metrics.NewRegisteredFunctionalGauge("log.lines.dropped", registry, out.Dropped)
 	n := node.New(node.Config{
 		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, Cores: s.Cores, Store: store, Engines: platform.NewEngines(),
-		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, Grace: s.Grace,
+		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, KeepFor: s.StatusTime, Grace: s.Grace,
 	})
 	callers := platform.NewCallers(n)
 	var group errgroup.Group
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -45,6 +45,8 @@
 	stopRun    struct{ id string }
 	releaseRun struct{ submission.Owned }
 	adopt      struct{ submission.Owned }
+	sweep      struct{ submission.Owned }
+	dropHead   struct{ id string }
 
 	// dealEngines deals the engines of each pool to the models.
 	dealEngines struct{ demands []weights.Demand }
@@ -95,6 +97,7 @@
 		err := r.Run(rctx)
 		cancel()
 		close(run.ended)
+		n.dropProgress(ctx, e.Owned, err)
 		n.readers.disown(e.ID, r)
 		n.cfg.Logger.Info("submission runs no more", "submission", e.ID, "err", err)
 		n.tell(ctx, runEnded{e.ID, err})
@@ -102,6 +105,34 @@
 	})
 }
 
+// dropProgress deletes the texts kept by a run that needs no successor: it wrote
+// every result, or its submission has ended.
+func (n *Node) dropProgress(ctx context.Context, o submission.Owned, err error) {
+	if h, _ := n.heads.get(o.ID); err != nil && !h.Ended {
+		return
+	}
+	if err := n.log.DropProgress(ctx, o); err != nil {
+		n.cfg.Logger.Warn("progress not dropped", "submission", o.ID, "err", err)
+	}
+}
+
+// carryOut deletes a submission that nobody reads any more.
+func (e sweep) carryOut(ctx context.Context, n *Node) {
+	n.group.Go(func() error {
+		sctx, cancel := context.WithTimeout(ctx, sweepTime)
+		defer cancel()
+		err := n.log.Sweep(sctx, e.Owned)
+		n.cfg.Logger.Info("submission swept", "submission", e.ID, "err", err)
+		n.tell(ctx, swept{ID: e.ID, Err: err, At: time.Now()})
+		return nil
+	})
+}
+
+// sweepTime bounds one sweep; it goes on at the next.
+const sweepTime = 5 * time.Second
+
+func (e dropHead) carryOut(_ context.Context, n *Node) { n.heads.drop(e.id) }
+
 func (e stopRun) carryOut(_ context.Context, n *Node) { n.readers.stop(e.id) }
 
 // carryOut stops the run, keeps its texts for a successor and gives the
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -12,7 +12,9 @@
 type State struct{ s *state }
 
 // NewState returns the control state of the instance named name.
-func NewState(name, start string, d Decoder) State { return State{newState(name, start, d)} }
+func NewState(name, start string, d Decoder) State { return State{newState(name, start, d, keepFor)} }
+
+const keepFor = 2 * time.Minute
 
 // Update, Tick and Adopted give events to the state and return the effects, each
 // as text such as "adopt l1".
@@ -39,6 +41,8 @@
 			out = append(out, "start "+e.ID)
 		case stopRun:
 			out = append(out, "stop "+e.id)
+		case sweep:
+			out = append(out, "sweep "+e.ID)
 		case releaseRun:
 			out = append(out, "release "+e.ID)
 		case setUpstreams:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -66,6 +66,7 @@
 	Metrics    metrics.Registry // counters and timers; nil for ones that nobody reads
 	MaxRow     int              // largest value of a row of the store, in bytes
 	LeaseTime  time.Duration    // holders of orders must not alternate within it
+	KeepFor    time.Duration    // submissions are kept so long after their acceptance; 0 for ever
 	Grace      time.Duration    // from the request to stop until the process is killed
 }
 
@@ -176,7 +177,7 @@
 
 // control owns the control state.
 func (n *Node) control(ctx, stop context.Context) error {
-	s := newState(n.cfg.Name, n.start, n.cfg.Decoder)
+	s := newState(n.cfg.Name, n.start, n.cfg.Decoder, n.cfg.KeepFor)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	stopped := stop.Done()
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -233,6 +233,13 @@
 	}
 }
 
+// drop forgets a submission that has been swept.
+func (x *headIndex) drop(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.heads, id)
+}
+
 // lastOwner returns the owner of the submission of a kind whose head changed
 // last, empty for none.
 func (x *headIndex) lastOwner(key string) string {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -55,6 +55,12 @@
 		ID  string
 		Err error
 	}
+	// swept tells the outcome of a sweep.
+	swept struct {
+		ID  string
+		Err error
+		At  time.Time
+	}
 	// drain tells that the instance is to stop.
 	drain struct{}
 )
@@ -79,14 +85,18 @@
 	work  map[string]float64 // mean of the work of recent submissions, by model
 	dealt map[string]float64 // the work by which engines are dealt to models
 
+	keepFor  time.Duration // how long submissions are kept after their acceptance
+	sweeping bool
+	sweepAt  time.Time // the next sweep, not before
+
 	read      map[string]bool      // tables that have been read
 	awaySince map[string]time.Time // tables that cannot be read
 
 	draining bool
 }
 
-func newState(name, start string, d Decoder) *state {
-	return &state{name: name, start: start, decoder: d, members: membership.NewView(),
+func newState(name, start string, d Decoder, keepFor time.Duration) *state {
+	return &state{name: name, start: start, decoder: d, keepFor: keepFor, members: membership.NewView(),
 		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
 		entries: map[string]upstream.Entry{}, missing: map[string]time.Time{},
 		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, dealt: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
@@ -106,6 +116,8 @@
 	case runEnded:
 		delete(s.running, e.ID)
 		return nil
+	case swept:
+		return s.onSwept(e)
 	case drain:
 		return s.onDrain()
 	}
@@ -241,6 +253,7 @@
 	var effs []effect
 	for _, ch := range u.Changes {
 		if ch.Deleted {
+			effs = append(effs, s.forget(submission.IDOf(ch.Key))...)
 			continue
 		}
 		h, err := submission.DecodeHead(ch.Row)
@@ -319,6 +332,7 @@
 		return effs
 	}
 	effs = append(effs, s.adopt(now)...)
+	effs = append(effs, s.sweep(now)...)
 	demands := s.demands()
 	return append(effs, dealEngines{demands}, planOrders{now, demands})
 }
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -206,3 +206,33 @@
 		t.Fatalf("%d upstreams, want none: the entry cannot be read", n)
 	}
 }
+
+// A submission that nobody runs any more is swept when it has been kept long
+// enough, by the instance that it ranks first, and never while it is open.
+func TestSweep(t *testing.T) {
+	for name, c := range map[string]struct {
+		head  submission.Head
+		after time.Duration
+		swept bool
+	}{
+		"ended, old":    {submission.Head{Ended: true}, 3 * time.Minute, true},
+		"complete, old": {submission.Head{Complete: true}, 3 * time.Minute, true},
+		"ended, young":  {submission.Head{Ended: true}, 2 * time.Minute, false},
+		"open, old":     {submission.Head{Owner: "b#1", Claimed: true}, time.Hour, false},
+	} {
+		c.head.ID, c.head.AcceptedAt = "l1", start()
+		swept := 0
+		for _, self := range []string{"a", "b"} {
+			s := node.NewState(self, self+"#1", decoder)
+			now := start().Add(c.after)
+			s.Update(members(now, member(t, "a", "a#1", 1), member(t, "b", "b#1", 2)))
+			s.Update(heads(now, head(t, c.head, 3)))
+			if slices.Contains(s.Tick(now), "sweep l1") {
+				swept++
+			}
+		}
+		if (swept == 1) != c.swept || swept > 1 {
+			t.Errorf("%s: swept by %d instances", name, swept)
+		}
+	}
+}
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -208,10 +208,18 @@
 	Object string `json:"object,omitempty"`
 }
 
-func (l Log) decodeResult(ctx context.Context, row platform.Row) (Result, error) {
+func decodeStored(row platform.Row) (storedResult, error) {
 	var s storedResult
 	if err := json.Unmarshal(row.Value, &s); err != nil {
-		return Result{}, fmt.Errorf("submission: result %s: %w", row.Key, err)
+		return s, fmt.Errorf("submission: result %s: %w", row.Key, err)
+	}
+	return s, nil
+}
+
+func (l Log) decodeResult(ctx context.Context, row platform.Row) (Result, error) {
+	s, err := decodeStored(row)
+	if err != nil {
+		return Result{}, err
 	}
 	if s.Object == "" {
 		return s.Result, nil
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
@@ -145,6 +146,9 @@
 
 func headKey(id string) string { return HeadsTable + "/" + partition(id) + "/" + id }
 
+// IDOf returns the ID of the submission whose head has the given key.
+func IDOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
 func resultsPrefix(id string) string { return resultsTable + "/" + partition(id) + "/" + id + "/" }
 
 // positionDigits is enough for the items of any submission.
