--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -36,7 +36,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	Stamp  string // the upstream's proof that it served the request
+	Proof  string // the upstream's proof that it served the request
 }
 
 // Errors of one attempt. An error that is neither may have run the request.
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -298,7 +298,7 @@
 	}
 	s.Status = a.Status
 	if a.Status/100 == 2 {
-		s.Score = a.Stamp
+		s.Score = a.Proof
 	}
 	return s
 }
