--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -8,9 +8,8 @@
 	"math"
 	"time"
 
-	"github.com/zinnialadder/zinnialadder/pkg/clock"
-
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -82,12 +82,14 @@
 	if l.Fencing == 0 {
 		row, err := n.cfg.Store.Get(ctx, l.Name)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			n.cfg.Logger.Debug("member row not read", "err", err)
 			return lease.Lease{}
 		}
 		l.Fencing = row.Version
 	}
 	op, err := platform.Put(l.Name, l.Fencing, lease.Lease{Holder: l.Holder, RenewedAt: now, ExpiresAt: until, Data: data})
 	if err != nil {
+		n.cfg.Logger.Error("member row", "err", err)
 		return lease.Lease{}
 	}
 	rows, err := n.cfg.Store.Commit(ctx, op)
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,12 +134,9 @@
 		return false
 	}
 	ranked := route.Rank(*live, func(m membership.Member) string { return m.Name }, ordersLease)
-	for _, m := range ranked[:min(len(ranked), orderCandidates)] {
-		if m.Name == n.cfg.Name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(ranked[:min(len(ranked), orderCandidates)], func(m membership.Member) bool {
+		return m.Name == n.cfg.Name
+	})
 }
 
 // count returns how many orders e has accepted: as counted here, or as e tells.
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -72,7 +72,7 @@
 	case errors.Is(err, errSlow):
 	case errors.As(err, &se):
 		p.Status, rep.Load = se.Status, se.Load
-		rep.Failed = se.Status >= http.StatusInternalServerError && se.Status != http.StatusInternalServerError
+		rep.Failed = se.Status > http.StatusInternalServerError
 	case errors.Is(err, ErrOtherVersion):
 		rep.OtherVersion = true
 	case errors.Is(err, forward.ErrMisdirected):
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
-
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 		pools[e.Pool] = append(pools[e.Pool], k)
 	}
 	for _, ks := range pools {
-		slices.SortFunc(ks, func(a, b *known) int { return compare(a.ID, b.ID) })
+		slices.SortFunc(ks, func(a, b *known) int { return strings.Compare(a.ID, b.ID) })
 	}
 	r.byID, r.pools = byID, pools
 }
@@ -118,16 +119,6 @@
 	return out
 }
 
-// InFlight returns how many requests of this process run at the upstream.
-func (r *Registry) InFlight(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if k := r.byID[id]; k != nil {
-		return k.inFlight
-	}
-	return 0
-}
-
 // versions returns the newest weight versions that k is known to hold.
 func (k *known) versions() map[string]uint64 {
 	v := maps.Clone(k.Versions)
@@ -155,20 +146,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ks := r.usablePart(w)
-	cands, from := make([]Candidate, 0, len(ks)), make([]*known, 0, len(ks))
+	cands := make([]Candidate, 0, len(ks))
 	slowness := r.slowness(ks, w.At)
 	for i, k := range ks {
 		cands = append(cands, Candidate{
 			ID: k.ID, Load: k.load(w.At), InFlight: k.inFlight, Slots: max(k.Slots, 1),
 			Slowness: slowness[i], Near: k.DataCentre == r.dataCentre,
 		})
-		from = append(from, k)
 	}
 	i := Choose(cands, w)
 	if i < 0 {
 		return nil, false
 	}
-	k := from[i]
+	k := ks[i]
 	k.inFlight++
 	k.asking = k.doubted
 	if w.Outdated {
@@ -290,13 +280,3 @@
 		r.health.Succeeded(k.ID)
 	}
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
