node: an instance that stops does not wait for a load

Cause: orderSender.send, confirm and loaded used a context of their own and time.Sleep, so a node told to stop while an engine loaded for it waited up to orderTimeout, 4 s, past its drain, and was killed at the end of its grace. Before: TestStopsWhileAnEngineLoads, "still running 2s after it was told to stop". After: it passes.

With it, three things that stood twice: what a refused attempt says of its upstream (forward.Refused), writing a lease's row (lease.Write, which tells a conflict as ErrHeld for every caller; lease.Acquire told it as a conflict), and one publication of entries a tick in place of one for each that is gone.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -160,18 +160,29 @@
 	rep := upstream.Report{At: time.Now(), Load: load}
 	switch {
 	case err == nil:
+	case Refused(&rep, err, busyPause):
+	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
+		// The caller left: that says nothing of the upstream.
+	default:
+		rep.Failed = true
+	}
+	return rep
+}
+
+// Refused reports whether err tells that the upstream did not take an attempt,
+// and writes to rep why. An upstream that had no room is left alone for pause.
+func Refused(rep *upstream.Report, err error, pause time.Duration) bool {
+	switch {
 	case errors.Is(err, ErrMisdirected):
 		rep.Gone = true
 	case errors.Is(err, ErrUnreachable):
 		rep.Unreachable = true
 	case errors.Is(err, ErrNotRun):
-		rep.Busy, rep.BusyUntil = true, rep.At.Add(busyPause)
-	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
-		// The caller left: that says nothing of the upstream.
+		rep.Busy, rep.BusyUntil = true, rep.At.Add(pause)
 	default:
-		rep.Failed = true
+		return false
 	}
-	return rep
+	return true
 }
 
 // end returns the error of a request that gets no answer of an upstream.
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -54,7 +54,7 @@
 	}
 	begun := k.Clock.Now()
 	l := Lease{Name: k.Name, Holder: k.Holder, RenewedAt: begun, ExpiresAt: begun.Add(k.TTL), Data: data}
-	l, err = k.write(ctx, l, row.Version)
+	l, err = Write(ctx, k.Table, l, row.Version)
 	return Held{Lease: l, ValidUntil: begun.Add(k.TTL)}, err
 }
 
@@ -76,27 +76,10 @@
 	if err != nil || cur.Holder != k.Holder {
 		return err
 	}
-	_, err = k.write(ctx, Lease{Name: k.Name, ExpiresAt: k.Clock.Now(), Data: cur.Data}, row.Version)
+	_, err = Write(ctx, k.Table, Lease{Name: k.Name, ExpiresAt: k.Clock.Now(), Data: cur.Data}, row.Version)
 	return err
 }
 
-func (k *Keeper) write(ctx context.Context, l Lease, expect uint64) (Lease, error) {
-	op, err := platform.Put(k.Name, expect, l)
-	if err != nil {
-		return Lease{}, err
-	}
-	rows, err := k.Table.Commit(ctx, op)
-	var ce *platform.ConflictError
-	if errors.As(err, &ce) {
-		return Lease{}, ErrHeld // another got there first
-	}
-	if err != nil {
-		return Lease{}, err
-	}
-	l.Fencing = rows[0].Version
-	return l, nil
-}
-
 // lapsed reports whether another's lease has stood unchanged for its time.
 func (k *Keeper) lapsed(l Lease) bool {
 	now := k.Clock.Now()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -54,17 +54,7 @@
 		}
 		expect = row.Version
 	}
-	l := Lease{Name: name, Holder: holder, RenewedAt: now, ExpiresAt: expiresAt, Data: data}
-	op, err := platform.Put(name, expect, l)
-	if err != nil {
-		return Lease{}, err
-	}
-	rows, err := t.Commit(ctx, op)
-	if err != nil {
-		return Lease{}, fmt.Errorf("lease %s: %w", name, err)
-	}
-	l.Fencing = rows[0].Version
-	return l, nil
+	return Write(ctx, t, Lease{Name: name, Holder: holder, RenewedAt: now, ExpiresAt: expiresAt, Data: data}, expect)
 }
 
 // Renew writes the lease l, as last read or written, again from now until
@@ -76,6 +66,13 @@
 	}
 	expect := l.Fencing
 	l.RenewedAt, l.ExpiresAt, l.Data = now, expiresAt, data
+	return Write(ctx, t, l, expect)
+}
+
+// Write writes the lease l over the row's version expect, 0 for a row that does
+// not exist, and returns it with its new fencing number. It returns an ErrHeld if
+// the row has another version.
+func Write(ctx context.Context, t Table, l Lease, expect uint64) (Lease, error) {
 	op, err := platform.Put(l.Name, expect, l)
 	if err != nil {
 		return Lease{}, err
@@ -83,7 +80,7 @@
 	rows, err := t.Commit(ctx, op)
 	var ce *platform.ConflictError
 	if errors.As(err, &ce) {
-		return Lease{}, ErrHeld
+		return Lease{}, fmt.Errorf("%w: %w", ErrHeld, err)
 	}
 	if err != nil {
 		return Lease{}, fmt.Errorf("lease %s: %w", l.Name, err)
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -218,4 +218,4 @@
 	n.registry.SetParts(parts)
 }
 
-func (e planOrders) carryOut(_ context.Context, n *Node) { n.orders.plan(e) }
+func (e planOrders) carryOut(ctx context.Context, n *Node) { n.orders.plan(ctx, e) }
--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -77,8 +77,7 @@
 		return lease.Lease{}
 	}
 	now := time.Now()
-	l := lease.Lease{Name: membership.Key(n.cfg.Name), Holder: n.start, Fencing: held.Fencing}
-	until := now.Add(membership.TTL(m.period()))
+	l := lease.Lease{Name: membership.Key(n.cfg.Name), Holder: n.start, RenewedAt: now, ExpiresAt: now.Add(membership.TTL(m.period())), Data: data, Fencing: held.Fencing}
 	if l.Fencing == 0 {
 		row, err := n.cfg.Store.Get(ctx, l.Name)
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
@@ -87,16 +86,10 @@
 		}
 		l.Fencing = row.Version
 	}
-	op, err := platform.Put(l.Name, l.Fencing, lease.Lease{Holder: l.Holder, RenewedAt: now, ExpiresAt: until, Data: data})
-	if err != nil {
-		n.cfg.Logger.Error("member row", "err", err)
-		return lease.Lease{}
-	}
-	rows, err := n.cfg.Store.Commit(ctx, op)
+	l, err = lease.Write(ctx, n.cfg.Store, l, l.Fencing)
 	if err != nil {
 		n.cfg.Logger.Debug("member row not written", "err", err)
 		return lease.Lease{}
 	}
-	l.Fencing = rows[0].Version
 	return l
 }
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -168,30 +168,31 @@
 	delete(o.accepted, e.ID)
 }
 
-// send gives one order and waits until the engine has carried it out.
-func (o *orderSender) send(key string, to upstream.Entry, mo weights.ModelOrder, notAfter time.Time) {
+// send gives one order and waits until the engine has carried it out, or ctx
+// ends: an instance that stops must not stay for a load.
+func (o *orderSender) send(ctx context.Context, key string, to upstream.Entry, mo weights.ModelOrder, notAfter time.Time) {
 	n := o.node
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), orderCall)
+	octx, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
 	var err error
-	if mo.AfterOrders, err = o.count(ctx, to); err == nil && !time.Now().Before(notAfter) {
+	if mo.AfterOrders, err = o.count(octx, to); err == nil && !time.Now().Before(notAfter) {
 		err = errTooLate
 	}
 	if err != nil {
 		o.done(key, to.ID, mo.Version, err)
 		return
 	}
-	outcome, err := n.cfg.Engines.Order(ctx, to, mo)
+	outcome, err := n.cfg.Engines.Order(octx, to, mo)
 	n.cfg.Logger.Info("order", "upstream", to.ID, "model", mo.Model, "version", mo.Version, "fencing", mo.Fencing, "after_orders", mo.AfterOrders, "outcome", outcome, "err", err)
 	switch outcome {
 	case weights.OrderAccepted:
 		o.setCount(to, mo.AfterOrders+1)
-		err = o.confirm(to, mo, begun.Add(orderTimeout))
+		err = o.confirm(ctx, to, mo, begun.Add(orderTimeout))
 		n.cfg.Logger.Info("load", "upstream", to.ID, "model", mo.Model, "version", mo.Version, "took", time.Since(begun), "err", err)
 	case weights.OrderUnknown:
 		o.forget(to)
-		err = o.confirm(to, mo, begun.Add(orderTimeout))
+		err = o.confirm(ctx, to, mo, begun.Add(orderTimeout))
 	case weights.OrderFenced:
 		err = engine.ErrStaleFencing
 	case weights.OrderRefused:
@@ -207,13 +208,13 @@
 )
 
 // confirm waits until the engine is seen to hold the version.
-func (o *orderSender) confirm(to upstream.Entry, mo weights.ModelOrder, until time.Time) error {
+func (o *orderSender) confirm(ctx context.Context, to upstream.Entry, mo weights.ModelOrder, until time.Time) error {
 	begun := time.Now()
 	ask := begun.Add(o.askAfter())
 	for time.Now().Before(until) {
 		if now := time.Now(); !now.Before(ask) {
 			ask = now.Add(askPeriod)
-			if o.loaded(to, mo) {
+			if o.loaded(ctx, to, mo) {
 				o.learnLoad(time.Since(begun))
 				return nil
 			}
@@ -231,7 +232,9 @@
 		if !found {
 			return errEngineAway
 		}
-		time.Sleep(confirmPeriod)
+		if !clock.Sleep(ctx, confirmPeriod) {
+			return ctx.Err()
+		}
 	}
 	return errNotLoaded
 }
@@ -255,8 +258,8 @@
 }
 
 // loaded asks the engine whether it holds the version.
-func (o *orderSender) loaded(e upstream.Entry, mo weights.ModelOrder) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), orderCall)
+func (o *orderSender) loaded(ctx context.Context, e upstream.Entry, mo weights.ModelOrder) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
 	rep, err := o.node.cfg.Engines.Report(ctx, e)
 	if err != nil {
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -11,8 +12,8 @@
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
-// plan gives the orders that are due.
-func (o *orderSender) plan(p planOrders) {
+// plan gives the orders that are due. What it starts ends with ctx.
+func (o *orderSender) plan(ctx context.Context, p planOrders) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.node.table.Load()
@@ -22,14 +23,14 @@
 	until := o.held.ValidUntil.Add(-o.node.cfg.LeaseTime - orderMargin)
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
-			o.planPool(p, pool, until, !t.SingleVersion())
+			o.planPool(ctx, p, pool, until, !t.SingleVersion())
 		}
 	}
 }
 
 // planPool gives the orders that are due in one pool, of which a part may load
 // at once.
-func (o *orderSender) planPool(p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
+func (o *orderSender) planPool(ctx context.Context, p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
 	byID := map[string]upstream.Entry{}
 	for _, e := range o.node.registry.Entries(pool.Name) {
 		byID[e.ID] = e
@@ -51,7 +52,7 @@
 			e := byID[ord.Address]
 			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing, Continue: carryOn}
 			o.node.group.Go(func() error {
-				o.send(key, e, mo, ord.NotAfter)
+				o.send(ctx, key, e, mo, ord.NotAfter)
 				return nil
 			})
 		}
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -316,15 +316,7 @@
 }
 
 func (s *state) onTick(now time.Time) []effect {
-	var effs []effect
-	for id, till := range s.missing {
-		if now.Before(till) {
-			continue
-		}
-		delete(s.missing, id)
-		delete(s.entries, id)
-		effs = append(effs, note{"upstream gone", []any{"upstream", id}}, s.publishEntries())
-	}
+	effs := s.dropMissing(now)
 	if s.read[membership.Table] {
 		effs = append(effs, setMembers{s.members.Live(now, s.name), s.members.Size()})
 	}
@@ -337,6 +329,23 @@
 	return append(effs, dealEngines{demands}, planOrders{now, demands})
 }
 
+// dropMissing drops the entries that have not come back in time.
+func (s *state) dropMissing(now time.Time) []effect {
+	var effs []effect
+	for id, till := range s.missing {
+		if now.Before(till) {
+			continue
+		}
+		delete(s.missing, id)
+		delete(s.entries, id)
+		effs = append(effs, note{"upstream gone", []any{"upstream", id}})
+	}
+	if len(effs) == 0 {
+		return nil
+	}
+	return append(effs, s.publishEntries())
+}
+
 // onDrain hands over what runs here. Its texts go on at another instance where
 // they are, so that to wait for their end would gain nothing.
 func (s *state) onDrain() []effect {
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -75,12 +75,7 @@
 		rep.Failed = se.Status > http.StatusInternalServerError
 	case errors.Is(err, ErrOtherVersion):
 		rep.OtherVersion = true
-	case errors.Is(err, forward.ErrMisdirected):
-		rep.Gone = true
-	case errors.Is(err, forward.ErrUnreachable):
-		rep.Unreachable = true
-	case errors.Is(err, forward.ErrNotRun):
-		rep.Busy, rep.BusyUntil = true, now.Add(refusedPause)
+	case forward.Refused(&rep, err, refusedPause):
 	case owned.Err() != nil:
 		// Cancelled here: that says nothing of the engine.
 	case ctx.Err() == nil && s != nil && s.Last() > g.After:
