forward: callers turned away come back spread by the backlog; loadsim

Cause: Retry-After was 300 ms for all, so that what a burst left over came back as a burst; and a request without room was looked at for up to 45 ms of an objective of 150 ms, past the quarter after which its caller is better off knowing.

The choice of the next upstream is Plan.Next now, which the simulation uses too.

--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"github.com/zinnialadder/zinnialadder/internal/experiment"
+	"github.com/zinnialadder/zinnialadder/internal/loadsim"
 )
 
 func experimentCmd() *cobra.Command {
@@ -33,7 +36,52 @@
 			return nil
 		},
 	}
+	cmd.AddCommand(loadCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
 }
+
+// sweptRates are the loads that experiment load offers, in parts of what the
+// upstreams can serve: from half of it to four times as much.
+var sweptRates = []float64{0.5, 0.7, 0.8, 0.9, 1, 1.25, 1.5, 2, 2.5, 3, 3.5, 4}
+
+func loadCompareCmd() *cobra.Command {
+	var seeds int
+	var svg string
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Compare ways to turn requests away, in simulated time",
+		Long: "Compare ways to turn requests away, in simulated time: at 0.5 to 4 times what the upstreams can\n" +
+			"serve, how much is answered, how late, and what it costs the upstreams in attempts.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds <= 0 || seeds > 1000 {
+				return fmt.Errorf("seeds %d: want 1 to 1000", seeds)
+			}
+			results := loadsim.Sweep(loadsim.Minho, loadsim.Policies, sweptRates, seeds)
+			if svg != "" {
+				if err := writeFile(svg, func(w io.Writer) error { return loadsim.WriteChart(w, results) }); err != nil {
+					return err
+				}
+			}
+			return loadsim.WriteTable(cmd.OutOrStdout(), results)
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "seeds played of each load; 1 to 1000")
+	cmd.Flags().StringVar(&svg, "svg", "", "file to draw goodput against load to, as SVG")
+	return cmd
+}
+
+// writeFile creates the file path and has write write it.
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(f); err != nil {
+		f.Close() // the first error tells more
+		return err
+	}
+	return f.Close()
+}
--- /dev/null
+++ b/internal/loadsim/loadsim.go
@@ -0,0 +1,104 @@
+// Package loadsim replays loads against the decisions of package forward and
+// package upstream in simulated time: which upstream a request is sent to, what
+// is turned away and when its caller comes back. Seconds of traffic take
+// milliseconds, so that policies are compared over many seeds.
+package loadsim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+)
+
+// Load is a load and the site that it meets.
+type Load struct {
+	Instances int
+	Upstreams int
+	Slots     int           // requests that an upstream serves at once
+	Queue     int           // requests that wait at an upstream before it turns others away
+	Work      time.Duration // mean time of a request at an upstream, exponentially distributed
+	Objective time.Duration
+	Timeout   time.Duration // callers wait so long
+	Attempts  int           // of a caller, the first included
+
+	Rate      float64       // requests offered, in parts of what the upstreams can serve
+	Burst     float64       // Rate from BurstAt on for BurstTime
+	BurstAt   time.Duration // after the start
+	BurstTime time.Duration
+	Time      time.Duration // callers' first attempts stop after it; longer than Timeout
+	Seed      uint64
+}
+
+// Minho is the load of a plain service of the brief's smaller deployment.
+var Minho = Load{Instances: 10, Upstreams: 3, Slots: 6, Queue: 3, Work: 40 * time.Millisecond,
+	Objective: 150 * time.Millisecond, Timeout: 2 * time.Second, Attempts: 4, Rate: 0.7, Time: 10 * time.Second, Seed: 1}
+
+// capacity is how many requests a second the upstreams serve at the most.
+func (l Load) capacity() float64 {
+	return float64(l.Upstreams*l.Slots) / l.Work.Seconds()
+}
+
+// rate returns the requests offered a second at a time after the start.
+func (l Load) rate(after time.Duration) float64 {
+	if l.Burst > 0 && after >= l.BurstAt && after < l.BurstAt+l.BurstTime {
+		return l.Burst * l.capacity()
+	}
+	return l.Rate * l.capacity()
+}
+
+// Policy is a way to turn requests away.
+type Policy struct {
+	Name string
+	// Return returns when the caller of a rejected request comes back.
+	Return func(r *forward.Returns, now, deadline time.Time, draw float64) time.Time
+	// Hold has requests that find no room wait for it until their deadline.
+	Hold bool
+}
+
+// constantReturn is the pause of the Constant policy.
+const constantReturn = 300 * time.Millisecond
+
+// The policies: the product's, an earlier version of it, and the plain way.
+var (
+	Spread = Policy{Name: "spread", Return: func(r *forward.Returns, now, deadline time.Time, draw float64) time.Time {
+		return r.Reject(pool, now, deadline, draw)
+	}}
+	Constant = Policy{Name: "constant", Return: func(_ *forward.Returns, now, _ time.Time, _ float64) time.Time {
+		return now.Add(constantReturn)
+	}}
+	Hold     = Policy{Name: "hold", Hold: true, Return: Constant.Return}
+	Policies = []Policy{Spread, Constant, Hold}
+)
+
+// Result is what callers saw.
+type Result struct {
+	Policy   string
+	Rate     float64 // offered, in parts of the capacity
+	Goodput  float64 // requests answered in their time, in parts of the capacity, once returning callers are among them
+	InTime   float64 // share of the requests offered that were answered within the objective
+	Answered float64 // share answered within the caller's time
+	P50, P99 time.Duration
+	Attempts float64       // at upstreams, for each request offered
+	Held     time.Duration // longest time that an attempt was held and then turned away untried
+}
+
+// Run plays load under policy.
+func Run(load Load, p Policy) Result {
+	s := newSite(load, p)
+	s.arrive(s.start)
+	for s.step() {
+	}
+	return s.meter.result(load, p)
+}
+
+const pool = "pool"
+
+// route is the route of all requests.
+func (l Load) route() routetable.Route {
+	return routetable.Route{Name: "load", Kind: routetable.Idempotent, Timeout: l.Timeout, Objective: l.Objective, MaxAttempts: 2,
+		Shares: []routetable.Share{{Pool: pool, Weight: 1}}}
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- /dev/null
+++ b/internal/loadsim/meter.go
@@ -0,0 +1,54 @@
+package loadsim
+
+import (
+	"slices"
+	"time"
+)
+
+// meter counts what callers and upstreams see.
+type meter struct {
+	offered  int
+	attempts int             // at upstreams
+	steady   int             // answers while the load stood, from its Timeout to its Time
+	answered []time.Duration // from a caller's first attempt to its answer
+	held     []time.Duration // of attempts that were rejected without being sent on
+}
+
+func (m *meter) result(load Load, p Policy) Result {
+	r := Result{Policy: p.Name, Rate: load.Rate, Held: most(m.held),
+		Goodput: float64(m.steady) / (load.Time - load.Timeout).Seconds() / load.capacity()}
+	if m.offered > 0 {
+		offered := float64(m.offered)
+		r.Answered = float64(len(m.answered)) / offered
+		r.Attempts = float64(m.attempts) / offered
+		inTime := 0
+		for _, d := range m.answered {
+			if d <= load.Objective {
+				inTime++
+			}
+		}
+		r.InTime = float64(inTime) / offered
+	}
+	slices.Sort(m.answered)
+	r.P50, r.P99 = quantile(m.answered, 0.5), quantile(m.answered, 0.99)
+	return r
+}
+
+// answer counts an answer at a time after the start, and how long it took.
+func (m *meter) answer(load Load, after, took time.Duration) {
+	m.answered = append(m.answered, took)
+	if after >= load.Timeout && after < load.Time {
+		m.steady++
+	}
+}
+
+// most returns the longest of ds, 0 of none.
+func most(ds []time.Duration) time.Duration { return slices.Max(append(ds, 0)) }
+
+// quantile returns the q-quantile of sorted times, 0 of none.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(q*float64(len(sorted)-1))]
+}
--- /dev/null
+++ b/internal/loadsim/report.go
@@ -0,0 +1,84 @@
+package loadsim
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// Mean returns the means of results that differ in their seeds only; Held is the
+// longest of them.
+func Mean(results []Result) Result {
+	if len(results) == 0 {
+		return Result{}
+	}
+	out := Result{Policy: results[0].Policy, Rate: results[0].Rate}
+	n := float64(len(results))
+	for _, r := range results {
+		out.Goodput += r.Goodput / n
+		out.InTime += r.InTime / n
+		out.Answered += r.Answered / n
+		out.Attempts += r.Attempts / n
+		out.P50 += r.P50 / time.Duration(len(results))
+		out.P99 += r.P99 / time.Duration(len(results))
+		out.Held = max(out.Held, r.Held)
+	}
+	return out
+}
+
+// Sweep plays load at each of rates, in parts of the capacity, under each of
+// policies with seeds many seeds, and returns the means.
+func Sweep(load Load, policies []Policy, rates []float64, seeds int) []Result {
+	var out []Result
+	for _, p := range policies {
+		for _, rate := range rates {
+			load.Rate = rate
+			out = append(out, Mean(play(load, p, seeds)))
+		}
+	}
+	return out
+}
+
+// play plays load under p with seeds many seeds.
+func play(load Load, p Policy, seeds int) []Result {
+	var out []Result
+	for seed := range uint64(seeds) {
+		load.Seed = seed
+		out = append(out, Run(load, p))
+	}
+	return out
+}
+
+// WriteTable writes results as a table.
+func WriteTable(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "policy\toffered\tgoodput\tanswered\tin objective\tp50\tp99\tattempts\theld untried\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%.2f\t%.3f\t%.3f\t%.3f\t%d ms\t%d ms\t%.2f\t%d ms\t\n", r.Policy, r.Rate, r.Goodput, r.Answered, r.InTime,
+			r.P50.Milliseconds(), r.P99.Milliseconds(), r.Attempts, r.Held.Milliseconds())
+	}
+	return t.Flush()
+}
+
+// WriteChart draws goodput against the load offered, a line for each policy, as SVG.
+func WriteChart(w io.Writer, results []Result) error {
+	lines := map[string]*chart.ContinuousSeries{}
+	var series []chart.Series
+	for _, r := range results {
+		l := lines[r.Policy]
+		if l == nil {
+			l = &chart.ContinuousSeries{Name: r.Policy}
+			lines[r.Policy] = l
+			series = append(series, l)
+		}
+		l.XValues, l.YValues = append(l.XValues, r.Rate), append(l.YValues, r.Goodput)
+	}
+	c := chart.Chart{Width: 720, Height: 400, Series: series,
+		XAxis: chart.XAxis{Name: "offered, in parts of the capacity"},
+		YAxis: chart.YAxis{Name: "goodput, in parts of the capacity", Range: &chart.ContinuousRange{Min: 0, Max: 1.2}}}
+	c.Elements = []chart.Renderable{chart.LegendLeft(&c)}
+	return c.Render(chart.SVG, w)
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -89,6 +89,7 @@
 // Forwarder forwards requests whose answers are sent whole.
 type Forwarder struct {
 	cfg      Config
+	returns  Returns
 	lastTook atomic.Int64 // of the last attempt that was answered, as a time.Duration
 }
 
@@ -115,28 +116,27 @@
 	}
 	for {
 		now := time.Now()
-		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Affinity: affinity})
-		if !ok && len(plan.Tried()) > 0 && plan.MayRepeat() {
-			// Each upstream has been tried: one that had no room may have some now.
-			t, ok = f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now})
-		}
-		if !ok && plan.MayWait(now) && clock.Sleep(ctx, waitStep) {
+		t, wait := plan.Next(f.cfg.Registry, upstream.Want{Pool: pool, At: now, Affinity: affinity})
+		if t == nil && wait > 0 && clock.Sleep(ctx, wait) {
 			continue
 		}
-		if !ok {
-			return plan.end(now, errors.New("no upstream can take the request"))
+		if t == nil {
+			return Answer{}, f.end(plan, pool, now, errNoRoom)
 		}
 		a, err := f.attempt(ctx, plan, t, rt, r)
 		done, err := plan.Ended(t.ID, a.Status, err, time.Now())
 		switch {
 		case done && err == nil:
+			f.returns.Served(pool, time.Now())
 			return a, nil
 		case done:
-			return plan.end(time.Now(), err)
+			return Answer{}, f.end(plan, pool, time.Now(), err)
 		}
 	}
 }
 
+var errNoRoom = errors.New("no upstream can take the request")
+
 // attempt tries r once at the ticket's upstream.
 func (f *Forwarder) attempt(ctx context.Context, plan *Plan, t *upstream.Ticket, rt routetable.Route, r Request) (Answer, error) {
 	begun := time.Now()
@@ -160,7 +160,7 @@
 	rep := upstream.Report{At: time.Now(), Load: load}
 	switch {
 	case err == nil:
-	case Refused(&rep, err, busyPause):
+	case Refused(&rep, err, BusyPause):
 	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
 		// The caller left: that says nothing of the upstream.
 	default:
@@ -185,13 +185,13 @@
 	return true
 }
 
-// end returns the error of a request that gets no answer of an upstream.
-func (p *Plan) end(now time.Time, cause error) (Answer, error) {
+// end returns the error of a request that gets no answer of an upstream of pool.
+func (f *Forwarder) end(p *Plan, pool string, now time.Time, cause error) error {
 	switch {
 	case p.ran > 0 && !now.Before(p.AnswerBy):
-		return Answer{}, verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, cause)
+		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, cause)
 	case p.ran > 0:
-		return Answer{}, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, cause)
+		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, cause)
 	}
-	return Answer{}, verdict.Refuse(http.StatusServiceUnavailable, now.Add(returnAfter), cause)
+	return verdict.Refuse(http.StatusServiceUnavailable, f.returns.Reject(pool, now, p.AnswerBy, rand.Float64()), cause)
 }
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
 const (
@@ -16,14 +17,14 @@
 	// answerMargin is how long before the end of the caller's time the answer
 	// leaves, so that it arrives in time; at most a quarter of that time.
 	answerMargin = 20 * time.Millisecond
-	// busyPause is how long an upstream that had no room is left alone: a few
+	// BusyPause is how long an upstream that had no room is left alone: a few
 	// of its requests end in that time.
-	busyPause = 60 * time.Millisecond
+	BusyPause = 60 * time.Millisecond
 	// waitStep is how often a request that waits for room looks for it.
 	waitStep = 15 * time.Millisecond
-	// returnAfter is when a caller may come back that no upstream could serve:
-	// upstreams that had no room have some then, and entries that were missing
-	// are read again.
+	// returnAfter is when a caller may come back at the soonest that no upstream
+	// could serve: upstreams that had no room have some then, and entries that
+	// were missing are read again.
 	returnAfter = 300 * time.Millisecond
 	// patience is how many objectives an attempt may take before a request
 	// that may be repeated is tried elsewhere; at its objective an answer is
@@ -64,13 +65,34 @@
 
 // MayWait reports whether a request for which no upstream has room at now waits
 // a little rather than be turned away: those that refused others are left alone
-// for busyPause only.
+// for BusyPause only. None waits longer than a quarter of its objective, as its
+// caller could be served elsewhere.
 func (p *Plan) MayWait(now time.Time) bool {
-	limit := busyPause + waitStep
+	limit := BusyPause + waitStep
 	if p.route.Objective > 0 {
 		limit = min(limit, p.route.Objective/4)
 	}
-	return now.Sub(p.begun) < limit && now.Before(p.AnswerBy)
+	after := now.Add(waitStep)
+	return after.Sub(p.begun) <= limit && after.Before(p.AnswerBy)
+}
+
+// Next returns a ticket of the upstream that the request is sent to next, or how
+// long it waits before it asks again; neither if it is to be turned away.
+func (p *Plan) Next(r *upstream.Registry, w upstream.Want) (*upstream.Ticket, time.Duration) {
+	w.Except = p.tried
+	if t, ok := r.Acquire(w); ok {
+		return t, 0
+	}
+	if len(p.tried) > 0 && p.MayRepeat() {
+		// Each upstream has been tried: one that had no room may have some now.
+		if t, ok := r.Acquire(upstream.Want{Pool: w.Pool, At: w.At}); ok {
+			return t, 0
+		}
+	}
+	if p.MayWait(w.At) {
+		return nil, waitStep
+	}
+	return nil, 0
 }
 
 // Tried returns the upstreams that the request was sent to.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -66,8 +66,8 @@
 	r.Deadline = plan.AnswerBy
 	ctx, cancel := context.WithDeadline(ctx, plan.AnswerBy)
 	defer cancel()
-	s := &streaming{f: f, plan: plan, route: rt, request: r, sink: sink}
 	pool := rt.Pick(rand.Float64())
+	s := &streaming{f: f, plan: plan, route: rt, pool: pool, request: r, sink: sink}
 	for {
 		now := time.Now()
 		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: model, Affinity: prompt})
@@ -75,10 +75,11 @@
 			continue
 		}
 		if !ok {
-			return s.end(now, errors.New("no upstream can take the request"))
+			return s.end(now, errNoRoom)
 		}
 		status, err := s.attempt(ctx, t)
 		if err == nil && s.complete {
+			f.returns.Served(pool, time.Now())
 			return nil
 		}
 		done, err := plan.Ended(t.ID, status, err, time.Now())
@@ -93,6 +94,7 @@
 	f        *Forwarder
 	plan     *Plan
 	route    routetable.Route
+	pool     string
 	request  Request
 	sink     Sink
 	begun    bool // the caller has the header
@@ -105,8 +107,7 @@
 	if s.begun {
 		return errors.Join(ErrBroken, err)
 	}
-	_, err = s.plan.end(now, err)
-	return err
+	return s.f.end(s.plan, s.pool, now, err)
 }
 
 // attempt asks one upstream, and passes on what it gives.
