--- a/pkg/entry/reduce_catalogue.go
+++ b/pkg/control/catalogue.go
@@ -1,4 +1,4 @@
-package entry
+package control
 
 import (
 	"maps"
@@ -12,36 +12,36 @@
 
 // onCatalogue applies the rows read, each only if it is newer than the one
 // applied before, so that no read can take a change back.
-func (s state) onCatalogue(e catalogueRead) (state, []effect) {
+func (s State) onCatalogue(e CatalogueRead) (State, []Effect) {
 	s = s.ended(task{kind: catalogueTask})
-	if e.err != nil {
-		return s.platformDown(e.err)
+	if e.Err != nil {
+		return s.platformDown(e.Err)
 	}
 	s, effs := s.platformUp()
-	if e.unchanged {
+	if e.Unchanged {
 		return s, effs
 	}
-	snap, err := catalogue.Decode(e.rows)
+	snap, err := catalogue.Decode(e.Rows)
 	if err != nil {
-		return s, append(effs, logChange{msg: "catalogue unreadable", kv: []any{"err", err}})
+		return s, append(effs, LogChange{Message: "catalogue unreadable", Fields: []any{"err", err}})
 	}
-	targets, err := decodeTargets(e.rows)
+	targets, err := decodeTargets(e.Rows)
 	if err != nil {
-		return s, append(effs, logChange{msg: "weight target unreadable", kv: []any{"err", err}})
+		return s, append(effs, LogChange{Message: "weight target unreadable", Fields: []any{"err", err}})
 	}
-	s.revisionNumber, s.revisionRow = max(s.revisionNumber, e.number), max(s.revisionRow, e.revision)
-	v := s.view.cloneCatalogue()
+	s.revisionNumber, s.revisionRow = max(s.revisionNumber, e.Number), max(s.revisionRow, e.Revision)
+	v := s.View.cloneCatalogue()
 	newest, changed := v.apply(snap, targets)
 	if changed == 0 {
 		return s, effs
 	}
 	s.revision = max(s.revision, newest)
 	s.engines, s.poolsOf = engineAddrs(v.Pools)
-	s.view = v
+	s.View = v
 	s = s.choosePools()
-	return s, append(effs, publish{v},
-		logChange{msg: "catalogue applied", kv: []any{"items", changed, "revision", s.revision}},
-		hintPeers{revision: s.revision, draining: s.self.Draining})
+	return s, append(effs, Publish{v},
+		LogChange{Message: "catalogue applied", Fields: []any{"items", changed, "revision", s.revision}},
+		HintPeers{Revision: s.revision, Draining: s.self.Draining})
 }
 
 // cloneCatalogue returns a copy of v whose catalogue can be changed.
--- a/pkg/entry/loads.go
+++ b/pkg/control/loads.go
@@ -1,4 +1,4 @@
-package entry
+package control
 
 import (
 	"sync"
@@ -6,10 +6,10 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 )
 
-// loadTable keeps the last load report of each engine by address. The control
+// LoadTable keeps the last load report of each engine by address. The control
 // goroutine stores reports; traffic reads them, and stores the loads that
 // engines tell with their answers, which cost no call.
-type loadTable struct {
+type LoadTable struct {
 	mu      sync.RWMutex
 	reports map[string]loadReport
 }
@@ -25,36 +25,36 @@
 // this instance has in flight at the engine.
 func othersIn(l engine.Load, own int64) int64 { return max(0, int64(l.Active+l.Queued)-own) }
 
-func newLoadTable() *loadTable {
-	return &loadTable{reports: map[string]loadReport{}}
+func newLoadTable() *LoadTable {
+	return &LoadTable{reports: map[string]loadReport{}}
 }
 
-func (t *loadTable) get(addr string) (engine.LoadReport, bool) {
+func (t *LoadTable) get(addr string) (engine.LoadReport, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	rep, ok := t.reports[addr]
 	return rep.LoadReport, ok
 }
 
-// others returns how many requests of others the engine at addr is believed
+// Others returns how many requests of others the engine at addr is believed
 // to hold.
-func (t *loadTable) others(addr string) int64 {
+func (t *LoadTable) Others(addr string) int64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.reports[addr].others
 }
 
-// put stores rep, read while this instance had own requests in flight at the
+// Put stores rep, read while this instance had own requests in flight at the
 // engine.
-func (t *loadTable) put(addr string, rep engine.LoadReport, own int64) {
+func (t *LoadTable) Put(addr string, rep engine.LoadReport, own int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reports[addr] = loadReport{LoadReport: rep, others: othersIn(engine.Load{Active: rep.Active, Queued: rep.Queued}, own)}
 }
 
-// told stores the load that the engine at addr told with an answer, while
+// Told stores the load that the engine at addr told with an answer, while
 // this instance had own requests in flight at it.
-func (t *loadTable) told(addr string, l engine.Load, own int64) {
+func (t *LoadTable) Told(addr string, l engine.Load, own int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rep, ok := t.reports[addr]
--- a/pkg/entry/reduce_rollout.go
+++ b/pkg/control/rollout.go
@@ -1,4 +1,4 @@
-package entry
+package control
 
 import (
 	"errors"
@@ -22,19 +22,19 @@
 
 // tickRollouts runs the rollouts of the pools this instance is preferred
 // for, and gives up those it no longer is.
-func (s state) tickRollouts(now time.Time, effs []effect) (state, []effect) {
+func (s State) tickRollouts(now time.Time, effs []Effect) (State, []Effect) {
 	for _, name := range s.rolloutNames() {
-		p := s.view.Pools[name]
+		p := s.View.Pools[name]
 		pr, preferred := s.rollouts[name], s.rolling[name]
-		cfg := s.timing.rollout
+		cfg := s.timing.Rollout
 		cfg.MaxLoading = p.LoadingBudget()
 		pr.Rollout.Config = cfg
 		pr.Rollout, _ = pr.Reduce(weights.Pool{Addresses: p.Orderable()})
-		pr.Rollout, _ = pr.Reduce(weights.Named{Version: s.view.Targets[name].Version})
+		pr.Rollout, _ = pr.Reduce(weights.Named{Version: s.View.Targets[name].Version})
 		if pr.Idle() && (!preferred || pr.Converged()) && pr.Fencing != 0 {
 			pr.Rollout, _ = pr.Reduce(weights.Lost{})
 			pr.nextLease = time.Time{} // the next version need not wait
-			effs = append(effs, releaseRolloutLease{pool: name})
+			effs = append(effs, ReleaseRolloutLease{Pool: name})
 		}
 		if !preferred && pr.Idle() {
 			s.rollouts = maps.Clone(s.rollouts)
@@ -49,7 +49,7 @@
 
 // rolloutNames returns the pools whose rollout this instance runs or should
 // run, sorted.
-func (s state) rolloutNames() []string {
+func (s State) rolloutNames() []string {
 	names := slices.Collect(maps.Keys(s.rolling))
 	for name := range s.rollouts {
 		if !s.rolling[name] {
@@ -62,10 +62,10 @@
 
 // choosePools finds the pools whose rollout this instance is preferred for.
 // It is called when the membership, the catalogue or a target changed.
-func (s state) choosePools() state {
+func (s State) choosePools() State {
 	s.rolling = map[string]bool{}
-	for name := range s.view.Targets {
-		if p, ok := s.view.Pools[name]; ok && p.Kind == catalogue.Engines && s.preferred("rollout/"+name) {
+	for name := range s.View.Targets {
+		if p, ok := s.View.Pools[name]; ok && p.Kind == catalogue.Engines && s.preferred("rollout/"+name) {
 			s.rolling[name] = true
 		}
 	}
@@ -74,27 +74,27 @@
 
 // stepRollout takes the lease while engines are behind, sends the orders
 // due and reads the reports due.
-func (s state) stepRollout(name string, pr poolRollout, preferred bool, now time.Time, effs []effect) (state, poolRollout, []effect) {
+func (s State) stepRollout(name string, pr poolRollout, preferred bool, now time.Time, effs []Effect) (State, poolRollout, []Effect) {
 	behind := pr.Behind()
 	if preferred && len(behind) > 0 && !now.Before(pr.nextLease) {
 		var ok bool
 		if s, ok = s.begin(task{kind: rolloutTask, name: name}); ok {
-			pr.nextLease = now.Add(s.timing.rolloutRenew)
-			effs = append(effs, takeRolloutLease{pool: name})
+			pr.nextLease = now.Add(s.timing.RolloutRenew)
+			effs = append(effs, TakeRolloutLease{Pool: name})
 		}
 	}
 	var orders []weights.Order
 	pr.Rollout, orders = pr.Reduce(weights.Tick{At: now})
 	for _, o := range orders {
-		effs = append(effs, sendOrder{pool: name, order: o})
+		effs = append(effs, SendOrder{Pool: name, Order: o})
 	}
 	var probes []string
 	switch {
 	case !now.Before(pr.nextCheck):
-		pr.nextCheck, pr.nextProbe = now.Add(s.timing.rolloutCheck), now.Add(s.timing.rolloutProbe)
+		pr.nextCheck, pr.nextProbe = now.Add(s.timing.RolloutCheck), now.Add(s.timing.RolloutProbe)
 		probes = slices.Sorted(maps.Keys(pr.Engines))
 	case !now.Before(pr.nextProbe):
-		pr.nextProbe = now.Add(s.timing.rolloutProbe)
+		pr.nextProbe = now.Add(s.timing.RolloutProbe)
 		probes = behind
 	}
 	s, effs = s.probe(probes, pr, effs)
@@ -103,7 +103,7 @@
 
 // probe reads the load reports of the engines at addrs that have no order
 // outstanding.
-func (s state) probe(addrs []string, pr poolRollout, effs []effect) (state, []effect) {
+func (s State) probe(addrs []string, pr poolRollout, effs []Effect) (State, []Effect) {
 	for _, a := range addrs {
 		if pr.Engines[a].OrderEndsAt.IsZero() {
 			s, effs = s.readReport(a, effs)
@@ -112,7 +112,7 @@
 	return s, effs
 }
 
-func (s state) withRollout(name string, pr poolRollout) state {
+func (s State) withRollout(name string, pr poolRollout) State {
 	s.rollouts = maps.Clone(s.rollouts)
 	if s.rollouts == nil {
 		s.rollouts = map[string]poolRollout{}
@@ -121,55 +121,55 @@
 	return s
 }
 
-func (s state) onRolloutLease(e rolloutLease) (state, []effect) {
-	s = s.ended(task{kind: rolloutTask, name: e.pool})
-	pr, ok := s.rollouts[e.pool]
+func (s State) onRolloutLease(e RolloutLease) (State, []Effect) {
+	s = s.ended(task{kind: rolloutTask, name: e.Pool})
+	pr, ok := s.rollouts[e.Pool]
 	if !ok {
 		return s, nil
 	}
 	before := pr.Fencing != 0
 	switch {
-	case e.err == nil:
-		pr.Rollout, _ = pr.Reduce(weights.Held{Fencing: e.held.Fencing, Until: e.held.ValidUntil})
-	case errors.Is(e.err, lease.ErrHeld):
+	case e.Err == nil:
+		pr.Rollout, _ = pr.Reduce(weights.Held{Fencing: e.Held.Fencing, Until: e.Held.ValidUntil})
+	case errors.Is(e.Err, lease.ErrHeld):
 		pr.Rollout, _ = pr.Reduce(weights.Lost{})
 	}
-	s = s.withRollout(e.pool, pr)
+	s = s.withRollout(e.Pool, pr)
 	if held := pr.Fencing != 0; held && !before {
-		return s, []effect{logChange{msg: "rollout begun", kv: []any{"pool", e.pool, "version", pr.Target, "fencing", pr.Fencing}}}
+		return s, []Effect{LogChange{Message: "rollout begun", Fields: []any{"pool", e.Pool, "version", pr.Target, "fencing", pr.Fencing}}}
 	}
 	return s, nil
 }
 
-func (s state) onOrderEnded(e orderEnded) (state, []effect) {
-	pr, ok := s.rollouts[e.pool]
+func (s State) onOrderEnded(e OrderEnded) (State, []Effect) {
+	pr, ok := s.rollouts[e.Pool]
 	if !ok {
 		return s, nil
 	}
-	pr.Rollout, _ = pr.Reduce(e.ordered)
-	s = s.withRollout(e.pool, pr)
+	pr.Rollout, _ = pr.Reduce(e.Ordered)
+	s = s.withRollout(e.Pool, pr)
 	if pr.Converged() {
-		return s, []effect{logChange{msg: "rollout done", kv: []any{"pool", e.pool, "version", pr.Target}}}
+		return s, []Effect{LogChange{Message: "rollout done", Fields: []any{"pool", e.Pool, "version", pr.Target}}}
 	}
 	return s, nil
 }
 
 // onReport keeps an engine's load report and tells the rollouts it is in.
-func (s state) onReport(e reportRead) (state, []effect) {
-	s = s.ended(task{kind: reportTask, name: e.addr})
-	if e.err != nil {
+func (s State) onReport(e ReportRead) (State, []Effect) {
+	s = s.ended(task{kind: reportTask, name: e.Address})
+	if e.Err != nil {
 		return s, nil // a missing report leaves the last one, which ages
 	}
-	effs := []effect{storeReport{addr: e.addr, rep: e.rep}}
-	for _, name := range s.poolsOf[e.addr] {
-		if _, named := s.view.Targets[name]; !named && e.rep.WeightVersion > s.view.Newest[name] {
-			s.view = s.view.clone()
-			s.view.Newest = maps.Clone(s.view.Newest)
-			s.view.Newest[name] = e.rep.WeightVersion
-			effs = append(effs, publish{s.view})
+	effs := []Effect{StoreReport{Address: e.Address, Report: e.Report}}
+	for _, name := range s.poolsOf[e.Address] {
+		if _, named := s.View.Targets[name]; !named && e.Report.WeightVersion > s.View.Newest[name] {
+			s.View = s.View.clone()
+			s.View.Newest = maps.Clone(s.View.Newest)
+			s.View.Newest[name] = e.Report.WeightVersion
+			effs = append(effs, Publish{s.View})
 		}
 		if pr, ok := s.rollouts[name]; ok {
-			pr.Rollout, _ = pr.Reduce(weights.Reported{Address: e.addr, Report: e.rep, At: e.at})
+			pr.Rollout, _ = pr.Reduce(weights.Reported{Address: e.Address, Report: e.Report, At: e.At})
 			s = s.withRollout(name, pr)
 		}
 	}
--- a/pkg/entry/state.go
+++ b/pkg/control/state.go
@@ -1,4 +1,4 @@
-package entry
+package control
 
 import (
 	"maps"
@@ -10,29 +10,30 @@
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
-// timing holds the periods of the control loop.
-type timing struct {
-	refresh      time.Duration // catalogue revision and membership reads
-	fullScan     time.Duration // a whole catalogue read even if unchanged
-	leaseTTL     time.Duration // of memberships, at least
-	shardTTL     time.Duration // of step shards' leases, at least
-	reports      time.Duration // period of load report rounds
-	reportBudget int           // load report reads per round, at most
-	sweep        time.Duration // period of delivery sweeps
-	sweepGrace   time.Duration // age before a record is swept
-	purge        time.Duration // period of removing what is long gone
-	steps        time.Duration // period of reading the steps kept
-	rollout      weights.Config
-	rolloutRenew time.Duration // period of taking a rollout lease again
-	rolloutProbe time.Duration // period of reading the reports of engines behind
-	rolloutCheck time.Duration // period of reading the reports of all a pool's engines
+// Timing holds the periods of the control loop.
+type Timing struct {
+	Refresh      time.Duration // catalogue revision and membership reads
+	FullScan     time.Duration // a whole catalogue read even if unchanged
+	LeaseTTL     time.Duration // of memberships, at least
+	ShardTTL     time.Duration // of step shards' leases, at least
+	Reports      time.Duration // period of load report rounds
+	ReportBudget int           // load report reads per round, at most
+	Sweep        time.Duration // period of delivery sweeps
+	SweepGrace   time.Duration // age before a record is swept
+	Purge        time.Duration // period of removing what is long gone
+	Steps        time.Duration // period of reading the steps kept
+	Rollout      weights.Config
+	RolloutRenew time.Duration // period of taking a rollout lease again
+	RolloutProbe time.Duration // period of reading the reports of engines behind
+	RolloutCheck time.Duration // period of reading the reports of all a pool's engines
 }
 
-// state is the control state, owned by the control goroutine alone.
-type state struct {
+// State is the control state. Reduce returns a new one and leaves the old one as
+// it is.
+type State struct {
 	self   Member
-	timing timing
-	view   *View
+	timing Timing
+	View   *View // what traffic reads
 	// pending holds the work under way, so that none is doubled, and next
 	// says when periodic work is due.
 	pending map[task]bool
@@ -51,16 +52,17 @@
 	rolling        map[string]bool        // pools whose rollout it should run
 	instancesSeq   uint64                 // sequence number of the instance list applied
 	stepsSeen      map[string]bool        // open steps seen, by step.Key
-	shards         map[shardID]bool       // step shards this instance runs or waits to run
+	shards         map[ShardID]bool       // step shards this instance runs or waits to run
 }
 
-func newState(self Member, t timing) state {
-	return state{
+// New returns the state of the instance self, which knows nothing yet.
+func New(self Member, t Timing) State {
+	return State{
 		self:   self,
 		timing: t,
-		view: &View{Entries: map[string]catalogue.Entry{}, Customers: map[string]catalogue.Customer{},
+		View: &View{Entries: map[string]catalogue.Entry{}, Customers: map[string]catalogue.Customer{},
 			Instances: map[string]platform.InstanceState{}, Pools: map[string]catalogue.Pool{},
-			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, loads: newLoadTable(), Newest: map[string]uint64{}},
+			Versions: map[string]uint64{}, Targets: map[string]weights.Target{}, Loads: newLoadTable(), Newest: map[string]uint64{}},
 		pending:    map[task]bool{},
 		next:       map[taskKind]time.Time{},
 		platformOK: true,
@@ -93,7 +95,7 @@
 
 // due reports whether periodic work of kind k is due at now, and if so makes
 // it due again after period.
-func (s state) due(k taskKind, now time.Time, period time.Duration) (state, bool) {
+func (s State) due(k taskKind, now time.Time, period time.Duration) (State, bool) {
 	if now.Before(s.next[k]) {
 		return s, false
 	}
@@ -103,7 +105,7 @@
 }
 
 // soon makes periodic work of kind k due at once.
-func (s state) soon(k taskKind) state {
+func (s State) soon(k taskKind) State {
 	s.next = maps.Clone(s.next)
 	delete(s.next, k)
 	return s
@@ -111,7 +113,7 @@
 
 // begin marks t as under way until its event comes, or reports false if it
 // is already.
-func (s state) begin(t task) (state, bool) {
+func (s State) begin(t task) (State, bool) {
 	if s.pending[t] {
 		return s, false
 	}
@@ -121,7 +123,7 @@
 }
 
 // beginDue begins periodic work of kind k if it is due and not under way.
-func (s state) beginDue(k taskKind, now time.Time, period time.Duration) (state, bool) {
+func (s State) beginDue(k taskKind, now time.Time, period time.Duration) (State, bool) {
 	if s.pending[task{kind: k}] {
 		return s, false
 	}
@@ -133,7 +135,7 @@
 }
 
 // ended marks t as no longer under way.
-func (s state) ended(t task) state {
+func (s State) ended(t task) State {
 	s.pending = maps.Clone(s.pending)
 	delete(s.pending, t)
 	return s
--- a/pkg/entry/reduce_steps.go
+++ b/pkg/control/steps.go
@@ -1,4 +1,4 @@
-package entry
+package control
 
 import (
 	"maps"
@@ -10,17 +10,17 @@
 
 // onSteps runs the shards of open steps that this instance is preferred
 // for, and passes word of steps it had not seen on to its peers.
-func (s state) onSteps(e stepsRead) (state, []effect) {
+func (s State) onSteps(e StepsRead) (State, []Effect) {
 	s = s.ended(task{kind: stepsTask})
-	if e.err != nil {
-		return s.platformDown(e.err)
+	if e.Err != nil {
+		return s.platformDown(e.Err)
 	}
-	var effs []effect
+	var effs []Effect
 	fresh := false
-	ttl := leaseTTL(openShards(e.heads), s.timing.shardTTL)
+	ttl := leaseTTL(openShards(e.Heads), s.timing.ShardTTL)
 	seen := map[string]bool{}
-	for _, key := range slices.Sorted(maps.Keys(e.heads)) {
-		head := e.heads[key]
+	for _, key := range slices.Sorted(maps.Keys(e.Heads)) {
+		head := e.Heads[key]
 		if head.Closed != "" {
 			continue
 		}
@@ -30,7 +30,7 @@
 	}
 	s.stepsSeen = seen
 	if fresh {
-		effs = append(effs, hintPeers{revision: s.revision, draining: s.self.Draining, steps: true})
+		effs = append(effs, HintPeers{Revision: s.revision, Draining: s.self.Draining, Steps: true})
 	}
 	return s, effs
 }
@@ -46,24 +46,24 @@
 	return n
 }
 
-func (s state) startShards(key string, head step.Head, ttl time.Duration, effs []effect) (state, []effect) {
+func (s State) startShards(key string, head step.Head, ttl time.Duration, effs []Effect) (State, []Effect) {
 	for k := range head.Shards {
-		id := shardID{Step: key, Shard: k}
+		id := ShardID{Step: key, Shard: k}
 		if s.shards[id] || s.self.Draining || !s.preferred(step.ShardKey(key, k)) {
 			continue
 		}
 		s.shards = maps.Clone(s.shards)
 		if s.shards == nil {
-			s.shards = map[shardID]bool{}
+			s.shards = map[ShardID]bool{}
 		}
 		s.shards[id] = true
-		effs = append(effs, runShard{id: id, ttl: ttl})
+		effs = append(effs, RunShard{ID: id, TTL: ttl})
 	}
 	return s, effs
 }
 
-func (s state) onShardEnded(e shardEnded) (state, []effect) {
+func (s State) onShardEnded(e ShardEnded) (State, []Effect) {
 	s.shards = maps.Clone(s.shards)
-	delete(s.shards, e.id)
+	delete(s.shards, e.ID)
 	return s, nil
 }
--- a/pkg/entry/admit.go
+++ b/pkg/entry/admit.go
@@ -24,7 +24,7 @@
 	if v.Draining {
 		return catalogue.Entry{}, nil, verdict.Refuse(http.StatusServiceUnavailable, in.cfg.Clock.Now(), errDraining)
 	}
-	e, err := v.entryFor(customer, name)
+	e, err := v.EntryFor(customer, name)
 	if err != nil {
 		return catalogue.Entry{}, nil, err
 	}
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -111,5 +111,5 @@
 
 // claims returns what claims of calls need.
 func (in *Instance) claims() claim.Config {
-	return claim.Config{Get: in.cfg.Platform.Get, Commit: in.commit, Clock: in.cfg.Clock, Timeout: in.cfg.PlatformTimeout, ComeBackAt: in.comeBackAt}
+	return claim.Config{Get: in.cfg.Platform.Get, Commit: in.cfg.Platform.Commit, Clock: in.cfg.Clock, Timeout: in.cfg.PlatformTimeout, ComeBackAt: in.comeBackAt}
 }
--- a/pkg/entry/choose.go
+++ b/pkg/entry/choose.go
@@ -77,7 +77,7 @@
 // loadOf is the believed load of an upstream: this instance's own requests in
 // flight to it, which are exact, and those of others when it last told.
 func (in *Instance) loadOf(v *View, addr string) float64 {
-	return float64(in.load.Get(addr) + v.loads.others(addr))
+	return float64(in.load.Get(addr) + v.Loads.Others(addr))
 }
 
 // distanceLoad is the load that sending to another data centre counts for: it
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -104,6 +104,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Platform != nil {
+		c.Platform = c.Platform.Within(c.PlatformTimeout) // a slow platform gives callers a prompt refusal
+	}
 }
 
 func (c *Config) setTimes() {
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -105,7 +105,7 @@
 		if oldest := d.oldest(); oldest == 0 || oldest+e.MaxVersionLag < newest {
 			return 0, errTooStale
 		}
-		rows, err := in.commit(ctx, append([]platform.Op{put, platform.Check(targetKey, target)}, ops...)...)
+		rows, err := in.cfg.Platform.Commit(ctx, append([]platform.Op{put, platform.Check(targetKey, target)}, ops...)...)
 		var ce *platform.ConflictError
 		switch {
 		case err == nil:
@@ -128,14 +128,6 @@
 	}
 }
 
-// commit commits ops within the platform timeout, so that a slow platform
-// gives the caller a prompt refusal rather than a wait.
-func (in *Instance) commit(ctx context.Context, ops ...platform.Op) ([]platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
-	return in.cfg.Platform.Commit(ctx, ops...)
-}
-
 // oldest returns the oldest weight version that produced any of d's
 // samples, or 0 if a sample names none.
 func (d Delivery) oldest() uint64 {
@@ -188,7 +180,7 @@
 // whether it learned them all or found some too old. If they have grown too
 // old since they were recorded they are not sent.
 func (in *Instance) deliver(ctx context.Context, d Delivery) (learned bool, err error) {
-	if e, ok := in.View().Entries[d.Entry]; ok && in.View().outOfBound(e, d.oldest()) {
+	if e, ok := in.View().Entries[d.Entry]; ok && in.View().OutOfBound(e, d.oldest()) {
 		in.stats.samplesStale.Inc(int64(len(d.Samples)))
 		return false, nil
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/admission"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/health"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
 	"github.com/zinnialadder/zinnialadder/pkg/retry"
@@ -48,9 +49,9 @@
 type Instance struct {
 	cfg    Config
 	self   Member
-	timing timing
+	timing control.Timing
 	view   atomic.Pointer[View]
-	events chan event
+	events chan control.Event
 	group  *errgroup.Group
 	sends  errgroup.Group // sample sends after their requests answered
 	steps  errgroup.Group // shards of training steps
@@ -85,13 +86,13 @@
 	in := &Instance{
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, Peer: cfg.PeerAdvertise, DataCentre: cfg.DataCentre},
-		timing: timing{refresh: cfg.Refresh, fullScan: cfg.FullScan, leaseTTL: cfg.LeaseTTL, shardTTL: cfg.ShardLeaseTTL,
-			reports: cfg.ReportInterval, reportBudget: cfg.ReportBudget, sweep: cfg.SweepInterval, sweepGrace: cfg.SweepGrace, purge: cfg.PurgeInterval,
-			steps: cfg.StepRefresh,
-			rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
+		timing: control.Timing{Refresh: cfg.Refresh, FullScan: cfg.FullScan, LeaseTTL: cfg.LeaseTTL, ShardTTL: cfg.ShardLeaseTTL,
+			Reports: cfg.ReportInterval, ReportBudget: cfg.ReportBudget, Sweep: cfg.SweepInterval, SweepGrace: cfg.SweepGrace, Purge: cfg.PurgeInterval,
+			Steps: cfg.StepRefresh,
+			Rollout: weights.Config{SendMargin: cfg.RolloutLeaseTTL / 10, OrderTimeout: cfg.OrderTimeout,
 				RetryDelay: cfg.RolloutProbe, ReportLag: cfg.ReportLag},
-			rolloutRenew: cfg.RolloutLeaseTTL / renewalsPerTTL, rolloutProbe: cfg.RolloutProbe, rolloutCheck: cfg.RolloutCheck},
-		events:     make(chan event, 64),
+			RolloutRenew: cfg.RolloutLeaseTTL / control.RenewalsPerTTL, RolloutProbe: cfg.RolloutProbe, RolloutCheck: cfg.RolloutCheck},
+		events:     make(chan control.Event, 64),
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
 		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
 		policy:     route.Policy{Slack: affinitySlack},
@@ -103,7 +104,7 @@
 	}
 	in.stepsCtx, in.stopSteps = context.WithCancel(context.Background())
 	in.sendsCtx, in.leaveSends = context.WithCancel(context.Background())
-	in.view.Store(newState(in.self, in.timing).view)
+	in.view.Store(control.New(in.self, in.timing).View)
 	in.peers = newLinks(in)
 	return in, nil
 }
@@ -148,7 +149,7 @@
 // drain tells callers for a while to move, stops new work, and waits for
 // requests in flight.
 func (in *Instance) drain(srv *http.Server) {
-	in.events <- drainBegun{}
+	in.events <- control.DrainBegun{}
 	in.cfg.Logger.Info("shutdown begun; finishing requests in flight", "in_flight", in.load.Total(entryPlace))
 	in.stopSteps()
 	time.Sleep(in.cfg.DrainNotice)
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -128,13 +128,13 @@
 func (g *generation) pickUntried() (string, error) {
 	view := g.in.View()
 	var ups []catalogue.Upstream
-	for _, u := range view.live(g.entry.Pool, catalogue.Engines) {
+	for _, u := range view.Live(g.entry.Pool, catalogue.Engines) {
 		if slices.Contains(g.tried, u.Address) || g.entry.Class == catalogue.Training && g.tooStale(view, u.Address) {
 			continue
 		}
 		ups = append(ups, u)
 	}
-	loading := func(u catalogue.Upstream) bool { return view.reportOf(u.Address).Loading }
+	loading := func(u catalogue.Upstream) bool { return view.ReportOf(u.Address).Loading }
 	if addr, ok := g.in.choose(view, ups, loading, affinity(g.req.Prompt)); ok {
 		return addr, nil
 	}
@@ -145,7 +145,7 @@
 // version older than the entry allows.
 func (g *generation) tooStale(v *View, addr string) bool {
 	rep, ok := v.Report(addr)
-	return ok && v.outOfBound(g.entry, rep.WeightVersion)
+	return ok && v.OutOfBound(g.entry, rep.WeightVersion)
 }
 
 // affinityLen is how much of a prompt decides which engine's prefix cache
@@ -179,7 +179,7 @@
 	}
 	defer s.Close()
 	if s.HasLoad {
-		g.in.View().loads.told(addr, s.Load, g.in.load.Get(addr))
+		g.in.View().Loads.Told(addr, s.Load, g.in.load.Get(addr))
 	}
 	watch := paceWatch{clock: g.in.cfg.Clock}
 	defer watch.tell(g.in.paces, addr)
@@ -246,7 +246,7 @@
 	if n := len(g.labels); n == 0 || g.labels[n-1] != c.WeightVersion {
 		g.labels = append(g.labels, c.WeightVersion)
 	}
-	if g.entry.Class == catalogue.Training && g.in.View().outOfBound(g.entry, slices.Min(g.labels)) {
+	if g.entry.Class == catalogue.Training && g.in.View().OutOfBound(g.entry, slices.Min(g.labels)) {
 		return errTooStale
 	}
 	g.text.WriteString(c.Text)
--- a/pkg/entry/hints.go
+++ b/pkg/entry/hints.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/zinnialadder/zinnialadder/internal/peerpb"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
 )
 
@@ -15,7 +16,7 @@
 		Go:      func(f func() error) { in.group.Go(f) },
 		Targets: in.hintTargets,
 		Receive: func(ctx context.Context, h *peerpb.Hint) {
-			in.post(ctx, hinted{revision: h.CatalogueRevision, draining: h.Draining, steps: h.Steps})
+			in.post(ctx, control.Hinted{Revision: h.CatalogueRevision, Draining: h.Draining, Steps: h.Steps})
 		},
 	})
 }
@@ -34,6 +35,6 @@
 }
 
 // hint returns the message of an effect that tells peers something.
-func (in *Instance) hint(e hintPeers) *peerpb.Hint {
-	return &peerpb.Hint{From: in.cfg.ID, CatalogueRevision: e.revision, Draining: e.draining, Steps: e.steps}
+func (in *Instance) hint(e control.HintPeers) *peerpb.Hint {
+	return &peerpb.Hint{From: in.cfg.ID, CatalogueRevision: e.Revision, Draining: e.Draining, Steps: e.Steps}
 }
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 
@@ -18,33 +19,33 @@
 // through reduce and carries out the effects. I/O effects run on the
 // group's goroutines and come back as events.
 func (in *Instance) control(ctx context.Context) error {
-	st := newState(in.self, in.timing)
+	st := control.New(in.self, in.timing)
 	ticker := time.NewTicker(in.cfg.Tick)
 	defer ticker.Stop()
-	st, effs := reduce(st, tick{at: in.cfg.Clock.Now()})
+	st, effs := control.Reduce(st, control.Tick{At: in.cfg.Clock.Now()})
 	in.run(ctx, effs)
 	for {
-		var ev event
+		var ev control.Event
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			ev = tick{at: in.cfg.Clock.Now()}
+			ev = control.Tick{At: in.cfg.Clock.Now()}
 		case ev = <-in.events:
 		}
-		st, effs = reduce(st, ev)
+		st, effs = control.Reduce(st, ev)
 		in.run(ctx, effs)
 		if soon(ev) {
-			st, effs = reduce(st, tick{at: in.cfg.Clock.Now()})
+			st, effs = control.Reduce(st, control.Tick{At: in.cfg.Clock.Now()})
 			in.run(ctx, effs)
 		}
 	}
 }
 
 // soon reports whether ev asks for a tick at once rather than at its time.
-func soon(ev event) bool {
+func soon(ev control.Event) bool {
 	switch ev.(type) {
-	case hinted, stepAccepted:
+	case control.Hinted, control.StepAccepted:
 		return true
 	}
 	return false
@@ -52,27 +53,27 @@
 
 // shard runs a step's shard on the steps group until it ends or the
 // instance drains.
-func (in *Instance) shard(ctx context.Context, e runShard) {
+func (in *Instance) shard(ctx context.Context, e control.RunShard) {
 	in.steps.Go(func() error {
 		err := in.runShard(in.stepsCtx, e)
-		in.cfg.Logger.Debug("step shard ended", "shard", e.id, "err", err)
-		in.post(ctx, shardEnded{id: e.id})
+		in.cfg.Logger.Debug("step shard ended", "shard", e.ID, "err", err)
+		in.post(ctx, control.ShardEnded{ID: e.ID})
 		return nil
 	})
 }
 
-func (in *Instance) run(ctx context.Context, effs []effect) {
+func (in *Instance) run(ctx context.Context, effs []control.Effect) {
 	for _, eff := range effs {
 		switch e := eff.(type) {
-		case storeReport:
-			in.View().loads.put(e.addr, e.rep, in.load.Get(e.addr))
-		case publish:
-			in.view.Store(e.view)
-		case logChange:
-			in.cfg.Logger.Info(e.msg, e.kv...)
-		case hintPeers:
+		case control.StoreReport:
+			in.View().Loads.Put(e.Address, e.Report, in.load.Get(e.Address))
+		case control.Publish:
+			in.view.Store(e.View)
+		case control.LogChange:
+			in.cfg.Logger.Info(e.Message, e.Fields...)
+		case control.HintPeers:
 			in.peers.Hint(in.hint(e))
-		case runShard:
+		case control.RunShard:
 			in.shard(ctx, e)
 		default:
 			in.io(ctx, eff)
@@ -81,7 +82,7 @@
 }
 
 // io carries out an effect that needs the network, on a group goroutine.
-func (in *Instance) io(ctx context.Context, eff effect) {
+func (in *Instance) io(ctx context.Context, eff control.Effect) {
 	in.group.Go(func() error {
 		ioCtx, cancel := context.WithTimeout(ctx, in.timeoutOf(eff))
 		defer cancel()
@@ -91,53 +92,53 @@
 }
 
 // timeoutOf returns how long eff may take.
-func (in *Instance) timeoutOf(eff effect) time.Duration {
+func (in *Instance) timeoutOf(eff control.Effect) time.Duration {
 	switch eff.(type) {
-	case sendOrder:
+	case control.SendOrder:
 		return in.cfg.OrderTimeout
-	case sweep:
+	case control.Sweep:
 		return sendTimeout
 	}
 	return in.cfg.PlatformTimeout
 }
 
-func (in *Instance) do(ctx context.Context, eff effect) event {
+func (in *Instance) do(ctx context.Context, eff control.Effect) control.Event {
 	switch e := eff.(type) {
-	case readCatalogue:
+	case control.ReadCatalogue:
 		return in.readCatalogue(ctx, e)
-	case readMembers:
+	case control.ReadMembers:
 		rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
-		return membersRead{rows: rows, at: in.cfg.Clock.Now(), err: err}
-	case heartbeat:
+		return control.MembersRead{Rows: rows, At: in.cfg.Clock.Now(), Err: err}
+	case control.Heartbeat:
 		self := in.self
-		self.Draining = e.draining
+		self.Draining = e.Draining
 		data, _ := json.Marshal(self)
-		l, err := lease.Renew(ctx, in.cfg.Platform, e.held, e.at, e.expiresAt, data)
+		l, err := lease.Renew(ctx, in.cfg.Platform, e.Held, e.At, e.ExpiresAt, data)
 		if errors.Is(err, lease.ErrHeld) {
-			l, err = lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, e.at, e.expiresAt, data)
+			l, err = lease.Acquire(ctx, in.cfg.Platform, memberPrefix+self.ID, self.ID, e.At, e.ExpiresAt, data)
 		}
-		return heartbeatDone{l: l, err: err}
-	case readReport:
-		rep, err := engine.NewClient(e.addr, in.reportHTTP).Report(ctx)
-		return reportRead{addr: e.addr, rep: rep, at: in.cfg.Clock.Now(), err: err}
-	case takeRolloutLease:
-		held, err := in.keeper(e.pool).Take(ctx, nil)
-		return rolloutLease{pool: e.pool, held: held, err: err}
-	case releaseRolloutLease:
-		if err := in.keeper(e.pool).Release(ctx); err != nil {
-			in.cfg.Logger.Debug("rollout lease left to lapse", "pool", e.pool, "err", err)
+		return control.HeartbeatDone{Lease: l, Err: err}
+	case control.ReadReport:
+		rep, err := engine.NewClient(e.Address, in.reportHTTP).Report(ctx)
+		return control.ReportRead{Address: e.Address, Report: rep, At: in.cfg.Clock.Now(), Err: err}
+	case control.TakeRolloutLease:
+		held, err := in.keeper(e.Pool).Take(ctx, nil)
+		return control.RolloutLease{Pool: e.Pool, Held: held, Err: err}
+	case control.ReleaseRolloutLease:
+		if err := in.keeper(e.Pool).Release(ctx); err != nil {
+			in.cfg.Logger.Debug("rollout lease left to lapse", "pool", e.Pool, "err", err)
 		}
-	case sendOrder:
+	case control.SendOrder:
 		return in.order(ctx, e)
-	case readInstances:
-		ch, err := in.cfg.Platform.Instances(ctx, e.since)
-		return instancesRead{changes: ch, err: err}
-	case readSteps:
+	case control.ReadInstances:
+		ch, err := in.cfg.Platform.Instances(ctx, e.Since)
+		return control.InstancesRead{Changes: ch, Err: err}
+	case control.ReadSteps:
 		heads, err := step.List(ctx, in.cfg.Platform)
-		return stepsRead{heads: heads, err: err}
-	case sweep:
+		return control.StepsRead{Heads: heads, Err: err}
+	case control.Sweep:
 		sent, err := in.sweep(ctx, e)
-		return sweepDone{sent: sent, err: err}
+		return control.SweepDone{Sent: sent, Err: err}
 	}
 	return nil
 }
@@ -147,22 +148,22 @@
 // longer names them all or a full read is asked for. An absent revision row
 // reads as version 0, so a catalogue without one is scanned only when a
 // full read is asked for.
-func (in *Instance) readCatalogue(ctx context.Context, e readCatalogue) event {
+func (in *Instance) readCatalogue(ctx context.Context, e control.ReadCatalogue) control.Event {
 	rev, version, err := catalogue.ReadRevision(ctx, in.cfg.Platform)
 	if err != nil {
-		return catalogueRead{err: err}
+		return control.CatalogueRead{Err: err}
 	}
-	if !e.full && version == e.known {
-		return catalogueRead{revision: version, number: rev.Number, unchanged: true}
+	if !e.Full && version == e.Known {
+		return control.CatalogueRead{Revision: version, Number: rev.Number, Unchanged: true}
 	}
-	keys, known := rev.Since(e.number)
+	keys, known := rev.Since(e.Number)
 	var rows []platform.Row
-	if e.full || !known {
+	if e.Full || !known {
 		rows, err = in.cfg.Platform.Scan(ctx, "catalogue/")
 	} else {
 		rows, err = in.readRows(ctx, keys)
 	}
-	return catalogueRead{revision: version, number: rev.Number, rows: rows, at: in.cfg.Clock.Now(), err: err}
+	return control.CatalogueRead{Revision: version, Number: rev.Number, Rows: rows, At: in.cfg.Clock.Now(), Err: err}
 }
 
 func (in *Instance) readRows(ctx context.Context, keys []string) ([]platform.Row, error) {
@@ -178,7 +179,7 @@
 }
 
 // post hands ev to the control goroutine unless ctx has ended.
-func (in *Instance) post(ctx context.Context, ev event) {
+func (in *Instance) post(ctx context.Context, ev control.Event) {
 	if ev == nil {
 		return
 	}
--- a/pkg/entry/rollout.go
+++ b/pkg/entry/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -27,8 +28,8 @@
 }
 
 // order sends one load order, unless the lease it was given under is over.
-func (in *Instance) order(ctx context.Context, e sendOrder) event {
-	o := e.order
+func (in *Instance) order(ctx context.Context, e control.SendOrder) control.Event {
+	o := e.Order
 	err := errLeaseOver
 	if in.cfg.Clock.Now().Before(o.NotAfter) {
 		in.stats.orders.Inc(1)
@@ -37,5 +38,5 @@
 	if err != nil {
 		in.stats.orderErrors.Inc(1)
 	}
-	return orderEnded{pool: e.pool, ordered: weights.Ordered{Address: o.Address, Version: o.Version, Err: err, At: in.cfg.Clock.Now()}}
+	return control.OrderEnded{Pool: e.Pool, Ordered: weights.Ordered{Address: o.Address, Version: o.Version, Err: err, At: in.cfg.Clock.Now()}}
 }
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -33,20 +33,6 @@
 	return out
 }
 
-// knows reports whether customer is in the catalogue, by itself or as the owner
-// of an entry, or the catalogue has not been read yet.
-func (v *View) knows(customer string) bool {
-	if _, ok := v.Customers[customer]; ok || len(v.Entries) == 0 {
-		return true
-	}
-	for _, e := range v.Entries {
-		if e.Owner == customer {
-			return true
-		}
-	}
-	return false
-}
-
 // serveRoute answers GET /v1/route?customer=C&key=K&data_centre=D. The same
 // customer and key map to the same live instance while membership holds, by
 // rendezvous hashing, so a caller's requests meet the same caches. With a
@@ -57,11 +43,11 @@
 		in.fail(w, verdict.BadRequest("route: customer is required"))
 		return
 	}
-	if !in.View().knows(customer) {
+	if !in.View().Knows(customer) {
 		in.fail(w, verdict.New(verdict.NotRun, http.StatusNotFound, fmt.Errorf("route: no customer %q in the catalogue", customer)))
 		return
 	}
-	members := near(in.View().routable(), r.URL.Query().Get("data_centre"))
+	members := near(in.View().Routable(), r.URL.Query().Get("data_centre"))
 	if len(members) == 0 {
 		members = []Member{in.self} // membership not read yet: answer for ourselves
 		if in.View().Draining {
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -157,7 +157,7 @@
 // pick chooses a live service not yet tried, and takes a place at it.
 func (c *serviceCall) pick() (string, error) {
 	var ups []catalogue.Upstream
-	for _, u := range c.view.live(c.entry.Pool, catalogue.Services) {
+	for _, u := range c.view.Live(c.entry.Pool, catalogue.Services) {
 		if !slices.Contains(c.tried, u.Address) {
 			ups = append(ups, u)
 		}
--- a/pkg/entry/share.go
+++ b/pkg/entry/share.go
@@ -18,7 +18,7 @@
 	if u.MaxInFlight == 0 {
 		return 0
 	}
-	members := v.routable()
+	members := v.Routable()
 	self := func(m Member) bool { return m.ID == in.cfg.ID }
 	switch {
 	case !v.Draining && !slices.ContainsFunc(members, self):
--- a/pkg/entry/stepdeliver.go
+++ b/pkg/entry/stepdeliver.go
@@ -111,9 +111,7 @@
 		if r.sending[g] {
 			continue
 		}
-		rctx, cancel := context.WithTimeout(ctx, r.in.cfg.PlatformTimeout)
-		row, err := r.in.cfg.Platform.Get(rctx, deliveryPrefix+r.deliveryID(g))
-		cancel()
+		row, err := r.in.cfg.Platform.Get(ctx, deliveryPrefix+r.deliveryID(g))
 		switch {
 		case errors.Is(err, platform.ErrNotFound):
 			r.sending[g] = true
@@ -163,10 +161,10 @@
 	if err != nil {
 		return false, err
 	}
-	rows, err := r.in.commit(ctx, renewal, a.row)
+	rows, err := r.in.cfg.Platform.Commit(ctx, renewal, a.row)
 	var ce *platform.ConflictError
 	if errors.As(err, &ce) && ce.Key == a.row.Key {
-		rows, err = r.in.commit(ctx, renewal) // the sweeper deleted the record
+		rows, err = r.in.cfg.Platform.Commit(ctx, renewal) // the sweeper deleted the record
 	}
 	switch {
 	case err == nil:
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -10,6 +10,7 @@
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
@@ -53,7 +54,7 @@
 	}
 	view := in.View()
 	now := in.cfg.Clock.Now()
-	e, err := view.entryFor(spec.Customer, spec.Entry)
+	e, err := view.EntryFor(spec.Customer, spec.Entry)
 	switch {
 	case err != nil:
 		return step.Head{}, err
@@ -72,7 +73,7 @@
 	}
 	head, err := in.keepStep(ctx, spec)
 	if err == nil {
-		in.post(ctx, stepAccepted{})
+		in.post(ctx, control.StepAccepted{})
 	}
 	return head, err
 }
@@ -88,7 +89,7 @@
 	if err != nil {
 		return step.Head{}, err
 	}
-	_, err = in.commit(ctx, op)
+	_, err = in.cfg.Platform.Commit(ctx, op)
 	var ce *platform.ConflictError
 	if !errors.As(err, &ce) {
 		if err != nil {
@@ -112,17 +113,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
 	return in.cfg.Platform.PutObject(ctx, step.ObjectName(spec.Key(), spec.Digest()), b)
 }
 
-func (in *Instance) getObject(ctx context.Context, name string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
-	return in.cfg.Platform.GetObject(ctx, name)
-}
-
 // unkept is the error of a step that the platform did not confirm.
 func (in *Instance) unkept(v verdict.Verdict, err error) error {
 	return &verdict.Error{Verdict: v, Status: http.StatusServiceUnavailable, RetryAt: in.comeBackAt(),
@@ -165,8 +158,6 @@
 }
 
 func (in *Instance) readHead(ctx context.Context, key string) (step.Head, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
 	row, err := in.cfg.Platform.Get(ctx, step.HeadKey(key))
 	if err != nil {
 		return step.Head{}, 0, err
@@ -195,7 +186,7 @@
 		if perr != nil {
 			return perr
 		}
-		if _, err = in.commit(ctx, op); err == nil {
+		if _, err = in.cfg.Platform.Commit(ctx, op); err == nil {
 			in.cfg.Logger.Info("step closed", "step", key, "reason", why)
 			return nil
 		}
@@ -205,8 +196,6 @@
 
 // deliveredGroups counts the groups of a step that its trainer holds.
 func (in *Instance) deliveredGroups(ctx context.Context, key string) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
 	rows, err := in.cfg.Platform.Scan(ctx, step.ShardsPrefix(key))
 	if err != nil {
 		return 0, err
--- a/pkg/entry/stepshard.go
+++ b/pkg/entry/stepshard.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 
 	"golang.org/x/sync/errgroup"
 
@@ -16,19 +17,11 @@
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
 
-// shardID names one shard of a step.
-type shardID struct {
-	Step  string // step.Key
-	Shard int
-}
-
-func (id shardID) String() string { return fmt.Sprintf("%s/%d", id.Step, id.Shard) }
-
 // shardRun runs one shard of a step under the shard's lease. Its loop owns
 // all of it; generations run on its group and report through ended.
 type shardRun struct {
 	in      *Instance
-	id      shardID
+	id      control.ShardID
 	head    step.Head
 	headRow uint64 // version of the head's row; it moves when the step closes
 	spec    step.Spec
@@ -60,12 +53,12 @@
 
 // runShard runs a shard until the step closes, the lease is lost or ctx
 // ends; then it gives the lease up.
-func (in *Instance) runShard(ctx context.Context, e runShard) error {
-	id := e.id
+func (in *Instance) runShard(ctx context.Context, e control.RunShard) error {
+	id := e.ID
 	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), acked: make(chan ack),
 		over: make(chan struct{}), sending: map[int]bool{}, cancels: map[int]context.CancelFunc{},
 		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: step.ShardKey(id.Step, id.Shard),
-			Holder: in.cfg.ID + "/" + in.life, TTL: e.ttl}}
+			Holder: in.cfg.ID + "/" + in.life, TTL: e.TTL}}
 	if err := r.open(ctx); err != nil {
 		return err
 	}
@@ -78,9 +71,7 @@
 		cancel()
 	}
 	_ = r.group.Wait()
-	rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), in.cfg.PlatformTimeout)
-	defer cancel()
-	_ = r.keeper.Release(rctx)
+	_ = r.keeper.Release(context.WithoutCancel(ctx))
 	return err
 }
 
@@ -113,14 +104,14 @@
 	if err := r.readHead(ctx); err != nil {
 		return err
 	}
-	b, err := r.in.getObject(ctx, step.ObjectName(r.id.Step, r.head.Digest))
+	b, err := r.in.cfg.Platform.GetObject(ctx, step.ObjectName(r.id.Step, r.head.Digest))
 	if err != nil {
 		return err
 	}
 	if err := json.Unmarshal(b, &r.spec); err != nil {
 		return fmt.Errorf("step %s: %w", r.id.Step, err)
 	}
-	if r.entry, err = r.in.View().entryFor(r.head.Customer, r.head.Entry); err != nil {
+	if r.entry, err = r.in.View().EntryFor(r.head.Customer, r.head.Entry); err != nil {
 		return err
 	}
 	for {
@@ -131,7 +122,7 @@
 		case !errors.Is(err, lease.ErrHeld):
 			return err
 		}
-		if !clock.Sleep(ctx, r.keeper.TTL/renewalsPerTTL) {
+		if !clock.Sleep(ctx, r.keeper.TTL/control.RenewalsPerTTL) {
 			return ctx.Err()
 		}
 		if err := r.readHead(ctx); err != nil {
--- a/pkg/entry/stepupkeep.go
+++ b/pkg/entry/stepupkeep.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
@@ -25,14 +26,12 @@
 
 // renew takes or renews the lease, and reads back the progress kept with it.
 func (r *shardRun) renew(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.in.cfg.PlatformTimeout)
-	defer cancel()
 	held, err := r.keeper.Take(ctx, nil)
 	if err != nil {
 		return err
 	}
 	r.held = held
-	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / renewalsPerTTL)
+	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / control.RenewalsPerTTL)
 	if now := r.in.cfg.Clock.Now(); now.Before(r.head.DueAt) && r.head.DueAt.Before(r.nextRenew) {
 		r.nextRenew = r.head.DueAt // when upkeep closes the step
 	}
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -10,34 +10,31 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/claim"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 )
 
-// sweeperLease is the lease whose holder clears up after instances that
-// died and work that is over.
-const sweeperLease = "lease/sweeper"
-
 // sweep clears up, if this instance holds the sweeper lease: it sends
 // samples whose record is older than e.olderThan and, if asked to, removes
 // steps and members long gone. Two sweepers at once (a paused holder that has not yet
 // seen its lease lapse) would only send a sample twice, which its trainer
 // does not learn twice.
-func (in *Instance) sweep(ctx context.Context, e sweep) (int, error) {
+func (in *Instance) sweep(ctx context.Context, e control.Sweep) (int, error) {
 	now := in.cfg.Clock.Now()
-	if _, err := lease.Acquire(ctx, in.cfg.Platform, sweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
+	if _, err := lease.Acquire(ctx, in.cfg.Platform, control.SweeperLease, in.cfg.ID, now, now.Add(3*in.cfg.SweepInterval), nil); err != nil {
 		if errors.Is(err, lease.ErrHeld) {
 			return 0, nil
 		}
 		return 0, err
 	}
-	if e.purge {
+	if e.Purge {
 		if err := in.purge(ctx, now); err != nil {
 			return 0, err
 		}
 	}
-	return in.sweepDeliveries(ctx, e.olderThan)
+	return in.sweepDeliveries(ctx, e.OlderThan)
 }
 
 // purge removes steps and members long gone.
@@ -88,7 +85,7 @@
 	for i, row := range rows {
 		ops[i] = platform.Delete(row.Key, row.Version)
 	}
-	_, err := in.commit(ctx, ops...)
+	_, err := in.cfg.Platform.Commit(ctx, ops...)
 	return err
 }
 
@@ -183,7 +180,7 @@
 // remove deletes rows as they were read; a row changed since is left alone.
 func (in *Instance) remove(ctx context.Context, rows ...platform.Row) error {
 	for _, row := range rows {
-		_, err := in.commit(ctx, platform.Delete(row.Key, row.Version))
+		_, err := in.cfg.Platform.Commit(ctx, platform.Delete(row.Key, row.Version))
 		var ce *platform.ConflictError
 		if err != nil && !errors.As(err, &ce) {
 			return err
--- a/pkg/entry/weights.go
+++ b/pkg/entry/weights.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -39,15 +40,13 @@
 	if req.Version == 0 {
 		return verdict.BadRequest("weights: version must be positive")
 	}
-	e, err := in.View().entryFor(req.Customer, req.Entry)
+	e, err := in.View().EntryFor(req.Customer, req.Entry)
 	if err != nil {
 		return err
 	}
 	if e.Class != catalogue.Training {
 		return verdict.BadRequest("weights: entry %s is of class %s, not training", e.Name, e.Class)
 	}
-	ctx, cancel := context.WithTimeout(ctx, in.cfg.PlatformTimeout)
-	defer cancel()
 	t := weights.Target{Pool: e.Pool, Version: req.Version, Author: req.Customer + "/" + e.Name, NamedAt: in.cfg.Clock.Now()}
 	err = weights.Name(ctx, in.cfg.Platform, t)
 	switch {
@@ -58,6 +57,6 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable,
 			RetryAt: in.comeBackAt(), Err: err}
 	}
-	in.post(ctx, hinted{changed: true})
+	in.post(ctx, control.Hinted{Changed: true})
 	return nil
 }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -6,13 +6,15 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 )
 
 // Client speaks to one platform endpoint. It is safe for concurrent use.
 type Client struct {
-	server httpjson.Client
+	server  httpjson.Client
+	timeout time.Duration // of one call; 0 for none but its context's
 }
 
 // NewClient returns a Client for the platform at base, such as
@@ -21,6 +23,13 @@
 	return &Client{server: httpjson.NewClient(base, hc)}
 }
 
+// Within returns a Client like c that gives each call up after timeout.
+func (c *Client) Within(timeout time.Duration) *Client {
+	bounded := *c
+	bounded.timeout = timeout
+	return &bounded
+}
+
 // Get returns the row at key, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	var r Row
@@ -68,6 +77,11 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	if c.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+	}
 	err := c.server.Do(ctx, method, path, in, out)
 	if err == nil {
 		return nil
