delivery, shard: bringing samples and running steps are packages of their own

pkg/entry kept deliveries, the runs of steps' shards and the heads of steps beside the callers' interface.

No behaviour changes; entry's tests pass unchanged.

--- /dev/null
+++ b/pkg/delivery/sweep.go
@@ -0,0 +1,45 @@
+package delivery
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Sweep sends the samples of records older than olderThan, those of
+// each trainer until one cannot be sent, so that a trainer that is away holds
+// up no other. It returns how many records were sent.
+func (s *Sender) Sweep(ctx context.Context, olderThan time.Time) (int, error) {
+	rows, err := s.cfg.Platform.Scan(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	byTrainer := map[string][]Record{}
+	for _, row := range rows {
+		var d Record
+		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
+			continue
+		}
+		d.Key = row.Key
+		byTrainer[d.Trainer] = append(byTrainer[d.Trainer], d)
+	}
+	var sent atomic.Int64
+	var trainers errgroup.Group
+	for _, ds := range byTrainer {
+		trainers.Go(func() error {
+			for _, d := range ds {
+				if err := s.send(ctx, d); err != nil {
+					return err
+				}
+				s.cfg.Counters.Redelivered.Inc(int64(len(d.Samples)))
+				sent.Add(1)
+			}
+			return nil
+		})
+	}
+	err = trainers.Wait()
+	return int(sent.Load()), err
+}
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -81,7 +81,7 @@
 	if req.Idempotent {
 		return c.repeatable(ctx)
 	}
-	cl := claim.New(in.claims(), fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1)), req.Customer+"/"+req.Entry+"/"+req.Key, req.digest())
+	cl := claim.New(in.claims(), in.attempt(), req.Customer+"/"+req.Entry+"/"+req.Key, req.digest())
 	row, replay, err := cl.Take(ctx)
 	if err != nil {
 		return CallAnswer{}, err
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -25,6 +25,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/admission"
 	"github.com/zinnialadder/zinnialadder/pkg/control"
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/health"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
 	"github.com/zinnialadder/zinnialadder/pkg/retry"
@@ -73,6 +74,7 @@
 	// attempts numbers its claims on non-idempotent calls.
 	life     string
 	attempts atomic.Uint64
+	samples  *delivery.Sender
 	stats    *counters
 	keepers  sync.Map // pool → its *lease.Keeper
 }
@@ -106,6 +108,9 @@
 	in.sendsCtx, in.leaveSends = context.WithCancel(context.Background())
 	in.view.Store(control.New(in.self, in.timing).View)
 	in.peers = newLinks(in)
+	in.samples = delivery.NewSender(delivery.Config{Platform: cfg.Platform, Clock: cfg.Clock, Logger: cfg.Logger, HTTP: in.http,
+		View: in.View, Attempt: in.attempt, Leave: in.sendsCtx, Counters: in.stats.delivery,
+		Go: func(f func() error) { in.sends.Go(f) }})
 	return in, nil
 }
 
@@ -161,6 +166,11 @@
 	in.cfg.Logger.Info("shutdown done")
 }
 
+// attempt returns a name that no other attempt of any instance has.
+func (in *Instance) attempt() string {
+	return fmt.Sprintf("%s/%s/%d", in.cfg.ID, in.life, in.attempts.Add(1))
+}
+
 // newLife returns a random name for this process's life.
 func newLife() string {
 	var b [6]byte
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -8,7 +8,9 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/control"
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/shard"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
@@ -55,7 +57,7 @@
 // instance drains.
 func (in *Instance) shard(ctx context.Context, e control.RunShard) {
 	in.steps.Go(func() error {
-		err := in.runShard(in.stepsCtx, e)
+		err := shard.Run(in.stepsCtx, in.shardConfig(), e.ID, e.TTL)
 		in.cfg.Logger.Debug("step shard ended", "shard", e.ID, "err", err)
 		in.post(ctx, control.ShardEnded{ID: e.ID})
 		return nil
@@ -97,7 +99,7 @@
 	case control.SendOrder:
 		return in.cfg.OrderTimeout
 	case control.Sweep:
-		return sendTimeout
+		return delivery.SendTimeout
 	}
 	return in.cfg.PlatformTimeout
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
@@ -105,13 +106,13 @@
 
 // counters are the instance's metrics.
 type counters struct {
-	requests, refused, failed, upstreamErrors, resumed  metrics.Counter
-	samples, samplesStale, deliveryRetries, redelivered metrics.Counter
-	samplesLost, refusedAdmission, retriesRefused       metrics.Counter
-	ejected, hedges                                     metrics.Counter
-	orders, orderErrors                                 metrics.Counter
-	latency                                             metrics.Timer
-	callTime                                            metrics.Timer // one copy of a service call
+	requests, refused, failed, upstreamErrors, resumed metrics.Counter
+	refusedAdmission, retriesRefused                   metrics.Counter
+	delivery                                           delivery.Counters
+	ejected, hedges                                    metrics.Counter
+	orders, orderErrors                                metrics.Counter
+	latency                                            metrics.Timer
+	callTime                                           metrics.Timer // one copy of a service call
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -119,10 +120,10 @@
 	return &counters{
 		requests: c("requests"), refused: c("refused"), failed: c("failed"),
 		upstreamErrors: c("upstream_errors"), resumed: c("streams_resumed"),
-		samples: c("samples_delivered"), samplesStale: c("samples_refused_stale"), samplesLost: c("samples_lost"),
+		delivery: delivery.Counters{Sent: c("samples_delivered"), Stale: c("samples_refused_stale"), Lost: c("samples_lost"),
+			Retries: c("delivery_retries"), Redelivered: c("samples_redelivered")},
 		refusedAdmission: c("refused_admission"), retriesRefused: c("retries_refused"), ejected: c("upstreams_ejected"), hedges: c("hedges"),
 		orders: c("load_orders"), orderErrors: c("load_order_errors"),
-		deliveryRetries: c("delivery_retries"), redelivered: c("samples_redelivered"),
 		latency:  metrics.GetOrRegisterTimer("request_latency", r),
 		callTime: metrics.GetOrRegisterTimer("service_call_latency", r),
 	}
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -11,7 +11,6 @@
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/control"
-	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -125,12 +124,12 @@
 // serveStepStatus answers GET /v1/steps/{customer}/{entry}/{id}.
 func (in *Instance) serveStepStatus(w http.ResponseWriter, r *http.Request) {
 	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
-	head, _, err := in.readHead(r.Context(), key)
+	head, _, err := step.ReadHead(r.Context(), in.cfg.Platform, key)
 	if err != nil {
 		in.fail(w, in.stepError(key, err))
 		return
 	}
-	n, err := in.deliveredGroups(r.Context(), key)
+	n, err := step.Delivered(r.Context(), in.cfg.Platform, key)
 	if err != nil {
 		in.fail(w, in.stepError(key, err))
 		return
@@ -142,10 +141,14 @@
 // the step is closed, also if it was before.
 func (in *Instance) serveStepCancel(w http.ResponseWriter, r *http.Request) {
 	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
-	if err := in.closeStep(r.Context(), key, step.Cancelled); err != nil {
+	closed, err := step.Close(r.Context(), in.cfg.Platform, key, step.Cancelled, in.cfg.Clock.Now())
+	if err != nil {
 		in.fail(w, in.stepError(key, err))
 		return
 	}
+	if closed {
+		in.cfg.Logger.Info("step closed", "step", key, "reason", step.Cancelled)
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -156,69 +159,3 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusServiceUnavailable,
 		RetryAt: in.comeBackAt(), Err: err}
 }
-
-func (in *Instance) readHead(ctx context.Context, key string) (step.Head, uint64, error) {
-	row, err := in.cfg.Platform.Get(ctx, step.HeadKey(key))
-	if err != nil {
-		return step.Head{}, 0, err
-	}
-	h, err := step.DecodeHead(row)
-	return h, row.Version, err
-}
-
-// closeTries bounds closeStep under racing instances and lost replies.
-const closeTries = 5
-
-// closeStep closes the step for the given reason, unless it is closed.
-func (in *Instance) closeStep(ctx context.Context, key string, why step.Reason) error {
-	var err error
-	for try := 0; try < closeTries; try++ {
-		var h step.Head
-		var version uint64
-		if h, version, err = in.readHead(ctx, key); err != nil {
-			return err
-		}
-		if h.Closed != "" {
-			return nil
-		}
-		h.Closed, h.ClosedAt = why, in.cfg.Clock.Now()
-		op, perr := platform.Put(step.HeadKey(key), version, h)
-		if perr != nil {
-			return perr
-		}
-		if _, err = in.cfg.Platform.Commit(ctx, op); err == nil {
-			in.cfg.Logger.Info("step closed", "step", key, "reason", why)
-			return nil
-		}
-	}
-	return err
-}
-
-// deliveredGroups counts the groups of a step that its trainer holds.
-func (in *Instance) deliveredGroups(ctx context.Context, key string) (int, error) {
-	rows, err := in.cfg.Platform.Scan(ctx, step.ShardsPrefix(key))
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	for _, r := range rows {
-		p, err := shardProgress(r)
-		if err != nil {
-			return 0, err
-		}
-		n += len(p.Acked)
-	}
-	return n, nil
-}
-
-func shardProgress(row platform.Row) (step.Progress, error) {
-	l, err := lease.Decode(row)
-	if err != nil || len(l.Data) == 0 {
-		return step.Progress{}, err
-	}
-	var p step.Progress
-	if err := json.Unmarshal(l.Data, &p); err != nil {
-		return step.Progress{}, fmt.Errorf("step shard %s: %w", row.Key, err)
-	}
-	return p, nil
-}
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/zinnialadder/zinnialadder/pkg/claim"
 	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
@@ -34,7 +30,7 @@
 			return 0, err
 		}
 	}
-	return in.sweepDeliveries(ctx, e.OlderThan)
+	return in.samples.Sweep(ctx, e.OlderThan)
 }
 
 // purge removes steps and members long gone.
@@ -89,41 +85,6 @@
 	return err
 }
 
-// sweepDeliveries sends the samples of records older than olderThan, those of
-// each trainer until one cannot be sent, so that a trainer that is away holds
-// up no other.
-func (in *Instance) sweepDeliveries(ctx context.Context, olderThan time.Time) (int, error) {
-	rows, err := in.cfg.Platform.Scan(ctx, deliveryPrefix)
-	if err != nil {
-		return 0, err
-	}
-	byTrainer := map[string][]Delivery{}
-	for _, row := range rows {
-		var d Delivery
-		if err := json.Unmarshal(row.Value, &d); err != nil || !d.CreatedAt.Before(olderThan) {
-			continue
-		}
-		d.Key = row.Key
-		byTrainer[d.Trainer] = append(byTrainer[d.Trainer], d)
-	}
-	var sent atomic.Int64
-	var trainers errgroup.Group
-	for _, ds := range byTrainer {
-		trainers.Go(func() error {
-			for _, d := range ds {
-				if err := in.send(ctx, d); err != nil {
-					return err
-				}
-				in.stats.redelivered.Inc(int64(len(d.Samples)))
-				sent.Add(1)
-			}
-			return nil
-		})
-	}
-	err = trainers.Wait()
-	return int(sent.Load()), err
-}
-
 // sweepSteps removes steps closed before closedBefore: first their shards
 // and Spec, then their heads, so that what is left of a sweep cut short is
 // found again.
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -1,9 +1,15 @@
 package entry
 
-import "github.com/zinnialadder/zinnialadder/pkg/control"
+import (
+	"github.com/zinnialadder/zinnialadder/pkg/control"
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
+)
 
 // Member is an entry instance as seen through its membership lease.
 type Member = control.Member
 
 // View is the control state that traffic reads.
 type View = control.View
+
+// Delivery is the record of samples that await their trainer.
+type Delivery = delivery.Record
--- a/pkg/entry/stepdeliver.go
+++ b/pkg/shard/deliver.go
@@ -1,4 +1,4 @@
-package entry
+package shard
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
@@ -26,19 +27,19 @@
 
 // deliver records a complete group, its shard's progress and the condition
 // that the step is open in one transaction, and then sends the samples.
-func (r *shardRun) deliver(ctx context.Context, e step.Deliver) error {
+func (r *run) deliver(ctx context.Context, e step.Deliver) error {
 	renewal, err := r.renewal(r.progress.Record(e.Group))
 	if err != nil {
 		return err
 	}
 	open := platform.Check(step.HeadKey(r.id.Step), r.headRow)
-	d := r.in.newDelivery(r.entry, r.deliveryID(e.Group), e.Samples...)
-	version, err := r.in.record(ctx, r.entry, d, renewal, open)
+	d := r.cfg.Samples.New(r.entry, r.deliveryID(e.Group), e.Samples...)
+	version, err := r.cfg.Samples.Keep(ctx, r.entry, d, renewal, open)
 	var ce *platform.ConflictError
 	switch {
 	case err == nil && version > 0:
 		r.held.Fencing, r.progress = version, r.progress.Record(e.Group)
-		r.run.Reduce(step.Recorded{Group: e.Group})
+		r.step.Reduce(step.Recorded{Group: e.Group})
 		r.send(ctx, e.Group, d, version)
 		return nil
 	case errors.As(err, &ce) && ce.Key == open.Key:
@@ -46,9 +47,9 @@
 	case errors.As(err, &ce) && ce.Key == r.keeper.Name:
 		return errShardLost
 	}
-	r.run.Reduce(step.Unrecorded{Group: e.Group, RetryAt: r.in.cfg.Clock.Now().Add(unrecordedPause)})
-	if errors.Is(err, errTooStale) {
-		r.in.stats.samplesStale.Inc(int64(len(e.Samples)))
+	r.step.Reduce(step.Unrecorded{Group: e.Group, RetryAt: r.cfg.Clock.Now().Add(unrecordedPause)})
+	if errors.Is(err, delivery.ErrTooStale) {
+		r.cfg.Stale.Inc(int64(len(e.Samples)))
 		return nil
 	}
 	return r.reread(ctx)
@@ -56,12 +57,12 @@
 
 // deliveryID names the delivery of a group: the same in every step that the
 // group is submitted in.
-func (r *shardRun) deliveryID(group int) string {
+func (r *run) deliveryID(group int) string {
 	return fmt.Sprintf("%s.%s.%s", r.spec.Customer, r.spec.Entry, r.spec.Groups[group].ID)
 }
 
 // renewal returns the operation that renews the shard's lease with progress.
-func (r *shardRun) renewal(p step.Progress) (platform.Op, error) {
+func (r *run) renewal(p step.Progress) (platform.Op, error) {
 	data, err := json.Marshal(p)
 	if err != nil {
 		return platform.Op{}, err
@@ -72,12 +73,12 @@
 // reread finds out after a write of unknown outcome what the table holds: the
 // lease is taken again, with the progress kept in it. Groups found recorded
 // are sent by resend.
-func (r *shardRun) reread(ctx context.Context) error {
+func (r *run) reread(ctx context.Context) error {
 	if err := r.renew(ctx); errors.Is(err, lease.ErrHeld) {
 		return errShardLost
 	}
 	for _, g := range r.progress.Recorded {
-		r.run.Reduce(step.Recorded{Group: g})
+		r.step.Reduce(step.Recorded{Group: g})
 	}
 	r.resend(ctx)
 	return nil
@@ -86,10 +87,10 @@
 // send delivers a recorded group and tells the loop how that ended. Once the
 // loop is over, what the trainer holds is only forgotten here; the next
 // holder finds the record gone.
-func (r *shardRun) send(ctx context.Context, group int, d Delivery, version uint64) {
+func (r *run) send(ctx context.Context, group int, d delivery.Record, version uint64) {
 	r.sending[group] = true
-	r.in.later(ctx, d, func(ctx context.Context) error {
-		learned, err := r.in.deliver(ctx, d)
+	r.cfg.Samples.Later(ctx, d, func(ctx context.Context) error {
+		learned, err := r.cfg.Samples.Deliver(ctx, d)
 		a := ack{group: group, failed: err != nil, learned: learned, row: platform.Delete(d.Key, version)}
 		select {
 		case r.acked <- a:
@@ -99,25 +100,25 @@
 		if err != nil {
 			return err
 		}
-		return r.in.forget(ctx, d.Key)
+		return r.cfg.Samples.Forget(ctx, d.Key)
 	})
 }
 
 // resend sends the recorded groups that no delivery of this run is under way
 // for: those of the holder before, or whose delivery or record's answer was
 // lost. A group whose record is gone was delivered by the sweeper.
-func (r *shardRun) resend(ctx context.Context) {
+func (r *run) resend(ctx context.Context) {
 	for _, g := range r.progress.Recorded {
 		if r.sending[g] {
 			continue
 		}
-		row, err := r.in.cfg.Platform.Get(ctx, deliveryPrefix+r.deliveryID(g))
+		row, err := r.cfg.Platform.Get(ctx, delivery.Key(r.deliveryID(g)))
 		switch {
 		case errors.Is(err, platform.ErrNotFound):
 			r.sending[g] = true
-			r.acks = append(r.acks, ack{group: g, learned: true, row: platform.Check(deliveryPrefix+r.deliveryID(g), 0)})
+			r.acks = append(r.acks, ack{group: g, learned: true, row: platform.Check(delivery.Key(r.deliveryID(g)), 0)})
 		case err == nil:
-			d := Delivery{Key: row.Key}
+			d := delivery.Record{Key: row.Key}
 			if json.Unmarshal(row.Value, &d) == nil {
 				r.send(ctx, g, d, row.Version)
 			}
@@ -127,7 +128,7 @@
 
 // keepAcks keeps what deliveries brought, each in a transaction that deletes
 // the record and moves the shard's progress on.
-func (r *shardRun) keepAcks(ctx context.Context, more ...ack) error {
+func (r *run) keepAcks(ctx context.Context, more ...ack) error {
 	pending := append(r.acks, more...)
 	r.acks = nil
 	for i, a := range pending {
@@ -148,7 +149,7 @@
 
 // keepAck keeps one ack, or reports false if the platform did not answer. A
 // delivery that failed is left to resend.
-func (r *shardRun) keepAck(ctx context.Context, a ack) (bool, error) {
+func (r *run) keepAck(ctx context.Context, a ack) (bool, error) {
 	if a.failed {
 		delete(r.sending, a.group)
 		return true, nil
@@ -161,10 +162,10 @@
 	if err != nil {
 		return false, err
 	}
-	rows, err := r.in.cfg.Platform.Commit(ctx, renewal, a.row)
+	rows, err := r.cfg.Platform.Commit(ctx, renewal, a.row)
 	var ce *platform.ConflictError
 	if errors.As(err, &ce) && ce.Key == a.row.Key {
-		rows, err = r.in.cfg.Platform.Commit(ctx, renewal) // the sweeper deleted the record
+		rows, err = r.cfg.Platform.Commit(ctx, renewal) // the sweeper deleted the record
 	}
 	switch {
 	case err == nil:
@@ -181,18 +182,18 @@
 	}
 	delete(r.sending, a.group)
 	if a.learned {
-		r.run.Reduce(step.Acked{Group: a.group})
+		r.step.Reduce(step.Acked{Group: a.group})
 		r.uncounted = true
 	} else {
-		r.run.Reduce(step.Refused{Group: a.group})
+		r.step.Reduce(step.Refused{Group: a.group})
 	}
 	return true, nil
 }
 
 // closeIfComplete closes the step once the trainer holds the desired groups. If
 // the platform does not answer it is called again at the next renewal.
-func (r *shardRun) closeIfComplete(ctx context.Context) error {
-	n, err := r.in.deliveredGroups(ctx, r.id.Step)
+func (r *run) closeIfComplete(ctx context.Context) error {
+	n, err := step.Delivered(ctx, r.cfg.Platform, r.id.Step)
 	if err != nil {
 		return nil
 	}
@@ -200,7 +201,7 @@
 		r.uncounted = false
 		return nil
 	}
-	if err := r.in.closeStep(ctx, r.id.Step, step.Complete); err != nil {
+	if err := r.close(ctx, step.Complete); err != nil {
 		return nil
 	}
 	return errStepClosed
--- a/pkg/entry/stepshard.go
+++ b/pkg/shard/shard.go
@@ -1,4 +1,7 @@
-package entry
+// Package shard runs shards of training steps: under a shard's lease it has the
+// samples of its groups made, records complete groups together with its progress
+// and has them delivered, until the step closes.
+package shard
 
 import (
 	"context"
@@ -7,20 +10,48 @@
 	"fmt"
 	"time"
 
-	"github.com/zinnialadder/zinnialadder/pkg/clock"
-	"github.com/zinnialadder/zinnialadder/pkg/control"
-
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/control"
+	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/step"
+	"github.com/zinnialadder/zinnialadder/pkg/trainer"
 )
 
-// shardRun runs one shard of a step under the shard's lease. Its loop owns
+// Config configures the runs of shards.
+type Config struct {
+	Platform  *platform.Client
+	Clock     clock.Clock
+	Logger    *log.Logger
+	Holder    string               // of the shards' leases: names this process
+	View      func() *control.View // the control state in force
+	Samples   *delivery.Sender
+	Generate  func(context.Context, Attempt) (trainer.Sample, error)
+	Policy    step.Policy     // its MaxRunning is taken from the catalogue entry's limit
+	Tick      time.Duration   // period of a shard's decisions
+	DrainTime time.Duration   // deliveries under way are waited for so long when the instance drains
+	Stale     metrics.Counter // samples too old to be delivered
+}
+
+// Attempt is one try to make one sample of a step.
+type Attempt struct {
+	step.Attempt
+	Entry catalogue.Entry
+	Spec  step.Spec
+	Tried []string          // engines that other attempts at the same item have used
+	Using func(addr string) // is told of each engine that this one uses
+}
+
+// run is one run of a shard under the shard's lease. Its loop owns
 // all of it; generations run on its group and report through ended.
-type shardRun struct {
-	in      *Instance
+type run struct {
+	cfg     Config
 	id      control.ShardID
 	head    step.Head
 	headRow uint64 // version of the head's row; it moves when the step closes
@@ -30,7 +61,7 @@
 	keeper    *lease.Keeper
 	held      lease.Held
 	progress  step.Progress
-	run       *step.Run
+	step      *step.Run
 	nextRenew time.Time
 	uncounted bool // the step may be complete, and has not been seen not to be
 
@@ -51,14 +82,12 @@
 	errShardLost  = errors.New("shard lease lost")
 )
 
-// runShard runs a shard until the step closes, the lease is lost or ctx
-// ends; then it gives the lease up.
-func (in *Instance) runShard(ctx context.Context, e control.RunShard) error {
-	id := e.ID
-	r := &shardRun{in: in, id: id, ended: make(chan step.Ended, 64), acked: make(chan ack),
+// Run runs a shard, whose lease lives for ttl, until the step closes, the lease
+// is lost or ctx ends; then it gives the lease up.
+func Run(ctx context.Context, cfg Config, id control.ShardID, ttl time.Duration) error {
+	r := &run{cfg: cfg, id: id, ended: make(chan step.Ended, 64), acked: make(chan ack),
 		over: make(chan struct{}), sending: map[int]bool{}, cancels: map[int]context.CancelFunc{},
-		keeper: &lease.Keeper{Table: in.cfg.Platform, Clock: in.cfg.Clock, Name: step.ShardKey(id.Step, id.Shard),
-			Holder: in.cfg.ID + "/" + in.life, TTL: e.TTL}}
+		keeper: &lease.Keeper{Table: cfg.Platform, Clock: cfg.Clock, Name: step.ShardKey(id.Step, id.Shard), Holder: cfg.Holder, TTL: ttl}}
 	if err := r.open(ctx); err != nil {
 		return err
 	}
@@ -79,15 +108,15 @@
 // so that a holder that leaves in good order has nothing sent again by the
 // next. After a kill the next holder can't tell, and sends again what is
 // recorded; the trainer knows it by its ID.
-func (r *shardRun) settle(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, drainSends)
+func (r *run) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.DrainTime)
 	defer cancel()
 	for len(r.sending) > 0 {
 		var err error
 		select {
 		case a := <-r.acked:
 			err = r.keepAcks(ctx, a)
-		case <-time.After(r.in.cfg.StepTick):
+		case <-time.After(r.cfg.Tick):
 			err = r.keepAcks(ctx) // those the platform did not answer for
 		case <-ctx.Done():
 			err = ctx.Err()
@@ -100,24 +129,24 @@
 
 // open reads the step, takes the shard's lease, waiting for another's to
 // lapse, and picks up its progress.
-func (r *shardRun) open(ctx context.Context) error {
+func (r *run) open(ctx context.Context) error {
 	if err := r.readHead(ctx); err != nil {
 		return err
 	}
-	b, err := r.in.cfg.Platform.GetObject(ctx, step.ObjectName(r.id.Step, r.head.Digest))
+	b, err := r.cfg.Platform.GetObject(ctx, step.ObjectName(r.id.Step, r.head.Digest))
 	if err != nil {
 		return err
 	}
 	if err := json.Unmarshal(b, &r.spec); err != nil {
 		return fmt.Errorf("step %s: %w", r.id.Step, err)
 	}
-	if r.entry, err = r.in.View().EntryFor(r.head.Customer, r.head.Entry); err != nil {
+	if r.entry, err = r.cfg.View().EntryFor(r.head.Customer, r.head.Entry); err != nil {
 		return err
 	}
 	for {
 		switch err := r.renew(ctx); {
 		case err == nil:
-			r.run = step.NewRun(r.spec, r.head.ShardGroups(r.id.Shard), r.progress, r.in.stepPolicy(r.entry))
+			r.step = step.NewRun(r.spec, r.head.ShardGroups(r.id.Shard), r.progress, r.policy())
 			return nil
 		case !errors.Is(err, lease.ErrHeld):
 			return err
@@ -134,9 +163,9 @@
 // loop runs the shard until ctx ends or the run does. A call to the platform
 // that is under way when ctx ends is seen through, so that its outcome is
 // known to settle.
-func (r *shardRun) loop(ctx context.Context) error {
+func (r *run) loop(ctx context.Context) error {
 	calls := context.WithoutCancel(ctx)
-	ticker := time.NewTicker(r.in.cfg.StepTick)
+	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
 	for {
 		var effs []step.Effect
@@ -145,8 +174,8 @@
 			return ctx.Err()
 		case ev := <-r.ended:
 			r.forget(ev.Attempt)
-			r.run.Reduce(ev)
-			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
+			r.step.Reduce(ev)
+			effs = r.step.Reduce(step.Tick{At: r.cfg.Clock.Now()})
 		case a := <-r.acked:
 			if err := r.keepAcks(calls, a); err != nil {
 				return err
@@ -155,7 +184,7 @@
 			if err := r.upkeep(calls); err != nil {
 				return err
 			}
-			effs = r.run.Reduce(step.Tick{At: r.in.cfg.Clock.Now()})
+			effs = r.step.Reduce(step.Tick{At: r.cfg.Clock.Now()})
 		}
 		if err := r.carryOut(ctx, effs); err != nil {
 			return err
@@ -163,7 +192,7 @@
 	}
 }
 
-func (r *shardRun) carryOut(ctx context.Context, effs []step.Effect) error {
+func (r *run) carryOut(ctx context.Context, effs []step.Effect) error {
 	for _, eff := range effs {
 		switch e := eff.(type) {
 		case step.Start:
@@ -179,9 +208,18 @@
 	return nil
 }
 
-// stepPolicy is the policy of e's steps: the instance's, with e's limit.
-func (in *Instance) stepPolicy(e catalogue.Entry) step.Policy {
-	p := in.cfg.StepPolicy
-	p.MaxRunning = e.Limits.MaxInFlight
+// policy is the policy of the step: the instance's, with its entry's limit.
+func (r *run) policy() step.Policy {
+	p := r.cfg.Policy
+	p.MaxRunning = r.entry.Limits.MaxInFlight
 	return p
 }
+
+// close closes the step for the given reason, unless it is closed.
+func (r *run) close(ctx context.Context, why step.Reason) error {
+	closed, err := step.Close(ctx, r.cfg.Platform, r.id.Step, why, r.cfg.Clock.Now())
+	if closed {
+		r.cfg.Logger.Info("step closed", "step", r.id.Step, "reason", why)
+	}
+	return err
+}
--- a/pkg/entry/stepupkeep.go
+++ b/pkg/shard/upkeep.go
@@ -1,4 +1,4 @@
-package entry
+package shard
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 )
 
 // readHead reads the step's head again; it returns errStepClosed once the step has.
-func (r *shardRun) readHead(ctx context.Context) error {
-	head, row, err := r.in.readHead(ctx, r.id.Step)
+func (r *run) readHead(ctx context.Context) error {
+	head, row, err := step.ReadHead(ctx, r.cfg.Platform, r.id.Step)
 	if err != nil {
 		return err // what was read before still stands
 	}
@@ -25,14 +25,14 @@
 }
 
 // renew takes or renews the lease, and reads back the progress kept with it.
-func (r *shardRun) renew(ctx context.Context) error {
+func (r *run) renew(ctx context.Context) error {
 	held, err := r.keeper.Take(ctx, nil)
 	if err != nil {
 		return err
 	}
 	r.held = held
-	r.nextRenew = r.in.cfg.Clock.Now().Add(r.keeper.TTL / control.RenewalsPerTTL)
-	if now := r.in.cfg.Clock.Now(); now.Before(r.head.DueAt) && r.head.DueAt.Before(r.nextRenew) {
+	r.nextRenew = r.cfg.Clock.Now().Add(r.keeper.TTL / control.RenewalsPerTTL)
+	if now := r.cfg.Clock.Now(); now.Before(r.head.DueAt) && r.head.DueAt.Before(r.nextRenew) {
 		r.nextRenew = r.head.DueAt // when upkeep closes the step
 	}
 	if len(held.Data) > 0 {
@@ -43,17 +43,17 @@
 
 // upkeep renews the lease when due, sees whether the step has closed, and
 // raises the floor of versions that samples may have.
-func (r *shardRun) upkeep(ctx context.Context) error {
-	now := r.in.cfg.Clock.Now()
-	view := r.in.View()
+func (r *run) upkeep(ctx context.Context) error {
+	now := r.cfg.Clock.Now()
+	view := r.cfg.View()
 	if newest := view.Newest[r.entry.Pool]; newest > r.entry.MaxVersionLag {
-		r.run.Reduce(step.Floor{Version: newest - r.entry.MaxVersionLag})
+		r.step.Reduce(step.Floor{Version: newest - r.entry.MaxVersionLag})
 	}
 	if now.Before(r.nextRenew) {
 		return nil
 	}
 	if !now.Before(r.head.DueAt) {
-		if err := r.in.closeStep(ctx, r.id.Step, step.Due); err == nil {
+		if err := r.close(ctx, step.Due); err == nil {
 			return errStepClosed
 		}
 	}
@@ -66,7 +66,7 @@
 	case err != nil && !now.Before(r.held.ValidUntil):
 		return errShardLost
 	case err != nil:
-		r.nextRenew = now.Add(r.in.cfg.StepTick) // the platform is away; the lease still holds
+		r.nextRenew = now.Add(r.cfg.Tick) // the platform is away; the lease still holds
 	}
 	if err := r.keepAcks(ctx); err != nil {
 		return err
