submission: no texts of a dead owner stay in the store

Cause: an owner that died had kept its texts under its own fencing token; its successor deletes only what it keeps itself, so up to 0.5 MB stayed for each takeover until the platform's own limit. Now the successor deletes them as soon as it has kept its own, or at the end of the submission if it never did. Left tells under which token they were kept. Ruled out: deleting them at the claim (a successor that dies before it keeps its own would lose them). Before: TestNoTextsStayOfADeadOwner, "not within 3s: no texts left". After: it passes. The head is copied before the goroutine that keeps texts starts: it read the owner's token while the loop may have cleared it.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -97,7 +97,7 @@
 		err := r.Run(rctx)
 		cancel()
 		close(run.ended)
-		n.dropProgress(ctx, e.Owned, err)
+		n.dropProgress(ctx, r, e.ID, err)
 		n.readers.disown(e.ID, r)
 		n.cfg.Logger.Info("submission runs no more", "submission", e.ID, "err", err)
 		n.tell(ctx, runEnded{e.ID, err})
@@ -107,12 +107,12 @@
 
 // dropProgress deletes the texts kept by a run that needs no successor: it wrote
 // every result, or its submission has ended.
-func (n *Node) dropProgress(ctx context.Context, o submission.Owned, err error) {
-	if h, _ := n.heads.get(o.ID); err != nil && !h.Ended {
+func (n *Node) dropProgress(ctx context.Context, r *submission.Runner, id string, err error) {
+	if h, _ := n.heads.get(id); err != nil && !h.Ended {
 		return
 	}
-	if err := n.log.DropProgress(ctx, o); err != nil {
-		n.cfg.Logger.Warn("progress not dropped", "submission", o.ID, "err", err)
+	if err := r.DropProgress(ctx); err != nil {
+		n.cfg.Logger.Warn("progress not dropped", "submission", id, "err", err)
 	}
 }
 
--- a/pkg/submission/left.go
+++ b/pkg/submission/left.go
@@ -15,6 +15,9 @@
 type Left struct {
 	Results []Result  // written
 	Texts   []Partial // begun
+	// KeptUnder is the fencing token under which the texts were kept; 0 if
+	// nobody kept any.
+	KeptUnder uint64
 }
 
 // Left reads what the owners before have left, given the head as they left it,
@@ -24,13 +27,17 @@
 	if !left.Claimed && left.Head.Progress == 0 {
 		return out, nil // nobody has run it
 	}
+	out.KeptUnder = left.Fencing
+	if left.Owner == "" {
+		out.KeptUnder = left.Head.Progress // given up
+	}
 	var g errgroup.Group
 	g.Go(func() (err error) {
 		out.Results, err = l.AllResults(ctx, left.ID)
 		return err
 	})
 	g.Go(func() (err error) {
-		out.Texts, err = l.progress(ctx, left)
+		out.Texts, err = l.progress(ctx, left.ID, out.KeptUnder)
 		return err
 	})
 	return out, g.Wait()
@@ -57,14 +64,10 @@
 	return l.Store.PutObject(ctx, progressName(o.ID, o.Fencing), data)
 }
 
-// progress returns the texts that the owner before kept, given the head as that
-// owner left it. There are none if it kept none.
-func (l Log) progress(ctx context.Context, left Owned) ([]Partial, error) {
-	fencing := left.Fencing
-	if left.Owner == "" {
-		fencing = left.Head.Progress
-	}
-	data, err := l.Store.GetObject(ctx, progressName(left.ID, fencing))
+// progress returns the texts that were kept under a fencing token. There are none
+// if none were.
+func (l Log) progress(ctx context.Context, id string, fencing uint64) ([]Partial, error) {
+	data, err := l.Store.GetObject(ctx, progressName(id, fencing))
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil, nil
 	}
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -79,18 +79,20 @@
 
 // Runner runs one submission at the instance that owns it.
 type Runner struct {
-	cfg    Config
-	owned  Owned
-	spec   Spec
-	run    *Run
-	events chan func(now time.Time)
-	group  errgroup.Group
+	cfg     Config
+	owned   Owned // without a fencing token once it is lost
+	spec    Spec
+	fencing uint64 // that the submission was claimed with
+	run     *Run
+	events  chan func(now time.Time)
+	group   errgroup.Group
 
 	scoring   int // calls of scorers under way
 	appending bool
 	pause     time.Duration // before the next append, after a failure
 	keepAt    time.Time     // when progress is kept next
 	keeping   bool
+	before    uint64 // fencing token under which the owner before kept texts; 0 once they are deleted
 	batch     *Batch // not known to be written
 
 	mu      sync.Mutex
@@ -103,8 +105,13 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Step) {}
 	}
-	return &Runner{cfg: cfg, owned: o, spec: s, run: NewRun(s, left.Results, left.Texts), results: left.Results,
-		events: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), pause: appendPause}
+	before := left.KeptUnder
+	if before == o.Fencing {
+		before = 0 // this instance's own, of before it adopted what it owned
+	}
+	return &Runner{cfg: cfg, owned: o, fencing: o.Fencing, spec: s, run: NewRun(s, left.Results, left.Texts), results: left.Results,
+		events: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), pause: appendPause,
+		before: before}
 }
 
 // Results returns the results written from position on, and a channel that is
@@ -221,15 +228,36 @@
 		return
 	}
 	r.keeping = true
+	owned, before := r.owned, r.before
 	r.group.Go(func() error {
-		if err := r.cfg.Log.PutProgress(ctx, r.owned, ps); err != nil {
+		err := r.cfg.Log.PutProgress(ctx, owned, ps)
+		if err == nil && before != 0 {
+			err = r.cfg.Log.DropProgress(ctx, owned.ID, before) // a successor needs the newer ones
+		}
+		if err != nil {
 			r.cfg.Observe(Step{What: "progress not kept", Submission: r.spec.ID, Err: err})
 		}
-		r.tell(ctx, func(time.Time) { r.keeping = false })
+		r.tell(ctx, func(time.Time) {
+			r.keeping = false
+			if err == nil {
+				r.before = 0
+			}
+		})
 		return nil
 	})
 }
 
+// DropProgress deletes the texts that were kept of the submission, here and by
+// the owner before. It is called after Run has returned, if no successor needs
+// them.
+func (r *Runner) DropProgress(ctx context.Context) error {
+	err := r.cfg.Log.DropProgress(ctx, r.spec.ID, r.fencing)
+	if r.before != 0 {
+		err = errors.Join(err, r.cfg.Log.DropProgress(ctx, r.spec.ID, r.before))
+	}
+	return err
+}
+
 // Partials returns the texts that are begun. It is called after Run has returned.
 func (r *Runner) Partials() []Partial { return r.run.Partials() }
 
--- a/pkg/submission/sweep.go
+++ b/pkg/submission/sweep.go
@@ -61,8 +61,8 @@
 	return l.Store.DeleteObject(ctx, s.Object)
 }
 
-// DropProgress deletes the texts that the owner o has kept, which no successor
-// needs any more.
-func (l Log) DropProgress(ctx context.Context, o Owned) error {
-	return l.Store.DeleteObject(ctx, progressName(o.ID, o.Fencing))
+// DropProgress deletes the texts of a submission that were kept under a fencing
+// token and that nobody needs any more.
+func (l Log) DropProgress(ctx context.Context, id string, fencing uint64) error {
+	return l.Store.DeleteObject(ctx, progressName(id, fencing))
 }
