--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -21,7 +21,7 @@
 	var base, author string
 	cmd := &cobra.Command{
 		Use:   "ctl",
-		Short: "Edit and read the catalogue and its audit trail",
+		Short: "Edit and read the catalogue and its audit trail; read what the platform's store holds",
 	}
 	cmd.PersistentFlags().StringVar(&base, "platform", "http://127.0.0.1:7000", "platform base URL")
 	cmd.PersistentFlags().StringVar(&author, "author", os.Getenv("USER"), "name recorded in the audit trail")
@@ -30,7 +30,8 @@
 	cmd.AddCommand(applyCmd(client, &author), showCmd(client), auditCmd(client),
 		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
 		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
-		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client))
+		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client),
+		siteCmd(), snapshotCmd(), inspectCmd())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/zinnialadder/site.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinnialadder/zinnialadder/internal/snapshot"
+	"github.com/zinnialadder/zinnialadder/platform"
+)
+
+// siteCmd returns the command that shows what the platform's store says of a site.
+func siteCmd() *cobra.Command {
+	var from storeFlags
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "site",
+		Short: "Print what the platform's store says: configuration, instances, upstreams, leases, submissions",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			snap, err := from.take(cmd, false)
+			if err != nil {
+				return err
+			}
+			return printState(cmd, snap, asJSON)
+		},
+	}
+	from.add(cmd)
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+// snapshotCmd returns the command that copies the product's rows and objects.
+func snapshotCmd() *cobra.Command {
+	var from storeFlags
+	var out string
+	cmd := &cobra.Command{
+		Use:   "snapshot",
+		Short: "Copy the product's rows and objects in the platform's store to a file",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			snap, err := from.take(cmd, true)
+			if err != nil {
+				return err
+			}
+			if err := writeFile(out, func(w io.Writer) error { return snap.Write(w) }); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d rows and %d objects as of version %d, %d rows changed later\n", len(snap.Rows), len(snap.Objects), snap.Version, len(snap.Later))
+			return nil
+		},
+	}
+	from.add(cmd)
+	cmd.Flags().StringVar(&out, "out", "", "file to write")
+	_ = cmd.MarkFlagRequired("out")
+	return cmd
+}
+
+// inspectCmd returns the command that reads a file of snapshotCmd's.
+func inspectCmd() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "inspect FILE",
+		Short: "Print what a file of ctl snapshot says, as ctl site does of the store",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := os.Open(args[0])
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			snap, err := snapshot.Read(f)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			return printState(cmd, snap, asJSON)
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+func jsonFlag(cmd *cobra.Command, asJSON *bool) {
+	cmd.Flags().BoolVar(asJSON, "json", false, "print JSON")
+}
+
+func printState(cmd *cobra.Command, snap snapshot.Snapshot, asJSON bool) error {
+	st := snap.State(platform.Decoder())
+	if asJSON {
+		return printJSON(cmd, st)
+	}
+	return st.Write(cmd.OutOrStdout())
+}
+
+// storeFlags tell where the platform's store is.
+type storeFlags struct{ address, settings string }
+
+func (f *storeFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "store", "", "IP:port of the platform's store")
+	cmd.Flags().StringVar(&f.settings, "settings", "", "a machine's settings file, which names the store")
+	cmd.MarkFlagsOneRequired("store", "settings")
+	cmd.MarkFlagsMutuallyExclusive("store", "settings")
+}
+
+// take takes a snapshot of the store that the flags name.
+func (f *storeFlags) take(cmd *cobra.Command, objects bool) (snapshot.Snapshot, error) {
+	address := f.address
+	if f.settings != "" {
+		s, err := platform.LoadSettings(f.settings)
+		if err != nil {
+			return snapshot.Snapshot{}, err
+		}
+		address = s.Store
+	}
+	return snapshot.Take(cmd.Context(), platform.NewStore(address), snapshot.Tables(platform.Decoder()), objects, time.Now())
+}
--- /dev/null
+++ b/internal/snapshot/state.go
@@ -0,0 +1,207 @@
+package snapshot
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// Tables returns the tables that a site's state is in, d being what reads its
+// operators' and upstreams' rows.
+func Tables(d node.Decoder) []Table {
+	return []Table{
+		{Name: d.OperatorTable, Prefixes: []string{d.OperatorTable + "//"}},
+		{Name: d.EntriesTable, Prefixes: []string{d.EntriesTable + "//"}},
+		{Name: membership.Table, Prefixes: []string{membership.Prefix()}},
+		{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
+		{Name: submission.HeadsTable, Prefixes: submission.HeadPrefixes()},
+		{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()},
+	}
+}
+
+// belongs reports whether the row at key may have objects.
+func belongs(key string) bool {
+	return strings.HasPrefix(key, submission.HeadsTable+"/") || strings.HasPrefix(key, submission.ResultsTable+"/")
+}
+
+// State is what a snapshot says of a site.
+type State struct {
+	TakenAt       time.Time         `json:"taken_at"`
+	Configuration Configuration     `json:"configuration"`
+	Versions      map[string]uint64 `json:"weight_versions"` // named, by model
+	Instances     []Instance        `json:"instances"`
+	Upstreams     []upstream.Entry  `json:"upstreams"`
+	Leases        []Lease           `json:"leases"`
+	Submissions   []Submission      `json:"submissions"`
+	Unreadable    []string          `json:"unreadable"` // rows that could not be read, and why
+}
+
+// Configuration is the configuration that the operators have written.
+type Configuration struct {
+	Version uint64   `json:"version"` // 0 for none
+	Routes  int      `json:"routes"`
+	Pools   []string `json:"pools"`
+}
+
+// Instance is an instance as its row tells it.
+type Instance struct {
+	Name          string    `json:"name"`
+	Start         string    `json:"start"`
+	Address       string    `json:"address"`
+	DataCentre    string    `json:"data_centre"`
+	Draining      bool      `json:"draining"`
+	Configuration uint64    `json:"configuration"` // version in force there
+	RenewedAt     time.Time `json:"renewed_at"`    // by its own clock
+}
+
+// Lease is the lease of a duty that one instance has.
+type Lease struct {
+	Name      string    `json:"name"`
+	Holder    string    `json:"holder"`
+	Fencing   uint64    `json:"fencing"`
+	ExpiresAt time.Time `json:"expires_at"` // by the holder's clock
+}
+
+// Submission is a batch submission.
+type Submission struct {
+	submission.Head
+	Fencing uint64 `json:"fencing"`
+	Results int    `json:"results"` // written
+}
+
+// State returns what s says, d being what reads the rows of operators and
+// upstreams.
+func (s Snapshot) State(d node.Decoder) State {
+	st := State{TakenAt: s.TakenAt, Versions: map[string]uint64{}}
+	results := map[string]int{}
+	for _, r := range s.Rows {
+		table, _, _ := strings.Cut(r.Key, "/")
+		var err error
+		switch table {
+		case d.OperatorTable:
+			err = st.operator(d, r)
+		case d.EntriesTable:
+			err = st.entry(d, r)
+		case membership.Table:
+			err = st.instance(r)
+		case node.LeasesTable:
+			err = st.lease(r)
+		case submission.HeadsTable:
+			err = st.submission(r)
+		case submission.ResultsTable:
+			results[resultOf(r.Key)]++
+		}
+		if err != nil {
+			st.Unreadable = append(st.Unreadable, fmt.Sprintf("%s: %v", r.Key, err))
+		}
+	}
+	for i := range st.Submissions {
+		st.Submissions[i].Results = results[st.Submissions[i].ID]
+	}
+	slices.SortFunc(st.Submissions, func(a, b Submission) int { return a.AcceptedAt.Compare(b.AcceptedAt) })
+	return st
+}
+
+// resultOf returns the ID of the submission that the result at key is of.
+func resultOf(key string) string {
+	return submission.IDOf(key[:strings.LastIndexByte(key, '/')])
+}
+
+func (st *State) operator(d node.Decoder, r Row) error {
+	if model, v, ok := d.NamedVersion(r.row()); ok {
+		st.Versions[model] = v
+		return nil
+	}
+	t, ok, err := d.Configuration(r.row())
+	if !ok || err != nil {
+		return err
+	}
+	st.Configuration = Configuration{Version: t.Version, Routes: t.Routes()}
+	for _, p := range t.Pools {
+		st.Configuration.Pools = append(st.Configuration.Pools, p.Name)
+	}
+	slices.Sort(st.Configuration.Pools)
+	return nil
+}
+
+func (st *State) entry(d node.Decoder, r Row) error {
+	e, err := d.Entry(r.row())
+	if err == nil {
+		st.Upstreams = append(st.Upstreams, e)
+	}
+	return err
+}
+
+func (st *State) instance(r Row) error {
+	m, l, err := membership.Decode(r.row())
+	if err != nil {
+		return err
+	}
+	st.Instances = append(st.Instances, Instance{Name: m.Name, Start: m.Start, Address: m.Address, DataCentre: m.DataCentre,
+		Draining: m.Draining, Configuration: m.Configuration, RenewedAt: l.RenewedAt})
+	return nil
+}
+
+func (st *State) lease(r Row) error {
+	l, err := lease.Decode(r.row())
+	if err == nil {
+		st.Leases = append(st.Leases, Lease{Name: l.Name, Holder: l.Holder, Fencing: l.Fencing, ExpiresAt: l.ExpiresAt})
+	}
+	return err
+}
+
+func (st *State) submission(r Row) error {
+	h, err := submission.DecodeHead(r.row())
+	if err == nil {
+		st.Submissions = append(st.Submissions, Submission{Head: h, Fencing: r.Version})
+	}
+	return err
+}
+
+// Write writes st as text.
+func (st State) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "configuration\tversion %d, %d routes, pools %s\n", st.Configuration.Version, st.Configuration.Routes, strings.Join(st.Configuration.Pools, " "))
+	for _, in := range st.Instances {
+		fmt.Fprintf(t, "instance %s\t%s\t%s\tconfiguration %d\tdraining %t\trenewed %s\n", in.Name, in.Address, in.DataCentre, in.Configuration, in.Draining, in.RenewedAt.UTC().Format(time.TimeOnly))
+	}
+	for _, e := range st.Upstreams {
+		fmt.Fprintf(t, "upstream %s\t%s\t%s\tpool %s\tdraining %t\tversions %v\n", e.ID, e.Address, e.DataCentre, e.Pool, e.Draining, e.Versions)
+	}
+	for _, l := range st.Leases {
+		fmt.Fprintf(t, "lease %s\theld by %s\tfencing %d\n", l.Name, l.Holder, l.Fencing)
+	}
+	for _, model := range slices.Sorted(maps.Keys(st.Versions)) {
+		fmt.Fprintf(t, "model %s\tversion %d\n", model, st.Versions[model])
+	}
+	for _, s := range st.Submissions {
+		fmt.Fprintf(t, "submission %s\tstep %d\t%d of %d results\towner %s\tfencing %d\t%s\n", s.ID, s.Step, s.Results, s.Total, s.Owner, s.Fencing, phase(s.Head))
+	}
+	for _, u := range st.Unreadable {
+		fmt.Fprintf(t, "unreadable\t%s\n", u)
+	}
+	return t.Flush()
+}
+
+// phase says where a submission stands.
+func phase(h submission.Head) string {
+	switch {
+	case h.Ended:
+		return "ended"
+	case h.Complete:
+		return "complete"
+	case !h.Claimed:
+		return "waits for its owner"
+	}
+	return "runs"
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -48,6 +48,9 @@
 	Draining   bool   `json:"draining,omitempty"`
 	// Cores is how much work it can carry, in processor cores.
 	Cores float64 `json:"cores"`
+	// Configuration is the version of the configuration that it had in force when
+	// it last wrote its row; 0 for none. Operators read it.
+	Configuration uint64 `json:"configuration,omitempty"`
 }
 
 // Start returns what identifies one start of the instance named name.
@@ -113,19 +116,28 @@
 	return first
 }
 
+// Decode returns the member that row tells of, and the lease that the row is.
+func Decode(row platform.Row) (Member, lease.Lease, error) {
+	l, err := lease.Decode(row)
+	if err != nil {
+		return Member{}, l, err
+	}
+	m := Member{}
+	if err := json.Unmarshal(l.Data, &m); err != nil {
+		return Member{}, l, fmt.Errorf("membership: %s: %w", row.Key, err)
+	}
+	m.Name, m.Start = strings.TrimPrefix(row.Key, Prefix()), l.Holder
+	return m, l, nil
+}
+
 func (v *View) put(name string, row platform.Row, at time.Time) error {
 	if s := v.members[name]; s != nil && s.version == row.Version {
 		return nil
 	}
-	l, err := lease.Decode(row)
+	m, l, err := Decode(row)
 	if err != nil {
 		return err
 	}
-	m := Member{}
-	if err := json.Unmarshal(l.Data, &m); err != nil {
-		return fmt.Errorf("membership: %s: %w", name, err)
-	}
-	m.Name, m.Start = name, l.Holder
 	v.members[name] = &seen{Member: m, version: row.Version, ttl: l.TTL(TTL(minPeriod)), changedAt: at}
 	return nil
 }
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -17,8 +17,10 @@
 )
 
 const (
+	// LeasesTable is the table of the leases of duties that one instance has.
+	LeasesTable = "leases"
 	// ordersLease is the lease of the one instance that orders engines.
-	ordersLease = "leases//orders"
+	ordersLease = LeasesTable + "//orders"
 	// orderTime is how long after a renewal of the lease orders are given: it is
 	// short, as the next holder waits for its end and for the time within which
 	// holders must not alternate.
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -120,7 +120,7 @@
 // Tables of submissions in the platform's store.
 const (
 	HeadsTable   = "submissions"
-	resultsTable = "results"
+	ResultsTable = "results"
 	objectPrefix = "submission-"
 )
 
@@ -135,21 +135,12 @@
 	return strconv.Itoa(int(h.Sum32() % partitions))
 }
 
-// HeadPrefixes returns the prefixes of the keys of all heads.
-func HeadPrefixes() []string {
-	out := make([]string, partitions)
-	for i := range out {
-		out[i] = HeadsTable + "/" + strconv.Itoa(i) + "/"
-	}
-	return out
-}
-
 func headKey(id string) string { return HeadsTable + "/" + partition(id) + "/" + id }
 
 // IDOf returns the ID of the submission whose head has the given key.
 func IDOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
-func resultsPrefix(id string) string { return resultsTable + "/" + partition(id) + "/" + id + "/" }
+func resultsPrefix(id string) string { return ResultsTable + "/" + partition(id) + "/" + id + "/" }
 
 // positionDigits is enough for the items of any submission.
 const positionDigits = 6
