node: heartbeats of engines cost a node little, however many engines there are

Each node decodes each engine's heartbeat, 2,500 a second, publishes the whole list after each answer, deals the engines ten times a second, and copies every engine's versions to choose one. Ruled out: reading fewer heartbeats (an engine that leaves must be known within two seconds), and lists kept by some instances for the others (their loss would hide leaving engines just as long).

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -212,7 +212,8 @@
 	parts := map[string][]string{}
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
-			maps.Copy(parts, weights.Partition(n.orderable(pool.Name), ofPool(pool, e.demands)))
+			ids, _ := n.registry.Staying(pool.Name)
+			maps.Copy(parts, weights.Partition(ids, ofPool(pool, e.demands)))
 		}
 	}
 	n.registry.SetParts(parts)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -51,6 +51,10 @@
 	Configuration func(platform.Row) (t *routetable.Table, ok bool, err error)
 	NamedVersion  func(platform.Row) (model string, version uint64, ok bool)
 	Entry         func(platform.Row) (upstream.Entry, error)
+	// SameEntry reports whether two rows of one upstream tell the same Entry,
+	// without reading them whole: nearly all writes are heartbeats that change
+	// nothing else. It may report false for rows that do. Nil for never.
+	SameEntry func(old, new platform.Row) bool
 }
 
 // Config configures a Node.
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -221,18 +221,11 @@
 				return nil
 			}
 		}
-		found := false
-		for _, e := range o.node.registry.Entries(to.Pool) {
-			if e.ID != to.ID {
-				continue
-			}
-			found = true
-			if e.Versions[mo.Model] >= mo.Version {
-				return nil
-			}
-		}
-		if !found {
+		switch e, ok := o.node.registry.Entry(to.ID); {
+		case !ok:
 			return errEngineAway
+		case e.Versions[mo.Model] >= mo.Version:
+			return nil
 		}
 		if !clock.Sleep(ctx, confirmPeriod) {
 			return ctx.Err()
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -32,10 +32,14 @@
 // at once.
 func (o *orderSender) planPool(ctx context.Context, p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
 	byID := map[string]upstream.Entry{}
+	var ids []string
 	for _, e := range o.node.registry.Entries(pool.Name) {
 		byID[e.ID] = e
+		if !e.Draining {
+			ids = append(ids, e.ID)
+		}
 	}
-	ids, demands := o.node.orderable(pool.Name), ofPool(pool, p.demands)
+	demands := ofPool(pool, p.demands)
 	parts := weights.Partition(ids, demands)
 	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
 	for _, d := range demands {
@@ -59,17 +63,6 @@
 	}
 }
 
-// orderable returns the IDs of a pool's engines that do not leave.
-func (n *Node) orderable(pool string) []string {
-	var ids []string
-	for _, e := range n.registry.Entries(pool) {
-		if !e.Draining {
-			ids = append(ids, e.ID)
-		}
-	}
-	return ids
-}
-
 // ofPool returns the demands for the models of a pool. While no work is known of
 // any, all are given the same.
 func ofPool(pool routetable.Pool, demands []weights.Demand) []weights.Demand {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -266,11 +266,8 @@
 	}
 	slots := 0
 	for _, s := range rt.Shares {
-		for _, e := range n.registry.Entries(s.Pool) {
-			if !e.Draining {
-				slots += e.Slots
-			}
-		}
+		_, more := n.registry.Staying(s.Pool)
+		slots += more
 	}
 	models := 1
 	if named := n.named.Load(); named != nil {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -2,13 +2,16 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 const (
@@ -77,14 +80,18 @@
 	running map[string]bool      // submissions that run here or are being adopted
 
 	entries   map[string]upstream.Entry
-	missing   map[string]time.Time // entries that are gone, and kept until then
-	graceTill time.Time            // entries that go until then may come back
+	entryRows map[string]platform.Row // that entries were read from
+	missing   map[string]time.Time    // entries that are gone, and kept until then
+	graceTill time.Time               // entries that go until then may come back
 
 	named map[string]uint64  // newest weight version, by model
 	lag   map[string]uint64  // how many versions behind it requests accept, by model
 	work  map[string]float64 // mean of the work of recent submissions, by model
 	dealt map[string]float64 // the work by which engines are dealt to models
 
+	undealt   bool             // upstreams or pools have changed since engines were dealt
+	dealtWith []weights.Demand // the demands by which they were
+
 	keepFor  time.Duration // how long submissions are kept after their acceptance
 	sweeping bool
 	sweepAt  time.Time // the next sweep, not before
@@ -98,7 +105,7 @@
 func newState(name, start string, d Decoder, keepFor time.Duration) *state {
 	return &state{name: name, start: start, decoder: d, keepFor: keepFor, members: membership.NewView(),
 		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
-		entries: map[string]upstream.Entry{}, missing: map[string]time.Time{},
+		entries: map[string]upstream.Entry{}, entryRows: map[string]platform.Row{}, missing: map[string]time.Time{},
 		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, dealt: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
 }
 
@@ -167,6 +174,7 @@
 				effs = append(effs, note{"configuration not understood", []any{"row_version", ch.Version, "err", err}})
 				continue
 			}
+			s.undealt = true
 			effs = append(effs, setTable{t})
 		} else if model, version, ok := s.decoder.NamedVersion(ch.Row); ok && version > s.named[model] {
 			s.named[model] = version
@@ -184,52 +192,76 @@
 		s.graceTill = u.At.Add(returnTime)
 	}
 	var effs []effect
+	changed := false
 	present := map[string]bool{}
+	prefix := s.decoder.EntriesTable + "//"
 	for _, ch := range u.Changes {
-		id := strings.TrimPrefix(ch.Key, s.decoder.EntriesTable+"//")
-		present[id] = true
-		if ch.Deleted {
-			s.entryGone(id, u.At)
-			continue
+		id := strings.TrimPrefix(ch.Key, prefix)
+		if u.Reset {
+			present[id] = true
 		}
-		e, err := s.decoder.Entry(ch.Row)
-		if err != nil {
-			effs = append(effs, note{"entry not usable", []any{"upstream", id, "err", err}})
-			s.entryGone(id, u.At)
+		if ch.Deleted {
+			changed = s.entryGone(id, u.At) || changed
 			continue
 		}
-		delete(s.missing, id)
-		if old, ok := s.entries[id]; !ok || !old.SameStart(e) || old.Draining != e.Draining {
-			effs = append(effs, note{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}})
-		}
-		s.entries[id] = e
+		new, notes := s.onEntry(id, ch.Row, u.At)
+		changed = changed || new
+		effs = append(effs, notes...)
 	}
 	if u.Reset {
 		for id := range s.entries {
 			if !present[id] {
-				s.entryGone(id, u.At)
+				changed = s.entryGone(id, u.At) || changed
 			}
 		}
 	}
-	if len(u.Changes) == 0 && !u.Reset {
-		return effs
+	if !changed {
+		return effs // as after heartbeats alone, of which a large site has thousands a second
 	}
 	return append(effs, s.publishEntries())
 }
 
-func (s *state) entryGone(id string, at time.Time) {
+// onEntry takes an upstream's row and reports whether it tells anything new.
+func (s *state) onEntry(id string, row platform.Row, at time.Time) (changed bool, notes []effect) {
+	old, known := s.entries[id]
+	if known && s.decoder.SameEntry != nil && s.decoder.SameEntry(s.entryRows[id], row) {
+		delete(s.missing, id)
+		return false, nil
+	}
+	e, err := s.decoder.Entry(row)
+	if err != nil {
+		return s.entryGone(id, at), []effect{note{"entry not usable", []any{"upstream", id, "err", err}}}
+	}
+	delete(s.missing, id)
+	if !known || !old.SameStart(e) || old.Draining != e.Draining {
+		notes = []effect{note{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}}}
+	}
+	s.entries[id], s.entryRows[id] = e, row
+	return !known || !old.Equal(e), notes
+}
+
+// entryGone drops an entry, or keeps it as missing, and reports whether it is
+// dropped.
+func (s *state) entryGone(id string, at time.Time) bool {
 	if _, ok := s.entries[id]; !ok {
-		return
+		return false
 	}
 	if at.Before(s.graceTill) {
 		s.missing[id] = s.graceTill
-		return
+		return false
 	}
+	s.dropEntry(id)
+	return true
+}
+
+func (s *state) dropEntry(id string) {
 	delete(s.entries, id)
+	delete(s.entryRows, id)
 	delete(s.missing, id)
 }
 
 func (s *state) publishEntries() effect {
+	s.undealt = true
 	out := make([]upstream.Entry, 0, len(s.entries))
 	for _, e := range s.entries {
 		out = append(out, e)
@@ -326,7 +358,11 @@
 	effs = append(effs, s.adopt(now)...)
 	effs = append(effs, s.sweep(now)...)
 	demands := s.demands()
-	return append(effs, dealEngines{demands}, planOrders{now, demands})
+	if s.undealt || !slices.Equal(demands, s.dealtWith) {
+		s.undealt, s.dealtWith = false, demands
+		effs = append(effs, dealEngines{demands})
+	}
+	return append(effs, planOrders{now, demands})
 }
 
 // dropMissing drops the entries that have not come back in time.
@@ -336,8 +372,7 @@
 		if now.Before(till) {
 			continue
 		}
-		delete(s.missing, id)
-		delete(s.entries, id)
+		s.dropEntry(id)
 		effs = append(effs, note{"upstream gone", []any{"upstream", id}})
 	}
 	if len(effs) == 0 {
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -236,3 +236,37 @@
 		}
 	}
 }
+
+// Heartbeats that change nothing else publish nothing; whatever an entry tells
+// anew does.
+func TestHeartbeatsPublishNothing(t *testing.T) {
+	d := decoder
+	d.SameEntry = func(old, new platform.Row) bool { return string(old.Value) == string(new.Value) }
+	d.Entry = func(r platform.Row) (upstream.Entry, error) {
+		return upstream.Entry{ID: strings.TrimPrefix(r.Key, entries+"//"), Pool: "p", Address: "10.0.0.1:1", Draining: strings.Contains(string(r.Value), "leaves")}, nil
+	}
+	s, now := node.NewState("a", "a#1", d), start()
+	update := func(chs ...platform.Change) []string {
+		now = now.Add(time.Second)
+		return s.Update(feed.Update{Table: entries, At: now, Changes: chs})
+	}
+	if effs := update(entry("i1", "x", 1), entry("i2", "x", 2)); !slices.Contains(effs, "upstreams 2") {
+		t.Fatalf("effects %v of two new upstreams", effs)
+	}
+	for version, value := range []string{"x", "y", "x"} {
+		if effs := update(entry("i1", value, uint64(3+version))); len(effs) != 0 {
+			t.Fatalf("effects %v of a heartbeat", effs)
+		}
+	}
+	if effs := update(entry("i1", "leaves", 6), entry("i2", "x", 7)); !slices.Contains(effs, "upstreams 2") {
+		t.Fatalf("effects %v as an upstream leaves", effs)
+	}
+	gone := entry("i1", "", 8)
+	gone.Deleted = true
+	if effs := update(gone); !slices.Contains(effs, "upstreams 1") {
+		t.Fatalf("effects %v as an upstream is gone", effs)
+	}
+	if effs := update(); len(effs) != 0 {
+		t.Fatalf("effects %v of nothing", effs)
+	}
+}
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -2,7 +2,10 @@
 // send requests to, and chooses among them.
 package upstream
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Entry is what an upstream has registered of itself.
 type Entry struct {
@@ -24,6 +27,11 @@
 	return e.ID == o.ID && e.Born == o.Born && e.Address == o.Address && e.Pool == o.Pool
 }
 
+// Equal reports whether e and o tell the same.
+func (e Entry) Equal(o Entry) bool {
+	return e.SameStart(o) && e.DataCentre == o.DataCentre && e.Slots == o.Slots && e.Draining == o.Draining && maps.Equal(e.Versions, o.Versions)
+}
+
 // Load is what an upstream told of its load with an answer.
 type Load struct {
 	Running, Waiting int
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -110,7 +110,7 @@
 func (r *Registry) Entries(pool string) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Entry
+	out := make([]Entry, 0, len(r.pools[pool]))
 	for _, k := range r.pools[pool] {
 		e := k.Entry
 		e.Versions = k.versions()
@@ -119,18 +119,54 @@
 	return out
 }
 
-// versions returns the newest weight versions that k is known to hold.
+// Entry returns the upstream with an ID, if it is known.
+func (r *Registry) Entry(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.byID[id]
+	if k == nil {
+		return Entry{}, false
+	}
+	e := k.Entry
+	e.Versions = k.versions()
+	return e, true
+}
+
+// Staying returns the IDs of a pool's upstreams that do not leave, in order, and
+// how many requests they serve at once together.
+func (r *Registry) Staying(pool string) (ids []string, slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, k := range r.pools[pool] {
+		if !k.Draining {
+			ids = append(ids, k.ID)
+			slots += k.Slots
+		}
+	}
+	return ids, slots
+}
+
+// version returns the newest version of a model that k is known to hold.
+func (k *known) version(model string) uint64 { return max(k.Versions[model], k.confirmed[model]) }
+
+// versions returns the newest weight versions that k is known to hold. The map
+// may be the entry's own, which nobody changes.
 func (k *known) versions() map[string]uint64 {
-	v := maps.Clone(k.Versions)
+	var newer map[string]uint64
 	for m, n := range k.confirmed {
-		if n > v[m] {
-			if v == nil {
-				v = map[string]uint64{}
-			}
-			v[m] = n
+		if n <= k.Versions[m] {
+			continue
 		}
+		if newer == nil {
+			newer = make(map[string]uint64, len(k.Versions)+1)
+			maps.Copy(newer, k.Versions)
+		}
+		newer[m] = n
+	}
+	if newer != nil {
+		return newer
 	}
-	return v
+	return k.Versions
 }
 
 // Ticket is one request's place at an upstream. Its holder calls Done once.
@@ -174,20 +210,24 @@
 // model is dealt if there are any.
 func (r *Registry) usablePart(w Want) []*known {
 	p := r.parts[w.Model]
-	var own, all []*known
-	for _, k := range r.pools[w.Pool] {
-		if !r.usable(k, w) {
-			continue
-		}
-		all = append(all, k)
-		if p[k.ID] {
-			own = append(own, k)
-		}
+	if len(p) == 0 {
+		return r.usableOf(w, func(*known) bool { return true })
 	}
-	if len(own) > 0 || w.Outdated && len(p) > 0 {
+	own := r.usableOf(w, func(k *known) bool { return p[k.ID] })
+	if len(own) > 0 || w.Outdated {
 		return own // others are not moved to the model's versions
 	}
-	return all
+	return r.usableOf(w, func(*known) bool { return true })
+}
+
+func (r *Registry) usableOf(w Want, among func(*known) bool) []*known {
+	out := make([]*known, 0, len(r.pools[w.Pool]))
+	for _, k := range r.pools[w.Pool] {
+		if among(k) && r.usable(k, w) {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 func (r *Registry) slowness(ks []*known, now time.Time) []float64 {
@@ -205,10 +245,10 @@
 	case w.Model == "":
 		return true
 	case w.Outdated:
-		v := k.versions()[w.Model]
+		v := k.version(w.Model)
 		return v < w.MinVersion && v+askWithin >= w.MinVersion && w.At.Sub(k.askedAt) >= askAgainAfter
 	}
-	return k.versions()[w.Model] >= w.MinVersion
+	return k.version(w.Model) >= w.MinVersion
 }
 
 // load returns how many requests k is believed to hold.
