check: settings, deploy and catalogue files, with line and reason

Purpose: a fault in a file showed when the program that reads it started, and without its line. Own settings name the line of every fault now, the platform's settings that of a bad value.

--- a/cmd/zinnialadder/main.go
+++ b/cmd/zinnialadder/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,14 +28,29 @@
 		Short:         "A rollout service for reinforcement learning",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Version:       version(),
 	}
-	root.AddCommand(entryCmd(), nodeCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd(), capacityCmd())
+	root.AddCommand(entryCmd(), nodeCmd(), checkCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd(), capacityCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
 		os.Exit(1)
 	}
 }
 
+// version returns the version of the build: its commit, if it was built from one.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
 // signalContext returns a context that ends on SIGINT or SIGTERM.
 func signalContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,14 +22,14 @@
 func (d *Duration) UnmarshalJSON(b []byte) error {
 	var s string
 	if err := json.Unmarshal(b, &s); err != nil {
-		return fmt.Errorf("want a duration string such as \"2s\": %w", err)
+		return &valueError{bytes.Clone(b), fmt.Errorf("want a duration string such as \"2s\": %w", err)}
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return err
+		return &valueError{bytes.Clone(b), err}
 	}
 	if v < 0 {
-		return fmt.Errorf("duration %q is negative", s)
+		return &valueError{bytes.Clone(b), fmt.Errorf("duration %q is negative", s)}
 	}
 	*d = Duration(v)
 	return nil
@@ -50,28 +50,36 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	if err := Parse(b, v); err != nil {
+		var at *LineError
+		if errors.As(err, &at) {
+			return fmt.Errorf("settings %s:%d: %w", path, at.Line, at.Err)
+		}
 		return fmt.Errorf("settings %s: %w", path, err)
 	}
 	return nil
 }
 
-// Parse reads JSON with comments from b into v and checks it.
+// Parse reads JSON with comments from b into v and checks it. Its errors are
+// *LineError where the line of the fault is known.
 func Parse(b []byte, v Checker) error {
 	// hujson needs a line comment to end in a newline, and files do not
 	// always end in one.
 	std, err := hujson.Standardize(append(bytes.Clone(b), '\n'))
 	if err != nil {
-		return fmt.Errorf("not JSON with comments: %w", err)
+		return fmt.Errorf("not JSON with comments: %w", err) // tells line and column
 	}
 	dec := json.NewDecoder(bytes.NewReader(std))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		return err
+		return at(std, offsetOf(std, dec, err), err)
 	}
 	if dec.More() {
-		return errors.New("trailing data after the settings object")
+		return at(std, int(dec.InputOffset()), errors.New("trailing data after the settings object"))
 	}
-	return v.Check()
+	if err := v.Check(); err != nil {
+		return at(std, fieldOf(std, err), err)
+	}
+	return nil
 }
 
 // CheckAddress reports whether addr is a host:port with an IP number, as
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -50,3 +51,26 @@
 		}
 	}
 }
+
+// A fault is told with the line that it stands in, comments counted.
+func TestFaultsNameTheLine(t *testing.T) {
+	const good = "// an instance\n{\n  \"id\": \"e\",\n  /* where\n     to serve */\n  \"listen\": \"127.0.0.1:1\",\n  \"data_centre\": \"loopback\",\n  \"platform\": \"http://127.0.0.1:2\",\n  \"refresh\": \"1s\"\n}\n"
+	if err := settings.Parse([]byte(good), new(settings.Entry)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		old, new string
+		line     int
+	}{
+		"unknown field": {`"refresh"`, `"refresher"`, 9},
+		"wrong type":    {`"platform": "http://127.0.0.1:2"`, `"platform": 7`, 8},
+		"bad value":     {`127.0.0.1:1`, `here:1`, 6},
+		"bad duration":  {`"1s"`, `"1 second"`, 9},
+		"trailing data": {"}\n", "}\n{}", 11},
+	} {
+		err := settings.Parse([]byte(strings.Replace(good, c.old, c.new, 1)), new(settings.Entry))
+		if err == nil || !strings.Contains(err.Error(), fmt.Sprintf("line %d", c.line)) {
+			t.Errorf("%s: %v, want line %d", name, err, c.line)
+		}
+	}
+}
