weights: versions of a pool's engines are taken up at once

Cause: the plan of orders told a rollout each engine's version by itself, and each copied all engines: the square of their number, when a version is named.

--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -121,9 +120,7 @@
 	r, _ = r.Reduce(weights.Pool{Addresses: ids})
 	r, _ = r.Reduce(weights.Named{Version: d.Named})
 	r, _ = r.Reduce(weights.Held{Fencing: o.held.Fencing, Until: until})
-	for _, id := range ids {
-		r, _ = r.Reduce(weights.Reported{Address: id, Report: engine.LoadReport{WeightVersion: held[id]}, At: at})
-	}
+	r, _ = r.Reduce(weights.Versions{Held: held, At: at})
 	r, orders := r.Reduce(weights.Tick{At: at})
 	o.rollouts[key] = r
 	o.ordered[key] = orderCount{version: d.Named, orders: o.ordered[key].orders + len(orders)}
--- a/pkg/weights/rollout.go
+++ b/pkg/weights/rollout.go
@@ -71,6 +71,11 @@
 		Report  engine.LoadReport
 		At      time.Time
 	}
+	// Versions tells the versions that engines hold, by address.
+	Versions struct {
+		Held map[string]uint64
+		At   time.Time
+	}
 	// Ordered tells how an order ended: Err is nil if the engine loaded
 	// Version.
 	Ordered struct {
@@ -87,6 +92,7 @@
 func (Held) isRolloutEvent()     {}
 func (Lost) isRolloutEvent()     {}
 func (Reported) isRolloutEvent() {}
+func (Versions) isRolloutEvent() {}
 func (Ordered) isRolloutEvent()  {}
 
 // Order is an effect: order the engine at Address to load Version. It must
@@ -113,6 +119,8 @@
 		r.Fencing, r.HeldUntil = 0, time.Time{}
 	case Reported:
 		r = r.onReported(e)
+	case Versions:
+		r = r.onVersions(e)
 	case Ordered:
 		r = r.onOrdered(e)
 	}
@@ -164,6 +172,7 @@
 	}
 	free := r.Config.MaxLoading - r.loading()
 	var orders []Order
+	ordered := maps.Clone(r.Engines)
 	for _, addr := range r.Behind() {
 		if free <= 0 {
 			break
@@ -173,10 +182,11 @@
 			continue
 		}
 		e.OrderEndsAt = now.Add(r.Config.OrderTimeout)
-		r = r.with(addr, e)
+		ordered[addr] = e
 		free--
 		orders = append(orders, Order{Address: addr, Version: r.Target, Fencing: r.Fencing, NotAfter: r.HeldUntil.Add(-r.Config.SendMargin / 2)})
 	}
+	r.Engines = ordered
 	return r, orders
 }
 
@@ -215,6 +225,22 @@
 	return r.with(ev.Address, e)
 }
 
+// onVersions takes the versions of many engines at once: one copy of the engines
+// for a whole pool, where a copy for each engine took the square of their number.
+func (r Rollout) onVersions(ev Versions) Rollout {
+	engines := maps.Clone(r.Engines)
+	for addr, v := range ev.Held {
+		e, ok := engines[addr]
+		if !ok || ev.At.Before(e.TrustAt) {
+			continue
+		}
+		e.Version, e.Loading = v, false
+		engines[addr] = e
+	}
+	r.Engines = engines
+	return r
+}
+
 func (r Rollout) onOrdered(ev Ordered) Rollout {
 	e, ok := r.Engines[ev.Address]
 	if !ok {
