node: the lease of orders is handed over; a complete submission runs no more

(2) A submission whose results were all written was adopted and read again seven times in 0.6 s by its own owner, until the feed told that it was complete. Ruled out: a shorter lease (tried before; holders must not alternate within 3 s). Now an instance that drains releases the lease as soon as holders may alternate, that is LeaseTime after its last order and not before those under way are sent; and a run's end carries the head as it left it.

--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -26,6 +26,10 @@
 	return texts(s.s.reduce(adopted{ID: o.ID, Owned: o, At: at}))
 }
 
+func (s State) RunEnded(o submission.Owned) []string {
+	return texts(s.s.reduce(runEnded{ID: o.ID, Head: o}))
+}
+
 func (s State) Drain() []string { return texts(s.s.reduce(drain{})) }
 
 // Upstreams returns the IDs of the entries in the last setUpstreams of effs.
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -67,6 +67,8 @@
 	accepted map[string]acceptedOrders  // by engine ID
 	ordered  map[string]orderCount      // by pool and model
 	shortest time.Duration              // load seen; 0 for none
+	sending  int                        // orders that are about to be sent
+	lastSent time.Time                  // when the last order was sent, at the latest
 }
 
 // orderCount counts the orders given for a version.
@@ -90,6 +92,9 @@
 	n := o.node
 	keeper := &lease.Keeper{Table: n.cfg.Store, Clock: clock.System{}, Name: ordersLease, Holder: n.cfg.Name, TTL: orderTime + n.cfg.LeaseTime + orderMargin}
 	for ctx.Err() == nil {
+		if n.draining.Load() && o.current().Fencing != 0 {
+			o.giveUp(ctx, keeper)
+		}
 		if o.candidate() {
 			before := o.current().Fencing
 			held, err := keeper.Take(ctx, nil)
@@ -109,6 +114,39 @@
 	return nil
 }
 
+// giveUp gives the lease up, so that another instance orders engines before it
+// would lapse: as soon as holders may alternate, after the last order sent here.
+func (o *orderSender) giveUp(ctx context.Context, keeper *lease.Keeper) {
+	n := o.node
+	o.set(lease.Held{})
+	for !time.Now().After(o.freeFrom()) {
+		if !clock.Sleep(ctx, confirmPeriod) {
+			return // it lapses
+		}
+	}
+	err := keeper.Release(ctx)
+	n.cfg.Logger.Info("lease given up", "lease", ordersLease, "err", err)
+}
+
+// freeFrom returns when another instance may give orders, if this one gives no
+// more.
+func (o *orderSender) freeFrom() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.sending > 0 {
+		return time.Now()
+	}
+	return o.lastSent.Add(o.node.cfg.LeaseTime)
+}
+
+// sent tells that an order has been sent, or will not be.
+func (o *orderSender) sent() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sending--
+	o.lastSent = time.Now()
+}
+
 func (o *orderSender) current() lease.Held {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -182,10 +220,12 @@
 		err = errTooLate
 	}
 	if err != nil {
+		o.sent()
 		o.done(key, to.ID, mo.Version, err)
 		return
 	}
 	outcome, err := n.cfg.Engines.Order(octx, to, mo)
+	o.sent()
 	n.cfg.Logger.Info("order", "upstream", to.ID, "model", mo.Model, "version", mo.Version, "fencing", mo.Fencing, "after_orders", mo.AfterOrders, "outcome", outcome, "err", err)
 	switch outcome {
 	case weights.OrderAccepted:
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -54,6 +54,7 @@
 		for _, ord := range orders {
 			e := byID[ord.Address]
 			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing, Continue: carryOn}
+			o.sending++
 			o.node.group.Go(func() error {
 				o.send(ctx, key, e, mo, ord.NotAfter)
 				return nil
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -55,8 +55,9 @@
 	}
 	// runEnded tells that a submission runs no more here.
 	runEnded struct {
-		ID  string
-		Err error
+		ID   string
+		Head submission.Owned // as the run left it, if it knows
+		Err  error
 	}
 	// swept tells the outcome of a sweep.
 	swept struct {
@@ -121,8 +122,7 @@
 	case adopted:
 		return s.onAdopted(e)
 	case runEnded:
-		delete(s.running, e.ID)
-		return nil
+		return s.onRunEnded(e)
 	case swept:
 		return s.onSwept(e)
 	case drain:
@@ -330,6 +330,16 @@
 	return append(effs, startRun{e.Owned, e.Spec, submission.Left{}})
 }
 
+// onRunEnded takes what a run has left. That its submission is complete comes
+// with it: the feed tells it later, and until then it would be run again.
+func (s *state) onRunEnded(e runEnded) []effect {
+	delete(s.running, e.ID)
+	if e.Head.Fencing == 0 {
+		return nil
+	}
+	return s.setHead(e.Head)
+}
+
 func (s *state) onAdopted(e adopted) []effect {
 	if e.Err != nil {
 		delete(s.running, e.ID)
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -270,3 +270,25 @@
 		t.Fatalf("effects %v of nothing", effs)
 	}
 }
+
+// A submission whose run has written every result is not run again while the
+// feed has not told yet that it is complete.
+func TestCompleteIsNotRunAgain(t *testing.T) {
+	now := start()
+	s := node.NewState("a", "a#1", decoder)
+	s.Update(members(now, member(t, "a", "a#1", 1)))
+	mine := submission.Head{ID: "l1", Owner: "a#1", Claimed: true, AcceptedAt: now}
+	s.Update(heads(now, head(t, submission.Head{ID: "l1", Owner: "a#1"}, 2)))
+	if effs := s.Adopted(submission.Owned{Head: mine, Fencing: 3}, now); !slices.Contains(effs, "start l1") {
+		t.Fatalf("effects %v", effs)
+	}
+	mine.Complete = true
+	s.RunEnded(submission.Owned{Head: mine, Fencing: 4})
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		s.Update(members(now, member(t, "a", "a#1", uint64(now.UnixMilli()))))
+		if effs := s.Tick(now); len(effs) != 0 {
+			t.Fatalf("effects %v of a complete submission", effs)
+		}
+	}
+}
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -325,12 +325,19 @@
 
 // complete marks the submission as one of which nothing runs any more.
 func (r *Runner) complete(ctx context.Context) error {
-	_, err := r.cfg.Log.Change(ctx, r.owned, func(h Head) (Head, bool) {
+	o, err := r.cfg.Log.Change(ctx, r.owned, func(h Head) (Head, bool) {
 		if h.Owner != r.owned.Owner || !h.Open() {
 			return h, false
 		}
 		h.Complete = true
 		return h, true
 	})
+	if err == nil {
+		r.owned = o
+	}
 	return err
 }
+
+// Head returns the head as the run left it, without a fencing token if the
+// submission was lost. It is called after Run has returned.
+func (r *Runner) Head() Owned { return r.owned }
