--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -37,7 +37,7 @@
 )
 
 func nodeCmd() *cobra.Command {
-	var path string
+	var path, level string
 	var metricsPort int
 	cmd := &cobra.Command{
 		Use:   "node",
@@ -56,23 +56,28 @@
 			if err != nil {
 				return err
 			}
+			logLevel, err := log.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("--log-level: %w", err)
+			}
 			ctx, stop := signalContext()
 			defer stop()
-			return runNode(ctx, path, s, metricsPort)
+			return runNode(ctx, path, s, metricsPort, logLevel)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "the platform's settings file")
+	cmd.Flags().StringVar(&level, "log-level", "info", "least level of lines that are logged: debug, info, warn or error")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the machine's address on which /metrics is served; 0 for the control address, if there is one")
 	return cmd
 }
 
 // runNode runs a node and the servers of its interfaces until ctx ends and it
 // has drained.
-func runNode(ctx context.Context, path string, s platform.Settings, metricsPort int) error {
+func runNode(ctx context.Context, path string, s platform.Settings, metricsPort int, level log.Level) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
-	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: log.InfoLevel}).With("node", s.Node)
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: level}).With("node", s.Node)
 	stdlog.SetOutput(out) // what libraries log; it must not block either
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.Store)
