node: an audit trail of the configuration, in the platform's store

Purpose: the store keeps the operators' last configuration only, so that nobody could tell afterwards what was in force when, or what a change changed. Up to three instances write each version that they see as a row that is never changed: the version before, when and by whom it was seen, and the routes added, removed and changed (routetable.Compare).

--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -24,6 +25,7 @@
 		{Name: d.EntriesTable, Prefixes: []string{d.EntriesTable + "//"}},
 		{Name: membership.Table, Prefixes: []string{membership.Prefix()}},
 		{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
+		{Name: node.AuditTable, Prefixes: []string{node.AuditTable + "//"}},
 		{Name: submission.HeadsTable, Prefixes: submission.HeadPrefixes()},
 		{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()},
 	}
@@ -43,6 +45,7 @@
 	Upstreams     []upstream.Entry  `json:"upstreams"`
 	Leases        []Lease           `json:"leases"`
 	Submissions   []Submission      `json:"submissions"`
+	Changes       []node.Change     `json:"changes"`    // of the configuration, the oldest first
 	Unreadable    []string          `json:"unreadable"` // rows that could not be read, and why
 }
 
@@ -96,6 +99,8 @@
 			err = st.instance(r)
 		case node.LeasesTable:
 			err = st.lease(r)
+		case node.AuditTable:
+			err = st.change(r)
 		case submission.HeadsTable:
 			err = st.submission(r)
 		case submission.ResultsTable:
@@ -160,6 +165,15 @@
 	return err
 }
 
+func (st *State) change(r Row) error {
+	var c node.Change
+	err := json.Unmarshal(r.Value, &c)
+	if err == nil {
+		st.Changes = append(st.Changes, c)
+	}
+	return err
+}
+
 func (st *State) submission(r Row) error {
 	h, err := submission.DecodeHead(r.row())
 	if err == nil {
@@ -187,6 +201,10 @@
 	for _, s := range st.Submissions {
 		fmt.Fprintf(t, "submission %s\tstep %d\t%d of %d results\towner %s\tfencing %d\t%s\n", s.ID, s.Step, s.Results, s.Total, s.Owner, s.Fencing, phase(s.Head))
 	}
+	for _, c := range st.Changes {
+		fmt.Fprintf(t, "change to %d\tfrom %d\tseen %s by %s\tadded %v\tremoved %v\tchanged %v\tlimits %t\tpools %t\n", c.Version, c.Before,
+			c.SeenAt.UTC().Format(time.DateTime), c.SeenBy, c.Added, c.Removed, c.Changed, c.Limits, c.Pools)
+	}
 	for _, u := range st.Unreadable {
 		fmt.Fprintf(t, "unreadable\t%s\n", u)
 	}
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -51,6 +51,10 @@
 			out = append(out, "release "+e.ID)
 		case setUpstreams:
 			out = append(out, fmt.Sprintf("upstreams %d", len(e.entries)))
+		case writeAudit:
+			for _, c := range e.changes {
+				out = append(out, fmt.Sprintf("audit %d", c.Version))
+			}
 		case leave:
 			out = append(out, "leave")
 		}
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -9,6 +9,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -90,6 +91,9 @@
 	work  map[string]float64 // mean of the work of recent submissions, by model
 	dealt map[string]float64 // the work by which engines are dealt to models
 
+	table     *routetable.Table // newest configuration
+	unwritten []Change          // of the configuration, not in the audit trail
+
 	undealt   bool             // upstreams or pools have changed since engines were dealt
 	dealtWith []weights.Demand // the demands by which they were
 
@@ -175,6 +179,7 @@
 				continue
 			}
 			s.undealt = true
+			s.record(t, u.At)
 			effs = append(effs, setTable{t})
 		} else if model, version, ok := s.decoder.NamedVersion(ch.Row); ok && version > s.named[model] {
 			s.named[model] = version
@@ -367,6 +372,7 @@
 	}
 	effs = append(effs, s.adopt(now)...)
 	effs = append(effs, s.sweep(now)...)
+	effs = append(effs, s.audit(now)...)
 	demands := s.demands()
 	if s.undealt || !slices.Equal(demands, s.dealtWith) {
 		s.undealt, s.dealtWith = false, demands
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -292,3 +293,35 @@
 		}
 	}
 }
+
+// A change of the configuration is written to the audit trail by few instances,
+// once each, and not before they know each other.
+func TestFewInstancesAudit(t *testing.T) {
+	d := decoder
+	d.Configuration = func(r platform.Row) (*routetable.Table, bool, error) {
+		return routetable.New(r.Version, nil, nil, routetable.Limits{}), true, nil
+	}
+	writers := 0
+	for i := range 10 {
+		self := fmt.Sprintf("n%d", i)
+		s, now := node.NewState(self, self+"#1", d), start()
+		s.Update(members(now, member(t, self, self+"#1", 1))) // the others are not known yet
+		s.Update(feed.Update{Table: "operator", At: now, Changes: []platform.Change{{Row: platform.Row{Key: "operator//c", Version: 7}}}})
+		if effs := s.Tick(now.Add(time.Second)); len(effs) != 0 {
+			t.Fatalf("effects %v at once", effs)
+		}
+		for j := range 10 {
+			name := fmt.Sprintf("n%d", j)
+			s.Update(members(now, member(t, name, name+"#1", uint64(10+j))))
+		}
+		for range 30 {
+			now = now.Add(100 * time.Millisecond)
+			if slices.Contains(s.Tick(now), "audit 7") {
+				writers++
+			}
+		}
+	}
+	if writers != 3 {
+		t.Fatalf("%d instances write, want 3", writers)
+	}
+}
--- /dev/null
+++ b/pkg/routetable/diff.go
@@ -0,0 +1,52 @@
+package routetable
+
+import (
+	"reflect"
+	"slices"
+)
+
+// Diff tells what of a configuration is new against another, by the names of
+// routes.
+type Diff struct {
+	Added   []string `json:"added,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+	Changed []string `json:"changed,omitempty"`
+	Limits  bool     `json:"limits,omitempty"` // they have changed
+	Pools   bool     `json:"pools,omitempty"`  // they have changed
+}
+
+// Compare returns what t has new against old, which may be nil for none.
+func (t *Table) Compare(old *Table) Diff {
+	if old == nil {
+		old = New(0, nil, nil, Limits{})
+	}
+	before, after := old.byName(), t.byName()
+	d := Diff{Limits: old.Limits != t.Limits, Pools: !reflect.DeepEqual(old.Pools, t.Pools)}
+	for name, r := range after {
+		switch was, ok := before[name]; {
+		case !ok:
+			d.Added = append(d.Added, name)
+		case !reflect.DeepEqual(was, r):
+			d.Changed = append(d.Changed, name)
+		}
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			d.Removed = append(d.Removed, name)
+		}
+	}
+	slices.Sort(d.Added)
+	slices.Sort(d.Removed)
+	slices.Sort(d.Changed)
+	return d
+}
+
+func (t *Table) byName() map[string]Route {
+	out := map[string]Route{}
+	for _, rs := range t.byHost {
+		for _, r := range rs {
+			out[r.Name] = r
+		}
+	}
+	return out
+}
