loadsim: steps in simulated time; experiment step

Purpose: the order of a step's items and the moving of texts from slow engines had no replay of the load that they answer.

--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -36,7 +36,7 @@
 			return nil
 		},
 	}
-	cmd.AddCommand(loadCompareCmd())
+	cmd.AddCommand(loadCompareCmd(), stepCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
@@ -73,6 +73,30 @@
 	return cmd
 }
 
+// sweptEngines are the numbers of engines that experiment step plays a step with:
+// from a place for each item to one for four.
+var sweptEngines = []int{9, 6, 3, 2}
+
+// slowFactor is how much slower the slow engine of experiment step is.
+const slowFactor = 4
+
+func stepCompareCmd() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "step",
+		Short: "Compare ways to order a step's items and to place them, in simulated time",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds <= 0 || seeds > 10_000 {
+				return fmt.Errorf("seeds %d: want 1 to 10000", seeds)
+			}
+			return loadsim.WriteSteps(cmd.OutOrStdout(), loadsim.SweepSteps(loadsim.CallSummary, loadsim.StepPolicies, sweptEngines, slowFactor, seeds))
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 200, "seeds played of each load; 1 to 10000")
+	return cmd
+}
+
 // writeFile creates the file path and has write write it.
 func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -65,3 +65,40 @@
 		t.Errorf("answered %.3f with spread returns, %.3f with constant ones", spread.Answered, constant.Answered)
 	}
 }
+
+// A step with three times as many items as places at engines is whole sooner when
+// the texts that are expected to be long begin first, though estimates are off by
+// a half as often as not.
+func TestLongestFirstShortensAStep(t *testing.T) {
+	const steps = 200
+	sums := map[string]time.Duration{}
+	for seed := range uint64(steps) {
+		load := loadsim.CallSummary
+		load.Seed = seed
+		for _, p := range loadsim.StepPolicies {
+			sums[p.Name] += loadsim.RunStep(load, p).Desired / steps
+		}
+	}
+	first, listed := sums[loadsim.LongestFirst.Name], sums[loadsim.AsListed.Name]
+	t.Logf("the groups waited for are whole after %v, %v as listed", first, listed)
+	if first > listed*9/10 {
+		t.Errorf("the groups waited for are whole after %v, %v as listed", first, listed)
+	}
+}
+
+// A step with one engine of three that is four times as slow is whole sooner when
+// texts go on at engines that are faster and have room than when they stay.
+func TestTextsLeaveASlowEngine(t *testing.T) {
+	const steps = 100
+	var moving, staying time.Duration
+	for seed := range uint64(steps) {
+		load := loadsim.CallSummary
+		load.Seed, load.SlowEngines, load.SlowFactor = seed, 1, 4
+		moving += loadsim.RunStep(load, loadsim.LongestFirst).Desired / steps
+		staying += loadsim.RunStep(load, loadsim.Staying).Desired / steps
+	}
+	t.Logf("the groups waited for are whole after %v, %v when texts stay", moving, staying)
+	if moving > staying*8/10 {
+		t.Errorf("the groups waited for are whole after %v, %v when texts stay", moving, staying)
+	}
+}
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -82,3 +83,53 @@
 	c.Elements = []chart.Renderable{chart.LegendLeft(&c)}
 	return c.Render(chart.SVG, w)
 }
+
+// SweptStep is a step load under a policy, played with many seeds.
+type SweptStep struct {
+	Policy  string
+	Engines int
+	Slow    int           // engines that are slow
+	Desired time.Duration // mean time until the groups waited for were whole
+	Worst   time.Duration // its 90th percentile
+	All     time.Duration // mean time until all were
+}
+
+// SweepSteps plays load with each number of engines, without and with a slow one,
+// under each policy with seeds many seeds.
+func SweepSteps(load StepLoad, policies []StepPolicy, engines []int, slowFactor float64, seeds int) []SweptStep {
+	var out []SweptStep
+	load.SlowFactor = slowFactor
+	for _, load.SlowEngines = range []int{0, 1} {
+		for _, load.Engines = range engines {
+			for _, p := range policies {
+				out = append(out, playSteps(load, p, seeds))
+			}
+		}
+	}
+	return out
+}
+
+func playSteps(load StepLoad, p StepPolicy, seeds int) SweptStep {
+	out := SweptStep{Policy: p.Name, Engines: load.Engines, Slow: load.SlowEngines}
+	var desired []time.Duration
+	for seed := range uint64(seeds) {
+		load.Seed = seed
+		r := RunStep(load, p)
+		desired = append(desired, r.Desired)
+		out.Desired += r.Desired / time.Duration(seeds)
+		out.All += r.All / time.Duration(seeds)
+	}
+	slices.Sort(desired)
+	out.Worst = quantile(desired, 0.9)
+	return out
+}
+
+// WriteSteps writes swept steps as a table.
+func WriteSteps(w io.Writer, steps []SweptStep) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "engines\tslow\tpolicy\tdesired\tdesired p90\tall\t")
+	for _, s := range steps {
+		fmt.Fprintf(t, "%d\t%d\t%s\t%.2f s\t%.2f s\t%.2f s\t\n", s.Engines, s.Slow, s.Policy, s.Desired.Seconds(), s.Worst.Seconds(), s.All.Seconds())
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/loadsim/step.go
@@ -0,0 +1,167 @@
+package loadsim
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+// StepLoad is one step of a trainer and the engines that make its texts. Lengths
+// are log-normal, and so is what their sender's estimates are off by.
+type StepLoad struct {
+	Engines int
+	Slots   int // texts that an engine makes at once
+	Groups  int
+	Size    int     // items of a group
+	Desired float64 // part of the groups that the trainer waits for
+
+	Event     time.Duration // time of an event of a text
+	Events    float64       // median of a text's events
+	Spread    float64       // of their logarithm
+	MaxEvents int
+	HintOff   float64 // spread of the logarithm of estimates
+
+	SlowEngines int
+	SlowFactor  float64 // times the time of an event there
+	Seed        uint64
+}
+
+// CallSummary is a step of the brief's smaller deployment with long texts, at a
+// quarter of the engines that would take all its items at once.
+var CallSummary = StepLoad{Engines: 3, Slots: 8, Groups: 17, Size: 4, Desired: 0.9, Event: 38 * time.Millisecond, Events: 17, Spread: 0.84,
+	MaxEvents: 171, HintOff: 0.5, SlowFactor: 1}
+
+// StepPolicy is a way to order a step's items.
+type StepPolicy struct {
+	Name string
+	Hint bool // the sender's estimates are used
+	Move bool // a text goes on at a faster engine when its own is slow
+}
+
+// The step policies: the product's, items in the order in which they are listed,
+// and texts that stay where they began.
+var (
+	LongestFirst = StepPolicy{Name: "longest first", Hint: true, Move: true}
+	AsListed     = StepPolicy{Name: "as listed", Move: true}
+	Staying      = StepPolicy{Name: "staying", Hint: true}
+	StepPolicies = []StepPolicy{LongestFirst, AsListed, Staying}
+)
+
+// StepResult is what the trainer saw of a step.
+type StepResult struct {
+	Policy  string
+	Desired time.Duration // until the groups that it waits for were whole
+	All     time.Duration // until all were
+}
+
+// RunStep plays one step under policy p.
+func RunStep(load StepLoad, p StepPolicy) StepResult {
+	s := newStep(load, p)
+	s.place(s.start)
+	for s.clock.step() {
+	}
+	return StepResult{Policy: p.Name, Desired: s.wholeAfter(int(math.Ceil(load.Desired * float64(load.Groups)))), All: s.wholeAfter(load.Groups)}
+}
+
+// step is a step under way in simulated time.
+type step struct {
+	load     StepLoad
+	start    time.Time
+	clock    site // its events alone
+	run      *submission.Run
+	policy   StepPolicy
+	events   []int // of each item's text
+	made     []int // of them, so far
+	registry *upstream.Registry
+	left     []int           // items of each group that are not whole
+	whole    []time.Duration // when groups were, in order
+}
+
+const stepModel = "model"
+
+func newStep(load StepLoad, p StepPolicy) *step {
+	s := &step{load: load, policy: p, start: time.Unix(1_800_000_000, 0), registry: upstream.NewRegistry("")}
+	rnd := rand.New(rand.NewPCG(load.Seed, 2))
+	spec := submission.Spec{ID: "step", Model: stepModel, MinVersion: 1}
+	for g := range load.Groups {
+		s.left = append(s.left, load.Size)
+		for i := range load.Size {
+			events := min(load.MaxEvents, max(1, int(load.Events*math.Exp(load.Spread*rnd.NormFloat64()))))
+			hint := max(1, int(float64(events)*math.Exp(load.HintOff*rnd.NormFloat64())))
+			if !p.Hint {
+				hint = 0
+			}
+			s.events = append(s.events, events)
+			spec.Items = append(spec.Items, submission.Item{ID: fmt.Sprintf("%d.%d", g, i), Length: hint, Affinity: fmt.Sprint(g)})
+		}
+	}
+	s.run, s.made = submission.NewRun(spec, nil, nil), make([]int, len(spec.Items))
+	var entries []upstream.Entry
+	for i := range load.Engines {
+		entries = append(entries, upstream.Entry{ID: fmt.Sprintf("i-%02d", i), Pool: pool, Address: "10.0.0.1:1", Slots: load.Slots, Versions: map[string]uint64{stepModel: 1}})
+	}
+	s.registry.Set(entries)
+	return s
+}
+
+// place starts the items that find room at now, in the order of the run.
+func (s *step) place(now time.Time) {
+	for _, i := range s.run.Waiting(now) {
+		t, ok := s.registry.Acquire(upstream.Want{Pool: pool, At: now, Model: stepModel, MinVersion: 1, Affinity: fmt.Sprint(i / s.load.Size), Bounded: true})
+		if !ok {
+			return
+		}
+		s.run.Started(i)
+		event := s.load.Event
+		for slow := range s.load.SlowEngines {
+			if t.ID == fmt.Sprintf("i-%02d", slow) {
+				event = time.Duration(s.load.SlowFactor * float64(event))
+			}
+		}
+		s.next(now, i, t, event)
+	}
+}
+
+// next has the ticket's engine make the next events of item i, and looks then
+// whether the rest is better made elsewhere.
+func (s *step) next(now time.Time, i int, t *upstream.Ticket, event time.Duration) {
+	n := min(submission.FlushEvents, s.events[i]-s.made[i])
+	s.clock.at(now.Add(time.Duration(n)*event), func(now time.Time) {
+		p := submission.Progress{Versions: []uint64{1}, Status: http.StatusOK}
+		for range n {
+			s.made[i]++
+			p.Events = append(p.Events, submission.Event{ID: s.made[i], Version: 1})
+		}
+		t.Observe(upstream.Report{At: now, Pace: event})
+		switch {
+		case s.made[i] == s.events[i]:
+			t.Done(upstream.Report{At: now, Pace: event})
+			p.Whole = true
+			s.run.Generated(i, p, submission.Terms{MaxAttempts: 1}, now)
+			s.finished(now, i/s.load.Size)
+		case s.policy.Move && t.Better(now, submission.SlowEngine):
+			t.Done(upstream.Report{At: now, Pace: event})
+			s.run.Generated(i, p, submission.Terms{MaxAttempts: 1}, now)
+			s.place(now)
+		default:
+			s.run.Extended(i, p, submission.Terms{MaxAttempts: 1})
+			s.next(now, i, t, event)
+		}
+	})
+}
+
+// finished tells that an item of a group is whole.
+func (s *step) finished(now time.Time, group int) {
+	if s.left[group]--; s.left[group] == 0 {
+		s.whole = append(s.whole, now.Sub(s.start))
+	}
+	s.place(now)
+}
+
+// wholeAfter returns when n groups were whole.
+func (s *step) wholeAfter(n int) time.Duration { return s.whole[n-1] }
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -123,11 +123,11 @@
 		}
 		p.Events = append(p.Events, e)
 		now := time.Now()
-		if len(p.Events) < flushEvents && now.Sub(last) < flushPeriod {
+		if len(p.Events) < FlushEvents && now.Sub(last) < flushPeriod {
 			continue
 		}
 		t.Observe(upstream.Report{At: now, Pace: now.Sub(last) / time.Duration(len(p.Events))})
-		if t.Better(now, slowEngine) {
+		if t.Better(now, SlowEngine) {
 			return p, errSlow
 		}
 		flush(p)
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -19,15 +19,15 @@
 	// milliseconds for an event and a slow one some hundred. To go on elsewhere
 	// costs little: the engine there reads the text so far in milliseconds.
 	eventGapLimit = 700 * time.Millisecond
-	// flushEvents and flushPeriod bound the events of a text that are not yet
+	// FlushEvents and flushPeriod bound the events of a text that are not yet
 	// told to the owner's goroutine, and with it to a successor.
-	flushEvents = 6
+	FlushEvents = 6
 	flushPeriod = 250 * time.Millisecond
 	// progressPeriod is how often the texts so far are kept for a successor.
 	progressPeriod = 700 * time.Millisecond
-	// slowEngine is how many times the usual time an engine takes from which on
+	// SlowEngine is how many times the usual time an engine takes from which on
 	// a text goes on at another.
-	slowEngine = 2
+	SlowEngine = 2
 	// roomPeriod is how often an owner looks for room at engines while items wait.
 	roomPeriod = 15 * time.Millisecond
 	// idlePeriod is how often it looks otherwise.
