--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -88,8 +88,7 @@
 func Run(load Load, p Policy) Result {
 	s := newSite(load, p)
 	s.arrive(s.start)
-	for s.step() {
-	}
+	s.play()
 	return s.meter.result(load, p)
 }
 
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -1,7 +1,6 @@
 package loadsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -23,35 +22,12 @@
 	holdStep = 15 * time.Millisecond
 )
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int // of events at the same time
-	do    func(now time.Time)
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
 // site is callers, instances and upstreams in simulated time.
 type site struct {
+	timeline
 	load      Load
 	policy    Policy
 	start     time.Time
-	events    queue
-	order     int
 	rand      *rand.Rand
 	instances []*instance
 	upstreams map[string]*server
@@ -81,22 +57,6 @@
 	return s
 }
 
-// at has do happen at t.
-func (s *site) at(t time.Time, do func(now time.Time)) {
-	s.order++
-	heap.Push(&s.events, event{t, s.order, do})
-}
-
-// step plays the next event and reports whether there was one.
-func (s *site) step() bool {
-	if len(s.events) == 0 {
-		return false
-	}
-	e := heap.Pop(&s.events).(event)
-	e.do(e.at)
-	return true
-}
-
 // arrive has a caller begin at now, and the next one after it.
 func (s *site) arrive(now time.Time) {
 	after := now.Sub(s.start)
--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -63,16 +63,15 @@
 func RunStep(load StepLoad, p StepPolicy) StepResult {
 	s := newStep(load, p)
 	s.place(s.start)
-	for s.clock.step() {
-	}
+	s.play()
 	return StepResult{Policy: p.Name, Desired: s.wholeAfter(int(math.Ceil(load.Desired * float64(load.Groups)))), All: s.wholeAfter(load.Groups)}
 }
 
 // step is a step under way in simulated time.
 type step struct {
+	timeline
 	load     StepLoad
 	start    time.Time
-	clock    site // its events alone
 	run      *submission.Run
 	policy   StepPolicy
 	events   []int // of each item's text
@@ -131,7 +130,7 @@
 // whether the rest is better made elsewhere.
 func (s *step) next(now time.Time, i int, t *upstream.Ticket, event time.Duration) {
 	n := min(submission.FlushEvents, s.events[i]-s.made[i])
-	s.clock.at(now.Add(time.Duration(n)*event), func(now time.Time) {
+	s.at(now.Add(time.Duration(n)*event), func(now time.Time) {
 		p := submission.Progress{Versions: []uint64{1}, Status: http.StatusOK}
 		for range n {
 			s.made[i]++
