--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -23,12 +23,17 @@
 	Timeout   time.Duration // callers wait so long
 	Attempts  int           // of a caller, the first included
 
-	Rate      float64       // requests offered, in parts of what the upstreams can serve
-	Burst     float64       // Rate from BurstAt on for BurstTime
-	BurstAt   time.Duration // after the start
-	BurstTime time.Duration
-	Time      time.Duration // callers' first attempts stop after it; longer than Timeout
-	Seed      uint64
+	Rate       float64       // requests offered, in parts of what the upstreams can serve
+	Burst      float64       // Rate from BurstAt on for BurstTime
+	BurstAt    time.Duration // after the start
+	BurstTime  time.Duration
+	Lost       int           // upstreams that take no connection from LostAt on for LostTime
+	LostAt     time.Duration // after the start
+	LostTime   time.Duration
+	Slow       int // upstreams whose work takes SlowFactor times as long
+	SlowFactor float64
+	Time       time.Duration // callers' first attempts stop after it; longer than Timeout
+	Seed       uint64
 }
 
 // Minho is the load of a plain service of the brief's smaller deployment.
@@ -81,6 +86,7 @@
 	Answered float64 // share answered within the caller's time
 	P50, P99 time.Duration
 	Attempts float64       // at upstreams, for each request offered
+	Worst    float64       // least share answered of the requests that came in one second
 	Held     time.Duration // longest time that an attempt was held and then turned away untried
 }
 
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -102,3 +102,39 @@
 		t.Errorf("the groups waited for are whole after %v, %v when texts stay", moving, staying)
 	}
 }
+
+// Half of the upstreams are lost at once while they are needed, and come back
+// after two seconds: what the others can serve is served meanwhile, and all of it
+// again in the second after they are back.
+func TestHalfOfTheUpstreamsLost(t *testing.T) {
+	load := loadsim.Minho
+	load.Upstreams, load.Rate, load.Time = 4, 0.45, 8*time.Second
+	load.Lost, load.LostAt, load.LostTime = 2, 2*time.Second, 2*time.Second
+	r := mean(load, loadsim.Spread)
+	if r.Answered < 0.99 || r.Worst < 0.95 || r.InTime < 0.93 {
+		t.Errorf("answered %.3f, in the worst second %.3f, in time %.3f, with nine tenths of what is left asked", r.Answered, r.Worst, r.InTime)
+	}
+}
+
+// All upstreams are lost for a second and come back at once: callers that were
+// turned away meanwhile are served after it, and do not overrun them.
+func TestAllBackAtOnce(t *testing.T) {
+	load := loadsim.Minho
+	load.Rate, load.Time = 0.6, 8*time.Second
+	load.Lost, load.LostAt, load.LostTime = load.Upstreams, 3*time.Second, time.Second
+	spread, constant := mean(load, loadsim.Spread), mean(load, loadsim.Constant)
+	t.Logf("worst second %.3f, %.3f with constant returns", spread.Worst, constant.Worst)
+	if spread.Worst < constant.Worst || spread.Worst < 0.6 {
+		t.Errorf("worst second %.3f, %.3f with constant returns", spread.Worst, constant.Worst)
+	}
+}
+
+// One upstream of three that takes five times as long costs few callers their
+// answer in time, where a third would have it from that one.
+func TestOneSlowUpstream(t *testing.T) {
+	load := loadsim.Minho
+	load.Rate, load.Time, load.Slow, load.SlowFactor = 0.4, 6*time.Second, 1, 5
+	if r := mean(load, loadsim.Spread); r.InTime < 0.9 || r.Answered < 0.99 {
+		t.Errorf("in time %.3f, answered %.3f", r.InTime, r.Answered)
+	}
+}
--- a/internal/loadsim/meter.go
+++ b/internal/loadsim/meter.go
@@ -8,6 +8,8 @@
 // meter counts what callers and upstreams see.
 type meter struct {
 	offered  int
+	came     map[int]int     // requests, by the second in which they came
+	served   map[int]int     // of them answered
 	attempts int             // at upstreams
 	steady   int             // answers while the load stood, from its Timeout to its Time
 	answered []time.Duration // from a caller's first attempt to its answer
@@ -29,14 +31,29 @@
 		}
 		r.InTime = float64(inTime) / offered
 	}
+	r.Worst = 1
+	for second, n := range m.came {
+		r.Worst = min(r.Worst, float64(m.served[second])/float64(n))
+	}
 	slices.Sort(m.answered)
 	r.P50, r.P99 = quantile(m.answered, 0.5), quantile(m.answered, 0.99)
 	return r
 }
 
-// answer counts an answer at a time after the start, and how long it took.
-func (m *meter) answer(load Load, after, took time.Duration) {
+// offer counts a request that came at a time after the start.
+func (m *meter) offer(after time.Duration) {
+	if m.came == nil {
+		m.came, m.served = map[int]int{}, map[int]int{}
+	}
+	m.offered++
+	m.came[int(after/time.Second)]++
+}
+
+// answer counts an answer at a time after the start, how long it took, and when
+// its request came.
+func (m *meter) answer(load Load, after, took, came time.Duration) {
 	m.answered = append(m.answered, took)
+	m.served[int(came/time.Second)]++
 	if after >= load.Timeout && after < load.Time {
 		m.steady++
 	}
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -23,6 +23,7 @@
 		out.InTime += r.InTime / n
 		out.Answered += r.Answered / n
 		out.Attempts += r.Attempts / n
+		out.Worst += r.Worst / n
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.Held = max(out.Held, r.Held)
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -21,11 +21,19 @@
 // turns the rest away.
 type server struct {
 	site    *site
+	lost    bool // takes no connection for the time that the load tells
+	slow    bool
 	running int
 	waiting []*job
 	owed    time.Duration // that attempts have cost and no job has paid yet
 }
 
+// away reports whether the upstream takes no connection at now.
+func (u *server) away(now time.Time) bool {
+	l, after := u.site.load, now.Sub(u.site.start)
+	return u.lost && after >= l.LostAt && after < l.LostAt+l.LostTime
+}
+
 func (u *server) load() upstream.Load {
 	return upstream.Load{Running: u.running, Waiting: len(u.waiting), Slots: u.site.load.Slots}
 }
@@ -46,6 +54,9 @@
 func (u *server) run(now time.Time, j *job) {
 	u.running++
 	work := time.Duration(u.site.rand.ExpFloat64()*float64(u.site.load.Work)) + u.owed
+	if u.slow {
+		work = time.Duration(u.site.load.SlowFactor * float64(work))
+	}
 	u.owed = 0
 	u.site.at(now.Add(work), func(now time.Time) {
 		u.running--
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -47,7 +47,7 @@
 	for i := range load.Upstreams {
 		id := fmt.Sprintf("i-%02d", i)
 		entries = append(entries, upstream.Entry{ID: id, Pool: pool, Address: id, Slots: load.Slots})
-		s.upstreams[id] = &server{site: s}
+		s.upstreams[id] = &server{site: s, lost: i < load.Lost, slow: i >= load.Upstreams-load.Slow}
 	}
 	for i := range load.Instances {
 		in := &instance{registry: upstream.NewRegistry(""), name: fmt.Sprintf("n%d", i)}
@@ -64,7 +64,7 @@
 		return
 	}
 	c := &caller{site: s, begun: now, deadline: now.Add(s.load.Timeout)}
-	s.meter.offered++
+	s.meter.offer(after)
 	c.try(now)
 	gap := s.rand.ExpFloat64() / s.load.rate(after)
 	s.at(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
@@ -143,6 +143,10 @@
 		over = true
 		r.ended(now, t, upstream.Report{At: now, Load: load, Pace: now.Sub(begun)}, err)
 	}
+	if s.upstreams[t.ID].away(now) {
+		s.at(now.Add(2*linkDelay), func(now time.Time) { end(now, nil, forward.ErrUnreachable) })
+		return
+	}
 	j := &job{until: until}
 	j.answer = func(now time.Time, load upstream.Load, ran bool) {
 		s.at(now.Add(linkDelay), func(now time.Time) {
@@ -173,7 +177,7 @@
 	switch {
 	case done && err == nil:
 		r.instance.returns.Served(pool, now)
-		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.begun))
+		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.begun), r.caller.begun.Sub(s.start))
 	case done && err != errTimeout:
 		r.reject(now)
 	case done:
