--- a/cmd/zinnialadder/check_test.go
+++ b/cmd/zinnialadder/check_test.go
@@ -21,6 +21,7 @@
 	}
 	machine := "node=a\nzone=z\nregion=r\nlisten.front=10.0.0.1:80\nlisten.ready=10.0.0.1:81\nlisten.directory=10.0.0.1:82\nprovider.address=10.0.0.2:90\nnew.key=1\n"
 	right, wrong := write("right.conf", machine), write("wrong.conf", strings.Replace(machine, "10.0.0.1:81", "here", 1))
+	noise := write("noise.log", "\x00\xff not a log\ntime=soon msg\n")
 	for name, c := range map[string]struct {
 		args []string
 		ok   bool
@@ -33,6 +34,10 @@
 		"version":    {[]string{"--version"}, true, "zinnialadder version"},
 		"help":       {[]string{"--help"}, true, "check"},
 		"completion": {[]string{"completion", "bash"}, true, "complete"},
+		"no logs":    {[]string{"explain", "r1", filepath.Join(p.dir, "none.log")}, false, "none.log"},
+		"odd logs":   {[]string{"explain", "r1", noise}, false, "no line names r1"},
+		"a folder":   {[]string{"explain", "r1", p.dir}, false, p.dir},
+		"odd file":   {[]string{"ctl", "inspect", noise}, false, "noise.log"},
 		"no store":   {[]string{"ctl", "site", "--store", "127.0.0.1:9"}, false, "127.0.0.1:9"},
 	} {
 		out, err := exec.Command(p.bin, c.args...).CombinedOutput()
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/loadsim"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 const seeds = 5
@@ -138,3 +139,33 @@
 		t.Errorf("in time %.3f, answered %.3f", r.InTime, r.Answered)
 	}
 }
+
+// Two trainers, one with three times the work of the other, share nine engines:
+// dealt by their work, the slower of their steps is whole sooner than when each has
+// half.
+func TestTrainersOfUnequalSize(t *testing.T) {
+	small, large := loadsim.CallSummary, loadsim.CallSummary
+	small.Size = 8
+	large.Size = 3 * small.Size
+	var ids []string
+	for i := range 9 {
+		ids = append(ids, string(rune('a'+i)))
+	}
+	parts := weights.Partition(ids, []weights.Demand{{Model: "small", Work: 1}, {Model: "large", Work: 3}})
+	slower := func(ofSmall, ofLarge int) time.Duration {
+		const steps = 100
+		var a, b time.Duration
+		for seed := range uint64(steps) {
+			small.Seed, large.Seed = seed, seed
+			small.Engines, large.Engines = ofSmall, ofLarge
+			a += loadsim.RunStep(small, loadsim.LongestFirst).Desired / steps
+			b += loadsim.RunStep(large, loadsim.LongestFirst).Desired / steps
+		}
+		t.Logf("%d and %d engines: whole after %v and %v", ofSmall, ofLarge, a, b)
+		return max(a, b)
+	}
+	dealt, half := slower(len(parts["small"]), len(parts["large"])), slower(4, 5)
+	if dealt > half*95/100 {
+		t.Errorf("the slower trainer's step is whole after %v, %v with about half of the engines", dealt, half)
+	}
+}
