submission: an attempt whose events were told early is not counted as refused

Cause: a text's events are told while its attempt runs, and what was left to tell at its end was often nothing; such an attempt counted as one that made nothing, and its time as time without an engine or as the reader's.

Test: TestCourseCountsEventsToldEarly, which failed before: 2 attempts of which 2 made nothing, 0 s generating. Figures of refused attempts told by earlier summaries are too high.

--- a/pkg/submission/course.go
+++ b/pkg/submission/course.go
@@ -13,16 +13,20 @@
 	Refused    int           // of them, that made nothing
 
 	attemptAt time.Time
+	made      bool // the attempt has made a part of the text
 }
 
 func (c *Course) started(now time.Time) {
 	c.Attempts++
-	c.attemptAt = now
+	c.attemptAt, c.made = now, false
 }
 
-func (c *Course) generated(now time.Time, made bool) {
+// extended tells that the attempt has made a part of the text.
+func (c *Course) extended() { c.made = true }
+
+func (c *Course) generated(now time.Time) {
 	c.WholeAt = now
-	if !made {
+	if !c.made {
 		c.Refused++
 		return
 	}
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -146,15 +146,23 @@
 // Extended tells of events that item i's attempt has given, while it goes on.
 func (r *Run) Extended(i int, p Progress, t Terms) {
 	if it := &r.items[i]; it.phase == running {
+		it.courseOf(p)
 		it.extend(p, r.spec.MinVersion, t)
 	}
 }
 
+func (it *item) courseOf(p Progress) {
+	if len(p.Events) > 0 {
+		it.course.extended()
+	}
+}
+
 // Generated tells how an attempt at item i ended at now.
 func (r *Run) Generated(i int, p Progress, t Terms, now time.Time) {
 	it := &r.items[i]
 	it.phase = waiting
-	it.course.generated(now, len(p.Events) > 0)
+	it.courseOf(p)
+	it.course.generated(now)
 	switch p.Status {
 	case http.StatusUnprocessableEntity:
 		r.finish(i, Result{State: Dead}, now)
