--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -64,7 +64,8 @@
 	DataCentre    string    `json:"data_centre"`
 	Draining      bool      `json:"draining"`
 	Configuration uint64    `json:"configuration"` // version in force there
-	RenewedAt     time.Time `json:"renewed_at"`    // by its own clock
+	RenewedAt     time.Time `json:"renewed_at"`    // by its own clock, as ExpiresAt is
+	ExpiresAt     time.Time `json:"expires_at"`
 }
 
 // Lease is the lease of a duty that one instance has.
@@ -153,7 +154,7 @@
 		return err
 	}
 	st.Instances = append(st.Instances, Instance{Name: m.Name, Start: m.Start, Address: m.Address, DataCentre: m.DataCentre,
-		Draining: m.Draining, Configuration: m.Configuration, RenewedAt: l.RenewedAt})
+		Draining: m.Draining, Configuration: m.Configuration, RenewedAt: l.RenewedAt, ExpiresAt: l.ExpiresAt})
 	return nil
 }
 
