membership: a starting instance knows how many there are before it writes its row

Cause: until the members' table was read an instance took itself for one of few: its first row could stand 1.8 s and it wrote again each 0.4 s. Were half of 295 to come back together, that is up to 400 writes a second for a partition that takes 200, beside the renewals of those that own work, which lapse after 1.8 s. Read in the code, then shown by the test; no play has shown a lapse from it.

Test: TestStartingInstanceWritesItsRowOnce, which failed before: its first row may stand 1.8 s, want 3.6 s.

--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -39,11 +39,14 @@
 	m.changed()
 }
 
-// keep writes the row until ctx ends.
+// keep writes the row until ctx ends. It waits until it is known how many members
+// there are: were half of hundreds to come back together and each renew its row as the
+// members of a small site do, their partition of the store would turn away renewals of
+// those that own work.
 func (m *memberRow) keep(ctx context.Context) error {
 	var held lease.Lease
 	for ctx.Err() == nil {
-		if !m.node.ready.Load() {
+		if !m.node.ready.Load() || m.node.standing.Load() == nil {
 			m.sleep(ctx, tickPeriod)
 			continue
 		}
