--- a/cmd/zinnialadder/check_test.go
+++ b/cmd/zinnialadder/check_test.go
@@ -39,6 +39,9 @@
 		"a folder":   {[]string{"explain", "r1", p.dir}, false, p.dir},
 		"odd file":   {[]string{"ctl", "inspect", noise}, false, "noise.log"},
 		"no store":   {[]string{"ctl", "site", "--store", "127.0.0.1:9"}, false, "127.0.0.1:9"},
+		"versions":   {[]string{"ctl", "versions", "--store", "127.0.0.1:9"}, false, "the store was not read"},
+		"watch":      {[]string{"ctl", "versions", "--store", "127.0.0.1:9", "--watch", "-1s"}, false, "--watch"},
+		"profile":    {[]string{"node", "--settings", right, "--profile"}, false, "--metrics-port"},
 	} {
 		out, err := exec.Command(p.bin, c.args...).CombinedOutput()
 		if (err == nil) != c.ok || !strings.Contains(string(out), c.want) {
--- a/cmd/zinnialadder/main.go
+++ b/cmd/zinnialadder/main.go
@@ -30,7 +30,7 @@
 		SilenceErrors: true,
 		Version:       version(),
 	}
-	root.AddCommand(entryCmd(), nodeCmd(), checkCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd(), capacityCmd())
+	root.AddCommand(entryCmd(), nodeCmd(), checkCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
 		os.Exit(1)
--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -39,6 +40,7 @@
 func nodeCmd() *cobra.Command {
 	var path, level string
 	var metricsPort int
+	var profile bool
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run an instance on the users' platform",
@@ -62,22 +64,33 @@
 			}
 			ctx, stop := signalContext()
 			defer stop()
-			return runNode(ctx, path, s, metricsPort, logLevel)
+			if profile && metricsAddress(s, metricsPort) == "" {
+				return errors.New("--profile: there is no address for metrics: give --metrics-port")
+			}
+			return runNode(ctx, path, s, nodeOptions{metricsPort: metricsPort, profile: profile, level: logLevel})
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "the platform's settings file")
 	cmd.Flags().StringVar(&level, "log-level", "info", "least level of lines that are logged: debug, info, warn or error")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the machine's address on which /metrics is served; 0 for the control address, if there is one")
+	cmd.Flags().BoolVar(&profile, "profile", false, "serve profiles of the process beside the metrics, under /debug/pprof/")
 	return cmd
 }
 
+// nodeOptions are what the command line tells a node.
+type nodeOptions struct {
+	metricsPort int  // 0 for the control address
+	profile     bool // serve profiles beside the metrics
+	level       log.Level
+}
+
 // runNode runs a node and the servers of its interfaces until ctx ends and it
 // has drained.
-func runNode(ctx context.Context, path string, s platform.Settings, metricsPort int, level log.Level) error {
+func runNode(ctx context.Context, path string, s platform.Settings, opts nodeOptions) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
-	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: level}).With("node", s.Node)
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter, Level: opts.level}).With("node", s.Node)
 	stdlog.SetOutput(out) // what libraries log; it must not block either
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.Store)
@@ -102,7 +115,7 @@
 	for _, part := range []struct {
 		address string
 		handler http.Handler
-	}{{s.Callers, callers.Front()}, {s.Ready, callers.ReadyHandler()}, {s.Addresses, callers.AddressHandler()}, {metricsAddress(s, metricsPort), metricsHandler(registry)}} {
+	}{{s.Callers, callers.Front()}, {s.Ready, callers.ReadyHandler()}, {s.Addresses, callers.AddressHandler()}, {metricsAddress(s, opts.metricsPort), metricsHandler(registry, opts.profile)}} {
 		if part.address == "" {
 			continue
 		}
@@ -138,9 +151,15 @@
 	return net.JoinHostPort(host, strconv.Itoa(port))
 }
 
-func metricsHandler(r metrics.Registry) http.Handler {
+// metricsHandler serves the metrics in r and, if profile is set, profiles of the
+// process, from which an engineer sees where its processor time and memory go.
+func metricsHandler(r metrics.Registry, profile bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", exposition.Handler(r, "zinnia"))
+	if profile {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
 
