node: members' rows are read each second at the least, however many members

Cause: the pause between two reads grew by 4 ms a member without end, while an owner's row lapses after 1.8 s: among 370 members a read of the store slowed by 60 comes after 1.78 s, and among 450 and more every owner is taken for gone again and again.

Test: TestOwnersLiveHoweverManyMembers, which failed before (1000 members, 4.3 s).

--- a/pkg/node/addresses_test.go
+++ b/pkg/node/addresses_test.go
@@ -143,3 +143,22 @@
 		t.Errorf("asks %s", got)
 	}
 }
+
+// An owner that renews its row is never taken for gone by an idle member, which reads
+// the rows as seldom as the number of members asks, also while the store takes sixty
+// times as long as usual: its submissions would be taken over and run twice.
+func TestOwnersLiveHoweverManyMembers(t *testing.T) {
+	const slowCall = 300 * time.Millisecond // 60 times 5 ms
+	for _, members := range []int{10, 100, 370, 1000} {
+		f := newFleet(t, 2)
+		f.renew("n001", membership.Period(members, membership.Idle))
+		for range 20 {
+			f.renew("n000", membership.Period(members, membership.Owner))
+			f.now = f.now.Add(node.MembersPause(members) + slowCall) // the next read, in which it has renewed
+			if live := f.view.Live(f.now, "n001"); len(live) != 2 {
+				t.Fatalf("among %d members an owner is taken for gone after %v without a read", members, node.MembersPause(members)+slowCall)
+			}
+			f.renew("n001", membership.Period(members, membership.Idle))
+		}
+	}
+}
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -72,6 +72,9 @@
 	}
 	Standbys   = func(live []membership.Member) []membership.Member { return standbys(rankedForCallers(live)) }
 	PeersToAsk = peersToAsk
+
+	// MembersPause is the least time between two reads of the members' rows.
+	MembersPause = func(members int) time.Duration { return feedPause(membersPause, members) }
 )
 
 // OrderLedger is the ledger of orders, for tests.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -97,11 +97,13 @@
 
 	// entriesPause and the like bound the calls that changes cause: upstreams
 	// and members each write about once a second. pausePerMember bounds those of
-	// all instances together, to 250 a second for each table, an eighth of what
-	// the store serves.
+	// all instances together, to 250 a second for each table up to 250 members.
+	// maxFeedPause bounds the pause, as the row of an owner lapses after 1.8 s: among
+	// 450 members and more each owner would else be taken for gone again and again.
 	entriesPause   = 150 * time.Millisecond
 	membersPause   = 300 * time.Millisecond
 	pausePerMember = 4 * time.Millisecond
+	maxFeedPause   = time.Second
 
 	// headsPause is that of an instance that owns submissions, whose ends it must
 	// learn of soon, and of each in a small site. Others learn of what they are to
@@ -197,7 +199,12 @@
 // pause returns the least time between two calls for a table that changes with
 // the number of instances or upstreams.
 func (n *Node) pause(least time.Duration) func() time.Duration {
-	return func() time.Duration { return max(least, time.Duration(n.member.rows.Load())*pausePerMember) }
+	return func() time.Duration { return feedPause(least, int(n.member.rows.Load())) }
+}
+
+// feedPause is pause among the number of members given.
+func feedPause(least time.Duration, members int) time.Duration {
+	return max(least, min(time.Duration(members)*pausePerMember, maxFeedPause))
 }
 
 // headsPause returns the least time between two calls for what becomes of
