--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -112,9 +112,7 @@
 	defer r.mu.Unlock()
 	out := make([]Entry, 0, len(r.pools[pool]))
 	for _, k := range r.pools[pool] {
-		e := k.Entry
-		e.Versions = k.versions()
-		out = append(out, e)
+		out = append(out, k.entry())
 	}
 	return out
 }
@@ -127,9 +125,7 @@
 	if k == nil {
 		return Entry{}, false
 	}
-	e := k.Entry
-	e.Versions = k.versions()
-	return e, true
+	return k.entry(), true
 }
 
 // Staying returns the IDs of a pool's upstreams that do not leave, in order, and
@@ -146,6 +142,13 @@
 	return ids, slots
 }
 
+// entry returns k's entry with the weight versions that answers have shown since.
+func (k *known) entry() Entry {
+	e := k.Entry
+	e.Versions = k.versions()
+	return e
+}
+
 // version returns the newest version of a model that k is known to hold.
 func (k *known) version(model string) uint64 { return max(k.Versions[model], k.confirmed[model]) }
 
@@ -193,9 +196,7 @@
 		k.askedAt = w.At
 	}
 	r.health.Trying(k.ID, w.At)
-	e := k.Entry
-	e.Versions = k.versions()
-	return &Ticket{Entry: e, registry: r, known: k}, true
+	return &Ticket{Entry: k.entry(), registry: r, known: k}, true
 }
 
 // usablePart returns the upstreams that may take a request: of those that its
