orders: given under the lease as it stands when the ledger holds their engine

While the store is slow a renewal takes half a second, and the time of the plan's lease was over when the entry had been written. An order now goes out under the renewal that wrote its entry, with that row's fencing token.

--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -109,14 +109,14 @@
 	o.wrote = make(chan struct{})
 }
 
-// enter enters an engine in the ledger before it is ordered, and returns when the row
-// of the lease holds it.
-func (o *orderSender) enter(ctx context.Context, id string) error {
+// enter has the ledger in the lease's row hold an engine before it is ordered. It
+// returns the lease as last renewed, under which the order is given.
+func (o *orderSender) enter(ctx context.Context, id string) (lease.Held, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for !o.written[id] {
 		if o.held.Fencing == 0 {
-			return errTooLate
+			return lease.Held{}, errTooLate
 		}
 		wrote := o.wrote
 		o.mu.Unlock()
@@ -130,12 +130,16 @@
 		}
 		o.mu.Lock()
 		if err := ctx.Err(); err != nil {
-			return err
+			return lease.Held{}, err
 		}
 	}
-	return nil
+	return o.held, nil
 }
 
+// orderUntil returns until when orders may be given under a lease: others take it
+// takeoverSlack later at the earliest.
+func orderUntil(h lease.Held) time.Time { return h.ValidUntil.Add(-takeoverSlack) }
+
 // giveUp gives the lease up, so that another instance orders engines before it would
 // lapse. The next holder leaves the engines that are in the ledger alone.
 func (o *orderSender) giveUp(ctx context.Context, keeper *lease.Keeper) {
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -124,16 +124,17 @@
 
 // send gives one order and waits until the engine has carried it out, or ctx
 // ends: an instance that stops must not stay for a load.
-func (o *orderSender) send(ctx context.Context, key string, to upstream.Entry, mo weights.ModelOrder, notAfter time.Time) {
+func (o *orderSender) send(ctx context.Context, key string, to upstream.Entry, mo weights.ModelOrder) {
 	n := o.node
 	begun := time.Now()
 	octx, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
-	err := o.enter(octx, to.ID)
+	held, err := o.enter(octx, to.ID)
 	if err == nil {
+		mo.Fencing = held.Fencing
 		mo.AfterOrders, err = o.count(octx, to)
 	}
-	if err == nil && !time.Now().Before(notAfter) {
+	if err == nil && !time.Now().Before(orderUntil(held).Add(-orderMargin)) {
 		err = errTooLate
 	}
 	if err != nil {
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -19,7 +19,7 @@
 	if t == nil || o.held.Fencing == 0 {
 		return
 	}
-	until := o.held.ValidUntil.Add(-takeoverSlack)
+	until := orderUntil(o.held)
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
 			o.planPool(ctx, p, pool, until, !t.SingleVersion())
@@ -54,10 +54,10 @@
 		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
 		for _, ord := range orders {
 			e := byID[ord.Address]
-			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Fencing: ord.Fencing, Continue: carryOn}
+			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Continue: carryOn} // its fencing token is that of the row that holds its entry
 			o.ledger.begin(e.ID)
 			o.node.group.Go(func() error {
-				o.send(ctx, key, e, mo, ord.NotAfter)
+				o.send(ctx, key, e, mo)
 				return nil
 			})
 		}
