--- a/pkg/node/audit.go
+++ b/pkg/node/audit.go
@@ -46,9 +46,6 @@
 
 // record writes down that t came into force, to be written to the audit trail.
 func (s *state) record(t *routetable.Table, at time.Time) {
-	if s.table != nil && t.Version <= s.table.Version {
-		return
-	}
 	c := Change{Version: t.Version, SeenAt: at, SeenBy: s.name, Routes: t.Routes(), Diff: t.Compare(s.table)}
 	if s.table != nil {
 		c.Before = s.table.Version
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -62,9 +62,6 @@
 func (e note) carryOut(_ context.Context, n *Node) { n.cfg.Logger.Info(e.what, e.fields...) }
 
 func (e setTable) carryOut(_ context.Context, n *Node) {
-	if cur := n.table.Load(); cur != nil && cur.Version >= e.table.Version {
-		return // never back to an older one
-	}
 	n.table.Store(e.table)
 	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.Routes())
 }
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -57,6 +57,8 @@
 			for _, c := range e.changes {
 				out = append(out, fmt.Sprintf("audit %d", c.Version))
 			}
+		case setTable:
+			out = append(out, fmt.Sprintf("configuration %d", e.table.Version))
 		case leave:
 			out = append(out, "leave")
 		}
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -180,6 +180,9 @@
 				effs = append(effs, note{"configuration not understood", []any{"row_version", ch.Version, "err", err}})
 				continue
 			}
+			if s.table != nil && t.Version <= s.table.Version {
+				continue // never back to an older one
+			}
 			s.undealt = true
 			s.record(t, u.At)
 			effs = append(effs, setTable{t})
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
@@ -325,3 +328,37 @@
 		t.Fatalf("%d instances write, want 3", writers)
 	}
 }
+
+// Configurations that are read in any order, again, and among rows that cannot be
+// read, as in a storm of them with the store's history lost: the one in force is always
+// the newest that was read, and never goes back.
+func TestConfigurationsInAnyOrder(t *testing.T) {
+	d := decoder
+	d.Configuration = func(r platform.Row) (*routetable.Table, bool, error) {
+		if string(r.Value) == "bad" {
+			return nil, true, errors.New("bad")
+		}
+		v, err := strconv.ParseUint(string(r.Value), 10, 64)
+		return routetable.New(v, nil, nil, routetable.Limits{}), true, err
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		now, newest := start(), uint64(0)
+		s := node.NewState("a", "a#1", d)
+		for range rapid.IntRange(1, 20).Draw(t, "reads") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "after_ms")) * time.Millisecond)
+			value, older := "bad", newest
+			if v := rapid.Uint64Range(0, 12).Draw(t, "version"); v > 0 {
+				value, newest = strconv.FormatUint(v, 10), max(newest, v)
+			}
+			row := platform.Row{Key: "operator//config", Version: uint64(now.UnixMilli()), Value: []byte(value)}
+			effs := s.Update(feed.Update{Table: "operator", At: now, Reset: rapid.Bool().Draw(t, "read again"), Changes: []platform.Change{{Row: row}}})
+			want := []string(nil)
+			if newest > older {
+				want = []string{fmt.Sprintf("configuration %d", newest)}
+			}
+			if !slices.Equal(effs, want) {
+				t.Fatalf("effects %v after %q with %d in force, want %v", effs, value, older, want)
+			}
+		}
+	})
+}
