orders: a renewal of the lease gives up after 0.7 s

A renewal whose answer is lost was waited for for 1.2 s; with the pause that is 1.55 s without another, and the next holder takes over after 1.5 s. By arithmetic, not from a play: TestHolderStaysWhileAnswersAreLost passes without the change too, as another looks each 0.35 s only and the window is 0.05 s.

--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -40,7 +40,9 @@
 			return
 		}
 	}
-	held, err := keeper.Take(ctx, data)
+	tctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	held, err := keeper.Take(tctx, data)
 	switch {
 	case err == nil && before == 0:
 		o.begin(held)
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -30,6 +30,10 @@
 	// orderRenewal is how often the lease is renewed, or asked for: twice in
 	// orderTime, since a call may fail.
 	orderRenewal = 350 * time.Millisecond
+	// leaseCall bounds a renewal, which is two calls: 0.54 s of a store that takes
+	// sixty times as long as usual. One of which the answer is lost is followed by the
+	// next within orderTime + takeoverSlack, before another takes the lease.
+	leaseCall = 700 * time.Millisecond
 	// orderCandidates is how many instances ask for the lease.
 	orderCandidates = 3
 	// orderMargin is how long before the end of its time no order is sent.
