storepath: the test of a store that comes back can fail

TestLostStoreIsFoundSoon had the store come back at one moment only, which pings one after the other met as well.

--- a/pkg/storepath/store_test.go
+++ b/pkg/storepath/store_test.go
@@ -92,8 +92,19 @@
 }
 
 // While the store is away for all, callers that wait are let go, and it is taken
-// again soon after it is back, though what it was asked meanwhile hangs.
+// again soon after it is back, though what it was asked meanwhile hangs: whenever it
+// comes back between two looks for it.
 func TestLostStoreIsFoundSoon(t *testing.T) {
+	for away := 500 * time.Millisecond; away <= time.Second; away += 100 * time.Millisecond {
+		t.Run(away.String(), func(t *testing.T) {
+			t.Parallel()
+			foundAgain(t, away)
+		})
+	}
+}
+
+// foundAgain has the store away for so long after its loss was noticed.
+func foundAgain(t *testing.T, away time.Duration) {
 	direct := &silentStore{}
 	s := newStore(t, direct, nil)
 	direct.silent.Store(true)
@@ -107,7 +118,7 @@
 	defer func() { _ = g.Wait() }() // it is given up with the others
 	within(t, 2*time.Second, "the loss is noticed", s.Lost)
 	within(t, time.Second, "who waits is let go", func() bool { return waiting.Err() != nil })
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(away)
 	direct.silent.Store(false)
 	begun := time.Now()
 	within(t, 2*time.Second, "the store is taken again", func() bool { return !s.Lost() })
