--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -23,9 +23,9 @@
 	orderTime = 900 * time.Millisecond
 	// takeoverSlack is how much longer the next holder waits, so that a store that
 	// is slow for all does not have holders alternate: two calls of 0.25 s and a
-	// renewal's pause. Before the ledger told which engines to leave alone, it
-	// waited for the time within which holders must not alternate, 3 s: with six
-	// holders lost in turn a day was worth 0.64 instead of 0.72 (two seeds).
+	// renewal's pause. Only engines that were ordered lately are waited for as long
+	// as holders must not alternate, 3 s: were all, a day on which six holders are
+	// lost would be worth 0.65 instead of 0.73 (means of ten plays with equal seeds).
 	takeoverSlack = 600 * time.Millisecond
 	// orderRenewal is how often the lease is renewed, or asked for: twice in
 	// orderTime, since a call may fail.
--- a/pkg/node/standing.go
+++ b/pkg/node/standing.go
@@ -9,8 +9,8 @@
 )
 
 // standing is where an instance stands among the live members. It is derived once
-// from each roster: with 295 members a ranking takes 60 µs, and it was wanted some
-// twenty times a second.
+// from each roster: a ranking looks at every member, and its results are wanted many
+// times a second (BenchmarkIdleAmongHundreds has what that saves).
 type standing struct {
 	roster  *membership.Roster
 	callers []membership.Member // as ranked for callers, without those that drain
