lease: a holder that was away does not renew what another has held and given up

Cause: an instance that lost the store, whose lease another took, ordered under and gave up, found the row free and renewed it with its own ledger: the other's entries, engines ordered less than 3 s ago, were lost.

Change: renewing wants the row to name this holder still; after another, the lease is taken anew, with what the row holds.

Test: TestRenewAfterAnother, which fails if a lease that was given up may be renewed ("renewed after another has held it").

--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -36,6 +36,20 @@
 // lease; nil data leaves what the row holds. After an error the lease taken
 // before, if any, is still valid until its ValidUntil.
 func (k *Keeper) Take(ctx context.Context, data json.RawMessage) (Held, error) {
+	return k.write(ctx, data, func(cur Lease) bool {
+		return cur.Holder == k.Holder || cur.Holder == "" || k.lapsed(cur)
+	})
+}
+
+// Renew renews the lease as Take does, but not if another has held it since this
+// Keeper's holder did, also if that one has given it up: then it returns ErrHeld, and
+// what the other left with the lease stays.
+func (k *Keeper) Renew(ctx context.Context, data json.RawMessage) (Held, error) {
+	return k.write(ctx, data, func(cur Lease) bool { return cur.Holder == k.Holder })
+}
+
+// write writes the lease over the row as it stands, if that may be taken.
+func (k *Keeper) write(ctx context.Context, data json.RawMessage, may func(cur Lease) bool) (Held, error) {
 	row, err := k.Table.Get(ctx, k.Name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return Held{}, err
@@ -45,7 +59,7 @@
 		if err != nil {
 			return Held{}, err
 		}
-		if cur.Holder != k.Holder && cur.Holder != "" && !k.lapsed(cur) {
+		if !may(cur) {
 			return Held{Lease: cur}, ErrHeld
 		}
 		if data == nil {
--- a/pkg/lease/keeper_test.go
+++ b/pkg/lease/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http/httptest"
 	"testing"
@@ -95,3 +96,39 @@
 		})
 	})
 }
+
+// A holder that was away does not renew a lease that another has held and given up
+// meanwhile: what that one left with it would be lost.
+func TestRenewAfterAnother(t *testing.T) {
+	srv := platformtest.New()
+	hs := httptest.NewServer(srv.Handler())
+	defer hs.Close()
+	ctx, now := context.Background(), clock.NewFake(time.Unix(1_800_000_000, 0))
+	table := platform.NewClient(hs.URL, nil)
+	first := &lease.Keeper{Table: table, Clock: now, Name: "lease/x", Holder: "a", TTL: time.Second}
+	second := &lease.Keeper{Table: table, Clock: now, Name: "lease/x", Holder: "b", TTL: time.Second}
+	if _, err := first.Take(ctx, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Renew(ctx, json.RawMessage(`"of a"`)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := second.Take(ctx, nil)
+	now.Advance(2 * time.Second)
+	if err == nil {
+		t.Fatal("two hold the lease")
+	}
+	if _, err := second.Take(ctx, json.RawMessage(`"of b"`)); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Renew(ctx, json.RawMessage(`"of a"`)); !errors.Is(err, lease.ErrHeld) {
+		t.Fatalf("renewed after another has held it: %v", err)
+	}
+	held, err := first.Take(ctx, nil)
+	if err != nil || string(held.Data) != `"of b"` {
+		t.Fatalf("taken again with %s, %v; want what b left", held.Data, err)
+	}
+}
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -27,29 +27,36 @@
 }
 
 // take takes or renews the lease. With it goes the ledger: what the holders before
-// left of it is taken up, and then replaced by this instance's own.
+// left of it is taken up, and replaced by this instance's own when it renews.
 func (o *orderSender) take(ctx context.Context, keeper *lease.Keeper) {
 	n := o.node
-	before := o.current().Fencing
-	var ids []string
-	var data json.RawMessage // nil leaves what the row holds
-	if before != 0 {
-		var err error
-		if ids, data, err = o.encodeLedger(time.Now()); err != nil {
-			n.cfg.Logger.Error("ledger of orders", "err", err)
-			return
-		}
-	}
 	tctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
-	held, err := keeper.Take(tctx, data)
+	if o.current().Fencing != 0 {
+		o.renew(tctx, keeper)
+		return
+	}
+	held, err := keeper.Take(tctx, nil) // what the row holds stays in it
+	if err != nil {
+		return // held by another, or asked for again soon
+	}
+	o.begin(held)
+	n.cfg.Logger.Info("lease taken", "lease", ordersLease, "fencing", held.Fencing, "left_alone", string(held.Data))
+}
+
+// renew renews the lease with this instance's ledger.
+func (o *orderSender) renew(ctx context.Context, keeper *lease.Keeper) {
+	n := o.node
+	ids, data, err := o.encodeLedger(time.Now())
+	if err != nil {
+		n.cfg.Logger.Error("ledger of orders", "err", err)
+		return
+	}
+	held, err := keeper.Renew(ctx, data)
 	switch {
-	case err == nil && before == 0:
-		o.begin(held)
-		n.cfg.Logger.Info("lease taken", "lease", ordersLease, "fencing", held.Fencing, "left_alone", string(held.Data))
 	case err == nil:
 		o.renewed(held, ids)
-	case errors.Is(err, lease.ErrHeld) && before != 0:
+	case errors.Is(err, lease.ErrHeld):
 		o.set(lease.Held{})
 		n.cfg.Logger.Info("lease lost", "lease", ordersLease)
 	}
