--- /dev/null
+++ b/pkg/node/heads.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+)
+
+// onHeads takes what became of submissions.
+func (s *state) onHeads(u feed.Update) []effect {
+	var effs []effect
+	for _, ch := range u.Changes {
+		if ch.Deleted {
+			effs = append(effs, s.forget(submission.IDOf(ch.Key))...)
+			continue
+		}
+		h, err := submission.DecodeHead(ch.Row)
+		if err != nil {
+			effs = append(effs, note{"submission not understood", []any{"row", ch.Key, "err", err}})
+			continue
+		}
+		effs = append(effs, s.setHead(submission.Owned{Head: h, Fencing: ch.Version})...)
+	}
+	return effs
+}
+
+func (s *state) setHead(o submission.Owned) []effect {
+	old, known := s.heads[o.ID]
+	if known && old.Fencing >= o.Fencing {
+		return nil
+	}
+	s.heads[o.ID], s.askedAnew = o, true
+	effs := []effect{setHead{o}}
+	if named := s.named[o.Model]; !known && o.Model != "" && named >= o.MinVersion {
+		s.lag[o.Model] = min(named-o.MinVersion, 1)
+	}
+	if !known && o.Model != "" {
+		s.learnWork(o.Head)
+	}
+	switch {
+	case s.running[o.ID] && (o.Ended || o.Owner != s.start):
+		effs = append(effs, stopRun{o.ID})
+	case !s.running[o.ID] && o.Owner == s.start && !o.Claimed && o.Open() && !s.draining:
+		s.running[o.ID] = true
+		effs = append(effs, adopt{o})
+	}
+	return effs
+}
+
+func (s *state) onAccepted(e accepted) []effect {
+	effs := s.setHead(e.Owned)
+	if s.draining || s.running[e.ID] || e.Owner != s.start || !e.Claimed || !e.Open() {
+		return effs
+	}
+	s.running[e.ID] = true
+	return append(effs, startRun{e.Owned, e.Spec, submission.Left{}})
+}
+
+// onRunEnded takes what a run has left. That its submission is complete comes
+// with it: the feed tells it later, and until then it would be run again.
+func (s *state) onRunEnded(e runEnded) []effect {
+	delete(s.running, e.ID)
+	if e.Head.Fencing == 0 {
+		return nil
+	}
+	return s.setHead(e.Head)
+}
+
+func (s *state) onAdopted(e adopted) []effect {
+	if e.Err != nil {
+		delete(s.running, e.ID)
+		s.retryAt[e.ID] = e.At.Add(adoptPause)
+		return []effect{note{"adoption failed", []any{"submission", e.ID, "err", e.Err}}}
+	}
+	effs := s.setHead(e.Owned)
+	if cur := s.heads[e.ID]; cur.Fencing != e.Owned.Fencing || !cur.Open() {
+		delete(s.running, e.ID) // it has ended, or passed on, since it was claimed
+		return effs
+	}
+	if s.draining {
+		return append(effs, releaseRun{e.Owned})
+	}
+	return append(effs, startRun{e.Owned, e.Spec, e.Left})
+}
--- /dev/null
+++ b/pkg/node/members.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/membership"
+)
+
+// onMembers takes changes of the members' rows. After the table was away, since the
+// time given, members get time to renew theirs.
+func (s *state) onMembers(u feed.Update, away bool, since time.Time) []effect {
+	var effs []effect
+	if err := s.members.Apply(u.Changes, u.Reset, u.At); err != nil {
+		effs = append(effs, note{"member not understood", []any{"err", err}})
+	}
+	if away {
+		s.members.Excuse(since, u.At)
+	}
+	return append(effs, s.tellMembers(u.At))
+}
+
+// tellMembers returns who is live at now, and whether that may be told to callers.
+func (s *state) tellMembers(now time.Time) setMembers {
+	return setMembers{live: s.members.Roster(now, s.name), rows: s.members.Size(),
+		current: s.members.Current(now, s.awaySince[membership.Table], s.name)}
+}
