storepath: a failed ping answers for the next 0.15 s, also to peers

Ruled out: the feeds, 10 calls a second.

Change: the ping of the direct way is shared by all who ask for it, and a failure holds for the time between two looks. A ping under way is not waited for, as it may hang where the next is answered.

Test: TestRefusedInstancesSpareTheStore, known red until now (160 a second, want 54).

--- a/pkg/storepath/links.go
+++ b/pkg/storepath/links.go
@@ -39,6 +39,7 @@
 
 // Listen returns Links that take the direct way and listen for peers.
 func Listen(cfg LinksConfig) (*Links, error) {
+	cfg.Ping = (&sharedPing{ping: cfg.Ping}).Ping
 	l := &Links{cfg: cfg, sessions: peer.NewSessions(keepAlive), peers: func() []string { return nil }}
 	if cfg.Listen != "" {
 		var err error
