--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -37,8 +37,12 @@
 		return
 	}
 	held, err := keeper.Take(tctx, nil) // what the row holds stays in it
-	if err != nil {
-		return // held by another, or asked for again soon
+	switch {
+	case errors.Is(err, lease.ErrHeld):
+		return
+	case err != nil:
+		n.cfg.Logger.Debug("lease not taken", "lease", ordersLease, "err", err)
+		return
 	}
 	o.begin(held)
 	n.cfg.Logger.Info("lease taken", "lease", ordersLease, "fencing", held.Fencing, "left_alone", string(held.Data))
@@ -59,6 +63,8 @@
 	case errors.Is(err, lease.ErrHeld):
 		o.set(lease.Held{})
 		n.cfg.Logger.Info("lease lost", "lease", ordersLease)
+	default:
+		n.cfg.Logger.Debug("lease not renewed", "lease", ordersLease, "err", err)
 	}
 }
 
@@ -74,6 +80,7 @@
 	}
 }
 
+// encodeLedger returns the engines in the ledger at now, and as they stand in the row.
 func (o *orderSender) encodeLedger(now time.Time) ([]string, json.RawMessage, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -54,7 +54,8 @@
 		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
 		for _, ord := range orders {
 			e := byID[ord.Address]
-			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Continue: carryOn} // its fencing token is that of the row that holds its entry
+			// Its fencing token will be that of the row that holds its engine's entry.
+			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Continue: carryOn}
 			o.ledger.begin(e.ID)
 			o.node.group.Go(func() error {
 				o.send(ctx, key, e, mo)
