node, submission: one wake-up, one way to ask who is among the first, less state

Read once more. The row of a member and the orders' lease each had a wait that ends early and a ring that does not block (wakeup now); the audit trail and the standing each ranked the members and looked for themselves among the first (isAmongFirst). That engines are to be dealt anew follows from a change of what is asked, so that the demands by which they were dealt last need not be kept. Course counts events itself. No decision changes.

--- a/pkg/node/audit.go
+++ b/pkg/node/audit.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
-	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 )
 
@@ -61,8 +59,7 @@
 		return nil
 	}
 	s.unwritten = nil
-	ranked := route.Rank(s.members.Live(now, s.name), func(m membership.Member) string { return m.Name }, AuditTable)
-	if !slices.ContainsFunc(ranked[:min(len(ranked), auditors)], func(m membership.Member) bool { return m.Name == s.name }) {
+	if !isAmongFirst(s.name, s.members.Roster(now, s.name), auditors, AuditTable) {
 		return nil
 	}
 	return []effect{writeAudit{changes}}
--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -16,18 +16,13 @@
 type memberRow struct {
 	node *Node
 	rows atomic.Int64 // of all members, as last read
-	wake chan struct{}
+	wake wakeup
 	left atomic.Bool
 }
 
 // changed has the row written at once, as what it tells has changed: that the
 // instance owns work, or drains.
-func (m *memberRow) changed() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
-}
+func (m *memberRow) changed() { m.wake.ring() }
 
 func (m *memberRow) period() time.Duration {
 	return membership.Period(int(m.rows.Load()), m.node.duty())
@@ -47,7 +42,7 @@
 	var held lease.Lease
 	for ctx.Err() == nil {
 		if !m.node.ready.Load() || m.node.standing.Load() == nil {
-			m.sleep(ctx, tickPeriod)
+			m.wake.wait(ctx, tickPeriod)
 			continue
 		}
 		held = m.write(ctx, held)
@@ -55,21 +50,11 @@
 		if held.Fencing == 0 {
 			period /= 4
 		}
-		m.sleep(ctx, period)
+		m.wake.wait(ctx, period)
 	}
 	return nil
 }
 
-func (m *memberRow) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-m.wake:
-	}
-}
-
 // write writes the row once and returns it as it stands, or a zero Lease if
 // that is not known.
 func (m *memberRow) write(ctx context.Context, held lease.Lease) lease.Lease {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -132,7 +132,7 @@
 	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.observer.attempt})
 	n.heads.init()
 	n.readers = newReaders(n)
-	n.member = &memberRow{node: n, wake: make(chan struct{}, 1)}
+	n.member = &memberRow{node: n, wake: newWakeup()}
 	n.orders = newOrderSender(n)
 	return n
 }
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -21,7 +21,7 @@
 		if o.candidate() {
 			o.take(ctx, keeper)
 		}
-		o.rest(ctx)
+		o.wake.wait(ctx, orderRenewal)
 	}
 	return nil
 }
@@ -68,18 +68,6 @@
 	}
 }
 
-// rest waits until the lease is to be renewed, or an order waits for its engine to be
-// in the ledger.
-func (o *orderSender) rest(ctx context.Context) {
-	t := time.NewTimer(orderRenewal)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-o.wake:
-	}
-}
-
 // encodeLedger returns the engines in the ledger at now, and as they stand in the row.
 func (o *orderSender) encodeLedger(now time.Time) ([]string, json.RawMessage, error) {
 	o.mu.Lock()
@@ -136,10 +124,7 @@
 		}
 		wrote := o.wrote
 		o.mu.Unlock()
-		select { // a renewal that is under way may be without the engine
-		case o.wake <- struct{}{}:
-		default:
-		}
+		o.wake.ring() // a renewal that is under way may be without the engine
 		select {
 		case <-wrote:
 		case <-ctx.Done():
--- a/pkg/node/standing.go
+++ b/pkg/node/standing.go
@@ -19,12 +19,19 @@
 }
 
 func newStanding(name string, r *membership.Roster) *standing {
-	isSelf := func(m membership.Member) bool { return m.Name == name }
-	ranked := route.Rank(r.Members, func(m membership.Member) string { return m.Name }, ordersLease)
-	st := &standing{roster: r, callers: rankedForCallers(r.Members)}
-	st.standby = slices.ContainsFunc(standbys(st.callers), isSelf)
-	st.orders = slices.ContainsFunc(ranked[:min(len(ranked), orderCandidates)], isSelf)
-	return st
+	callers := rankedForCallers(r.Members)
+	return &standing{roster: r, callers: callers, standby: contains(standbys(callers), name), orders: isAmongFirst(name, r, orderCandidates, ordersLease)}
+}
+
+// isAmongFirst reports whether the instance named name is one of the first n members
+// of r as key ranks them.
+func isAmongFirst(name string, r *membership.Roster, n int, key string) bool {
+	ranked := route.Rank(r.Members, func(m membership.Member) string { return m.Name }, key)
+	return contains(ranked[:min(len(ranked), n)], name)
+}
+
+func contains(members []membership.Member, name string) bool {
+	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.Name == name })
 }
 
 // ranks holds the rankings of one roster's members as owners, so that each is made
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -96,8 +96,7 @@
 
 	asked     []weights.Demand // of the models, as last worked out
 	askedAnew bool             // what it is worked out from has changed since
-	undealt   bool             // upstreams or pools have changed since engines were dealt
-	dealtWith []weights.Demand // the demands by which they were
+	undealt   bool             // demands, upstreams or pools have changed since engines were dealt
 
 	keepFor  time.Duration // how long submissions are kept after their acceptance
 	sweeping bool
@@ -206,10 +205,12 @@
 	effs = append(effs, s.sweep(now)...)
 	effs = append(effs, s.audit(now)...)
 	if s.askedAnew {
+		before := s.asked
 		s.asked, s.askedAnew = s.demands(), false
+		s.undealt = s.undealt || !slices.Equal(before, s.asked)
 	}
-	if s.undealt || !slices.Equal(s.asked, s.dealtWith) {
-		s.undealt, s.dealtWith = false, s.asked
+	if s.undealt {
+		s.undealt = false
 		effs = append(effs, dealEngines{s.asked})
 	}
 	return append(effs, planOrders{now, s.asked})
--- a/pkg/submission/course.go
+++ b/pkg/submission/course.go
@@ -21,8 +21,8 @@
 	c.attemptAt, c.made = now, false
 }
 
-// extended tells that the attempt has made a part of the text.
-func (c *Course) extended() { c.made = true }
+// extended tells how many events of the text the attempt has made.
+func (c *Course) extended(events int) { c.made = c.made || events > 0 }
 
 func (c *Course) generated(now time.Time) {
 	c.WholeAt = now
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -146,22 +146,16 @@
 // Extended tells of events that item i's attempt has given, while it goes on.
 func (r *Run) Extended(i int, p Progress, t Terms) {
 	if it := &r.items[i]; it.phase == running {
-		it.courseOf(p)
+		it.course.extended(len(p.Events))
 		it.extend(p, r.spec.MinVersion, t)
 	}
 }
 
-func (it *item) courseOf(p Progress) {
-	if len(p.Events) > 0 {
-		it.course.extended()
-	}
-}
-
 // Generated tells how an attempt at item i ended at now.
 func (r *Run) Generated(i int, p Progress, t Terms, now time.Time) {
 	it := &r.items[i]
 	it.phase = waiting
-	it.courseOf(p)
+	it.course.extended(len(p.Events))
 	it.course.generated(now)
 	switch p.Status {
 	case http.StatusUnprocessableEntity:
