--- a/cmd/zinnialadder/site.go
+++ b/cmd/zinnialadder/site.go
@@ -21,7 +21,7 @@
 		Short: "Print what the platform's store says: configuration, instances, upstreams, leases, submissions",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			snap, err := from.take(cmd, false)
+			snap, err := from.take(cmd, snapshot.Tables(platform.Decoder()), false)
 			if err != nil {
 				return err
 			}
@@ -42,7 +42,7 @@
 		Short: "Copy the product's rows and objects in the platform's store to a file",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			snap, err := from.take(cmd, true)
+			snap, err := from.take(cmd, snapshot.Tables(platform.Decoder()), true)
 			if err != nil {
 				return err
 			}
@@ -105,8 +105,9 @@
 	cmd.MarkFlagsMutuallyExclusive("store", "settings")
 }
 
-// take takes a snapshot of the store that the flags name.
-func (f *storeFlags) take(cmd *cobra.Command, objects bool) (snapshot.Snapshot, error) {
+// take takes a snapshot of tables of the store that the flags name, and of their
+// objects if objects is set.
+func (f *storeFlags) take(cmd *cobra.Command, tables []snapshot.Table, objects bool) (snapshot.Snapshot, error) {
 	address := f.address
 	if f.settings != "" {
 		s, err := platform.LoadSettings(f.settings)
@@ -115,5 +116,5 @@
 		}
 		address = s.Store
 	}
-	return snapshot.Take(cmd.Context(), platform.NewStore(address), snapshot.Tables(platform.Decoder()), objects, time.Now())
+	return snapshot.Take(cmd.Context(), platform.NewStore(address), tables, objects, time.Now())
 }
--- a/cmd/zinnialadder/versions.go
+++ b/cmd/zinnialadder/versions.go
@@ -36,7 +36,7 @@
 				return v.Write(cmd.OutOrStdout())
 			}
 			take := func() (snapshot.Versions, error) {
-				snap, err := from.take(cmd, false)
+				snap, err := from.take(cmd, snapshot.ServedTables(platform.Decoder()), false)
 				if err != nil {
 					return snapshot.Versions{}, fmt.Errorf("the store was not read: %w", err)
 				}
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -20,14 +20,20 @@
 // Tables returns the tables that a site's state is in, d being what reads its
 // operators' and upstreams' rows.
 func Tables(d node.Decoder) []Table {
+	return append(ServedTables(d),
+		Table{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
+		Table{Name: node.AuditTable, Prefixes: []string{node.AuditTable + "//"}},
+		Table{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()})
+}
+
+// ServedTables returns the tables that Versions are in: not the results, which hold
+// texts and are by far the largest.
+func ServedTables(d node.Decoder) []Table {
 	return []Table{
 		{Name: d.OperatorTable, Prefixes: []string{d.OperatorTable + "//"}},
 		{Name: d.EntriesTable, Prefixes: []string{d.EntriesTable + "//"}},
 		{Name: membership.Table, Prefixes: []string{membership.Prefix()}},
-		{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
-		{Name: node.AuditTable, Prefixes: []string{node.AuditTable + "//"}},
 		{Name: submission.HeadsTable, Prefixes: submission.HeadPrefixes()},
-		{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()},
 	}
 }
 
