node: lines of failed attempts tell the content of the request

A request that comes again has a new ID, so the logs could not tell whether the requests that broke off as upstreams ended were one and the same. It is worked out only for attempts that failed.

The model of a stream is part of forward.Request, as the fingerprint needs it; the adapter read it as an argument of its own before.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -28,6 +29,13 @@
 	Body   []byte
 	// Deadline is when its caller stops waiting; zero if the caller did not say.
 	Deadline time.Time
+	// Model that it asks for; empty for none.
+	Model string
+}
+
+// content returns what identifies r however often it comes.
+func (r Request) content() quarantine.Content {
+	return quarantine.Content{Method: r.Method, Host: r.Host, URI: r.URI, Model: r.Model, Body: r.Body}
 }
 
 // Answer is the whole answer of an upstream.
@@ -78,6 +86,7 @@
 // Attempt is one try of a request at an upstream.
 type Attempt struct {
 	Request  string // its ID
+	Content  quarantine.Content
 	Route    string
 	Upstream string
 	Number   int
@@ -150,7 +159,7 @@
 		rep.Failed = a.Status >= http.StatusInternalServerError
 	}
 	t.Done(rep)
-	f.cfg.Observe(Attempt{Request: r.ID, Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err})
+	f.cfg.Observe(Attempt{Request: r.ID, Content: r.content(), Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err})
 	return a, err
 }
 
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -58,7 +58,7 @@
 // as they come. When the stream breaks off, it goes on at another upstream if
 // its route allows that; else Stream returns ErrBroken. A request that got
 // nothing ends in a *verdict.Error.
-func (f *Forwarder) Stream(ctx context.Context, rt routetable.Route, r Request, model, prompt string, sink Sink) error {
+func (f *Forwarder) Stream(ctx context.Context, rt routetable.Route, r Request, prompt string, sink Sink) error {
 	if rt.Resumable {
 		rt.Kind = routetable.Idempotent // it may be asked for again
 	}
@@ -70,7 +70,7 @@
 	s := &streaming{f: f, plan: plan, route: rt, pool: pool, request: r, sink: sink}
 	for {
 		now := time.Now()
-		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: model, Affinity: prompt})
+		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: r.Model, Affinity: prompt})
 		if !ok && plan.MayWait(now) && clock.Sleep(ctx, waitStep) {
 			continue
 		}
@@ -147,7 +147,7 @@
 	}
 	rep.Failed = rep.Failed || err == nil && o.Status >= http.StatusInternalServerError
 	t.Done(rep)
-	s.f.cfg.Observe(Attempt{Request: s.request.ID, Route: s.route.Name, Upstream: t.ID, Number: len(s.plan.Tried()) + 1, Status: o.Status, Took: time.Since(begun), Err: err})
+	s.f.cfg.Observe(Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Upstream: t.ID, Number: len(s.plan.Tried()) + 1, Status: o.Status, Took: time.Since(begun), Err: err})
 	return o.Status, err
 }
 
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -72,7 +73,7 @@
 	default:
 		o.count("attempts.failed")
 	}
-	o.line(o.failures, true, "attempt failed", "request", a.Request, "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
+	o.line(o.failures, true, "attempt failed", "request", a.Request, "content", a.Content.Fingerprint(), "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
 }
 
 // request is told how a caller's request ended.
@@ -112,8 +113,12 @@
 	if s.Err != nil {
 		budget = o.failures
 	}
-	o.line(budget, s.Err != nil, s.What, "submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events,
-		"status", s.Status, "position", s.Position, "waiting", s.Waiting, "running", s.Running, "err", s.Err)
+	fields := []any{"submission", s.Submission, "item", s.Item, "upstream", s.Upstream, "events", s.Events,
+		"status", s.Status, "position", s.Position, "waiting", s.Waiting, "running", s.Running, "err", s.Err}
+	if s.Content != (quarantine.Fingerprint{}) {
+		fields = append(fields, "content", s.Content)
+	}
+	o.line(budget, s.Err != nil, s.What, fields...)
 }
 
 // runEnded is told how a submission's run here ended: one line tells what its last
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -80,11 +80,11 @@
 	return a, err
 }
 
-// Stream forwards a request for a stream of events by route rt. model and prompt
-// name the model that it asks for and the prompt that it shares, if any.
-func (n *Node) Stream(ctx context.Context, rt routetable.Route, r forward.Request, model, prompt string, sink forward.Sink) error {
+// Stream forwards a request for a stream of events by route rt. prompt names the
+// prompt that it shares, if any.
+func (n *Node) Stream(ctx context.Context, rt routetable.Route, r forward.Request, prompt string, sink forward.Sink) error {
 	begun := time.Now()
-	err := n.forwarder.Stream(ctx, rt, r, model, prompt, sink)
+	err := n.forwarder.Stream(ctx, rt, r, prompt, sink)
 	n.observer.request(rt, r, 0, begun, err)
 	return err
 }
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -43,7 +43,11 @@
 		p, err := r.generate(ctx, t, again, g, func(p Progress) {
 			r.tell(ctx, func(time.Time) { r.run.Extended(i, p, terms(rt)) })
 		})
-		r.cfg.Observe(Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err})
+		ended := Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err}
+		if err != nil && !errors.Is(err, forward.ErrNotRun) {
+			ended.Content = r.spec.content(it).Fingerprint()
+		}
+		r.cfg.Observe(ended)
 		r.tell(ctx, func(now time.Time) { r.run.Generated(i, p, terms(rt), now) })
 		return nil
 	})
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -65,6 +66,7 @@
 	What       string
 	Submission string
 	Item       string
+	Content    quarantine.Fingerprint // of an attempt that failed after it may have run
 	Upstream   string
 	Events     int
 	Status     int
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
@@ -45,6 +46,12 @@
 	Length int `json:"length,omitempty"`
 }
 
+// content returns what identifies the generation of item it of s however often it
+// is asked for.
+func (s Spec) content(it Item) quarantine.Content {
+	return quarantine.Content{Method: http.MethodPost, Host: s.Host, URI: it.Path, Model: s.Model, Body: it.Body}
+}
+
 // Call is a request to a plain service.
 type Call struct {
 	ID   string `json:"id"`
