node: requests that crash upstreams are put in quarantine at all instances

Callers of a service whose upstreams were ended by one request got 502 and 503 for seconds, again and again. The request crashed each upstream that ran it, and was sent on to the next, as its route allows. When it came again it had a new ID and mostly another instance, and nothing connected it with what had happened: attempts were bounded within one request only. Ruled out: more attempts within one request than its route allows, and upstreams that end by themselves.

A request is now known by its content. An upstream that ends while it runs one counts against that content until an upstream answers it; three such ends put it in quarantine, where it is refused at once and runs in two trials at the most among all instances. What counts are rows of the store, which instances learn from a feed that they follow anyway. Plain requests, streams, items and scorers' calls go through the same guard.

It holds since the count does not depend on the request's ID, on the instance, or on one that lives on. Requests that merely were there are not held: an answer takes all back, a connection that is reset while the upstream goes on does not count, nor does an upstream that leaves by its own account, and what a request with more ends explains does not count for others; where that cannot tell, a trial does.

--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -50,6 +51,7 @@
 	Instances     []Instance        `json:"instances"`
 	Upstreams     []upstream.Entry  `json:"upstreams"`
 	Leases        []Lease           `json:"leases"`
+	Suspects      []Suspect         `json:"suspects"`
 	Submissions   []Submission      `json:"submissions"`
 	Changes       []node.Change     `json:"changes"`    // of the configuration, the oldest first
 	Unreadable    []string          `json:"unreadable"` // rows that could not be read, and why
@@ -74,6 +76,14 @@
 	ExpiresAt     time.Time `json:"expires_at"`
 }
 
+// Suspect is a request, by its content, under which upstreams have ended since one
+// answered it.
+type Suspect struct {
+	Content string   `json:"content"`
+	Ends    []string `json:"ends"`   // starts of upstreams
+	Trials  int      `json:"trials"` // that were claimed
+}
+
 // Lease is the lease of a duty that one instance has.
 type Lease struct {
 	Name      string    `json:"name"`
@@ -154,7 +164,29 @@
 	return err
 }
 
+// suspect takes a fact of a request that crashes upstreams.
+func (st *State) suspect(key string) error {
+	f, err := quarantine.ParseKey(key)
+	if err != nil {
+		return err
+	}
+	i := slices.IndexFunc(st.Suspects, func(s Suspect) bool { return s.Content == f.Content.String() })
+	if i < 0 {
+		i = len(st.Suspects)
+		st.Suspects = append(st.Suspects, Suspect{Content: f.Content.String()})
+	}
+	if f.Kind == quarantine.Trial {
+		st.Suspects[i].Trials++
+		return nil
+	}
+	st.Suspects[i].Ends = append(st.Suspects[i].Ends, f.Of)
+	return nil
+}
+
 func (st *State) instance(r Row) error {
+	if key, ok := strings.CutPrefix(r.Key, node.QuarantinePrefix()); ok {
+		return st.suspect(key)
+	}
 	m, l, err := membership.Decode(r.row())
 	if err != nil {
 		return err
@@ -202,6 +234,9 @@
 	for _, l := range st.Leases {
 		fmt.Fprintf(t, "lease %s\theld by %s\tfencing %d\n", l.Name, l.Holder, l.Fencing)
 	}
+	for _, s := range st.Suspects {
+		fmt.Fprintf(t, "suspect %s\t%d upstreams ended\t%d trials\t%v\n", s.Content, len(s.Ends), s.Trials, s.Ends)
+	}
 	for _, model := range slices.Sorted(maps.Keys(st.Versions)) {
 		fmt.Fprintf(t, "model %s\tversion %d\n", model, st.Versions[model])
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -79,6 +79,8 @@
 	// loaded. An instance's own name keeps it to few connections, each of which
 	// is then used again before its upstream closes it.
 	Affinity string
+	// Guard keeps requests that crash upstreams from them; nil for none.
+	Guard *quarantine.Guard
 	// Observe is told of each attempt that has ended; nil for none.
 	Observe func(Attempt)
 }
@@ -125,6 +127,9 @@
 	}
 	for {
 		now := time.Now()
+		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
+			return Answer{}, f.end(plan, pool, now, err)
+		}
 		t, wait := plan.Next(f.cfg.Registry, upstream.Want{Pool: pool, At: now, Affinity: affinity})
 		if t == nil && wait > 0 && clock.Sleep(ctx, wait) {
 			continue
@@ -148,6 +153,11 @@
 
 // attempt tries r once at the ticket's upstream.
 func (f *Forwarder) attempt(ctx context.Context, plan *Plan, t *upstream.Ticket, rt routetable.Route, r Request) (Answer, error) {
+	run, err := f.cfg.Guard.Begin(ctx, r.content(), t.Entry)
+	if err != nil {
+		t.Release()
+		return Answer{}, err
+	}
 	begun := time.Now()
 	actx, cancel := context.WithDeadline(ctx, plan.AttemptUntil(begun))
 	defer cancel()
@@ -160,9 +170,27 @@
 	}
 	t.Done(rep)
 	f.cfg.Observe(Attempt{Request: r.ID, Content: r.content(), Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err})
+	run.Done(ctx, outcome(actx, a.Status, err))
 	return a, err
 }
 
+// outcome returns how an attempt ended whose context was ctx.
+func outcome(ctx context.Context, status int, err error) quarantine.Outcome {
+	switch {
+	case err == nil && status < http.StatusInternalServerError:
+		return quarantine.Answered
+	case err == nil:
+		return quarantine.Failed
+	case errors.Is(err, ErrUnreachable):
+		return quarantine.Unreachable
+	case errors.Is(err, ErrNotRun):
+		return quarantine.NotRun
+	case ctx.Err() != nil:
+		return quarantine.Left
+	}
+	return quarantine.Broken
+}
+
 // report returns what an attempt's error says of its upstream, where ctx is the
 // request's and actx the attempt's.
 func report(ctx, actx context.Context, err error, load *upstream.Load) upstream.Report {
@@ -202,5 +230,9 @@
 	case p.ran > 0:
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, cause)
 	}
+	var refused *quarantine.RefusedError
+	if errors.As(cause, &refused) {
+		return verdict.Refuse(http.StatusServiceUnavailable, refused.Until, cause)
+	}
 	return verdict.Refuse(http.StatusServiceUnavailable, f.returns.Reject(pool, now, p.AnswerBy, rand.Float64()), cause)
 }
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -121,6 +122,9 @@
 // Ended tells how an attempt ended, and reports whether the request is done:
 // with the answer of that attempt if the error is nil.
 func (p *Plan) Ended(upstreamID string, status int, err error, now time.Time) (bool, error) {
+	if errors.Is(err, quarantine.ErrQuarantined) {
+		return true, err // it was not sent
+	}
 	if !slices.Contains(p.tried, upstreamID) {
 		p.tried = append(p.tried, upstreamID)
 	}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -50,6 +52,9 @@
 // the caller must not take what it has for the whole.
 var ErrBroken = errors.New("forward: the stream broke off")
 
+// errCallerLeft ends an attempt whose events the caller takes no more.
+var errCallerLeft = errors.New("forward: the caller has left")
+
 // firstEventWait is how long a stream that may be asked for again is waited for
 // at one upstream, at the least.
 const firstEventWait = 2 * time.Second
@@ -70,6 +75,9 @@
 	s := &streaming{f: f, plan: plan, route: rt, pool: pool, request: r, sink: sink}
 	for {
 		now := time.Now()
+		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
+			return s.end(now, err)
+		}
 		t, ok := f.cfg.Registry.Acquire(upstream.Want{Pool: pool, At: now, Except: plan.Tried(), Model: r.Model, Affinity: prompt})
 		if !ok && plan.MayWait(now) && clock.Sleep(ctx, waitStep) {
 			continue
@@ -112,15 +120,26 @@
 
 // attempt asks one upstream, and passes on what it gives.
 func (s *streaming) attempt(ctx context.Context, t *upstream.Ticket) (int, error) {
+	guarded, err := s.f.cfg.Guard.Begin(ctx, s.request.content(), t.Entry)
+	if err != nil {
+		t.Release()
+		return 0, err
+	}
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	begun := time.Now()
+	heard := func(time.Duration) {}
 	if s.route.Resumable {
 		silence := time.AfterFunc(max(firstEventWait, patience*s.route.Objective), cancel)
 		defer silence.Stop()
-		return s.run(ctx, actx, t, begun, func(d time.Duration) { silence.Reset(d) })
+		heard = func(d time.Duration) { silence.Reset(d) }
 	}
-	return s.run(ctx, actx, t, begun, func(time.Duration) {})
+	status, err := s.run(ctx, actx, t, time.Now(), heard)
+	o := outcome(actx, status, err)
+	if errors.Is(err, errCallerLeft) {
+		o = quarantine.Left
+	}
+	guarded.Done(ctx, o)
+	return status, err
 }
 
 func (s *streaming) run(ctx, actx context.Context, t *upstream.Ticket, begun time.Time, heard func(time.Duration)) (int, error) {
@@ -164,7 +183,7 @@
 		}
 		heard(firstEventWait)
 		if err := s.sink.Event(e.Raw); err != nil {
-			return n, err
+			return n, fmt.Errorf("%w: %w", errCallerLeft, err)
 		}
 		s.last = e.ID
 	}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -11,9 +11,13 @@
 // time given, members get time to renew theirs.
 func (s *state) onMembers(u feed.Update, away bool, since time.Time) []effect {
 	var effs []effect
-	if err := s.members.Apply(u.Changes, u.Reset, u.At); err != nil {
+	changes, q := splitMembers(u)
+	if err := s.members.Apply(changes, u.Reset, u.At); err != nil {
 		effs = append(effs, note{"member not understood", []any{"err", err}})
 	}
+	if u.Reset || len(q.rows) > 0 || len(q.unreadable) > 0 {
+		effs = append(effs, q)
+	}
 	if away {
 		s.members.Excuse(since, u.At)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -32,6 +32,8 @@
 	forward.Opener
 	submission.Generator
 	weights.Orderer
+	// Gone reports whether nothing listens at an upstream's address.
+	Gone(ctx context.Context, e upstream.Entry) bool
 }
 
 // Decoder reads the rows that the platform's operators, trainers and
@@ -112,8 +114,10 @@
 	observer *observer
 	member   *memberRow
 	orders   *orderSender
-	named    atomic.Pointer[map[string]uint64]
-	standing atomic.Pointer[standing] // among the members; nil while none are known
+	// quarantine is what is known of requests that crash upstreams.
+	quarantine *quarantineRows
+	named      atomic.Pointer[map[string]uint64]
+	standing   atomic.Pointer[standing] // among the members; nil while none are known
 	// membersCurrent means that what standing tells is recent enough for callers.
 	membersCurrent atomic.Bool
 }
@@ -129,7 +133,8 @@
 		n.cfg.Reach = alwaysReached{}
 	}
 	n.observer = newObserver(n)
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Observe: n.observer.attempt})
+	n.quarantine = newQuarantineRows(n)
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.guard, Observe: n.observer.attempt})
 	n.heads.init()
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: newWakeup()}
@@ -149,6 +154,7 @@
 	n.followAll(ctx)
 	n.group.Go(func() error { return n.member.keep(ctx) })
 	n.group.Go(func() error { return n.orders.keep(ctx) })
+	n.group.Go(func() error { return n.quarantine.keep(ctx) })
 	err := n.control(ctx, stop)
 	cancel()
 	_ = n.group.Wait() // its functions end with ctx
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -98,6 +99,8 @@
 		return "no_route"
 	case errors.Is(err, errNoConfiguration):
 		return "no_configuration"
+	case errors.Is(err, quarantine.ErrQuarantined):
+		return "quarantined"
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
 	case errors.Is(err, forward.ErrBroken):
@@ -106,6 +109,12 @@
 	return "no_answer"
 }
 
+// quarantined is told what becomes of requests that crash upstreams.
+func (o *observer) quarantined(e quarantine.Event) {
+	o.count("quarantine." + strings.ReplaceAll(e.What, " ", "_"))
+	o.line(o.failures, true, e.What, "content", e.Content, "upstream", e.Upstream, "ends", e.Ends, "trials", e.Trials, "err", e.Err)
+}
+
 // step is told what happens to items and submissions that run here.
 func (o *observer) step(s submission.Step) {
 	o.count("items." + s.What)
@@ -149,6 +158,9 @@
 	o.gauge("configuration.version", int64(o.node.configurationVersion()))
 	o.gauge("orders.fencing_token_held", int64(o.node.orders.current().Fencing))
 	o.gauge("store.tables_away", int64(len(s.awaySince)))
+	contents, quarantined := o.node.quarantine.guard.Sizes()
+	o.gauge("quarantine.contents", int64(contents))
+	o.gauge("quarantine.refused_contents", int64(quarantined))
 	for model, v := range s.named {
 		o.gauge("weights.named."+model, int64(v))
 	}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -11,6 +11,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -220,7 +221,7 @@
 // runnerConfig returns the configuration of the runners here.
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
-		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Score: n.score, Draw: draw, Observe: n.observer.step,
+		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Guard: n.quarantine.guard, Score: n.score, Draw: draw, Observe: n.observer.step,
 		ScoreRoom: n.scoreRoom,
 		Named: func(model string) uint64 {
 			if named := n.named.Load(); named != nil {
@@ -278,6 +279,7 @@
 	a, err := n.forwarder.Do(ctx, rt, forward.Request{ID: c.ID, Method: http.MethodPost, URI: c.Path, Host: c.Host,
 		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait)})
 	if err != nil {
+		s.Quarantined = errors.Is(err, quarantine.ErrQuarantined)
 		return s
 	}
 	s.Status = a.Status
--- a/pkg/quarantine/content.go
+++ b/pkg/quarantine/content.go
@@ -1,5 +1,14 @@
-// Package quarantine tells requests apart by their content, so that one that comes
-// again under another ID is known.
+// Package quarantine finds requests that crash the upstreams that run them, and
+// keeps them from being run again and again.
+//
+// A request is known by its content, since it comes again under other IDs and at
+// other instances. Each upstream that ends while it runs a content counts against
+// that content, until an upstream answers it. A content that has ended too many is in
+// quarantine: it runs in trials only, of which there are few among all instances.
+//
+// A Ledger decides, without input or output. A Guard stands between a Ledger and
+// those who send requests. What a Ledger counts are facts, which instances share as
+// rows of the platform's store.
 package quarantine
 
 import (
--- /dev/null
+++ b/pkg/quarantine/fact.go
@@ -0,0 +1,48 @@
+package quarantine
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Kind is what a Fact tells.
+type Kind string
+
+// The kinds of facts.
+const (
+	End   Kind = "end"   // an upstream ended while it ran the content
+	Trial Kind = "trial" // an instance has claimed a trial of the content
+)
+
+// Fact is something that is known of a content, and holds for all instances.
+type Fact struct {
+	Content Fingerprint
+	Kind    Kind
+	Of      string // the start of the upstream, or the number of the trial
+}
+
+// trial returns the fact that a content's trial of a number, from 1 on, is claimed.
+func trial(f Fingerprint, number int) Fact {
+	return Fact{Content: f, Kind: Trial, Of: strconv.Itoa(number)}
+}
+
+// Key returns the part of the fact's key that identifies it.
+func (f Fact) Key() string { return f.Content.String() + "/" + string(f.Kind) + "/" + f.Of }
+
+// ParseKey reads what Key returned.
+func ParseKey(key string) (Fact, error) {
+	parts := strings.SplitN(key, "/", 3)
+	if len(parts) != 3 || parts[2] == "" || Kind(parts[1]) != End && Kind(parts[1]) != Trial {
+		return Fact{}, fmt.Errorf("quarantine: %q is no fact", key)
+	}
+	content, err := ParseFingerprint(parts[0])
+	return Fact{Content: content, Kind: Kind(parts[1]), Of: parts[2]}, err
+}
+
+// Row is a fact as the platform's store has it.
+type Row struct {
+	Fact
+	Version uint64
+	Deleted bool
+}
--- /dev/null
+++ b/pkg/quarantine/ledger.go
@@ -0,0 +1,351 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxEnds is how many upstreams may end under a content before it is in
+	// quarantine. Fewer would hold a request that was merely there twice, as happens
+	// where it is sent on from one upstream that ends to the next.
+	maxEnds = 3
+	// maxExplained is maxEnds for a content whose ends another content explains: it is
+	// then likely to have been a bystander, and still may be the cause.
+	maxExplained = 4
+	// maxTrials is how many trials a content in quarantine has, among all instances.
+	maxTrials = 2
+	// firstTrialAfter is how long after the last end, or trial, the first trial may be.
+	// It grows by trialGrowth for each further one. Upstreams take seconds to start
+	// again, and bystanders are not to wait for much longer.
+	firstTrialAfter = time.Second
+	trialGrowth     = 4
+	// shareAfter is how long an end is not shared, as most contents are answered
+	// elsewhere by then; the second end of a content is shared at once.
+	shareAfter = 200 * time.Millisecond
+	// keepFor is how long a content is remembered after the last that was learned of it,
+	// and so refused once its trials are used up.
+	keepFor = 24 * time.Hour
+	// maxContents bounds the contents that are remembered.
+	maxContents = 1024
+	// maxFacts bounds the facts of one content. More than maxExplained and maxTrials
+	// come only from instances that could not ask the store.
+	maxFacts = 32
+)
+
+// Decision is what may be done with a request.
+type Decision struct {
+	// Trial is the number of the trial that the request may be run as, once it is
+	// claimed; 0 if it needs none.
+	Trial int
+	// RefusedUntil is when it may be tried next; zero if it may be now.
+	RefusedUntil time.Time
+}
+
+// Ledger counts the upstreams that ended under contents. It is not safe for
+// concurrent use. Its times are those at which facts were learned here, so that
+// instances' clocks need not agree.
+type Ledger struct {
+	contents map[Fingerprint]*content
+	under    map[string][]Fingerprint // contents, by the start of the upstream that ended under them
+	evicted  []Row                    // of contents for which there was no room
+}
+
+// content is what is known of one.
+type content struct {
+	facts      map[Fact]*standing
+	lastAt     time.Time // when the last of them was learned
+	trialAfter time.Time // no trial is claimed before
+}
+
+// standing is where a fact stands.
+type standing struct {
+	version uint64    // of its row; 0 if it is not known to have one
+	shareAt time.Time // when it is to be shared
+	void    bool      // the content has been answered since
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{contents: map[Fingerprint]*content{}, under: map[string][]Fingerprint{}}
+}
+
+// Len returns how many contents are remembered.
+func (l *Ledger) Len() int { return len(l.contents) }
+
+// Ended tells that the start of an upstream ended at now while it ran a content, and
+// reports whether that was not known.
+func (l *Ledger) Ended(f Fingerprint, start string, now time.Time) bool {
+	s, added := l.add(Fact{Content: f, Kind: End, Of: start}, now)
+	if !added {
+		return false
+	}
+	s.shareAt = now.Add(shareAfter)
+	if l.Ends(f) > 1 {
+		for _, other := range l.contents[f].facts {
+			if other.shareAt.After(now) {
+				other.shareAt = now
+			}
+		}
+	}
+	return true
+}
+
+// Claimed tells that a trial of a content was claimed for this instance at now.
+func (l *Ledger) Claimed(f Fingerprint, number int, version uint64, now time.Time) {
+	s, _ := l.add(trial(f, number), now)
+	s.version = version
+}
+
+// Postponed tells that a trial of a content could not be claimed, and that the next
+// may be no sooner than until.
+func (l *Ledger) Postponed(f Fingerprint, until time.Time) {
+	if c := l.contents[f]; c != nil {
+		c.trialAfter = until
+	}
+}
+
+// Answered tells that an upstream has answered a content, and reports whether
+// anything was known of it.
+func (l *Ledger) Answered(f Fingerprint) bool {
+	c := l.contents[f]
+	if c == nil {
+		return false
+	}
+	for fact, s := range c.facts {
+		if s.version == 0 {
+			l.drop(fact)
+			continue
+		}
+		s.void = true
+	}
+	return true
+}
+
+// Apply takes rows read at now. Reset means that they are all that there are.
+func (l *Ledger) Apply(rows []Row, reset bool, now time.Time) {
+	if reset {
+		l.keepOnly(rows)
+	}
+	for _, r := range rows {
+		if r.Deleted {
+			l.drop(r.Fact)
+			continue
+		}
+		s, _ := l.add(r.Fact, now)
+		s.version = r.Version
+	}
+}
+
+// keepOnly drops the shared facts that are not among rows.
+func (l *Ledger) keepOnly(rows []Row) {
+	kept := make(map[Fact]bool, len(rows))
+	for _, r := range rows {
+		kept[r.Fact] = true
+	}
+	for _, c := range l.contents {
+		for fact, s := range c.facts {
+			if s.version != 0 && !kept[fact] {
+				l.drop(fact)
+			}
+		}
+	}
+}
+
+// add adds a fact learned at now, unless it is known.
+func (l *Ledger) add(fact Fact, now time.Time) (s *standing, added bool) {
+	c := l.contents[fact.Content]
+	if c == nil {
+		l.makeRoom()
+		c = &content{facts: map[Fact]*standing{}}
+		l.contents[fact.Content] = c
+	}
+	if s := c.facts[fact]; s != nil {
+		return s, false
+	}
+	s = &standing{}
+	if len(c.facts) >= maxFacts {
+		return s, false // it is in quarantine as it is
+	}
+	c.facts[fact], c.lastAt = s, now
+	if fact.Kind == End {
+		l.under[fact.Of] = append(l.under[fact.Of], fact.Content)
+	}
+	return s, true
+}
+
+// makeRoom forgets a content, if there is no room for another: of those with the
+// fewest ends the one that was learned of first.
+func (l *Ledger) makeRoom() {
+	if len(l.contents) < maxContents {
+		return
+	}
+	var least Fingerprint
+	var found *content
+	for f, c := range l.contents {
+		if found == nil || cmp.Or(cmp.Compare(l.Ends(f), l.Ends(least)), c.lastAt.Compare(found.lastAt)) < 0 {
+			least, found = f, c
+		}
+	}
+	for fact, s := range found.facts {
+		if s.version != 0 && len(l.evicted) < maxContents {
+			l.evicted = append(l.evicted, Row{Fact: fact, Version: s.version})
+		}
+		l.drop(fact)
+	}
+}
+
+func (l *Ledger) drop(fact Fact) {
+	c := l.contents[fact.Content]
+	if c == nil || c.facts[fact] == nil {
+		return
+	}
+	delete(c.facts, fact)
+	if len(c.facts) == 0 {
+		delete(l.contents, fact.Content)
+	}
+	if fact.Kind != End {
+		return
+	}
+	l.under[fact.Of] = slices.DeleteFunc(l.under[fact.Of], func(f Fingerprint) bool { return f == fact.Content })
+	if len(l.under[fact.Of]) == 0 {
+		delete(l.under, fact.Of)
+	}
+}
+
+// count returns how many facts of a kind hold of a content.
+func (l *Ledger) count(f Fingerprint, k Kind) int {
+	c := l.contents[f]
+	if c == nil {
+		return 0
+	}
+	n := 0
+	for fact, s := range c.facts {
+		if fact.Kind == k && !s.void {
+			n++
+		}
+	}
+	return n
+}
+
+// Ends returns how many upstreams have ended under a content since it was answered last.
+func (l *Ledger) Ends(f Fingerprint) int { return l.count(f, End) }
+
+// Trials returns how many trials of a content were claimed since it was answered last.
+func (l *Ledger) Trials(f Fingerprint) int { return l.count(f, Trial) }
+
+// unexplained returns how many of a content's ends no other content explains. One does
+// that has ended maxEnds upstreams and more than this one. So requests that were sent
+// on together with one that crashes upstreams are told from it.
+func (l *Ledger) unexplained(f Fingerprint) int {
+	own, n := l.Ends(f), 0
+	for fact, s := range l.contents[f].facts {
+		if fact.Kind != End || s.void {
+			continue
+		}
+		explained := slices.ContainsFunc(l.under[fact.Of], func(other Fingerprint) bool {
+			ends := l.Ends(other)
+			return ends >= maxEnds && ends > own
+		})
+		if !explained {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) inQuarantine(f Fingerprint) bool {
+	ends := l.Ends(f)
+	return ends >= maxExplained || ends >= maxEnds && l.unexplained(f) >= maxEnds
+}
+
+// Decide returns what may be done at now with a request of a content. It answers the
+// load of a request that crashes the upstreams that run it and comes again at any
+// instance: after maxEnds of them it ends maxTrials more at the most.
+func (l *Ledger) Decide(f Fingerprint, now time.Time) Decision {
+	if !l.inQuarantine(f) {
+		return Decision{}
+	}
+	c, trials := l.contents[f], l.Trials(f)
+	expiresAt := c.lastAt.Add(keepFor)
+	switch {
+	case !now.Before(expiresAt):
+		return Decision{}
+	case trials >= maxTrials:
+		return Decision{RefusedUntil: expiresAt}
+	}
+	pause := firstTrialAfter
+	for range trials {
+		pause *= trialGrowth
+	}
+	next := c.lastAt.Add(pause)
+	if c.trialAfter.After(next) {
+		next = c.trialAfter
+	}
+	if now.Before(next) {
+		return Decision{RefusedUntil: next}
+	}
+	return Decision{Trial: trials + 1}
+}
+
+// Due returns the facts that are to be shared at now.
+func (l *Ledger) Due(now time.Time) []Fact {
+	var out []Fact
+	for _, c := range l.contents {
+		for fact, s := range c.facts {
+			if s.version == 0 && !now.Before(s.shareAt) {
+				out = append(out, fact)
+			}
+		}
+	}
+	return out
+}
+
+// nextShare returns when the next fact that is not due at now is to be shared; zero if
+// there is none.
+func (l *Ledger) nextShare(now time.Time) time.Time {
+	var next time.Time
+	for _, c := range l.contents {
+		for _, s := range c.facts {
+			if s.version == 0 && s.shareAt.After(now) && (next.IsZero() || s.shareAt.Before(next)) {
+				next = s.shareAt
+			}
+		}
+	}
+	return next
+}
+
+// Shared tells that a fact has a row of the version given.
+func (l *Ledger) Shared(fact Fact, version uint64) {
+	if c := l.contents[fact.Content]; c != nil && c.facts[fact] != nil {
+		c.facts[fact].version = version
+	}
+}
+
+// Void returns the rows of the facts that hold no more.
+func (l *Ledger) Void() []Row {
+	return l.rows(func(_ *content, s *standing) bool { return s.void })
+}
+
+// Expired returns the rows of the contents that are not to be remembered at now any
+// longer, or for which there was no room.
+func (l *Ledger) Expired(now time.Time) []Row {
+	out := l.rows(func(c *content, _ *standing) bool { return now.Sub(c.lastAt) >= keepFor })
+	out = append(out, l.evicted...)
+	l.evicted = nil
+	return out
+}
+
+// rows returns the rows of the shared facts for which keep reports true.
+func (l *Ledger) rows(keep func(*content, *standing) bool) []Row {
+	var out []Row
+	for _, c := range l.contents {
+		for fact, s := range c.facts {
+			if s.version != 0 && keep(c, s) {
+				out = append(out, Row{Fact: fact, Version: s.version})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/quarantine/ledger_test.go
@@ -0,0 +1,261 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 100) }
+
+var begun = time.Unix(1_800_000_000, 0)
+
+func fingerprint(name string) quarantine.Fingerprint {
+	return quarantine.Content{URI: name}.Fingerprint()
+}
+
+// table is the rows that instances share.
+type table struct {
+	rows    map[quarantine.Fact]uint64
+	version uint64
+}
+
+// write writes what a ledger has pending.
+func (t *table) write(l *quarantine.Ledger, now time.Time) {
+	for _, f := range l.Due(now) {
+		t.put(f)
+		l.Shared(f, t.rows[f])
+	}
+	for _, r := range l.Void() {
+		delete(t.rows, r.Fact)
+	}
+}
+
+// share writes what a ledger has pending, and has it read all rows.
+func (t *table) share(l *quarantine.Ledger, now time.Time) {
+	t.write(l, now)
+	rows := make([]quarantine.Row, 0, len(t.rows))
+	for f, v := range t.rows {
+		rows = append(rows, quarantine.Row{Fact: f, Version: v})
+	}
+	l.Apply(rows, true, now)
+}
+
+// put writes a fact and reports whether it was not there.
+func (t *table) put(f quarantine.Fact) bool {
+	if t.rows == nil {
+		t.rows = map[quarantine.Fact]uint64{}
+	}
+	if _, ok := t.rows[f]; ok {
+		return false
+	}
+	t.version++
+	t.rows[f] = t.version
+	return true
+}
+
+// ends returns how many ends of a content are in the table or known to one of ledgers.
+func (t *table) ends(f quarantine.Fingerprint, ledgers []*quarantine.Ledger) int {
+	known := map[quarantine.Fact]bool{}
+	for fact := range t.rows {
+		known[fact] = fact.Kind == quarantine.End
+	}
+	for _, l := range ledgers {
+		for _, fact := range l.Due(begun.Add(time.Hour)) {
+			known[fact] = fact.Kind == quarantine.End
+		}
+	}
+	n := 0
+	for fact, end := range known {
+		if end && fact.Content == f {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that ends each upstream that runs it comes at any of many instances, each
+// of which writes the shared rows that are due and reads them each second, or starts
+// anew. Once all must know of three ends it runs twice more at the most, however long
+// it comes. An end that only an instance knew that was lost is not known to any.
+func TestQuarantineHoldsAmongInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const syncedWithin = time.Second
+		var shared table
+		f := fingerprint("poison")
+		ledgers := make([]*quarantine.Ledger, rapid.IntRange(1, 20).Draw(t, "instances"))
+		syncAt := make([]time.Time, len(ledgers))
+		for i := range ledgers {
+			ledgers[i] = quarantine.NewLedger()
+		}
+		now, ends, late := begun, 0, 0
+		var third time.Time
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause_ms")) * time.Millisecond)
+			for i, l := range ledgers {
+				shared.write(l, now)
+				if now.Sub(syncAt[i]) >= syncedWithin {
+					shared.share(l, now)
+					syncAt[i] = now
+				}
+			}
+			i := rapid.IntRange(0, len(ledgers)-1).Draw(t, "instance")
+			if rapid.IntRange(0, 30).Draw(t, "restart") == 17 {
+				ledgers[i] = quarantine.NewLedger()
+				shared.share(ledgers[i], now)
+			}
+			if shared.ends(f, ledgers) < 3 {
+				third = time.Time{}
+			}
+			d := ledgers[i].Decide(f, now)
+			if !d.RefusedUntil.IsZero() {
+				if !d.RefusedUntil.After(now) {
+					t.Fatalf("refused until %v at %v", d.RefusedUntil, now)
+				}
+				continue
+			}
+			if d.Trial > 0 {
+				fact := quarantine.Fact{Content: f, Kind: quarantine.Trial, Of: fmt.Sprint(d.Trial)}
+				claimed := shared.put(fact)
+				ledgers[i].Claimed(f, d.Trial, shared.rows[fact], now)
+				if !claimed {
+					continue
+				}
+			}
+			if !third.IsZero() && now.Sub(third) > 2*syncedWithin {
+				late++
+			}
+			ends++
+			ledgers[i].Ended(f, fmt.Sprintf("i-%d", ends), now)
+			if third.IsZero() && shared.ends(f, ledgers) >= 3 {
+				third = now
+			}
+		}
+		if late > 2 {
+			t.Fatalf("ran %d times once all knew that it had ended three upstreams, %d in all", late, ends)
+		}
+	})
+}
+
+// A content that is answered is tried as before, also after it was in quarantine, and
+// what ends later counts anew.
+func TestAnswerLiftsQuarantine(t *testing.T) {
+	l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
+	var shared table
+	for round := range 3 {
+		for i := range 3 {
+			if d := l.Decide(f, now); d != (quarantine.Decision{}) {
+				t.Fatalf("round %d, %d upstreams ended: %+v", round, i, d)
+			}
+			l.Ended(f, fmt.Sprintf("i-%d-%d", round, i), now)
+		}
+		shared.share(l, now)
+		if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
+			t.Fatalf("round %d: not refused after three ends", round)
+		}
+		now = now.Add(time.Second)
+		if d := l.Decide(f, now); d.Trial != 1 {
+			t.Fatalf("round %d: %+v after a second, want the first trial", round, d)
+		}
+		l.Answered(f)
+		shared.share(l, now)
+		if len(shared.rows) != 0 || l.Len() != 0 {
+			t.Fatalf("round %d: %d rows and %d contents are left", round, len(shared.rows), l.Len())
+		}
+	}
+}
+
+// Replays the load of one service whose three upstreams one request ended again and
+// again, while a scorer's call was sent on from each to the next with it: the call was
+// at three ends and the request at these and one before. Only the request is held.
+func TestBystanderIsNotHeld(t *testing.T) {
+	l, cause, bystander, now := quarantine.NewLedger(), fingerprint("cause"), fingerprint("bystander"), begun
+	l.Ended(cause, "i-0", now)
+	for _, start := range []string{"i-1", "i-2", "i-3"} {
+		l.Ended(cause, start, now)
+		l.Ended(bystander, start, now)
+	}
+	if d := l.Decide(cause, now); d.RefusedUntil.IsZero() {
+		t.Error("the cause is not refused")
+	}
+	if d := l.Decide(bystander, now); d != (quarantine.Decision{}) {
+		t.Errorf("the bystander: %+v", d)
+	}
+	l.Ended(bystander, "i-4", now)
+	if d := l.Decide(bystander, now); d.RefusedUntil.IsZero() {
+		t.Error("what has ended four upstreams, one of them alone, is not refused")
+	}
+}
+
+// What is known is bounded, and the contents that ended the most are kept.
+func TestLedgerIsBounded(t *testing.T) {
+	l, f := quarantine.NewLedger(), fingerprint("poison")
+	for i := range 4 {
+		l.Ended(f, fmt.Sprintf("i-%d", i), begun)
+	}
+	for i := range 5000 {
+		l.Ended(fingerprint(fmt.Sprint(i)), fmt.Sprintf("i-%d", i), begun.Add(time.Duration(i)*time.Second))
+		for j := range 50 {
+			l.Ended(f, fmt.Sprintf("j-%d-%d", i, j), begun)
+		}
+	}
+	if l.Len() > 1024 || l.Ends(f) > 32 || l.Decide(f, begun).RefusedUntil.IsZero() {
+		t.Errorf("%d contents, %d ends of one, %+v", l.Len(), l.Ends(f), l.Decide(f, begun))
+	}
+}
+
+// A first end is not shared while an answer elsewhere may take it back; a second is.
+func TestEndsAreSharedOnceTheyTell(t *testing.T) {
+	l, f := quarantine.NewLedger(), fingerprint("a")
+	l.Ended(f, "i-1", begun)
+	if n := len(l.Due(begun.Add(150 * time.Millisecond))); n != 0 {
+		t.Errorf("%d facts to be shared after one end", n)
+	}
+	if n := len(l.Due(begun.Add(200 * time.Millisecond))); n != 1 {
+		t.Errorf("%d facts to be shared later, want the end", n)
+	}
+	l.Ended(f, "i-2", begun)
+	if n := len(l.Due(begun)); n != 2 {
+		t.Errorf("%d facts to be shared after two ends", n)
+	}
+}
+
+// What is remembered is forgotten in the end, and until then refused.
+func TestQuarantineExpires(t *testing.T) {
+	l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
+	for i := range 3 {
+		l.Ended(f, fmt.Sprintf("i-%d", i), now)
+	}
+	var shared table
+	shared.share(l, now)
+	for n := 1; n <= 2; n++ {
+		now = now.Add(4 * time.Second)
+		l.Claimed(f, n, 100+uint64(n), now)
+	}
+	if d := l.Decide(f, now.Add(23*time.Hour)); d.RefusedUntil != now.Add(24*time.Hour) {
+		t.Errorf("%+v, want it refused for a day", d)
+	}
+	if n := len(l.Expired(now.Add(23 * time.Hour))); n != 0 {
+		t.Errorf("%d rows expired early", n)
+	}
+	if n := len(l.Expired(now.Add(24 * time.Hour))); n != 5 {
+		t.Errorf("%d rows expired, want three ends and two trials", n)
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	want := quarantine.Fact{Content: fingerprint("a"), Kind: quarantine.End, Of: "i-1@17/x"}
+	if got, err := quarantine.ParseKey(want.Key()); err != nil || got != want {
+		t.Errorf("%v, %v", got, err)
+	}
+	for _, key := range []string{"", "x/end/i", want.Content.String() + "/end/", want.Content.String() + "/other/i", want.Content.String()} {
+		if _, err := quarantine.ParseKey(key); err == nil {
+			t.Errorf("%q is read as a fact", key)
+		}
+	}
+}
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -30,7 +31,7 @@
 	if !ok {
 		return false
 	}
-	g := Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after}
+	g := r.generation(i, after)
 	if rt.SingleVersion && len(versions) > 0 {
 		g.Version = versions[0]
 	}
@@ -45,7 +46,7 @@
 		})
 		ended := Step{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: t.ID, Events: len(p.Events), Status: p.Status, Err: err}
 		if err != nil && !errors.Is(err, forward.ErrNotRun) {
-			ended.Content = r.spec.content(it).Fingerprint()
+			ended.Content = g.content(r.spec.Model).Fingerprint()
 		}
 		r.cfg.Observe(ended)
 		r.tell(ctx, func(now time.Time) { r.run.Generated(i, p, terms(rt), now) })
@@ -58,6 +59,11 @@
 // what it would ask of another one. flush is given the events as they come; the
 // last of them are returned.
 func (r *Runner) generate(owned context.Context, t *upstream.Ticket, again upstream.Want, g Generation, flush func(Progress)) (Progress, error) {
+	guarded, err := r.cfg.Guard.Begin(owned, g.content(r.spec.Model), t.Entry)
+	if err != nil {
+		t.Release()
+		return Progress{}, err
+	}
 	ctx, cancel := context.WithCancel(owned)
 	defer cancel()
 	silence := time.AfterFunc(firstEventLimit, cancel)
@@ -92,9 +98,27 @@
 		rep.Failed = true
 	}
 	t.Done(rep)
+	guarded.Done(owned, outcome(ctx, p, err))
 	return p, err
 }
 
+// outcome returns how an attempt at a text ended whose context was ctx.
+func outcome(ctx context.Context, p Progress, err error) quarantine.Outcome {
+	switch {
+	case err == nil, p.Status != 0 && p.Status < http.StatusInternalServerError:
+		return quarantine.Answered
+	case p.Status != 0, errors.Is(err, errTooOld):
+		return quarantine.Failed
+	case errors.Is(err, forward.ErrUnreachable):
+		return quarantine.Unreachable
+	case errors.Is(err, forward.ErrNotRun):
+		return quarantine.NotRun
+	case errors.Is(err, errSlow), ctx.Err() != nil:
+		return quarantine.Left
+	}
+	return quarantine.Broken
+}
+
 // version tells what an engine's answer showed of its weights.
 func (r *Runner) version(v uint64) map[string]uint64 {
 	if r.spec.Model == "" || v == 0 {
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -129,6 +129,9 @@
 	it.course.started(now)
 }
 
+// Postpone keeps item i, waiting or unscored, from being tried before a time.
+func (r *Run) Postpone(i int, until time.Time) { r.items[i].notBefore = until }
+
 // After returns the last event of item i's text so far, and the weight
 // versions that made it.
 func (r *Run) After(i int) (event int, versions []uint64) {
@@ -209,6 +212,8 @@
 	Score       string // the scorer's proof; empty if the call failed
 	Status      int    // of its answer; 0 for none
 	MaxAttempts int    // answers of 500 after which its item is given up
+	// Quarantined means that the call was not sent, as it crashes its service.
+	Quarantined bool
 }
 
 // Scored tells how a call of item i's scorer ended.
@@ -227,6 +232,9 @@
 		}
 	}
 	it.notBefore = now.Add(attemptPause)
+	if s.Quarantined {
+		it.notBefore = now.Add(quarantinePause)
+	}
 }
 
 // GiveUp ends the items that are too old, given the age of the submission by
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -37,6 +37,9 @@
 	// which doubles up to maxAppendPause so that a store in trouble is not pressed.
 	appendPause    = 50 * time.Millisecond
 	maxAppendPause = 150 * time.Millisecond
+	// quarantinePause is how soon an item in quarantine is looked at again: it may have
+	// been let out.
+	quarantinePause = 500 * time.Millisecond
 	// refusedPause is how long an engine that refused a text is left alone.
 	refusedPause = 100 * time.Millisecond
 )
@@ -46,6 +49,8 @@
 	Log       Log
 	Registry  *upstream.Registry
 	Generator Generator
+	// Guard keeps items that crash engines from them; nil for none.
+	Guard *quarantine.Guard
 	// Score sends one call of a scorer.
 	Score func(ctx context.Context, c Call) Scored
 	// ScoreRoom returns how many calls of c's scorer may be under way at once.
@@ -216,12 +221,22 @@
 // startWaiting starts the items that find room at an engine.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
 	for _, i := range r.run.Waiting(now) {
+		if r.cfg.Guard.Check(r.generation(i, 0).content(r.spec.Model), now) != nil {
+			r.run.Postpone(i, now.Add(quarantinePause))
+			continue
+		}
 		if !r.start(ctx, i, rt, now) {
 			return
 		}
 	}
 }
 
+// generation returns what is asked of an engine for item i, to go on after an event.
+func (r *Runner) generation(i, after int) Generation {
+	it := r.spec.Items[i]
+	return Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after}
+}
+
 // startScoring starts calls of scorers for texts that are whole.
 func (r *Runner) startScoring(ctx context.Context, now time.Time) {
 	for _, i := range r.run.Unscored(now) {
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -46,12 +46,6 @@
 	Length int `json:"length,omitempty"`
 }
 
-// content returns what identifies the generation of item it of s however often it
-// is asked for.
-func (s Spec) content(it Item) quarantine.Content {
-	return quarantine.Content{Method: http.MethodPost, Host: s.Host, URI: it.Path, Model: s.Model, Body: it.Body}
-}
-
 // Call is a request to a plain service.
 type Call struct {
 	ID   string `json:"id"`
@@ -192,6 +186,12 @@
 	Version uint64
 }
 
+// content returns what identifies g, which asks for a text of a model, however often
+// it is asked for.
+func (g Generation) content(model string) quarantine.Content {
+	return quarantine.Content{Method: http.MethodPost, Host: g.Host, URI: g.Path, Model: model, Body: g.Body}
+}
+
 // StatusError is an engine's answer that is not a text.
 type StatusError struct {
 	Status int
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -285,6 +285,15 @@
 	r.learn(t.known, rep)
 }
 
+// Release ends a ticket whose request was not sent.
+func (t *Ticket) Release() {
+	r := t.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.known.inFlight--
+	t.known.asking = false
+}
+
 // Better reports whether the ticket's upstream has been from times slower than
 // usual, while another that may take its request, w, is not and has a free slot.
 func (t *Ticket) Better(w Want, from float64) bool {
