--- a/cmd/zinnialadder/site.go
+++ b/cmd/zinnialadder/site.go
@@ -108,13 +108,18 @@
 // take takes a snapshot of tables of the store that the flags name, and of their
 // objects if objects is set.
 func (f *storeFlags) take(cmd *cobra.Command, tables []snapshot.Table, objects bool) (snapshot.Snapshot, error) {
-	address := f.address
-	if f.settings != "" {
-		s, err := platform.LoadSettings(f.settings)
-		if err != nil {
-			return snapshot.Snapshot{}, err
-		}
-		address = s.Store
+	address, err := f.storeAddress()
+	if err != nil {
+		return snapshot.Snapshot{}, err
 	}
 	return snapshot.Take(cmd.Context(), platform.NewStore(address), tables, objects, time.Now())
 }
+
+// storeAddress returns the IP:port of the store that the flags name.
+func (f *storeFlags) storeAddress() (string, error) {
+	if f.settings == "" {
+		return f.address, nil
+	}
+	s, err := platform.LoadSettings(f.settings)
+	return s.Store, err
+}
