--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -5,18 +5,19 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 )
 
 // onMembers takes changes of the members' rows. After the table was away, since the
 // time given, members get time to renew theirs.
 func (s *state) onMembers(u feed.Update, away bool, since time.Time) []effect {
 	var effs []effect
-	changes, q := splitMembers(u)
-	if err := s.members.Apply(changes, u.Reset, u.At); err != nil {
+	q := quarantine.Split(u.Changes, QuarantinePrefix())
+	if err := s.members.Apply(q.Others, u.Reset, u.At); err != nil {
 		effs = append(effs, note{"member not understood", []any{"err", err}})
 	}
-	if u.Reset || len(q.rows) > 0 || len(q.unreadable) > 0 {
-		effs = append(effs, q)
+	if u.Reset || len(q.Rows) > 0 || len(q.Unreadable) > 0 {
+		effs = append(effs, learnQuarantine{update: q, reset: u.Reset, at: u.At})
 	}
 	if away {
 		s.members.Excuse(since, u.At)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
@@ -115,7 +116,7 @@
 	member   *memberRow
 	orders   *orderSender
 	// quarantine is what is known of requests that crash upstreams.
-	quarantine *quarantineRows
+	quarantine *quarantine.Keeper
 	named      atomic.Pointer[map[string]uint64]
 	standing   atomic.Pointer[standing] // among the members; nil while none are known
 	// membersCurrent means that what standing tells is recent enough for callers.
@@ -133,8 +134,8 @@
 		n.cfg.Reach = alwaysReached{}
 	}
 	n.observer = newObserver(n)
-	n.quarantine = newQuarantineRows(n)
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.guard, Observe: n.observer.attempt})
+	n.quarantine = newQuarantine(n)
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, Observe: n.observer.attempt})
 	n.heads.init()
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: newWakeup()}
@@ -154,7 +155,7 @@
 	n.followAll(ctx)
 	n.group.Go(func() error { return n.member.keep(ctx) })
 	n.group.Go(func() error { return n.orders.keep(ctx) })
-	n.group.Go(func() error { return n.quarantine.keep(ctx) })
+	n.group.Go(func() error { return n.quarantine.Run(ctx) })
 	err := n.control(ctx, stop)
 	cancel()
 	_ = n.group.Wait() // its functions end with ctx
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -158,7 +158,7 @@
 	o.gauge("configuration.version", int64(o.node.configurationVersion()))
 	o.gauge("orders.fencing_token_held", int64(o.node.orders.current().Fencing))
 	o.gauge("store.tables_away", int64(len(s.awaySince)))
-	contents, quarantined := o.node.quarantine.guard.Sizes()
+	contents, quarantined := o.node.quarantine.Guard.Sizes()
 	o.gauge("quarantine.contents", int64(contents))
 	o.gauge("quarantine.refused_contents", int64(quarantined))
 	for model, v := range s.named {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -221,7 +221,7 @@
 // runnerConfig returns the configuration of the runners here.
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
-		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Guard: n.quarantine.guard, Score: n.score, Draw: draw, Observe: n.observer.step,
+		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Guard: n.quarantine.Guard, Score: n.score, Draw: draw, Observe: n.observer.step,
 		ScoreRoom: n.scoreRoom,
 		Named: func(model string) uint64 {
 			if named := n.named.Load(); named != nil {
--- /dev/null
+++ b/pkg/quarantine/keeper.go
@@ -0,0 +1,224 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+)
+
+const (
+	// sweepPeriod is how often an instance looks for rows that are not needed any longer.
+	sweepPeriod = time.Minute
+	// writePause is the pause after rows could not be written.
+	writePause = 200 * time.Millisecond
+	// writeTime bounds one write.
+	writeTime = 2 * time.Second
+	// batchRows bounds the rows that are written in one transaction.
+	batchRows = 50
+)
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	Guard Config // its Claim and Changed are the Keeper's
+	// Commit writes rows of the platform's store.
+	Commit func(ctx context.Context, ops ...platform.Op) ([]platform.Row, error)
+	// Prefix begins the keys of the rows.
+	Prefix string
+	// By is the start of the instance, for those who read the rows.
+	By string
+	// Sweeps reports whether this instance deletes the rows that nobody needs.
+	Sweeps func() bool
+	// Failed is told of a write that failed.
+	Failed func(rows int, err error)
+}
+
+// Keeper keeps the facts of a Guard as rows of the platform's store. Whoever reads the
+// rows hands them to Learn.
+type Keeper struct {
+	Guard *Guard
+	cfg   KeeperConfig
+	wake  chan struct{}
+}
+
+// NewKeeper returns a Keeper and its Guard. Call Run.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	k := &Keeper{cfg: cfg, wake: make(chan struct{}, 1)}
+	cfg.Guard.Claim, cfg.Guard.Changed = k.claim, k.changed
+	k.Guard = NewGuard(cfg.Guard)
+	return k
+}
+
+func (k *Keeper) changed() {
+	select {
+	case k.wake <- struct{}{}:
+	default: // it is told already
+	}
+}
+
+// rowValue is the value of a row, for those who read it: its key tells all.
+type rowValue struct {
+	At time.Time `json:"at"`
+	By string    `json:"by"`
+}
+
+func (k *Keeper) put(f Fact) (platform.Op, error) {
+	return platform.Put(k.cfg.Prefix+f.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By})
+}
+
+// claim implements Config's Claim.
+func (k *Keeper) claim(ctx context.Context, trial Fact) (uint64, error) {
+	op, err := k.put(trial)
+	if err != nil {
+		return 0, err
+	}
+	rows, err := k.cfg.Commit(ctx, op)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return conflict.Current.Version, ErrClaimed
+	case err != nil:
+		return 0, err
+	}
+	return rows[0].Version, nil
+}
+
+// Run writes what the Guard learns, and deletes what it needs no longer, until ctx
+// ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	sweepAt := time.Now().Add(sweepPeriod)
+	for ctx.Err() == nil {
+		now := time.Now()
+		sweep := !now.Before(sweepAt)
+		if sweep {
+			sweepAt = now.Add(sweepPeriod)
+		}
+		p := k.Guard.Pending(now, sweep && k.cfg.Sweeps())
+		wait := sweepAt.Sub(now)
+		if !p.NextAt.IsZero() {
+			wait = min(wait, p.NextAt.Sub(now))
+		}
+		if err := k.write(ctx, p); err != nil {
+			k.cfg.Failed(len(p.Put)+len(p.Delete), err)
+			wait = min(wait, writePause)
+		}
+		k.await(ctx, wait)
+	}
+	return nil
+}
+
+// await waits for d, until the Guard has changed or until ctx ends.
+func (k *Keeper) await(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-k.wake:
+	}
+}
+
+// write writes what is pending.
+func (k *Keeper) write(ctx context.Context, p Pending) error {
+	ops := make([]platform.Op, 0, len(p.Put)+len(p.Delete))
+	facts := make(map[string]Fact, cap(ops))
+	for _, f := range p.Put {
+		op, err := k.put(f)
+		if err != nil {
+			return err
+		}
+		ops, facts[op.Key] = append(ops, op), f
+	}
+	for _, r := range p.Delete {
+		op := platform.Delete(k.cfg.Prefix+r.Key(), r.Version)
+		ops, facts[op.Key] = append(ops, op), r.Fact
+	}
+	for len(ops) > 0 {
+		batch := ops[:min(len(ops), batchRows)]
+		err := k.commit(ctx, batch, facts)
+		var conflict *platform.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			ops = without(ops, conflict.Key)
+		case err != nil:
+			return err
+		default:
+			ops = ops[len(batch):]
+		}
+	}
+	return nil
+}
+
+// commit commits ops, and tells the Guard which of their facts are shared or gone. A
+// row that another instance has written or deleted meanwhile ends it with a conflict,
+// and is settled.
+func (k *Keeper) commit(ctx context.Context, ops []platform.Op, facts map[string]Fact) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	rows, err := k.cfg.Commit(ctx, ops...)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		k.settled(facts[conflict.Key], conflict.Current.Version)
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	for i, op := range ops {
+		version := rows[i].Version
+		if op.Delete {
+			version = 0
+		}
+		k.settled(facts[op.Key], version)
+	}
+	return nil
+}
+
+// settled tells the Guard that a fact's row has the version given, or is gone if that
+// is zero.
+func (k *Keeper) settled(f Fact, version uint64) {
+	if version == 0 {
+		k.Guard.Dropped(f)
+		return
+	}
+	k.Guard.Shared(f, version)
+}
+
+func without(ops []platform.Op, key string) []platform.Op {
+	out := make([]platform.Op, 0, len(ops))
+	for _, op := range ops {
+		if op.Key != key {
+			out = append(out, op)
+		}
+	}
+	return out
+}
+
+// Update is what was read of a table: the rows of facts in it, and the other rows.
+type Update struct {
+	Rows       []Row
+	Others     []platform.Change
+	Unreadable []error // of keys that tell no fact
+}
+
+// Split parts changes of a table into rows of facts, whose keys begin with prefix, and
+// others.
+func Split(changes []platform.Change, prefix string) Update {
+	var u Update
+	for _, ch := range changes {
+		key, ok := strings.CutPrefix(ch.Key, prefix)
+		if !ok {
+			u.Others = append(u.Others, ch)
+			continue
+		}
+		f, err := ParseKey(key)
+		if err != nil {
+			u.Unreadable = append(u.Unreadable, err)
+			continue
+		}
+		u.Rows = append(u.Rows, Row{Fact: f, Version: ch.Version, Deleted: ch.Deleted})
+	}
+	return u
+}
