--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -11,11 +11,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/internal/crashtest"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/engine/enginetest"
@@ -36,6 +39,10 @@
 	Logger   *log.Logger  // default: discard
 	Clock    clock.Clock
 	NoPeers  bool // instances have no peer link
+	// Poison has engines and services crash under the requests that it matches, and
+	// start again RestartAfter later; nil for none.
+	Poison       *crashtest.Poison
+	RestartAfter time.Duration
 }
 
 // Site is a running site. Close it when done.
@@ -50,13 +57,13 @@
 	ServiceAddrs []string
 	Entries      []*entry.Instance
 
-	cancel      context.CancelFunc
-	stopEngine  []context.CancelFunc
-	stopService []context.CancelFunc
-	entryCx     []context.CancelFunc
-	entryDone   []chan struct{}
-	group       *errgroup.Group
-	cfg         Config
+	cancel    context.CancelFunc
+	engines   []*crashtest.Server
+	services  []*crashtest.Server
+	entryCx   []context.CancelFunc
+	entryDone []chan struct{}
+	group     *errgroup.Group
+	cfg       Config
 }
 
 // Start starts a site as cfg says and waits until every entry instance has
@@ -79,25 +86,21 @@
 	}
 	for range max(1, cfg.Services) {
 		svc := new(servicetest.Server)
-		ctx, stop := context.WithCancel(gctx)
-		addr, err := s.serve(ctx, svc.Handler())
+		up, err := s.serveUpstream(gctx, svc.Handler())
 		if err != nil {
-			stop()
 			return nil, err
 		}
-		s.Services, s.ServiceAddrs, s.stopService = append(s.Services, svc), append(s.ServiceAddrs, addr), append(s.stopService, stop)
+		s.Services, s.ServiceAddrs, s.services = append(s.Services, svc), append(s.ServiceAddrs, up.Address()), append(s.services, up)
 	}
 	for i := 0; i < cfg.Engines; i++ {
 		ec := cfg.Engine
 		ec.Name = fmt.Sprintf("engine-%d", i)
 		e := enginetest.New(ec)
-		ectx, stop := context.WithCancel(gctx)
-		s.stopEngine = append(s.stopEngine, stop)
-		addr, err := s.serve(ectx, e.Handler())
+		up, err := s.serveUpstream(gctx, e.Handler())
 		if err != nil {
 			return nil, err
 		}
-		s.Engines, s.EngineAddrs = append(s.Engines, e), append(s.EngineAddrs, addr)
+		s.Engines, s.EngineAddrs, s.engines = append(s.Engines, e), append(s.EngineAddrs, up.Address()), append(s.engines, up)
 	}
 	for i := 0; i < cfg.Entries; i++ {
 		if err := s.StartEntry(fmt.Sprintf("entry-%d", i)); err != nil {
@@ -153,11 +156,21 @@
 // down.
 func (s *Site) EntryDone(i int) <-chan struct{} { return s.entryDone[i] }
 
-// CrashEngine closes engine i's listener and connections, for good.
-func (s *Site) CrashEngine(i int) { s.stopEngine[i]() }
+// CrashEngine closes engine i's listener and connections, until it starts again.
+func (s *Site) CrashEngine(i int) { s.engines[i].Crash() }
 
-// CrashService closes service i's listener and connections, for good.
-func (s *Site) CrashService(i int) { s.stopService[i]() }
+// CrashService closes service i's listener and connections, until it starts again.
+func (s *Site) CrashService(i int) { s.services[i].Crash() }
+
+// Crashes returns when engines and services have crashed, in order.
+func (s *Site) Crashes() []time.Time {
+	var out []time.Time
+	for _, up := range slices.Concat(s.engines, s.services) {
+		out = append(out, up.Ends()...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
 
 // Executions returns how many times each key has run, over all services.
 func (s *Site) Executions() map[string]int {
@@ -234,6 +247,27 @@
 	return ln.Addr().String(), nil
 }
 
+// serveUpstream serves an engine or a service until ctx ends.
+func (s *Site) serveUpstream(ctx context.Context, h http.Handler) (*crashtest.Server, error) {
+	var up *crashtest.Server
+	var ready sync.WaitGroup
+	ready.Add(1)
+	if s.cfg.Poison != nil {
+		h = s.cfg.Poison.Handler(h, func() *crashtest.Server { ready.Wait(); return up })
+	}
+	up, err := crashtest.Serve(crashtest.Config{Handler: h, RestartAfter: func() time.Duration { return s.cfg.RestartAfter }})
+	ready.Done()
+	if err != nil {
+		return nil, err
+	}
+	s.group.Go(func() error {
+		<-ctx.Done()
+		up.Close()
+		return nil
+	})
+	return up, nil
+}
+
 // EnginePool returns a pool of all the site's engines, live.
 func (s *Site) EnginePool(name string) catalogue.Pool {
 	return catalogue.Pool{Name: name, Kind: catalogue.Engines, Upstreams: live(s.EngineAddrs)}
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -18,16 +18,24 @@
 // startSite starts a site with the given engines and entry instances and a
 // catalogue of one training entry and one service entry for customer minho.
 func startSite(t testing.TB, engines, entries int, ec enginetest.Config) *site.Site {
+	t.Helper()
+	return startSiteWith(t, engines, entries, ec, func(*site.Config) {})
+}
+
+// startSiteWith is startSite after adjust has changed the site's configuration.
+func startSiteWith(t testing.TB, engines, entries int, ec enginetest.Config, adjust func(*site.Config)) *site.Site {
 	t.Helper()
 	if ec.TokenInterval == 0 {
 		ec.TokenInterval = time.Millisecond
 	}
-	s, err := site.Start(site.Config{Engines: engines, Services: 2, Entries: entries, Engine: ec,
+	cfg := site.Config{Engines: engines, Services: 2, Entries: entries, Engine: ec,
 		Entry: entry.Config{Refresh: 50 * time.Millisecond, Tick: 10 * time.Millisecond, ReportInterval: 50 * time.Millisecond,
 			IdleTimeout: 200 * time.Millisecond, SweepInterval: 50 * time.Millisecond,
 			MaxInFlight: 60, DrainNotice: 20 * time.Millisecond, PurgeInterval: 50 * time.Millisecond, PeerKeepAlive: 100 * time.Millisecond, RolloutProbe: 20 * time.Millisecond, RolloutCheck: 100 * time.Millisecond, ReportLag: 50 * time.Millisecond,
 			RolloutLeaseTTL: time.Second, ShardLeaseTTL: time.Second, ShardGroups: 4, StepTick: 5 * time.Millisecond,
-			StepRefresh: 100 * time.Millisecond, LeaseTTL: time.Second}})
+			StepRefresh: 100 * time.Millisecond, LeaseTTL: time.Second}}
+	adjust(&cfg)
+	s, err := site.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
