entry: calls, generations and samples that crash upstreams are put in quarantine

The same cause as in the node: attempts were bounded within one call, and nothing connected it with the next one of the same content. Hedged copies made it worse, as a second service got a copy while the first crashed.

The guard of the node stands before services and engines here too, its facts lie beside the members' rows, which instances read anyway. The catalogue tells addresses only, so that what starts again at one is told apart by when it ended.

A reading of all rows no longer drops facts that may have been shared after it began; the entry role reads all rows each time.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/delivery"
 	"github.com/zinnialadder/zinnialadder/pkg/health"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/retry"
 	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -75,8 +76,10 @@
 	life     string
 	attempts atomic.Uint64
 	samples  *delivery.Sender
-	stats    *counters
-	keepers  sync.Map // pool → its *lease.Keeper
+	// quarantine is what is known of requests that crash upstreams.
+	quarantine *quarantine.Keeper
+	stats      *counters
+	keepers    sync.Map // pool → its *lease.Keeper
 }
 
 // New checks cfg and returns an Instance that is not yet serving.
@@ -108,6 +111,7 @@
 	in.sendsCtx, in.leaveSends = context.WithCancel(context.Background())
 	in.view.Store(control.New(in.self, in.timing).View)
 	in.peers = newLinks(in)
+	in.quarantine = newQuarantine(in)
 	in.samples = delivery.NewSender(delivery.Config{Platform: cfg.Platform, Clock: cfg.Clock, Logger: cfg.Logger, HTTP: in.http,
 		View: in.View, Attempt: in.attempt, Leave: in.sendsCtx, Counters: in.stats.delivery,
 		Go: func(f func() error) { in.sends.Go(f) }})
@@ -131,6 +135,7 @@
 	in.group = g
 	g.Go(func() error { return in.control(gctx) })
 	g.Go(func() error { return in.peers.Serve(gctx) })
+	g.Go(func() error { return in.quarantine.Run(gctx) })
 	g.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/httpjson"
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -48,6 +50,10 @@
 	g.in.retries.Earn()
 	var last error
 	for attempts, tries := 0, 0; attempts < maxAttempts && tries < maxTried; tries++ {
+		if err := g.in.quarantine.Guard.Check(g.content(), time.Now()); err != nil {
+			last = err
+			break
+		}
 		if attempts > 0 && g.tokens == 0 && !g.in.retries.Spend() {
 			g.in.stats.retriesRefused.Inc(1)
 			break
@@ -69,7 +75,7 @@
 			return Event{Done: true, WeightVersions: g.labels, Tokens: g.tokens}, nil
 		}
 		last = err
-		if ctx.Err() != nil || errors.Is(err, errTooStale) || errors.Is(err, errCaller) {
+		if ctx.Err() != nil || errors.Is(err, errTooStale) || errors.Is(err, errCaller) || errors.Is(err, quarantine.ErrQuarantined) {
 			break
 		}
 		g.in.upstreamFailed(addr, err)
@@ -107,7 +113,12 @@
 	if !g.reached && g.tokens == 0 {
 		v, status = verdict.NotRun, http.StatusServiceUnavailable
 	}
-	return &verdict.Error{Verdict: v, Status: status, RetryAt: g.in.comeBackAt(),
+	retryAt := g.in.comeBackAt()
+	var refused *quarantine.RefusedError
+	if errors.As(err, &refused) {
+		retryAt = refused.Until
+	}
+	return &verdict.Error{Verdict: v, Status: status, RetryAt: retryAt,
 		Err: fmt.Errorf("generate: gave up: %w", err)}
 }
 
@@ -159,10 +170,30 @@
 	return prompt
 }
 
+// content is what identifies the generation whatever its request's ID.
+func (g *generation) content() quarantine.Content {
+	return quarantine.Content{Host: g.req.Customer, URI: g.req.Entry, Body: []byte(g.req.Prompt)}
+}
+
 // stream runs one attempt on the engine at addr, relaying chunks to the
 // caller. It reports whether the generation is now whole.
 func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
 	defer g.in.load.Release(addr) // taken by pick
+	guarded, err := g.in.quarantine.Guard.Begin(ctx, g.content(), at(g.entry.Pool, addr))
+	if err != nil {
+		return false, err
+	}
+	done, err := g.ask(ctx, addr)
+	o := outcomeOf(ctx, err)
+	if errors.Is(err, errIdle) || errors.Is(err, errTooStale) {
+		o = quarantine.Left
+	}
+	guarded.Done(ctx, o)
+	return done, err
+}
+
+// ask is stream without a guard.
+func (g *generation) ask(ctx context.Context, addr string) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	req := engine.GenerateRequest{
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -110,6 +110,9 @@
 		return in.readCatalogue(ctx, e)
 	case control.ReadMembers:
 		rows, err := in.cfg.Platform.Scan(ctx, memberPrefix)
+		if err == nil {
+			rows = in.splitMembers(rows)
+		}
 		return control.MembersRead{Rows: rows, At: in.cfg.Clock.Now(), Err: err}
 	case control.Heartbeat:
 		self := in.self
--- a/pkg/entry/servicecall.go
+++ b/pkg/entry/servicecall.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/catalogue"
+	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/service"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
@@ -38,6 +39,10 @@
 func (c *serviceCall) once(ctx context.Context) (CallAnswer, error) {
 	var last error
 	for range maxAttempts {
+		if err := c.check(); err != nil {
+			last = err
+			break
+		}
 		addr, err := c.pick()
 		if err != nil {
 			if last == nil {
@@ -54,8 +59,21 @@
 	return CallAnswer{}, c.refuse(last)
 }
 
+// content is what identifies the call whatever its key.
+func (c *serviceCall) content() quarantine.Content {
+	return quarantine.Content{Method: c.req.Method, Host: c.req.Customer, URI: c.req.Entry, Body: c.req.Body}
+}
+
+// check returns an error if the call is in quarantine.
+func (c *serviceCall) check() error {
+	return c.in.quarantine.Guard.Check(c.content(), time.Now())
+}
+
 // refuse is the NotRun error of a call that reached no service.
 func (c *serviceCall) refuse(err error) error {
+	if errors.Is(err, quarantine.ErrQuarantined) {
+		return held(err)
+	}
 	return verdict.Refuse(http.StatusServiceUnavailable, c.in.comeBackAt(), fmt.Errorf("call: not run: %w", err))
 }
 
@@ -76,6 +94,9 @@
 
 // send sends one more copy, to a service that has had none.
 func (c *copies) send(ctx context.Context) error {
+	if err := c.call.check(); err != nil {
+		return c.call.refuse(err)
+	}
 	addr, err := c.call.pick()
 	if err != nil {
 		return err
@@ -140,6 +161,10 @@
 // send sends one copy of the call to the service at addr.
 func (c *serviceCall) send(ctx context.Context, addr string) (CallAnswer, error) {
 	defer c.in.load.Release(addr) // taken by pick
+	guarded, err := c.in.quarantine.Guard.Begin(ctx, c.content(), at(c.entry.Pool, addr))
+	if err != nil {
+		return CallAnswer{}, held(err)
+	}
 	start := time.Now()
 	body, err := service.NewClient(addr, c.in.http).Call(ctx, c.req.Method, c.req.Key, c.req.Idempotent, c.req.Body)
 	if err == nil || verdict.Of(err) == verdict.Ran {
@@ -148,6 +173,7 @@
 	} else if !errors.Is(ctx.Err(), context.Canceled) {
 		c.in.upstreamFailed(addr, err)
 	}
+	guarded.Done(ctx, outcomeOf(ctx, err))
 	if err != nil {
 		return CallAnswer{}, fmt.Errorf("call: %w", err)
 	}
--- a/pkg/entry/sweep.go
+++ b/pkg/entry/sweep.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	for _, row := range rows {
+	for _, row := range in.splitMembers(rows) {
 		if l, err := lease.Decode(row); err != nil || l.Live(expiredBefore) {
 			continue
 		}
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -27,6 +27,8 @@
 	// keepFor is how long a content is remembered after the last that was learned of it,
 	// and so refused once its trials are used up.
 	keepFor = 24 * time.Hour
+	// readTime bounds how long reading all rows takes.
+	readTime = 2 * time.Second
 	// maxContents bounds the contents that are remembered.
 	maxContents = 1024
 	// maxFacts bounds the facts of one content. More than maxExplained and maxTrials
@@ -61,9 +63,10 @@
 
 // standing is where a fact stands.
 type standing struct {
-	version uint64    // of its row; 0 if it is not known to have one
-	shareAt time.Time // when it is to be shared
-	void    bool      // the content has been answered since
+	version  uint64    // of its row; 0 if it is not known to have one
+	shareAt  time.Time // when it is to be shared
+	sharedAt time.Time // when it was known to have a row
+	void     bool      // the content has been answered since
 }
 
 // NewLedger returns an empty Ledger.
@@ -95,7 +98,7 @@
 // Claimed tells that a trial of a content was claimed for this instance at now.
 func (l *Ledger) Claimed(f Fingerprint, number int, version uint64, now time.Time) {
 	s, _ := l.add(trial(f, number), now)
-	s.version = version
+	s.version, s.sharedAt = version, now
 }
 
 // Postponed tells that a trial of a content could not be claimed, and that the next
@@ -126,7 +129,7 @@
 // Apply takes rows read at now. Reset means that they are all that there are.
 func (l *Ledger) Apply(rows []Row, reset bool, now time.Time) {
 	if reset {
-		l.keepOnly(rows)
+		l.keepOnly(rows, now)
 	}
 	for _, r := range rows {
 		if r.Deleted {
@@ -134,19 +137,20 @@
 			continue
 		}
 		s, _ := l.add(r.Fact, now)
-		s.version = r.Version
+		s.version, s.sharedAt = r.Version, now
 	}
 }
 
-// keepOnly drops the shared facts that are not among rows.
-func (l *Ledger) keepOnly(rows []Row) {
+// keepOnly drops the shared facts that are not among rows, unless their rows may have
+// been written after the reading began that ended at now.
+func (l *Ledger) keepOnly(rows []Row, now time.Time) {
 	kept := make(map[Fact]bool, len(rows))
 	for _, r := range rows {
 		kept[r.Fact] = true
 	}
 	for _, c := range l.contents {
 		for fact, s := range c.facts {
-			if s.version != 0 && !kept[fact] {
+			if s.version != 0 && !kept[fact] && now.Sub(s.sharedAt) >= readTime {
 				l.drop(fact)
 			}
 		}
@@ -316,10 +320,10 @@
 	return next
 }
 
-// Shared tells that a fact has a row of the version given.
-func (l *Ledger) Shared(fact Fact, version uint64) {
+// Shared tells that a fact was known at now to have a row of the version given.
+func (l *Ledger) Shared(fact Fact, version uint64, now time.Time) {
 	if c := l.contents[fact.Content]; c != nil && c.facts[fact] != nil {
-		c.facts[fact].version = version
+		c.facts[fact].version, c.facts[fact].sharedAt = version, now
 	}
 }
 
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,10 +30,11 @@
 func (t *table) write(l *quarantine.Ledger, now time.Time) {
 	for _, f := range l.Due(now) {
 		t.put(f)
-		l.Shared(f, t.rows[f])
+		l.Shared(f, t.rows[f], now)
 	}
 	for _, r := range l.Void() {
 		delete(t.rows, r.Fact)
+		l.Apply([]quarantine.Row{{Fact: r.Fact, Deleted: true}}, false, now)
 	}
 }
 
@@ -209,6 +211,24 @@
 	}
 }
 
+// What was shared while all rows were being read is not taken for deleted, and what was
+// shared long before is.
+func TestReadingDoesNotDropWhatIsNewer(t *testing.T) {
+	l, f := quarantine.NewLedger(), fingerprint("a")
+	l.Ended(f, "i-1", begun)
+	for fact := range slices.Values(l.Due(begun.Add(time.Second))) {
+		l.Shared(fact, 1, begun.Add(time.Second))
+	}
+	l.Apply(nil, true, begun.Add(2*time.Second))
+	if l.Ends(f) != 1 {
+		t.Error("dropped by a reading that may have begun before")
+	}
+	l.Apply(nil, true, begun.Add(10*time.Second))
+	if l.Ends(f) != 0 {
+		t.Error("kept although its row is gone")
+	}
+}
+
 // A first end is not shared while an answer elsewhere may take it back; a second is.
 func TestEndsAreSharedOnceTheyTell(t *testing.T) {
 	l, f := quarantine.NewLedger(), fingerprint("a")
--- a/pkg/quarantine/rows.go
+++ b/pkg/quarantine/rows.go
@@ -57,7 +57,7 @@
 func (g *Guard) Shared(fact Fact, version uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.Shared(fact, version)
+	g.ledger.Shared(fact, version, time.Now())
 }
 
 // Dropped tells that the row of a fact is gone.
