quarantine: upstreams that end at one moment explain each other's ends

An upstream that ends for a common cause ends with others, which did not run the content; such an end counts only against the bound on all ends, three more after the third. It is compared where it is found and told with the row, so all ends are shared after 0.2 s now, also second ones. Trials are bounded together with those ends, three in all; one no longer goes to an engine that is only asked for its version.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -68,7 +68,7 @@
 
 func (in *Instance) quarantined(e quarantine.Event) {
 	metrics.GetOrRegisterCounter("quarantine_"+strings.ReplaceAll(e.What, " ", "_"), in.cfg.Metrics).Inc(1)
-	in.cfg.Logger.Warn(e.What, "content", e.Content, "upstream", e.Upstream, "ends", e.Ends, "trials", e.Trials, "err", e.Err)
+	in.cfg.Logger.Warn(e.What, "content", e.Content, "upstream", e.Upstream, "ends", e.Ends, "unexplained", e.Unexplained, "trials", e.Trials, "err", e.Err)
 }
 
 // splitMembers has the guard take the rows that are its own among those read, and
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -112,7 +112,7 @@
 // quarantined is told what becomes of requests that crash upstreams.
 func (o *observer) quarantined(e quarantine.Event) {
 	o.count("quarantine." + strings.ReplaceAll(e.What, " ", "_"))
-	o.line(o.failures, true, e.What, "content", e.Content, "upstream", e.Upstream, "ends", e.Ends, "trials", e.Trials, "err", e.Err)
+	o.line(o.failures, true, e.What, "content", e.Content, "upstream", e.Upstream, "ends", e.Ends, "unexplained", e.Unexplained, "trials", e.Trials, "err", e.Err)
 }
 
 // step is told what happens to items and submissions that run here.
--- a/pkg/quarantine/fact.go
+++ b/pkg/quarantine/fact.go
@@ -45,4 +45,7 @@
 	Fact
 	Version uint64
 	Deleted bool
+	// Together means that another upstream, which did not run the content, ended at the
+	// same moment.
+	Together bool
 }
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -60,8 +60,10 @@
 	Content  Fingerprint
 	Upstream string // its ID; empty for none
 	Ends     int    // of upstreams under the content
-	Trials   int    // that it has had
-	Err      error
+	// Unexplained is how many of the ends nothing else explains.
+	Unexplained int
+	Trials      int // that it has had
+	Err         error
 }
 
 // Config configures a Guard.
@@ -128,6 +130,17 @@
 	return &RefusedError{Until: d.RefusedUntil}
 }
 
+// OnTrial reports whether a request of content c runs as a trial only at now.
+func (g *Guard) OnTrial(c Content, now time.Time) bool {
+	if g == nil || g.known.Load() == 0 {
+		return false
+	}
+	f := c.Fingerprint()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Decide(f, now).Trial > 0
+}
+
 // Begin is called before a request of content c is sent to the upstream to. It claims
 // a trial if the request needs one, and returns a *RefusedError if it may not be sent.
 func (g *Guard) Begin(ctx context.Context, c Content, to upstream.Entry) (*Attempt, error) {
--- a/pkg/quarantine/keeper.go
+++ b/pkg/quarantine/keeper.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -58,19 +60,20 @@
 	}
 }
 
-// rowValue is the value of a row, for those who read it: its key tells all.
+// rowValue is the value of a row.
 type rowValue struct {
-	At time.Time `json:"at"`
-	By string    `json:"by"`
+	At       time.Time `json:"at"`
+	By       string    `json:"by"` // start of the instance that wrote it
+	Together bool      `json:"together,omitempty"`
 }
 
-func (k *Keeper) put(f Fact) (platform.Op, error) {
-	return platform.Put(k.cfg.Prefix+f.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By})
+func (k *Keeper) put(r Row) (platform.Op, error) {
+	return platform.Put(k.cfg.Prefix+r.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By, Together: r.Together})
 }
 
 // claim implements Config's Claim.
 func (k *Keeper) claim(ctx context.Context, trial Fact) (uint64, error) {
-	op, err := k.put(trial)
+	op, err := k.put(Row{Fact: trial})
 	if err != nil {
 		return 0, err
 	}
@@ -124,12 +127,12 @@
 func (k *Keeper) write(ctx context.Context, p Pending) error {
 	ops := make([]platform.Op, 0, len(p.Put)+len(p.Delete))
 	facts := make(map[string]Fact, cap(ops))
-	for _, f := range p.Put {
-		op, err := k.put(f)
+	for _, r := range p.Put {
+		op, err := k.put(r)
 		if err != nil {
 			return err
 		}
-		ops, facts[op.Key] = append(ops, op), f
+		ops, facts[op.Key] = append(ops, op), r.Fact
 	}
 	for _, r := range p.Delete {
 		op := platform.Delete(k.cfg.Prefix+r.Key(), r.Version)
@@ -213,12 +216,27 @@
 			u.Others = append(u.Others, ch)
 			continue
 		}
-		f, err := ParseKey(key)
+		r, err := parseRow(key, ch)
 		if err != nil {
 			u.Unreadable = append(u.Unreadable, err)
 			continue
 		}
-		u.Rows = append(u.Rows, Row{Fact: f, Version: ch.Version, Deleted: ch.Deleted})
+		u.Rows = append(u.Rows, r)
 	}
 	return u
 }
+
+// parseRow reads the row of a fact, whose key ends in key.
+func parseRow(key string, ch platform.Change) (Row, error) {
+	f, err := ParseKey(key)
+	r := Row{Fact: f, Version: ch.Version, Deleted: ch.Deleted}
+	if err != nil || ch.Deleted {
+		return r, err
+	}
+	var v rowValue
+	if err := json.Unmarshal(ch.Value, &v); err != nil {
+		return r, fmt.Errorf("quarantine: %s: %w", key, err)
+	}
+	r.Together = v.Together
+	return r, nil
+}
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -11,18 +11,19 @@
 	// quarantine. Fewer would hold a request that was merely there twice, as happens
 	// where it is sent on from one upstream that ends to the next.
 	maxEnds = 3
-	// maxExplained is maxEnds for a content whose ends another content explains: it is
-	// then likely to have been a bystander, and still may be the cause.
-	maxExplained = 4
-	// maxTrials is how many trials a content in quarantine has, among all instances.
-	maxTrials = 2
+	// maxRetries is how often a content may run once maxEnds upstreams have ended under
+	// it, in trials or as long as something else explains the ends.
+	maxRetries = 3
 	// firstTrialAfter is how long after the last end, or trial, the first trial may be.
 	// It grows by trialGrowth for each further one. Upstreams take seconds to start
 	// again, and bystanders are not to wait for much longer.
 	firstTrialAfter = time.Second
 	trialGrowth     = 4
-	// shareAfter is how long an end is not shared, as most contents are answered
-	// elsewhere by then; the second end of a content is shared at once.
+	// sameMoment is how close together upstreams end that end for a common reason, such
+	// as the loss of a rack, as it is found here.
+	sameMoment = 150 * time.Millisecond
+	// shareAfter is how long an end is not shared: most contents are answered elsewhere
+	// by then, and it is known whether other upstreams have ended at the same moment.
 	shareAfter = 200 * time.Millisecond
 	// keepFor is how long a content is remembered after the last that was learned of it,
 	// and so refused once its trials are used up.
@@ -31,8 +32,8 @@
 	readTime = 2 * time.Second
 	// maxContents bounds the contents that are remembered.
 	maxContents = 1024
-	// maxFacts bounds the facts of one content. More than maxExplained and maxTrials
-	// come only from instances that could not ask the store.
+	// maxFacts bounds the facts of one content. More than maxEnds and maxRetries come
+	// only from instances that could not ask the store.
 	maxFacts = 32
 )
 
@@ -51,6 +52,7 @@
 type Ledger struct {
 	contents map[Fingerprint]*content
 	under    map[string][]Fingerprint // contents, by the start of the upstream that ended under them
+	lately   map[string]time.Time     // when upstreams ended, by their start, as found here within sameMoment
 	evicted  []Row                    // of contents for which there was no room
 }
 
@@ -67,32 +69,50 @@
 	shareAt  time.Time // when it is to be shared
 	sharedAt time.Time // when it was known to have a row
 	void     bool      // the content has been answered since
+	// together means that another upstream, which did not run the content, ended at the
+	// same moment.
+	together bool
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{contents: map[Fingerprint]*content{}, under: map[string][]Fingerprint{}}
+	return &Ledger{contents: map[Fingerprint]*content{}, under: map[string][]Fingerprint{}, lately: map[string]time.Time{}}
 }
 
 // Len returns how many contents are remembered.
 func (l *Ledger) Len() int { return len(l.contents) }
 
-// Ended tells that the start of an upstream ended at now while it ran a content, and
-// reports whether that was not known.
-func (l *Ledger) Ended(f Fingerprint, start string, now time.Time) bool {
-	s, added := l.add(Fact{Content: f, Kind: End, Of: start}, now)
-	if !added {
-		return false
+// Ended tells that the start of an upstream was found at now to have ended while it
+// ran contents, and returns those of which that was not known.
+func (l *Ledger) Ended(contents []Fingerprint, start string, now time.Time) []Fingerprint {
+	for other, at := range l.lately {
+		if now.Sub(at) > sameMoment {
+			delete(l.lately, other)
+		}
+	}
+	l.lately[start] = now
+	var added []Fingerprint
+	for _, f := range contents {
+		if s, ok := l.add(Fact{Content: f, Kind: End, Of: start}, now); ok {
+			s.shareAt = now.Add(shareAfter)
+			added = append(added, f)
+		}
 	}
-	s.shareAt = now.Add(shareAfter)
-	if l.Ends(f) > 1 {
-		for _, other := range l.contents[f].facts {
-			if other.shareAt.After(now) {
-				other.shareAt = now
+	l.compare()
+	return added
+}
+
+// compare finds, of each content under which an upstream has ended lately, whether
+// another upstream that did not run it has ended at the same moment.
+func (l *Ledger) compare() {
+	for start := range l.lately {
+		for _, f := range l.under[start] {
+			s := l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}]
+			for other := range l.lately {
+				s.together = s.together || !slices.Contains(l.under[other], f)
 			}
 		}
 	}
-	return true
 }
 
 // Claimed tells that a trial of a content was claimed for this instance at now.
@@ -137,7 +157,7 @@
 			continue
 		}
 		s, _ := l.add(r.Fact, now)
-		s.version, s.sharedAt = r.Version, now
+		s.version, s.sharedAt, s.together = r.Version, now, s.together || r.Together
 	}
 }
 
@@ -239,13 +259,14 @@
 // Trials returns how many trials of a content were claimed since it was answered last.
 func (l *Ledger) Trials(f Fingerprint) int { return l.count(f, Trial) }
 
-// unexplained returns how many of a content's ends no other content explains. One does
-// that has ended maxEnds upstreams and more than this one. So requests that were sent
-// on together with one that crashes upstreams are told from it.
+// unexplained returns how many of a content's ends nothing else explains. Another
+// content does that has ended maxEnds upstreams and more than this one: so requests that
+// were sent on together with one that crashes upstreams are told from it. The end of an
+// upstream that did not run the content does, at the same moment.
 func (l *Ledger) unexplained(f Fingerprint) int {
 	own, n := l.Ends(f), 0
 	for fact, s := range l.contents[f].facts {
-		if fact.Kind != End || s.void {
+		if fact.Kind != End || s.void || s.together {
 			continue
 		}
 		explained := slices.ContainsFunc(l.under[fact.Of], func(other Fingerprint) bool {
@@ -261,12 +282,12 @@
 
 func (l *Ledger) inQuarantine(f Fingerprint) bool {
 	ends := l.Ends(f)
-	return ends >= maxExplained || ends >= maxEnds && l.unexplained(f) >= maxEnds
+	return ends >= maxEnds+maxRetries || ends >= maxEnds && l.unexplained(f) >= maxEnds
 }
 
 // Decide returns what may be done at now with a request of a content. It answers the
 // load of a request that crashes the upstreams that run it and comes again at any
-// instance: after maxEnds of them it ends maxTrials more at the most.
+// instance: after maxEnds of them it runs maxRetries times more at the most.
 func (l *Ledger) Decide(f Fingerprint, now time.Time) Decision {
 	if !l.inQuarantine(f) {
 		return Decision{}
@@ -276,7 +297,7 @@
 	switch {
 	case !now.Before(expiresAt):
 		return Decision{}
-	case trials >= maxTrials:
+	case l.Ends(f)-maxEnds+trials >= maxRetries:
 		return Decision{RefusedUntil: expiresAt}
 	}
 	pause := firstTrialAfter
@@ -293,13 +314,13 @@
 	return Decision{Trial: trials + 1}
 }
 
-// Due returns the facts that are to be shared at now.
-func (l *Ledger) Due(now time.Time) []Fact {
-	var out []Fact
+// Due returns the facts that are to be shared at now, as rows without a version.
+func (l *Ledger) Due(now time.Time) []Row {
+	var out []Row
 	for _, c := range l.contents {
 		for fact, s := range c.facts {
 			if s.version == 0 && !now.Before(s.shareAt) {
-				out = append(out, fact)
+				out = append(out, Row{Fact: fact, Together: s.together})
 			}
 		}
 	}
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -161,10 +161,8 @@
 		}
 	}
 	delete(g.left, start)
-	for _, f := range contents {
-		if g.ledger.Ended(f, end, now) {
-			g.cfg.Observe(Event{What: "upstream ended under a request", Content: f, Upstream: to.ID, Ends: g.ledger.Ends(f)})
-		}
+	for _, f := range g.ledger.Ended(contents, end, now) {
+		g.cfg.Observe(Event{What: "upstream ended under a request", Content: f, Upstream: to.ID, Ends: g.ledger.Ends(f), Unexplained: g.ledger.unexplained(f)})
 	}
 	g.settle()
 }
--- a/pkg/quarantine/rows.go
+++ b/pkg/quarantine/rows.go
@@ -25,7 +25,7 @@
 	for f := range g.ledger.contents {
 		if !g.held[f] && g.ledger.inQuarantine(f) {
 			g.held[f] = true
-			g.cfg.Observe(Event{What: "request quarantined", Content: f, Ends: g.ledger.Ends(f), Trials: g.ledger.Trials(f)})
+			g.cfg.Observe(Event{What: "request quarantined", Content: f, Ends: g.ledger.Ends(f), Unexplained: g.ledger.unexplained(f), Trials: g.ledger.Trials(f)})
 		}
 	}
 	g.cfg.Changed()
@@ -33,7 +33,7 @@
 
 // Pending is what is to be written to the store, and when there may be more.
 type Pending struct {
-	Put    []Fact
+	Put    []Row
 	Delete []Row
 	NextAt time.Time // zero for when the Guard tells that it has changed
 }
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -22,7 +22,7 @@
 	again := w // if it is moved
 	t, ok := r.cfg.Registry.Acquire(w)
 	named := r.cfg.Named(r.spec.Model)
-	if !ok && named >= r.spec.MinVersion && named > 0 {
+	if !ok && named >= r.spec.MinVersion && named > 0 && !r.cfg.Guard.OnTrial(r.generation(i, after).content(r.spec.Model), now) {
 		// An engine may hold the version before its entry tells so. It is asked
 		// to turn the request away if it does not.
 		w.Outdated, expect = true, named
