quarantine: ends of runs that were too short or too long are not likely to be the run's doing

A text that had made 76 events in 2.9 s at an engine that ended was sent on within a millisecond to another that had ended at the same moment, counted for both, and was held after a third end two seconds later. A connection that ends within 5 ms of a request tells of an end before; a request that ran for over a second without harm is likely to have been there by chance. Both count only against the bound on all ends.

--- a/pkg/quarantine/fact.go
+++ b/pkg/quarantine/fact.go
@@ -43,9 +43,7 @@
 // Row is a fact as the platform's store has it.
 type Row struct {
 	Fact
-	Version uint64
-	Deleted bool
-	// Together means that another upstream, which did not run the content, ended at the
-	// same moment.
-	Together bool
+	Version  uint64
+	Deleted  bool
+	Unlikely bool // an end that something else is likely to have caused
 }
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -159,7 +159,9 @@
 	if err != nil || d.Trial == 0 {
 		return a, err
 	}
-	return a, g.claim(ctx, f, d.Trial, to)
+	err = g.claim(ctx, f, d.Trial, to)
+	a.begunAt = time.Now()
+	return a, err
 }
 
 // claim claims a trial of a content at the upstream to.
@@ -206,7 +208,7 @@
 	case Broken:
 		a.guard.broken(ctx, a)
 	case Left:
-		a.guard.leave(a.content, a.to, time.Now())
+		a.guard.leave(a, time.Now())
 	case Unreachable:
 		a.guard.unreachable(a.to)
 	}
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -52,6 +52,7 @@
 func (g *guarded) run(c quarantine.Content, n int, o quarantine.Outcome) error {
 	a, err := g.Begin(context.Background(), c, entryOf(n))
 	if err == nil {
+		time.Sleep(10 * time.Millisecond) // long enough to have been run
 		a.Done(context.Background(), o)
 	}
 	return err
--- a/pkg/quarantine/keeper.go
+++ b/pkg/quarantine/keeper.go
@@ -64,11 +64,11 @@
 type rowValue struct {
 	At       time.Time `json:"at"`
 	By       string    `json:"by"` // start of the instance that wrote it
-	Together bool      `json:"together,omitempty"`
+	Unlikely bool      `json:"unlikely,omitempty"`
 }
 
 func (k *Keeper) put(r Row) (platform.Op, error) {
-	return platform.Put(k.cfg.Prefix+r.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By, Together: r.Together})
+	return platform.Put(k.cfg.Prefix+r.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By, Unlikely: r.Unlikely})
 }
 
 // claim implements Config's Claim.
@@ -237,6 +237,6 @@
 	if err := json.Unmarshal(ch.Value, &v); err != nil {
 		return r, fmt.Errorf("quarantine: %s: %w", key, err)
 	}
-	r.Together = v.Together
+	r.Unlikely = v.Unlikely
 	return r, nil
 }
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -19,6 +19,13 @@
 	// again, and bystanders are not to wait for much longer.
 	firstTrialAfter = time.Second
 	trialGrowth     = 4
+	// minCrashTime is how long an upstream must have had a content to have ended under
+	// it. In less the connection tells of an end from before.
+	minCrashTime = 5 * time.Millisecond
+	// maxCrashTime is how long an upstream may have had a content that is likely to have
+	// ended it, its wait there included: long texts that are whole in seconds are at
+	// several upstreams that end by themselves.
+	maxCrashTime = time.Second
 	// sameMoment is how close together upstreams end that end for a common reason, such
 	// as the loss of a rack, as it is found here.
 	sameMoment = 150 * time.Millisecond
@@ -69,9 +76,8 @@
 	shareAt  time.Time // when it is to be shared
 	sharedAt time.Time // when it was known to have a row
 	void     bool      // the content has been answered since
-	// together means that another upstream, which did not run the content, ended at the
-	// same moment.
-	together bool
+	unlikely bool      // something else is likely to have ended the upstream
+	tooSoon  bool      // the upstream can hardly have run the content
 }
 
 // NewLedger returns an empty Ledger.
@@ -82,9 +88,15 @@
 // Len returns how many contents are remembered.
 func (l *Ledger) Len() int { return len(l.contents) }
 
-// Ended tells that the start of an upstream was found at now to have ended while it
-// ran contents, and returns those of which that was not known.
-func (l *Ledger) Ended(contents []Fingerprint, start string, now time.Time) []Fingerprint {
+// Lost is a content that was at an upstream when that ended.
+type Lost struct {
+	Content Fingerprint
+	RanFor  time.Duration // since it was sent there
+}
+
+// Ended tells that the start of an upstream was found at now to have ended, and which
+// contents were there. It returns those of which that was not known.
+func (l *Ledger) Ended(lost []Lost, start string, now time.Time) []Fingerprint {
 	for other, at := range l.lately {
 		if now.Sub(at) > sameMoment {
 			delete(l.lately, other)
@@ -92,10 +104,12 @@
 	}
 	l.lately[start] = now
 	var added []Fingerprint
-	for _, f := range contents {
-		if s, ok := l.add(Fact{Content: f, Kind: End, Of: start}, now); ok {
+	for _, c := range lost {
+		if s, ok := l.add(Fact{Content: c.Content, Kind: End, Of: start}, now); ok {
 			s.shareAt = now.Add(shareAfter)
-			added = append(added, f)
+			s.tooSoon = c.RanFor < minCrashTime
+			s.unlikely = s.tooSoon || c.RanFor > maxCrashTime
+			added = append(added, c.Content)
 		}
 	}
 	l.compare()
@@ -107,14 +121,21 @@
 func (l *Ledger) compare() {
 	for start := range l.lately {
 		for _, f := range l.under[start] {
-			s := l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}]
 			for other := range l.lately {
-				s.together = s.together || !slices.Contains(l.under[other], f)
+				if !l.ranAt(f, other) {
+					l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}].unlikely = true
+				}
 			}
 		}
 	}
 }
 
+// ranAt reports whether a content may have run at a start that has ended.
+func (l *Ledger) ranAt(f Fingerprint, start string) bool {
+	s := l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}]
+	return s != nil && !s.tooSoon
+}
+
 // Claimed tells that a trial of a content was claimed for this instance at now.
 func (l *Ledger) Claimed(f Fingerprint, number int, version uint64, now time.Time) {
 	s, _ := l.add(trial(f, number), now)
@@ -157,7 +178,7 @@
 			continue
 		}
 		s, _ := l.add(r.Fact, now)
-		s.version, s.sharedAt, s.together = r.Version, now, s.together || r.Together
+		s.version, s.sharedAt, s.unlikely = r.Version, now, s.unlikely || r.Unlikely
 	}
 }
 
@@ -259,14 +280,15 @@
 // Trials returns how many trials of a content were claimed since it was answered last.
 func (l *Ledger) Trials(f Fingerprint) int { return l.count(f, Trial) }
 
-// unexplained returns how many of a content's ends nothing else explains. Another
-// content does that has ended maxEnds upstreams and more than this one: so requests that
-// were sent on together with one that crashes upstreams are told from it. The end of an
-// upstream that did not run the content does, at the same moment.
+// unexplained returns how many of a content's ends it is likely to have caused. It is
+// not where it ran too short or too long, or where another upstream that did not run it
+// ended at the same moment; nor where another content did that has ended maxEnds upstreams
+// and more than this one: so requests that were sent on together with one that crashes
+// upstreams are told from it.
 func (l *Ledger) unexplained(f Fingerprint) int {
 	own, n := l.Ends(f), 0
 	for fact, s := range l.contents[f].facts {
-		if fact.Kind != End || s.void || s.together {
+		if fact.Kind != End || s.void || s.unlikely {
 			continue
 		}
 		explained := slices.ContainsFunc(l.under[fact.Of], func(other Fingerprint) bool {
@@ -320,7 +342,7 @@
 	for _, c := range l.contents {
 		for fact, s := range c.facts {
 			if s.version == 0 && !now.Before(s.shareAt) {
-				out = append(out, Row{Fact: fact, Together: s.together})
+				out = append(out, Row{Fact: fact, Unlikely: s.unlikely})
 			}
 		}
 	}
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -19,6 +19,15 @@
 	return quarantine.Content{URI: name}.Fingerprint()
 }
 
+// lost returns contents that an upstream had for a tenth of a second.
+func lost(fs ...quarantine.Fingerprint) []quarantine.Lost {
+	out := make([]quarantine.Lost, len(fs))
+	for i, f := range fs {
+		out[i] = quarantine.Lost{Content: f, RanFor: 100 * time.Millisecond}
+	}
+	return out
+}
+
 // table is the rows that instances share.
 type table struct {
 	rows    map[quarantine.Fact]uint64
@@ -132,7 +141,7 @@
 				late++
 			}
 			ends++
-			ledgers[i].Ended([]quarantine.Fingerprint{f}, fmt.Sprintf("i-%d", ends), now)
+			ledgers[i].Ended(lost(f), fmt.Sprintf("i-%d", ends), now)
 			if third.IsZero() && shared.ends(f, ledgers) >= 3 {
 				third = now
 			}
@@ -153,7 +162,7 @@
 			if d := l.Decide(f, now); d != (quarantine.Decision{}) {
 				t.Fatalf("round %d, %d upstreams ended: %+v", round, i, d)
 			}
-			l.Ended([]quarantine.Fingerprint{f}, fmt.Sprintf("i-%d-%d", round, i), now)
+			l.Ended(lost(f), fmt.Sprintf("i-%d-%d", round, i), now)
 		}
 		shared.share(l, now)
 		if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
@@ -176,10 +185,10 @@
 // at three ends and the request at these and one before. Only the request is held.
 func TestBystanderIsNotHeld(t *testing.T) {
 	l, cause, bystander, now := quarantine.NewLedger(), fingerprint("cause"), fingerprint("bystander"), begun
-	l.Ended([]quarantine.Fingerprint{cause}, "i-0", now)
+	l.Ended(lost(cause), "i-0", now)
 	for _, start := range []string{"i-1", "i-2", "i-3"} {
 		now = now.Add(time.Second)
-		l.Ended([]quarantine.Fingerprint{cause, bystander}, start, now)
+		l.Ended(lost(cause, bystander), start, now)
 	}
 	if d := l.Decide(cause, now); d.RefusedUntil.IsZero() {
 		t.Error("the cause is not refused")
@@ -187,7 +196,7 @@
 	if d := l.Decide(bystander, now); d != (quarantine.Decision{}) {
 		t.Errorf("the bystander: %+v", d)
 	}
-	l.Ended([]quarantine.Fingerprint{bystander}, "i-4", now.Add(time.Second))
+	l.Ended(lost(bystander), "i-4", now.Add(time.Second))
 	if d := l.Decide(bystander, now); d.RefusedUntil.IsZero() {
 		t.Error("what has ended four upstreams, one of them alone, is not refused")
 	}
@@ -204,8 +213,8 @@
 			t.Fatalf("%+v after %d ends", d, round)
 		}
 		now = now.Add(2 * time.Second)
-		l.Ended([]quarantine.Fingerprint{f, fingerprint("b")}, fmt.Sprintf("i-%d", round), now)
-		l.Ended([]quarantine.Fingerprint{fingerprint("c")}, fmt.Sprintf("j-%d", round), now.Add(60*time.Millisecond))
+		l.Ended(lost(f, fingerprint("b")), fmt.Sprintf("i-%d", round), now)
+		l.Ended(lost(fingerprint("c")), fmt.Sprintf("j-%d", round), now.Add(60*time.Millisecond))
 		rows := l.Due(now.Add(time.Second))
 		for i := range rows {
 			rows[i].Version = uint64(i + 1)
@@ -220,17 +229,39 @@
 	}
 }
 
+// Replays a text that ran for seconds at an upstream that ended, was sent on to another
+// that had ended at the same moment, and so again two seconds later: it ran too long at
+// the ones and not at all at the others. It is held after six ends, as a request is that
+// crashes its upstreams late.
+func TestRunsTooLongOrTooShortAreNotLikely(t *testing.T) {
+	l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
+	for i := range 6 {
+		if d := l.Decide(f, now); d != (quarantine.Decision{}) {
+			t.Fatalf("%+v after %d ends", d, i)
+		}
+		ranFor := 2900 * time.Millisecond
+		if i%2 == 1 {
+			ranFor = 700 * time.Microsecond
+		}
+		l.Ended([]quarantine.Lost{{Content: f, RanFor: ranFor}}, fmt.Sprintf("i-%d", i), now)
+		now = now.Add(time.Duration(i%2) * 2 * time.Second)
+	}
+	if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
+		t.Error("not refused after six ends")
+	}
+}
+
 // What is known is bounded, and the contents that ended the most are kept.
 func TestLedgerIsBounded(t *testing.T) {
 	l, f := quarantine.NewLedger(), fingerprint("poison")
 	for i := range 4 {
-		l.Ended([]quarantine.Fingerprint{f}, fmt.Sprintf("i-%d", i), begun)
+		l.Ended(lost(f), fmt.Sprintf("i-%d", i), begun)
 	}
 	for i := range 5000 {
 		now := begun.Add(time.Duration(i) * time.Second)
-		l.Ended([]quarantine.Fingerprint{fingerprint(fmt.Sprint(i))}, fmt.Sprintf("i-%d", i), now)
+		l.Ended(lost(fingerprint(fmt.Sprint(i))), fmt.Sprintf("i-%d", i), now)
 		for j := range 50 {
-			l.Ended([]quarantine.Fingerprint{f}, fmt.Sprintf("j-%d-%d", i, j), now)
+			l.Ended(lost(f), fmt.Sprintf("j-%d-%d", i, j), now)
 		}
 	}
 	if l.Len() > 1024 || l.Ends(f) > 32 || l.Decide(f, begun).RefusedUntil.IsZero() {
@@ -242,7 +273,7 @@
 // shared long before is.
 func TestReadingDoesNotDropWhatIsNewer(t *testing.T) {
 	l, f := quarantine.NewLedger(), fingerprint("a")
-	l.Ended([]quarantine.Fingerprint{f}, "i-1", begun)
+	l.Ended(lost(f), "i-1", begun)
 	for _, r := range l.Due(begun.Add(time.Second)) {
 		l.Shared(r.Fact, 1, begun.Add(time.Second))
 	}
@@ -259,7 +290,7 @@
 // An end is not shared while an answer elsewhere may take it back.
 func TestEndsAreSharedOnceTheyTell(t *testing.T) {
 	l, f := quarantine.NewLedger(), fingerprint("a")
-	l.Ended([]quarantine.Fingerprint{f}, "i-1", begun)
+	l.Ended(lost(f), "i-1", begun)
 	if n := len(l.Due(begun.Add(150 * time.Millisecond))); n != 0 {
 		t.Errorf("%d facts to be shared after one end", n)
 	}
@@ -276,7 +307,7 @@
 func TestQuarantineExpires(t *testing.T) {
 	l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
 	for i := range 3 {
-		l.Ended([]quarantine.Fingerprint{f}, fmt.Sprintf("i-%d", i), now)
+		l.Ended(lost(f), fmt.Sprintf("i-%d", i), now)
 	}
 	var shared table
 	shared.share(l, now.Add(time.Second))
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -33,7 +33,7 @@
 // connections to it broke meanwhile.
 type probe struct {
 	begunAt  time.Time
-	contents []Fingerprint
+	lost     []Lost
 	urgent   chan struct{} // closed once a request waits for it
 	done     chan struct{}
 	hurried  bool
@@ -50,6 +50,7 @@
 
 type leftRequest struct {
 	content Fingerprint
+	sentAt  time.Time
 	till    time.Time
 }
 
@@ -69,13 +70,13 @@
 	if g.cfg.Leaving(a.to) {
 		return // it ends for a reason of its own
 	}
-	f := a.content.Fingerprint()
+	f, ranFor := a.content.Fingerprint(), time.Since(a.begunAt)
 	g.mu.Lock()
 	if g.ended[startOf(a.to)].recent(a.begunAt) {
 		g.mu.Unlock()
 		return
 	}
-	g.probe(a.to, f)
+	g.probe(a.to, Lost{Content: f, RanFor: ranFor})
 	probes := g.probesFor(f)
 	wait := g.ledger.Ends(f)+len(probes) >= maxEnds
 	for _, p := range probes {
@@ -99,22 +100,22 @@
 func (g *Guard) probesFor(f Fingerprint) []*probe {
 	var out []*probe
 	for _, p := range g.probes {
-		if slices.Contains(p.contents, f) {
+		if slices.ContainsFunc(p.lost, func(l Lost) bool { return l.Content == f }) {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
-// probe finds out whether an upstream has ended, and has its end count against the
-// contents.
-func (g *Guard) probe(to upstream.Entry, contents ...Fingerprint) {
+// probe finds out whether an upstream has ended, and has its end count against what was
+// lost there.
+func (g *Guard) probe(to upstream.Entry, lost ...Lost) {
 	start := startOf(to)
 	if p := g.probes[start]; p != nil {
-		p.contents = append(p.contents, contents...)
+		p.lost = append(p.lost, lost...)
 		return
 	}
-	p := &probe{begunAt: time.Now(), contents: contents, urgent: make(chan struct{}), done: make(chan struct{})}
+	p := &probe{begunAt: time.Now(), lost: lost, urgent: make(chan struct{}), done: make(chan struct{})}
 	g.probes[start] = p
 	g.probing.Add(1)
 	g.cfg.Start(func() error {
@@ -154,14 +155,14 @@
 		return
 	}
 	end := g.endedAt(start, now)
-	contents := p.contents
+	lost := p.lost
 	for _, l := range g.left[start] {
 		if now.Before(l.till) {
-			contents = append(contents, l.content)
+			lost = append(lost, Lost{Content: l.content, RanFor: now.Sub(l.sentAt)})
 		}
 	}
 	delete(g.left, start)
-	for _, f := range g.ledger.Ended(contents, end, now) {
+	for _, f := range g.ledger.Ended(lost, end, now) {
 		g.cfg.Observe(Event{What: "upstream ended under a request", Content: f, Upstream: to.ID, Ends: g.ledger.Ends(f), Unexplained: g.ledger.unexplained(f)})
 	}
 	g.settle()
@@ -200,7 +201,7 @@
 
 // leave keeps in mind a request that was given up at an upstream, which may go on
 // with it.
-func (g *Guard) leave(c Content, to upstream.Entry, now time.Time) {
+func (g *Guard) leave(a *Attempt, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for start, ls := range g.left {
@@ -208,9 +209,9 @@
 			delete(g.left, start)
 		}
 	}
-	start := startOf(to)
+	start := startOf(a.to)
 	if len(g.left[start]) < maxLeft {
-		g.left[start] = append(g.left[start], leftRequest{content: c.Fingerprint(), till: now.Add(leftFor)})
+		g.left[start] = append(g.left[start], leftRequest{content: a.content.Fingerprint(), sentAt: a.begunAt, till: now.Add(leftFor)})
 	}
 }
 
