quarantine: copies of one request at two instances do not excuse each other

Each of two instances finds two upstreams to end at one moment, and knows of its own copy at one of them only, so that both ends looked as if they had a common cause; the request ran up to the bound on all ends. The row of an end now names the other upstreams, and once an instance has told that the content ran there too, they excuse nothing.

--- a/pkg/quarantine/fact.go
+++ b/pkg/quarantine/fact.go
@@ -43,7 +43,11 @@
 // Row is a fact as the platform's store has it.
 type Row struct {
 	Fact
-	Version  uint64
-	Deleted  bool
-	Unlikely bool // an end that something else is likely to have caused
+	Version uint64
+	Deleted bool
+	// Of an end: that the content ran for too short or too long to be likely to have
+	// caused it, and the starts of upstreams that ended at the same moment and did not run
+	// it, as far as the writer knew.
+	Unlikely bool
+	Apart    []string
 }
--- a/pkg/quarantine/keeper.go
+++ b/pkg/quarantine/keeper.go
@@ -65,10 +65,11 @@
 	At       time.Time `json:"at"`
 	By       string    `json:"by"` // start of the instance that wrote it
 	Unlikely bool      `json:"unlikely,omitempty"`
+	Apart    []string  `json:"apart,omitempty"`
 }
 
 func (k *Keeper) put(r Row) (platform.Op, error) {
-	return platform.Put(k.cfg.Prefix+r.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By, Unlikely: r.Unlikely})
+	return platform.Put(k.cfg.Prefix+r.Key(), 0, rowValue{At: time.Now(), By: k.cfg.By, Unlikely: r.Unlikely, Apart: r.Apart})
 }
 
 // claim implements Config's Claim.
@@ -237,6 +238,6 @@
 	if err := json.Unmarshal(ch.Value, &v); err != nil {
 		return r, fmt.Errorf("quarantine: %s: %w", key, err)
 	}
-	r.Unlikely = v.Unlikely
+	r.Unlikely, r.Apart = v.Unlikely, v.Apart
 	return r, nil
 }
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -29,6 +29,8 @@
 	// sameMoment is how close together upstreams end that end for a common reason, such
 	// as the loss of a rack, as it is found here.
 	sameMoment = 150 * time.Millisecond
+	// maxApart bounds the upstreams that are noted to have ended at the same moment.
+	maxApart = 4
 	// shareAfter is how long an end is not shared: most contents are answered elsewhere
 	// by then, and it is known whether other upstreams have ended at the same moment.
 	shareAfter = 200 * time.Millisecond
@@ -76,8 +78,9 @@
 	shareAt  time.Time // when it is to be shared
 	sharedAt time.Time // when it was known to have a row
 	void     bool      // the content has been answered since
-	unlikely bool      // something else is likely to have ended the upstream
 	tooSoon  bool      // the upstream can hardly have run the content
+	unlikely bool      // it ran for too short or too long to be likely to have ended the upstream
+	apart    []string  // starts that ended at the same moment and did not run the content, as found here
 }
 
 // NewLedger returns an empty Ledger.
@@ -116,20 +119,28 @@
 	return added
 }
 
-// compare finds, of each content under which an upstream has ended lately, whether
-// another upstream that did not run it has ended at the same moment.
+// compare notes, of each content under which an upstream has ended lately, the other
+// upstreams that have ended at the same moment.
 func (l *Ledger) compare() {
 	for start := range l.lately {
 		for _, f := range l.under[start] {
+			s := l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}]
 			for other := range l.lately {
-				if !l.ranAt(f, other) {
-					l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}].unlikely = true
+				if len(s.apart) < maxApart && !l.ranAt(f, other) && !slices.Contains(s.apart, other) {
+					s.apart = append(s.apart, other)
 				}
 			}
 		}
 	}
 }
 
+// likely reports whether a content is likely to have caused the end that s stands for.
+// Other instances may have told since that it ran at an upstream that ended at the same
+// moment.
+func (l *Ledger) likely(f Fingerprint, s *standing) bool {
+	return !s.unlikely && !slices.ContainsFunc(s.apart, func(start string) bool { return !l.ranAt(f, start) })
+}
+
 // ranAt reports whether a content may have run at a start that has ended.
 func (l *Ledger) ranAt(f Fingerprint, start string) bool {
 	s := l.contents[f].facts[Fact{Content: f, Kind: End, Of: start}]
@@ -179,6 +190,9 @@
 		}
 		s, _ := l.add(r.Fact, now)
 		s.version, s.sharedAt, s.unlikely = r.Version, now, s.unlikely || r.Unlikely
+		if len(s.apart) == 0 {
+			s.apart = r.Apart[:min(len(r.Apart), maxApart)]
+		}
 	}
 }
 
@@ -288,7 +302,7 @@
 func (l *Ledger) unexplained(f Fingerprint) int {
 	own, n := l.Ends(f), 0
 	for fact, s := range l.contents[f].facts {
-		if fact.Kind != End || s.void || s.unlikely {
+		if fact.Kind != End || s.void || !l.likely(f, s) {
 			continue
 		}
 		explained := slices.ContainsFunc(l.under[fact.Of], func(other Fingerprint) bool {
@@ -342,7 +356,7 @@
 	for _, c := range l.contents {
 		for fact, s := range c.facts {
 			if s.version == 0 && !now.Before(s.shareAt) {
-				out = append(out, Row{Fact: fact, Unlikely: s.unlikely})
+				out = append(out, Row{Fact: fact, Unlikely: s.unlikely, Apart: slices.Clone(s.apart)})
 			}
 		}
 	}
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -229,6 +229,40 @@
 	}
 }
 
+// Replays one request that came twice at a time, at two instances: each found two
+// upstreams to end at one moment, and knew of its request at one of them only. Once they
+// have told each other, neither end is taken for the other's doing.
+func TestCopiesAtTwoInstancesDoNotExcuseEachOther(t *testing.T) {
+	f, other, now := fingerprint("poison"), fingerprint("other"), begun
+	a, b := quarantine.NewLedger(), quarantine.NewLedger()
+	var shared []quarantine.Row
+	for i := range 2 {
+		now = now.Add(4 * time.Second)
+		first, second := fmt.Sprintf("i-%d", i), fmt.Sprintf("j-%d", i)
+		a.Ended(lost(f), first, now)
+		a.Ended(lost(other), second, now)
+		b.Ended(lost(other), first, now)
+		b.Ended(lost(f), second, now)
+		for _, l := range []*quarantine.Ledger{a, b} {
+			for _, r := range l.Due(now.Add(time.Second)) {
+				r.Version = uint64(len(shared) + 1)
+				shared = append(shared, r)
+			}
+			l.Answered(other)
+		}
+		a.Apply(shared, false, now)
+		b.Apply(shared, false, now)
+	}
+	for name, l := range map[string]*quarantine.Ledger{"a": a, "b": b} {
+		if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
+			t.Errorf("%s: not refused after %d ends", name, l.Ends(f))
+		}
+	}
+	if a.Ends(f) != 4 {
+		t.Errorf("%d ends, want those that both found", a.Ends(f))
+	}
+}
+
 // Replays a text that ran for seconds at an upstream that ended, was sent on to another
 // that had ended at the same moment, and so again two seconds later: it ran too long at
 // the ones and not at all at the others. It is held after six ends, as a request is that
--- a/pkg/quarantine/rows.go
+++ b/pkg/quarantine/rows.go
@@ -65,7 +65,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ledger.Apply([]Row{{Fact: fact, Deleted: true}}, false, time.Time{})
-	g.known.Store(int64(g.ledger.Len()))
+	g.settle()
 }
 
 // Sizes returns how many contents are known, and how many of them are in quarantine.
