--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
@@ -16,13 +17,13 @@
 type memberRow struct {
 	node *Node
 	rows atomic.Int64 // of all members, as last read
-	wake wakeup
+	wake clock.Wakeup
 	left atomic.Bool
 }
 
 // changed has the row written at once, as what it tells has changed: that the
 // instance owns work, or drains.
-func (m *memberRow) changed() { m.wake.ring() }
+func (m *memberRow) changed() { m.wake.Ring() }
 
 func (m *memberRow) period() time.Duration {
 	return membership.Period(int(m.rows.Load()), m.node.duty())
@@ -42,7 +43,7 @@
 	var held lease.Lease
 	for ctx.Err() == nil {
 		if !m.node.ready.Load() || m.node.standing.Load() == nil {
-			m.wake.wait(ctx, tickPeriod)
+			m.wake.Wait(ctx, tickPeriod)
 			continue
 		}
 		held = m.write(ctx, held)
@@ -50,7 +51,7 @@
 		if held.Fencing == 0 {
 			period /= 4
 		}
-		m.wake.wait(ctx, period)
+		m.wake.Wait(ctx, period)
 	}
 	return nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
@@ -138,7 +139,7 @@
 	n.forwarder = forward.New(forward.Config{Transport: cfg.Engines, Opener: cfg.Engines, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, Observe: n.observer.attempt})
 	n.heads.init()
 	n.readers = newReaders(n)
-	n.member = &memberRow{node: n, wake: newWakeup()}
+	n.member = &memberRow{node: n, wake: clock.NewWakeup()}
 	n.orders = newOrderSender(n)
 	return n
 }
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -21,7 +21,7 @@
 		if o.candidate() {
 			o.take(ctx, keeper)
 		}
-		o.wake.wait(ctx, orderRenewal)
+		o.wake.Wait(ctx, orderRenewal)
 	}
 	return nil
 }
@@ -124,7 +124,7 @@
 		}
 		wrote := o.wrote
 		o.mu.Unlock()
-		o.wake.ring() // a renewal that is under way may be without the engine
+		o.wake.Ring() // a renewal that is under way may be without the engine
 		select {
 		case <-wrote:
 		case <-ctx.Done():
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -77,7 +77,7 @@
 	ledger  *orderLedger
 	written map[string]bool // engines that the row of the lease held has in its ledger
 	wrote   chan struct{}   // closed when the row has been written
-	wake    wakeup          // has the row written at once
+	wake    clock.Wakeup    // has the row written at once
 }
 
 // orderCount counts the orders given for a version.
@@ -94,7 +94,7 @@
 
 func newOrderSender(n *Node) *orderSender {
 	return &orderSender{node: n, rollouts: map[string]weights.Rollout{}, accepted: map[string]acceptedOrders{}, ordered: map[string]orderCount{},
-		ledger: newOrderLedger(), written: map[string]bool{}, wrote: make(chan struct{}), wake: newWakeup()}
+		ledger: newOrderLedger(), written: map[string]bool{}, wrote: make(chan struct{}), wake: clock.NewWakeup()}
 }
 
 // count returns how many orders e has accepted: as counted here, or as e tells.
--- a/pkg/quarantine/keeper.go
+++ b/pkg/quarantine/keeper.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -42,24 +43,17 @@
 type Keeper struct {
 	Guard *Guard
 	cfg   KeeperConfig
-	wake  chan struct{}
+	wake  clock.Wakeup
 }
 
 // NewKeeper returns a Keeper and its Guard. Call Run.
 func NewKeeper(cfg KeeperConfig) *Keeper {
-	k := &Keeper{cfg: cfg, wake: make(chan struct{}, 1)}
-	cfg.Guard.Claim, cfg.Guard.Changed = k.claim, k.changed
+	k := &Keeper{cfg: cfg, wake: clock.NewWakeup()}
+	cfg.Guard.Claim, cfg.Guard.Changed = k.claim, k.wake.Ring
 	k.Guard = NewGuard(cfg.Guard)
 	return k
 }
 
-func (k *Keeper) changed() {
-	select {
-	case k.wake <- struct{}{}:
-	default: // it is told already
-	}
-}
-
 // rowValue is the value of a row.
 type rowValue struct {
 	At       time.Time `json:"at"`
@@ -108,22 +102,11 @@
 			k.cfg.Failed(len(p.Put)+len(p.Delete), err)
 			wait = min(wait, writePause)
 		}
-		k.await(ctx, wait)
+		k.wake.Wait(ctx, wait)
 	}
 	return nil
 }
 
-// await waits for d, until the Guard has changed or until ctx ends.
-func (k *Keeper) await(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-k.wake:
-	}
-}
-
 // write writes what is pending.
 func (k *Keeper) write(ctx context.Context, p Pending) error {
 	ops := make([]platform.Op, 0, len(p.Put)+len(p.Delete))
