quarantine: a trial whose upstream took no connection is given back

A second after the third end all upstreams of a small pool are still down, so that a bystander's first trial met a refused connection and was used up.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -160,7 +160,7 @@
 		return a, err
 	}
 	err = g.claim(ctx, f, d.Trial, to)
-	a.begunAt = time.Now()
+	a.trial, a.begunAt = d.Trial, time.Now()
 	return a, err
 }
 
@@ -189,6 +189,7 @@
 	guard   *Guard
 	content Content
 	to      upstream.Entry
+	trial   int // its number; 0 for none
 	begunAt time.Time
 }
 
@@ -211,9 +212,21 @@
 		a.guard.leave(a, time.Now())
 	case Unreachable:
 		a.guard.unreachable(a.to)
+		a.guard.giveBack(a)
 	}
 }
 
+// giveBack gives back the trial of an attempt that was not sent.
+func (g *Guard) giveBack(a *Attempt) {
+	if a.trial == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Returned(a.content.Fingerprint(), a.trial)
+	g.settle()
+}
+
 func (g *Guard) answered(c Content) {
 	if g.known.Load() == 0 {
 		return
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -179,6 +179,31 @@
 	}
 }
 
+// A trial at an upstream that takes no connection is given back: all upstreams of a small
+// pool are down when the first trial may be.
+func TestTrialAtUpstreamThatIsDownIsGivenBack(t *testing.T) {
+	g, c := newGuarded(t), quarantine.Content{URI: "/bystander"}
+	rows := make([]quarantine.Row, 3)
+	for i := range rows {
+		rows[i] = quarantine.Row{Fact: quarantine.Fact{Content: c.Fingerprint(), Kind: quarantine.End, Of: fmt.Sprint(i)}, Version: uint64(i + 1)}
+	}
+	g.Apply(rows, true, time.Now().Add(-time.Hour))
+	for n := range 5 {
+		if err := g.run(c, 1, quarantine.Unreachable); err != nil {
+			t.Fatalf("trial %d: %v", n, err)
+		}
+		pending := g.Pending(time.Now(), false)
+		if len(pending.Delete) != 1 || pending.Delete[0].Kind != quarantine.Trial {
+			t.Fatalf("rows to delete %+v, want the trial's", pending.Delete)
+		}
+		g.Dropped(pending.Delete[0].Fact)
+		time.Sleep(1100 * time.Millisecond)
+	}
+	if err := g.run(c, 1, quarantine.Answered); err != nil {
+		t.Errorf("%v, want a trial left", err)
+	}
+}
+
 // Without anything known a request costs neither the fingerprint of its body nor
 // memory, and one that ends well takes no lock.
 func BenchmarkGuardWithoutSuspects(b *testing.B) {
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -153,6 +153,13 @@
 	s.version, s.sharedAt = version, now
 }
 
+// Returned tells that the request of a trial was not sent.
+func (l *Ledger) Returned(f Fingerprint, number int) {
+	if c := l.contents[f]; c != nil && c.facts[trial(f, number)] != nil {
+		c.facts[trial(f, number)].void = true
+	}
+}
+
 // Postponed tells that a trial of a content could not be claimed, and that the next
 // may be no sooner than until.
 func (l *Ledger) Postponed(f Fingerprint, until time.Time) {
