--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -164,7 +164,10 @@
 			}
 			l.Ended(lost(f), fmt.Sprintf("i-%d-%d", round, i), now)
 		}
-		shared.share(l, now)
+		shared.share(l, now.Add(200*time.Millisecond))
+		if len(shared.rows) != 3 {
+			t.Fatalf("round %d: %d rows, want the three ends", round, len(shared.rows))
+		}
 		if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
 			t.Fatalf("round %d: not refused after three ends", round)
 		}
@@ -263,25 +266,28 @@
 	}
 }
 
-// Replays a text that ran for seconds at an upstream that ended, was sent on to another
-// that had ended at the same moment, and so again two seconds later: it ran too long at
-// the ones and not at all at the others. It is held after six ends, as a request is that
-// crashes its upstreams late.
+// Replays texts that were at upstreams which ended: for seconds; for a while, and then for
+// less than a millisecond at another that had ended at the same moment; and both. They ran
+// too long or hardly at all to be the cause. They are held after six ends all the same, as
+// a request is that crashes its upstreams late.
 func TestRunsTooLongOrTooShortAreNotLikely(t *testing.T) {
-	l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
-	for i := range 6 {
-		if d := l.Decide(f, now); d != (quarantine.Decision{}) {
-			t.Fatalf("%+v after %d ends", d, i)
+	const long, short, usual = 2900 * time.Millisecond, 700 * time.Microsecond, 100 * time.Millisecond
+	for name, runs := range map[string][]time.Duration{
+		"long": {long, long, long, long, long, long}, "sent on at once": {usual, short, usual, short, usual, short}, "both": {long, short, long, short, long, short},
+	} {
+		l, f, now := quarantine.NewLedger(), fingerprint("a"), begun
+		for i, ranFor := range runs {
+			if d := l.Decide(f, now); d != (quarantine.Decision{}) {
+				t.Fatalf("%s: %+v after %d ends", name, d, i)
+			}
+			if ranFor != short {
+				now = now.Add(2 * time.Second)
+			}
+			l.Ended([]quarantine.Lost{{Content: f, RanFor: ranFor}}, fmt.Sprintf("i-%d", i), now)
 		}
-		ranFor := 2900 * time.Millisecond
-		if i%2 == 1 {
-			ranFor = 700 * time.Microsecond
+		if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
+			t.Errorf("%s: not refused after six ends", name)
 		}
-		l.Ended([]quarantine.Lost{{Content: f, RanFor: ranFor}}, fmt.Sprintf("i-%d", i), now)
-		now = now.Add(time.Duration(i%2) * 2 * time.Second)
-	}
-	if d := l.Decide(f, now); d.RefusedUntil.IsZero() {
-		t.Error("not refused after six ends")
 	}
 }
 
@@ -352,6 +358,9 @@
 	if d := l.Decide(f, now.Add(23*time.Hour)); d.RefusedUntil != now.Add(24*time.Hour) {
 		t.Errorf("%+v, want it refused for a day", d)
 	}
+	if d := l.Decide(f, now.Add(24*time.Hour)); d != (quarantine.Decision{}) {
+		t.Errorf("%+v after a day", d)
+	}
 	if n := len(l.Expired(now.Add(23 * time.Hour))); n != 0 {
 		t.Errorf("%d rows expired early", n)
 	}
