node, platform: customers and their API keys

Cause: nothing read the customers of a configuration.

A key is looked up at the door, with the route and by the same version of the configuration: 404 without a route, then 401 before the body is read. Upstreams are told the customer on every way (calls, streams, items), scorers' calls are nobody's. A customer's priority goes to the upstreams with its requests. Submissions belong to a customer: any of its keys reads, resends and ends them, to others they do not exist; the object that holds one is named after its customer too, so that another's submission of the same ID cannot replace it. The audit trail tells whose keys changed.

--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -24,6 +24,16 @@
 type Table struct {
 	Name     string
 	Prefixes []string // cover its keys, one for each partition
+	// WithoutSecrets returns what may be copied of a row; nil for all of it.
+	WithoutSecrets func(platform.Row) platform.Row
+}
+
+// copied returns what the snapshot holds of a row of t.
+func (t Table) copied(r platform.Row) platform.Row {
+	if t.WithoutSecrets == nil {
+		return r
+	}
+	return t.WithoutSecrets(r)
 }
 
 // Row is a row of the store. Its value may be anything that somebody wrote.
@@ -100,7 +110,7 @@
 			}
 			last = max(last, page.Version)
 			for _, r := range page.Rows {
-				rows[r.Key] = r
+				rows[r.Key] = t.copied(r)
 				from = r.Key + "\x00"
 			}
 			if !page.More || len(page.Rows) == 0 {
@@ -126,7 +136,7 @@
 			case c.Deleted:
 				delete(rows, c.Key)
 			default:
-				rows[c.Key] = c.Row
+				rows[c.Key] = t.copied(c.Row)
 			}
 		}
 		if len(ch.Rows) == 0 || ch.Version <= from {
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -31,7 +31,7 @@
 // texts and are by far the largest.
 func ServedTables(d node.Decoder) []Table {
 	return []Table{
-		{Name: d.OperatorTable, Prefixes: []string{d.OperatorTable + "//"}},
+		{Name: d.OperatorTable, Prefixes: []string{d.OperatorTable + "//"}, WithoutSecrets: d.WithoutKeys},
 		{Name: d.EntriesTable, Prefixes: []string{d.EntriesTable + "//"}},
 		{Name: membership.Table, Prefixes: []string{membership.Prefix()}},
 		{Name: submission.HeadsTable, Prefixes: submission.HeadPrefixes()},
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
@@ -31,6 +32,10 @@
 	Deadline time.Time
 	// Model that it asks for; empty for none.
 	Model string
+	// Customer whose key its caller has; empty for a request that needs no key.
+	Customer string
+	// Priority at the upstream, if it has one of its own; 0 is the most urgent.
+	Priority option.Of[int]
 }
 
 // content returns what identifies r however often it comes.
@@ -90,11 +95,15 @@
 	Request  string // its ID
 	Content  quarantine.Content
 	Route    string
+	Customer string
 	Upstream string
 	Number   int
 	Status   int // 0 without an answer
 	Took     time.Duration
 	Err      error
+	// BegunAt is when the upstream began to work on it, as far as is known; zero if
+	// it did not, or an earlier attempt of the request had begun.
+	BegunAt time.Time
 }
 
 // Forwarder forwards requests whose answers are sent whole.
@@ -169,7 +178,11 @@
 		rep.Failed = a.Status >= http.StatusInternalServerError
 	}
 	t.Done(rep)
-	f.cfg.Observe(Attempt{Request: r.ID, Content: r.content(), Route: rt.Name, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err})
+	seen := Attempt{Request: r.ID, Content: r.content(), Route: rt.Name, Customer: r.Customer, Upstream: t.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(begun), Err: err}
+	if !errors.Is(err, ErrNotRun) && !plan.Ran() {
+		seen.BegunAt = begun
+	}
+	f.cfg.Observe(seen)
 	run.Done(ctx, outcome(actx, a.Status, err))
 	return a, err
 }
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -99,6 +99,9 @@
 // Tried returns the upstreams that the request was sent to.
 func (p *Plan) Tried() []string { return p.tried }
 
+// Ran reports whether an attempt that has ended may have run.
+func (p *Plan) Ran() bool { return p.ran > 0 }
+
 // MayRepeat reports whether the request may be sent once more, now that
 // attempts have ended as they did.
 func (p *Plan) MayRepeat() bool {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -106,6 +106,7 @@
 	request  Request
 	sink     Sink
 	begun    bool // the caller has the header
+	counted  bool // an upstream has begun to work on it, and that was told
 	last     int  // last event that the caller has
 	complete bool // the caller has all
 }
@@ -145,9 +146,11 @@
 func (s *streaming) run(ctx, actx context.Context, t *upstream.Ticket, begun time.Time, heard func(time.Duration)) (int, error) {
 	o, load, err := s.f.cfg.Opener.Open(actx, t.Entry, s.request, s.last)
 	events := 0
+	var firstAt time.Time // when the upstream's work was first seen
 	switch {
 	case err != nil:
 	case o.Events == nil:
+		firstAt = begun
 		if !s.begun && (o.Status < http.StatusInternalServerError || !s.plan.MayRepeat()) {
 			s.sink.Whole(o.Answer)
 			s.complete = true
@@ -157,7 +160,12 @@
 			s.sink.Begin(o.Answer)
 			s.begun = true
 		}
-		events, err = s.pass(o.Events, heard)
+		events, err = s.pass(o.Events, func(d time.Duration) {
+			if firstAt.IsZero() {
+				firstAt = time.Now()
+			}
+			heard(d)
+		})
 		o.Events.Close()
 	}
 	rep := report(ctx, actx, err, load)
@@ -166,7 +174,11 @@
 	}
 	rep.Failed = rep.Failed || err == nil && o.Status >= http.StatusInternalServerError
 	t.Done(rep)
-	s.f.cfg.Observe(Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Upstream: t.ID, Number: len(s.plan.Tried()) + 1, Status: o.Status, Took: time.Since(begun), Err: err})
+	seen := Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Customer: s.request.Customer, Upstream: t.ID, Number: len(s.plan.Tried()) + 1, Status: o.Status, Took: time.Since(begun), Err: err}
+	if !s.counted && !firstAt.IsZero() {
+		s.counted, seen.BegunAt = true, firstAt
+	}
+	s.f.cfg.Observe(seen)
 	return o.Status, err
 }
 
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -196,7 +196,7 @@
 	var out submission.Left
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
-		spec, err = n.readers.spec(gctx, left.ID)
+		spec, err = n.readers.spec(gctx, left)
 		return err
 	})
 	g.Go(func() (err error) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -47,6 +47,8 @@
 	Configuration func(platform.Row) (t *routetable.Table, ok bool, err error)
 	NamedVersion  func(platform.Row) (model string, version uint64, ok bool)
 	Entry         func(platform.Row) (upstream.Entry, error)
+	// WithoutKeys returns a row of the operator's without callers' keys.
+	WithoutKeys func(platform.Row) platform.Row
 	// SameEntry reports whether two rows of one upstream tell the same Entry,
 	// without reading them whole: nearly all writes are heartbeats that change
 	// nothing else. It may report false for rows that do. Nil for never.
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -96,7 +96,8 @@
 }
 
 // spec returns what a submission's sender handed over.
-func (r *readers) spec(ctx context.Context, id string) (submission.Spec, error) {
+func (r *readers) spec(ctx context.Context, o submission.Owned) (submission.Spec, error) {
+	id := o.ID
 	r.mu.Lock()
 	if run := r.runs[id]; run != nil {
 		r.mu.Unlock()
@@ -107,7 +108,7 @@
 	if ok {
 		return s, nil
 	}
-	s, err := r.node.log.Spec(ctx, id)
+	s, err := r.node.log.Spec(ctx, o)
 	if err != nil {
 		return s, err
 	}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -8,8 +8,10 @@
 	"slices"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/customer"
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -37,6 +39,8 @@
 var (
 	errNoConfiguration = errors.New("node: no configuration yet")
 	errNoRoute         = errors.New("node: no route")
+	errNoKey           = errors.New("node: no key, or one that no customer has")
+	errAnothers        = errors.New("node: another customer's submission has this ID")
 	errStoreLost       = errors.New("node: no way to the store")
 )
 
@@ -59,11 +63,67 @@
 
 // Route returns the route of a request, or a *verdict.Error.
 func (n *Node) Route(host, path string) (routetable.Route, error) {
+	t, err := n.tableInForce()
+	if err != nil {
+		return routetable.Route{}, err
+	}
+	return n.match(t, host, path)
+}
+
+// Admit returns the route of a request and the customer who has its key, nobody on
+// a public route and where callers need no keys, or a *verdict.Error: status 404
+// without a route, 401 without a key that is in force.
+func (n *Node) Admit(host, path, key string) (routetable.Route, customer.Customer, error) {
+	t, err := n.tableInForce()
+	if err != nil {
+		return routetable.Route{}, customer.Customer{}, err
+	}
+	rt, err := n.match(t, host, path)
+	if err != nil || rt.Public {
+		return rt, customer.Customer{}, err
+	}
+	c, err := n.identify(t, key)
+	return rt, c, err
+}
+
+// Identify returns the customer who has the key of a call for a submission, or a
+// *verdict.Error. Where submissions of a host's public routes may be meant, a call
+// without a key is nobody's.
+func (n *Node) Identify(host, key string) (customer.Customer, error) {
+	t, err := n.tableInForce()
+	if err != nil {
+		return customer.Customer{}, err
+	}
+	if key == "" && t.OpenTo(host, routetable.Submissions) {
+		return customer.Customer{}, nil
+	}
+	return n.identify(t, key)
+}
+
+func (n *Node) identify(t *routetable.Table, key string) (customer.Customer, error) {
+	if t.Customers == nil {
+		return customer.Customer{}, nil
+	}
+	c, ok := t.Customers.Find(key)
+	if !ok {
+		n.observer.count("rejections.no_key")
+		n.observer.line(n.observer.failures, true, "no customer has the caller's key", "given", key != "", "configuration", t.Version)
+		return c, verdict.New(verdict.NotRun, http.StatusUnauthorized, errNoKey)
+	}
+	return c, nil
+}
+
+// tableInForce returns the configuration in force.
+func (n *Node) tableInForce() (*routetable.Table, error) {
 	t := n.table.Load()
 	if t == nil || !n.ready.Load() {
 		n.observer.count("rejections.no_configuration")
-		return routetable.Route{}, verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), errNoConfiguration)
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(returnAfter), errNoConfiguration)
 	}
+	return t, nil
+}
+
+func (n *Node) match(t *routetable.Table, host, path string) (routetable.Route, error) {
 	rt, ok := t.Match(host, path)
 	if !ok {
 		n.observer.count("rejections.no_route")
@@ -93,8 +153,8 @@
 // Submit keeps a submission and runs it. After its errors of verdict NotRun no
 // part of it runs.
 func (n *Node) Submit(ctx context.Context, s submission.Spec) error {
-	if _, ok := n.heads.get(s.ID); ok {
-		return nil
+	if o, ok := n.heads.get(s.ID); ok {
+		return kept(o, s)
 	}
 	if n.draining.Load() {
 		return verdict.Refuse(http.StatusServiceUnavailable, time.Now(), errors.New("node: draining"))
@@ -120,10 +180,22 @@
 	n.observer.time("submissions.keep", time.Since(begun))
 	n.cfg.Logger.Info("submission kept", "submission", s.ID, "items", len(s.Items), "min_version", s.MinVersion, "owner", o.Owner, "took", time.Since(begun))
 	n.heads.set(o)
+	if err := kept(o, s); err != nil {
+		return err
+	}
 	n.tell(ctx, accepted{o, s})
 	return nil
 }
 
+// kept returns nil if o is the submission s, or a *verdict.Error if it is another
+// customer's that has its ID.
+func kept(o submission.Owned, s submission.Spec) error {
+	if !o.BelongsTo(s.Customer) {
+		return verdict.New(verdict.NotRun, http.StatusConflict, errAnothers)
+	}
+	return nil
+}
+
 // whileReached returns a context for calls of the store that a caller waits for. It
 // does not end when the caller leaves, as what has begun may be kept, but when no way
 // leads to the store: another instance may have one, and a caller that waited here for
@@ -154,35 +226,41 @@
 	return n.start
 }
 
-// head returns the head of a submission, from the store if it is not known.
-func (n *Node) head(ctx context.Context, id string) (submission.Owned, error) {
-	if o, ok := n.heads.get(id); ok {
-		return o, nil
-	}
-	o, err := n.log.Head(ctx, id)
-	if err == nil {
+// head returns the head of a customer's submission, from the store if it is not
+// known. Another's is unknown.
+func (n *Node) head(ctx context.Context, id, customer string) (submission.Owned, error) {
+	o, ok := n.heads.get(id)
+	if !ok {
+		var err error
+		if o, err = n.log.Head(ctx, id); err != nil {
+			return o, err
+		}
 		n.heads.set(o)
 	}
-	return o, err
+	if !o.BelongsTo(customer) {
+		return submission.Owned{}, submission.ErrUnknown
+	}
+	return o, nil
 }
 
-// Results returns results of a submission from position after on, waiting for
+// Results returns results of a customer's submission from position after on, waiting for
 // one until the time given. Its errors are submission.ErrUnknown and ErrNotSure.
-func (n *Node) Results(ctx context.Context, id string, after int, until time.Time) (Page, error) {
-	o, err := n.head(ctx, id)
+func (n *Node) Results(ctx context.Context, id, customer string, after int, until time.Time) (Page, error) {
+	o, err := n.head(ctx, id, customer)
 	if err != nil {
 		return Page{}, err
 	}
 	return n.readers.page(ctx, o, after, until)
 }
 
-// Body returns the body of an item that submission holds. Its errors are
+// Body returns the body of an item that a customer's submission holds. Its errors are
 // submission.ErrUnknown, ErrNoItem and ErrNotSure.
-func (n *Node) Body(ctx context.Context, id, item string) ([]byte, error) {
-	if _, err := n.head(ctx, id); err != nil {
+func (n *Node) Body(ctx context.Context, id, customer, item string) ([]byte, error) {
+	o, err := n.head(ctx, id, customer)
+	if err != nil {
 		return nil, err
 	}
-	s, err := n.readers.spec(ctx, id)
+	s, err := n.readers.spec(ctx, o)
 	if err != nil {
 		return nil, err
 	}
@@ -194,9 +272,9 @@
 	return nil, submission.ErrNoItem
 }
 
-// End ends a submission: what runs of it is cancelled, its results stay.
-func (n *Node) End(ctx context.Context, id string) error {
-	o, err := n.head(ctx, id)
+// End ends a customer's submission: what runs of it is cancelled, its results stay.
+func (n *Node) End(ctx context.Context, id, customer string) error {
+	o, err := n.head(ctx, id, customer)
 	if err != nil {
 		return err
 	}
@@ -221,7 +299,8 @@
 // runnerConfig returns the configuration of the runners here.
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
-		Log: n.log, Registry: n.registry, Generator: n.cfg.Engines, Guard: n.quarantine.Guard, Score: n.score, Draw: draw, Observe: n.observer.step,
+		Priority: n.priority,
+		Log:      n.log, Registry: n.registry, Generator: n.cfg.Engines, Guard: n.quarantine.Guard, Score: n.score, Draw: draw, Observe: n.observer.step,
 		ScoreRoom: n.scoreRoom,
 		Named: func(model string) uint64 {
 			if named := n.named.Load(); named != nil {
@@ -240,6 +319,16 @@
 	}
 }
 
+// priority returns the priority of a customer's work, if it has one of its own.
+func (n *Node) priority(name string) option.Of[int] {
+	t := n.table.Load()
+	if t == nil || name == "" {
+		return option.Of[int]{}
+	}
+	c, _ := t.Customers.Named(name)
+	return c.Priority
+}
+
 // minScoreRoom is how many calls of a scorer an instance has under way at least
 // where there are items to score.
 const minScoreRoom = 8
--- a/pkg/routetable/diff.go
+++ b/pkg/routetable/diff.go
@@ -3,6 +3,8 @@
 import (
 	"reflect"
 	"slices"
+
+	"github.com/zinnialadder/zinnialadder/pkg/customer"
 )
 
 // Diff tells what of a configuration is new against another, by the names of
@@ -13,6 +15,8 @@
 	Changed []string `json:"changed,omitempty"`
 	Limits  bool     `json:"limits,omitempty"` // they have changed
 	Pools   bool     `json:"pools,omitempty"`  // they have changed
+	// Customers that are new, gone or have other keys; nil if none are.
+	Customers *customer.Diff `json:"customers,omitempty"`
 }
 
 // Compare returns what t has new against old, which may be nil for none.
@@ -35,6 +39,9 @@
 			d.Removed = append(d.Removed, name)
 		}
 	}
+	if c := t.Customers.Compare(old.Customers); !c.Empty() {
+		d.Customers = &c
+	}
 	slices.Sort(d.Added)
 	slices.Sort(d.Removed)
 	slices.Sort(d.Changed)
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/customer"
 )
 
 // Kind says what may be done with a route's requests.
@@ -34,6 +36,7 @@
 	Kind       Kind
 	Shares     []Share
 	Resumable  bool // a stream may go on at another upstream
+	Public     bool // its callers need no key
 
 	MaxAttempts int           // upstreams that one request may be sent to; at least 1
 	Timeout     time.Duration // longest time that a request may be kept; 0 for none
@@ -63,9 +66,18 @@
 
 // Pool is what the configuration says of the upstreams of one pool.
 type Pool struct {
-	Name   string
-	Slots  int      // requests that an engine batches; 0 if not told
-	Models []string // models that the pool's engines hold; empty for plain services
+	Name    string
+	Slots   int      // requests that an engine batches; 0 if not told
+	Models  []string // models that the pool's engines hold; empty for plain services
+	Scaling Scaling  // zero if engines cannot be ordered for the pool
+}
+
+// Scaling says how many engines may be ordered for a pool, and what they cost.
+type Scaling struct {
+	Min, Max  int // engines of all kinds in one data centre; Max 0 for none to order
+	BootTime  time.Duration
+	SpotPrice float64            // of one that may be taken back, as a part of another's price
+	Prices    map[string]float64 // relative price of an engine's time, by data centre
 }
 
 // Limits bound what callers may send; zero fields are not bounded.
@@ -81,7 +93,9 @@
 	Version uint64
 	Limits  Limits
 	Pools   map[string]Pool
-	byHost  map[string][]Route // longest prefix first
+	// Customers are those who have keys; nil if the site's callers need none.
+	Customers *customer.Index
+	byHost    map[string][]Route // longest prefix first
 }
 
 // New returns the Table of version with the given routes and pools.
@@ -111,6 +125,11 @@
 	return Route{}, false
 }
 
+// OpenTo reports whether a host has a public route of a kind.
+func (t *Table) OpenTo(host string, kind Kind) bool {
+	return slices.ContainsFunc(t.byHost[host], func(r Route) bool { return r.Public && r.Kind == kind })
+}
+
 // SingleVersion reports whether a route wants samples of one weight version.
 func (t *Table) SingleVersion() bool {
 	for _, rs := range t.byHost {
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -59,7 +59,7 @@
 		return Owned{}, fmt.Errorf("submission %s: %w", s.ID, err)
 	}
 	for {
-		err = l.Store.PutObject(ctx, objectPrefix+s.ID, data)
+		err = l.Store.PutObject(ctx, specName(s.ID, s.Customer), data)
 		if err == nil {
 			break
 		}
@@ -67,7 +67,7 @@
 			return Owned{}, fmt.Errorf("%w: its object: %v", platform.ErrNotDone, err) // without a head, nothing is kept
 		}
 	}
-	h := Head{ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Step: s.Step,
+	h := Head{ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Customer: s.Customer, MinVersion: s.MinVersion, Step: s.Step,
 		Total: len(s.Items), Work: s.Work(), AcceptedAt: now.UTC().Round(0), Owner: owner, Claimed: claimed} // as it is read back
 	return l.put(ctx, h, 0)
 }
@@ -156,15 +156,15 @@
 	return got, err
 }
 
-// Spec reads what the sender handed over.
-func (l Log) Spec(ctx context.Context, id string) (Spec, error) {
-	data, err := l.Store.GetObject(ctx, objectPrefix+id)
+// Spec reads what the sender of a submission handed over.
+func (l Log) Spec(ctx context.Context, o Owned) (Spec, error) {
+	data, err := l.Store.GetObject(ctx, specName(o.ID, o.Customer))
 	if err != nil {
 		return Spec{}, fmt.Errorf("%w: %w", ErrNotSure, err)
 	}
 	var s Spec
 	if err := json.Unmarshal(data, &s); err != nil {
-		return Spec{}, fmt.Errorf("submission %s: %w", id, err)
+		return Spec{}, fmt.Errorf("submission %s: %w", o.ID, err)
 	}
 	return s, nil
 }
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
@@ -60,6 +61,8 @@
 	Route func(host, path string) (rt routetable.Route, ok, known bool)
 	// Named returns the newest version that is named of a model, 0 if none is.
 	Named func(model string) uint64
+	// Priority returns the priority of a customer's items, if it has one; nil for none.
+	Priority func(customer string) option.Of[int]
 	// Draw returns a number drawn evenly from [0, 1).
 	Draw func() float64
 	// Observe is told what happens; nil for nothing.
@@ -111,6 +114,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Step) {}
 	}
+	if cfg.Priority == nil {
+		cfg.Priority = func(string) option.Of[int] { return option.Of[int]{} }
+	}
 	before := left.KeptUnder
 	if before == o.Fencing {
 		before = 0 // this instance's own, of before it adopted what it owned
@@ -234,7 +240,8 @@
 // generation returns what is asked of an engine for item i, to go on after an event.
 func (r *Runner) generation(i, after int) Generation {
 	it := r.spec.Items[i]
-	return Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after}
+	return Generation{ID: it.ID, Host: r.spec.Host, Path: it.Path, Header: it.Header, Body: it.Body, After: after,
+		Customer: r.spec.Customer, Priority: r.cfg.Priority(r.spec.Customer)}
 }
 
 // startScoring starts calls of scorers for texts that are whole.
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -15,6 +17,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
@@ -25,9 +28,10 @@
 	Host       string `json:"host"`
 	Path       string `json:"path"`
 	Model      string `json:"model,omitempty"`
-	MinVersion uint64 `json:"min_version"` // oldest weight version that may make its samples
-	Step       int    `json:"step"`        // of the trainer
-	Desired    int    `json:"desired"`     // complete groups that the trainer waits for
+	Customer   string `json:"customer,omitempty"` // whom it belongs to; empty for nobody
+	MinVersion uint64 `json:"min_version"`        // oldest weight version that may make its samples
+	Step       int    `json:"step"`               // of the trainer
+	Desired    int    `json:"desired"`            // complete groups that the trainer waits for
 	Items      []Item `json:"items"`
 }
 
@@ -90,6 +94,7 @@
 	Host       string    `json:"host"`
 	Path       string    `json:"path"`
 	Model      string    `json:"model,omitempty"`
+	Customer   string    `json:"customer,omitempty"` // whom it belongs to; empty for nobody
 	MinVersion uint64    `json:"min_version"`
 	Step       int       `json:"step"`
 	Total      int       `json:"total"` // items
@@ -104,6 +109,10 @@
 	Complete bool   `json:"complete"` // every result is written
 }
 
+// BelongsTo reports whether a customer may read and end the submission. One that
+// belongs to nobody is open to all, as its route is.
+func (h Head) BelongsTo(customer string) bool { return h.Customer == "" || h.Customer == customer }
+
 // Open reports whether items of the submission may still run.
 func (h Head) Open() bool { return !h.Ended && !h.Complete }
 
@@ -125,6 +134,18 @@
 	objectPrefix = "submission-"
 )
 
+// specName is the name of the object that holds a customer's submission. Those of
+// different customers with one ID are different objects, so that none replaces
+// another's.
+func specName(id, customer string) string {
+	name := objectPrefix + id
+	if customer == "" {
+		return name
+	}
+	sum := sha256.Sum256([]byte(customer))
+	return name + "-of-" + hex.EncodeToString(sum[:8])
+}
+
 // partitions is how many partitions submissions are spread over. One takes 200
 // transactions a second, and a submission asks for about ten; a reader of all
 // heads makes one call for each.
@@ -183,7 +204,9 @@
 	Body   []byte
 	After  int // go on after this event; 0 to begin
 	// Version is the weight version that the engine must hold; 0 for any.
-	Version uint64
+	Version  uint64
+	Customer string
+	Priority option.Of[int] // as in forward.Request
 }
 
 // content returns what identifies g, which asks for a text of a model, however often
--- a/pkg/submission/sweep.go
+++ b/pkg/submission/sweep.go
@@ -35,7 +35,7 @@
 			return err
 		}
 	}
-	for _, name := range []string{objectPrefix + o.ID, progressName(o.ID, o.Head.Progress)} {
+	for _, name := range []string{specName(o.ID, o.Customer), progressName(o.ID, o.Head.Progress)} {
 		if err := l.Store.DeleteObject(ctx, name); err != nil {
 			return err
 		}
--- a/pkg/submission/tables.go
+++ b/pkg/submission/tables.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil // it names none
 		}
-		out := []string{objectPrefix + h.ID, progressName(h.ID, row.Version)}
+		out := []string{specName(h.ID, h.Customer), progressName(h.ID, row.Version)}
 		if h.Progress != 0 {
 			out = append(out, progressName(h.ID, h.Progress))
 		}
