--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -25,6 +25,7 @@
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
 	pkgplatform "github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/usage"
 	"github.com/zinnialadder/zinnialadder/platform"
 )
 
@@ -106,9 +107,14 @@
 	if err != nil {
 		return err
 	}
+	var cloud node.Cloud
+	if s.Cloud != "" {
+		cloud = platform.NewCloud(s.Cloud)
+	}
 	n := node.New(node.Config{
 		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, PeerAddress: s.Peers, Cores: s.Cores, Store: links, Reach: links, Engines: platform.NewEngines(),
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, KeepFor: s.StatusTime, Grace: s.Grace,
+		Cloud: cloud, Calendar: usage.Calendar{Length: s.UsageWindow, Late: s.UsageLate},
 	})
 	callers := platform.NewCallers(n)
 	var servers []*http.Server
--- a/pkg/node/demand.go
+++ b/pkg/node/demand.go
@@ -20,6 +20,20 @@
 	s.work[h.Model] = mean + workWeight*(float64(h.Work)-mean)
 }
 
+// openItems returns how many texts the open submissions hold, by pool.
+func (s *state) openItems() map[string]int {
+	out := map[string]int{}
+	if s.table == nil {
+		return out
+	}
+	for _, o := range s.heads {
+		if rt, ok := s.table.Match(o.Host, o.Path); ok && o.Open() {
+			out[rt.Shares[0].Pool] += o.Total
+		}
+	}
+	return out
+}
+
 // demands returns what is asked of each model of which a version is named or a
 // submission was seen, in order of name.
 func (s *state) demands() []weights.Demand {
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -37,7 +37,10 @@
 	}
 	setHead     struct{ submission.Owned }
 	becomeReady struct{}
-	leave       struct{} // tell the others that this instance drains
+	reached     struct{ since time.Time } // the store, without a break
+	// setOpenItems tells the texts of open submissions, by pool.
+	setOpenItems struct{ items map[string]int }
+	leave        struct{} // tell the others that this instance drains
 
 	startRun struct {
 		submission.Owned
@@ -86,6 +89,10 @@
 	}
 }
 
+func (e reached) carryOut(_ context.Context, n *Node) { n.reachedAt.Store(e.since.UnixNano()) }
+
+func (e setOpenItems) carryOut(_ context.Context, n *Node) { n.openItems.Store(&e.items) }
+
 func (leave) carryOut(_ context.Context, n *Node) { n.member.leave() }
 
 func (e startRun) carryOut(ctx context.Context, n *Node) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/usage"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -89,6 +90,10 @@
 	LeaseTime   time.Duration    // holders of orders must not alternate within it
 	KeepFor     time.Duration    // submissions are kept so long after their acceptance; 0 for ever
 	Grace       time.Duration    // from the request to stop until the process is killed
+	// Cloud takes the site's reports of use and orders of engines; nil for none.
+	Cloud Cloud
+	// Calendar is that of the reports of use; zero if none are wanted.
+	Calendar usage.Calendar
 }
 
 const (
@@ -118,6 +123,14 @@
 	observer *observer
 	member   *memberRow
 	orders   *orderSender
+	duties   *duties
+	usage    *teller
+	begunAt  time.Time
+	// reachedAt is since when the store has been reached without a break, as a Unix
+	// nanosecond; 0 from the start on.
+	reachedAt atomic.Int64
+	// openItems are the texts of open submissions, by pool.
+	openItems atomic.Pointer[map[string]int]
 	// quarantine is what is known of requests that crash upstreams.
 	quarantine *quarantine.Keeper
 	named      atomic.Pointer[map[string]uint64]
@@ -128,7 +141,7 @@
 
 // New returns a Node.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), registry: upstream.NewRegistry(cfg.DataCentre),
+	n := &Node{cfg: cfg, start: membership.Start(cfg.Name, time.Now()), begunAt: time.Now(), registry: upstream.NewRegistry(cfg.DataCentre),
 		log: submission.Log{Store: cfg.Store, MaxRow: cfg.MaxRow}, events: make(chan any, eventQueue)}
 	if n.cfg.Metrics == nil {
 		n.cfg.Metrics = metrics.NewRegistry()
@@ -143,6 +156,8 @@
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: clock.NewWakeup()}
 	n.orders = newOrderSender(n)
+	n.duties = newDuties(n)
+	n.usage = newTeller(n)
 	return n
 }
 
@@ -158,8 +173,13 @@
 	n.followAll(ctx)
 	n.group.Go(func() error { return n.member.keep(ctx) })
 	n.group.Go(func() error { return n.orders.keep(ctx) })
+	n.group.Go(func() error { return n.duties.keep(ctx) })
+	n.group.Go(func() error { return n.usage.keep(ctx) })
 	n.group.Go(func() error { return n.quarantine.Run(ctx) })
 	err := n.control(ctx, stop)
+	if err == nil {
+		n.usage.tell(ctx) // the rest, as nobody else knows of it
+	}
 	cancel()
 	_ = n.group.Wait() // its functions end with ctx
 	n.cfg.Logger.Info("stop", "start", n.start)
@@ -215,6 +235,14 @@
 
 func draw() float64 { return rand.Float64() }
 
+// reachedSince returns since when the store has been reached without a break.
+func (n *Node) reachedSince() time.Time {
+	if at := n.reachedAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return n.begunAt
+}
+
 // configurationVersion returns the version in force, 0 for none.
 func (n *Node) configurationVersion() uint64 {
 	if t := n.table.Load(); t != nil {
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -65,6 +65,7 @@
 
 // attempt is told of each attempt at an upstream.
 func (o *observer) attempt(a forward.Attempt) {
+	o.node.usage.count(a.Customer, a.BegunAt)
 	switch {
 	case a.Err == nil && a.Status < 500:
 		o.count("attempts.answered")
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -107,6 +107,13 @@
 // setHeld is set with o.mu held. Those that wait for the ledger to be written look
 // again.
 func (o *orderSender) setHeld(h lease.Held) {
+	if o.held.Fencing == 0 || h.Fencing == 0 {
+		o.since = time.Time{}
+		if h.Fencing != 0 {
+			o.since = time.Now()
+		}
+		o.node.duties.wake.Ring()
+	}
 	o.held = h
 	o.written = map[string]bool{}
 	close(o.wrote)
@@ -169,6 +176,23 @@
 	o.ledger.end(id, time.Now().Add(o.node.cfg.LeaseTime))
 }
 
+// heldSince returns when the lease that is held was taken, zero if none is.
+func (o *orderSender) heldSince() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.since
+}
+
+// lose gives the lease up that had a fencing token when another holder was met, unless
+// it was taken anew since.
+func (o *orderSender) lose(fencing uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.held.Fencing == fencing {
+		o.setHeld(lease.Held{})
+	}
+}
+
 func (o *orderSender) current() lease.Held {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -69,6 +69,7 @@
 
 	mu       sync.Mutex
 	held     lease.Held
+	since    time.Time                  // when held was taken; zero while none is
 	rollouts map[string]weights.Rollout // by pool and model
 	accepted map[string]acceptedOrders  // by engine ID
 	ordered  map[string]orderCount      // by pool and model
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -149,7 +149,7 @@
 	away := wasAway && u.At.Sub(since) > awayFrom
 	if wasAway {
 		delete(s.awaySince, u.Table)
-		effs = append(effs, note{"store regained", []any{"table", u.Table, "away", u.At.Sub(since)}})
+		effs = append(effs, note{"store regained", []any{"table", u.Table, "away", u.At.Sub(since)}}, reached{u.At})
 	}
 	s.read[u.Table] = true
 	switch u.Table {
@@ -207,6 +207,7 @@
 	if s.askedAnew {
 		before := s.asked
 		s.asked, s.askedAnew = s.demands(), false
+		effs = append(effs, setOpenItems{s.openItems()})
 		s.undealt = s.undealt || !slices.Equal(before, s.asked)
 	}
 	if s.undealt {
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -16,6 +16,8 @@
 	DataCentre string
 	Slots      int // requests that it serves at once
 	Draining   bool
+	// Spot means that it may be taken back at short notice.
+	Spot bool
 	// Versions are the weight versions that it holds, by model; empty for a
 	// plain service.
 	Versions map[string]uint64
@@ -29,7 +31,7 @@
 
 // Equal reports whether e and o tell the same.
 func (e Entry) Equal(o Entry) bool {
-	return e.SameStart(o) && e.DataCentre == o.DataCentre && e.Slots == o.Slots && e.Draining == o.Draining && maps.Equal(e.Versions, o.Versions)
+	return e.SameStart(o) && e.DataCentre == o.DataCentre && e.Slots == o.Slots && e.Draining == o.Draining && e.Spot == o.Spot && maps.Equal(e.Versions, o.Versions)
 }
 
 // Load is what an upstream told of its load with an answer.
