--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -31,7 +31,7 @@
 		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
 		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
 		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client),
-		siteCmd(), versionsCmd(), snapshotCmd(), inspectCmd(), releaseCmd())
+		siteCmd(), versionsCmd(), dutiesCmd(), snapshotCmd(), inspectCmd(), releaseCmd())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/snapshot/duties.go
@@ -0,0 +1,101 @@
+package snapshot
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/pkg/usage"
+)
+
+// DutyTables returns the tables that Duties are in, d being what reads the rows of
+// operators and upstreams.
+func DutyTables(d node.Decoder) []Table {
+	return append(ServedTables(d),
+		Table{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
+		Table{Name: usage.ReportsTable, Prefixes: []string{usage.ReportsPrefix()}})
+}
+
+// Duties are what one instance does for the whole site: it reports the use of
+// customers, and orders engines.
+type Duties struct {
+	TakenAt time.Time      `json:"taken_at"`
+	Holders []Lease        `json:"holders"`
+	Reports []usage.Report `json:"reports"` // the oldest first
+	Missing []usage.Window `json:"missing"` // between the oldest and the newest report
+	Engines []EnginesThere `json:"engines"`
+}
+
+// EnginesThere is how many engines of a pool a data centre has.
+type EnginesThere struct {
+	Pool       string `json:"pool"`
+	DataCentre string `json:"data_centre"`
+	Regular    int    `json:"regular"`
+	Spot       int    `json:"spot"` // that may be taken back
+	Draining   int    `json:"draining"`
+}
+
+// Duties returns what st says of them.
+func (st State) Duties() Duties {
+	d := Duties{TakenAt: st.TakenAt, Holders: st.Leases, Reports: st.Reports}
+	slices.SortFunc(d.Reports, func(a, b usage.Report) int { return cmp.Compare(a.Window, b.Window) })
+	for i := 1; i < len(d.Reports); i++ {
+		for w := d.Reports[i-1].Window + 1; w < d.Reports[i].Window; w++ {
+			d.Missing = append(d.Missing, w)
+		}
+	}
+	type place struct{ pool, dataCentre string }
+	there := map[place]EnginesThere{}
+	for _, e := range st.Upstreams {
+		p := place{e.Pool, e.DataCentre}
+		n := there[p]
+		n.Pool, n.DataCentre = e.Pool, e.DataCentre
+		switch {
+		case e.Draining:
+			n.Draining++
+		case e.Spot:
+			n.Spot++
+		default:
+			n.Regular++
+		}
+		there[p] = n
+	}
+	d.Engines = slices.SortedFunc(maps.Values(there), func(a, b EnginesThere) int {
+		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.DataCentre, b.DataCentre))
+	})
+	return d
+}
+
+// Write writes d as text.
+func (d Duties) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "as of\t%s\n", d.TakenAt.UTC().Format(time.DateTime))
+	for _, l := range d.Holders {
+		fmt.Fprintf(t, "holder of %s\t%s\tfencing %d\n", l.Name, l.Holder, l.Fencing)
+	}
+	for _, r := range d.Reports {
+		total := 0
+		for _, n := range r.Counts {
+			total += n
+		}
+		sent := "not accepted yet"
+		if !r.SentAt.IsZero() {
+			sent = "accepted " + r.SentAt.UTC().Format(time.TimeOnly)
+		}
+		fmt.Fprintf(t, "window %d\t%d requests of %d customers\ttold by %d instances\tfixed %s by %s\t%s\n", r.Window, total, len(r.Counts),
+			r.Tallies, r.FixedAt.UTC().Format(time.TimeOnly), r.FixedBy, sent)
+	}
+	for _, w := range d.Missing {
+		fmt.Fprintf(t, "window %d\tmissing\n", w)
+	}
+	for _, e := range d.Engines {
+		fmt.Fprintf(t, "pool %s\t%s\t%d regular\t%d spot\t%d draining\n", e.Pool, e.DataCentre, e.Regular, e.Spot, e.Draining)
+	}
+	return t.Flush()
+}
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -10,19 +10,20 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/customer"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/usage"
 )
 
 // Tables returns the tables that a site's state is in, d being what reads its
 // operators' and upstreams' rows.
 func Tables(d node.Decoder) []Table {
-	return append(ServedTables(d),
-		Table{Name: node.LeasesTable, Prefixes: []string{node.LeasesTable + "//"}},
+	return append(DutyTables(d),
 		Table{Name: node.AuditTable, Prefixes: []string{node.AuditTable + "//"}},
 		Table{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()})
 }
@@ -54,6 +55,7 @@
 	Suspects      []Suspect         `json:"suspects"`
 	Submissions   []Submission      `json:"submissions"`
 	Changes       []node.Change     `json:"changes"`    // of the configuration, the oldest first
+	Reports       []usage.Report    `json:"reports"`    // of customers' use
 	Unreadable    []string          `json:"unreadable"` // rows that could not be read, and why
 }
 
@@ -62,6 +64,8 @@
 	Version uint64   `json:"version"` // 0 for none
 	Routes  int      `json:"routes"`
 	Pools   []string `json:"pools"`
+	// Customers is how many customers have keys; 0 where callers need none.
+	Customers int `json:"customers"`
 }
 
 // Instance is an instance as its row tells it.
@@ -116,6 +120,8 @@
 			err = st.instance(r)
 		case node.LeasesTable:
 			err = st.lease(r)
+		case usage.ReportsTable:
+			err = st.report(r)
 		case node.AuditTable:
 			err = st.change(r)
 		case submission.HeadsTable:
@@ -148,7 +154,7 @@
 	if !ok || err != nil {
 		return err
 	}
-	st.Configuration = Configuration{Version: t.Version, Routes: t.Routes()}
+	st.Configuration = Configuration{Version: t.Version, Routes: t.Routes(), Customers: t.Customers.Size()}
 	for _, p := range t.Pools {
 		st.Configuration.Pools = append(st.Configuration.Pools, p.Name)
 	}
@@ -204,6 +210,14 @@
 	return err
 }
 
+func (st *State) report(r Row) error {
+	rep, err := usage.DecodeReport(r.row())
+	if err == nil {
+		st.Reports = append(st.Reports, rep)
+	}
+	return err
+}
+
 func (st *State) change(r Row) error {
 	var c node.Change
 	err := json.Unmarshal(r.Value, &c)
@@ -224,7 +238,7 @@
 // Write writes st as text.
 func (st State) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(t, "configuration\tversion %d, %d routes, pools %s\n", st.Configuration.Version, st.Configuration.Routes, strings.Join(st.Configuration.Pools, " "))
+	fmt.Fprintf(t, "configuration\tversion %d, %d routes, %d customers, pools %s\n", st.Configuration.Version, st.Configuration.Routes, st.Configuration.Customers, strings.Join(st.Configuration.Pools, " "))
 	for _, in := range st.Instances {
 		fmt.Fprintf(t, "instance %s\t%s\t%s\tconfiguration %d\tdraining %t\trenewed %s\n", in.Name, in.Address, in.DataCentre, in.Configuration, in.Draining, in.RenewedAt.UTC().Format(time.TimeOnly))
 	}
@@ -244,8 +258,12 @@
 		fmt.Fprintf(t, "submission %s\tstep %d\t%d of %d results\towner %s\tfencing %d\t%s\n", s.ID, s.Step, s.Results, s.Total, s.Owner, s.Fencing, phase(s.Head))
 	}
 	for _, c := range st.Changes {
-		fmt.Fprintf(t, "change to %d\tfrom %d\tseen %s by %s\tadded %v\tremoved %v\tchanged %v\tlimits %t\tpools %t\n", c.Version, c.Before,
-			c.SeenAt.UTC().Format(time.DateTime), c.SeenBy, c.Added, c.Removed, c.Changed, c.Limits, c.Pools)
+		customers := customer.Diff{}
+		if c.Customers != nil {
+			customers = *c.Customers
+		}
+		fmt.Fprintf(t, "change to %d\tfrom %d\tseen %s by %s\tadded %v\tremoved %v\tchanged %v\tlimits %t\tpools %t\tcustomers added %v, removed %v, with other keys %v\n", c.Version, c.Before,
+			c.SeenAt.UTC().Format(time.DateTime), c.SeenBy, c.Added, c.Removed, c.Changed, c.Limits, c.Pools, customers.Added, customers.Removed, customers.Rekeyed)
 	}
 	for _, u := range st.Unreadable {
 		fmt.Fprintf(t, "unreadable\t%s\n", u)
