--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -49,8 +49,7 @@
 	billing usage.Billing
 	begun   uint64 // fencing token under which billing was begun; 0 for none
 	plans   map[string]*scaling.Plan
-	seen    map[string]int // texts of open submissions, by pool
-	wake    clock.Wakeup   // the lease was taken, or lost
+	wake    clock.Wakeup // the lease was taken, or lost
 }
 
 func newDuties(n *Node) *duties {
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -43,7 +43,7 @@
 	// settleTime is how long after a window's end instances go on telling of it: a
 	// request is counted when it is answered, which takes 2 s at the most where
 	// callers wait no longer, and told within TellPeriod.
-	settleTime = 4 * time.Second
+	settleTime = 3300 * time.Millisecond
 	// returnTime is how long instances take to tell what they could not while the
 	// store was away.
 	returnTime = 2 * time.Second
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -34,9 +34,9 @@
 func TestCloseAt(t *testing.T) {
 	w := calendar.At(at(0)) // ends at 5, due at 15
 	for what, c := range map[string]struct{ reachedSince, want float64 }{
-		"store never away":                 {-100, 9},
-		"back before the end":              {4.9, 9},
-		"back soon after the end":          {6, 9},
+		"store never away":                 {-100, 8.3},
+		"back before the end":              {4.9, 8.3},
+		"back soon after the end":          {6, 8.3},
 		"back after the others have told":  {8, 10},
 		"back late":                        {11, 12.5},
 		"back when the report is late":     {40, 12.5},
