--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -142,6 +142,9 @@
 	for _, srv := range servers {
 		err = errors.Join(err, srv.Shutdown(sctx))
 	}
+	tctx, cancelTelling := context.WithTimeout(context.Background(), s.Grace/shutdownShare)
+	defer cancelTelling()
+	n.TellUse(tctx)
 	return errors.Join(err, group.Wait())
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -177,9 +177,6 @@
 	n.group.Go(func() error { return n.usage.keep(ctx) })
 	n.group.Go(func() error { return n.quarantine.Run(ctx) })
 	err := n.control(ctx, stop)
-	if err == nil {
-		n.usage.tell(ctx) // the rest, as nobody else knows of it
-	}
 	cancel()
 	_ = n.group.Wait() // its functions end with ctx
 	n.cfg.Logger.Info("stop", "start", n.start)
--- a/pkg/node/usage.go
+++ b/pkg/node/usage.go
@@ -26,6 +26,10 @@
 	}
 }
 
+// TellUse tells the rest of what this instance has counted of its customers' use, as
+// nobody else knows of it. It is called when the last request has been answered.
+func (n *Node) TellUse(ctx context.Context) { n.usage.tell(ctx) }
+
 // keep tells what has changed until ctx ends.
 func (t *teller) keep(ctx context.Context) error {
 	if t.node.cfg.Calendar.Length <= 0 {
