--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -8,17 +8,14 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 )
 
-// Terms are what the operator allows.
+// Terms are what the operator allows, and what an engine serves.
 type Terms struct {
-	Min, Max int // engines of both kinds in one data centre
-	BootTime time.Duration
-	// SpotPrice is the price of an engine that may be taken back, as a part of
-	// another's; 0 if there are none.
-	SpotPrice float64
-	Prices    map[string]float64 // relative price of an engine's time, by data centre
-	Slots     int                // requests that an engine batches
+	routetable.Scaling
+	Slots int // requests that an engine batches
 }
 
 // Place is where engines are ordered: a data centre, and a kind of engine.
