--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -234,8 +234,7 @@
 				s.Engines[scaling.Place{DataCentre: e.DataCentre, Spot: e.Spot}]++
 			}
 		}
-		terms := scaling.Terms{Min: pool.Scaling.Min, Max: pool.Scaling.Max, BootTime: pool.Scaling.BootTime, SpotPrice: pool.Scaling.SpotPrice,
-			Prices: pool.Scaling.Prices, Slots: pool.Slots}
+		terms := scaling.Terms{Scaling: pool.Scaling, Slots: pool.Slots}
 		for _, o := range plan.Decide(pool.Name, terms, s) {
 			d.order(ctx, plan, o, s.Engines[o.Place])
 		}
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -76,7 +76,7 @@
 type Scaling struct {
 	Min, Max  int // engines of all kinds in one data centre; Max 0 for none to order
 	BootTime  time.Duration
-	SpotPrice float64            // of one that may be taken back, as a part of another's price
+	SpotPrice float64            // of one that may be taken back, as a part of another's price; 0 if there are none
 	Prices    map[string]float64 // relative price of an engine's time, by data centre
 }
 
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -7,13 +7,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 )
 
 func TestMain(m *testing.M) { rapidseed.Main(m, 60) }
 
-var terms = scaling.Terms{Min: 1, Max: 26, BootTime: 4 * time.Second, SpotPrice: 0.22, Slots: 6,
-	Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1}}
+var terms = scaling.Terms{Slots: 6, Scaling: routetable.Scaling{Min: 1, Max: 26, BootTime: 4 * time.Second, SpotPrice: 0.22,
+	Prices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1}}}
 
 // site replays a load against a Plan: engines boot, are taken back, and come back.
 type site struct {
