weights: of far more engines than the steps can use, a model is dealt what it needs

All engines were dealt to the models by their work: 750 each, of which a step of 112 texts uses 20, and each of which is to load each second version, 8 at a time; and as the work of steps varies by some parts of a hundred, the models' parts slid by tens of engines from step to step.

Where there are over 1.5 times the engines that two steps of each model's largest can use at once, each model is dealt these. Ruled out: cutting the parts by work short, as they would still slide; a share of the pool, which grows with it.

Replay: rapid TestPartitionOfMoreThanCanBeUsed; without it "m0 is dealt 299 engines and can use 1".

--- a/pkg/node/demand.go
+++ b/pkg/node/demand.go
@@ -51,9 +51,31 @@
 		models[m] = true
 	}
 	s.deal()
+	items := s.itemsAtOnce()
 	var out []weights.Demand
 	for _, m := range slices.Sorted(maps.Keys(models)) {
-		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.dealt[m], Busy: busy[m]})
+		out = append(out, weights.Demand{Model: m, Named: s.named[m], Lag: s.lag[m], Work: s.dealt[m], Busy: busy[m], Items: items[m]})
+	}
+	return out
+}
+
+// stepsAtOnce is how many steps of a trainer are open at once where it asks for one
+// before the one before is whole.
+const stepsAtOnce = 2
+
+// itemsAtOnce returns how many texts of each model may be under way at once: those of
+// stepsAtOnce of its largest submissions that are known, or of all that are open if
+// that is more. All instances know the same ones, also those that have just started.
+func (s *state) itemsAtOnce() map[string]int {
+	out, open := map[string]int{}, map[string]int{}
+	for _, o := range s.heads {
+		out[o.Model] = max(out[o.Model], stepsAtOnce*o.Total)
+		if o.Open() {
+			open[o.Model] += o.Total
+		}
+	}
+	for m, n := range open {
+		out[m] = max(out[m], n)
 	}
 	return out
 }
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -91,3 +91,6 @@
 func (l OrderLedger) Begin(id string)                        { l.l.begin(id) }
 func (l OrderLedger) End(id string, until time.Time)         { l.l.end(id, until) }
 func (l OrderLedger) Entries(now time.Time) []string         { return l.l.entries(now) }
+
+// Items returns how many texts of a model may be under way at once.
+func (s State) Items(model string) int { return s.s.itemsAtOnce()[model] }
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -76,6 +76,9 @@
 		if i >= 0 {
 			d = demands[i]
 		}
+		if pool.Slots > 0 {
+			d.Most = (d.Items + pool.Slots - 1) / pool.Slots
+		}
 		known = known || d.Work > 0
 		out = append(out, d)
 	}
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -362,3 +362,15 @@
 		}
 	})
 }
+
+// A model's engines are for two of its largest steps, or for all that are open if that
+// is more, also where a step has ended since.
+func TestItemsAtOnce(t *testing.T) {
+	s := node.NewState("a", "a#1", decoder)
+	now := start()
+	s.Update(heads(now, head(t, submission.Head{ID: "l1", Model: "m", Total: 40, Ended: true}, 1), head(t, submission.Head{ID: "l2", Model: "m", Total: 30}, 2),
+		head(t, submission.Head{ID: "l3", Model: "n", Total: 5}, 3), head(t, submission.Head{ID: "l4", Model: "n", Total: 5}, 4), head(t, submission.Head{ID: "l5", Model: "n", Total: 5}, 5)))
+	if m, n := s.Items("m"), s.Items("n"); m != 80 || n != 15 {
+		t.Errorf("%d of m and %d of n, want 80 and 15", m, n)
+	}
+}
--- a/pkg/weights/demand.go
+++ b/pkg/weights/demand.go
@@ -56,6 +56,10 @@
 	Work  float64
 	// Busy means that requests of the model are under way or wait.
 	Busy bool
+	// Items is how many texts may be under way at once; 0 if not known.
+	Items int
+	// Most is how many engines these can use; 0 if not known.
+	Most int
 }
 
 // minEngines is how many engines a model has at least, where there are enough,
@@ -65,9 +69,16 @@
 // Partition deals the engines to the models by their work, each engine to one
 // model, so that an engine loads new versions of one model only and the loads of
 // one model take nothing away from another. Engines are dealt in order of their
-// IDs, so that one that comes or goes moves few others.
+// IDs, so that one that comes or goes moves few others. Where there are far more than
+// the texts of all models can use, each model is dealt what its own can use: each
+// engine that it has loads its versions, and of hundreds most would do so in vain while
+// those that its next step needs wait for their turn; and its work varies from step to
+// step, by a part that is many engines of hundreds.
 func Partition(engines []string, demands []Demand) map[string][]string {
 	ids := slices.Sorted(slices.Values(engines))
+	if out, ok := dealByNeed(ids, demands); ok {
+		return out
+	}
 	total := 0.0
 	for _, d := range demands {
 		total += d.Work
@@ -90,6 +101,30 @@
 	return out
 }
 
+// plenty is how many times the engines that the texts of all models can use there must
+// be for models to be dealt by need.
+const plenty = 1.5
+
+// dealByNeed deals each model the engines that its texts can use, if there are plenty.
+func dealByNeed(ids []string, demands []Demand) (map[string][]string, bool) {
+	need := 0
+	for _, d := range demands {
+		if d.Most <= 0 {
+			return nil, false
+		}
+		need += max(d.Most, minEngines)
+	}
+	if need == 0 || plenty*float64(need) > float64(len(ids)) {
+		return nil, false
+	}
+	out := make(map[string][]string, len(demands))
+	for _, d := range demands {
+		n := max(d.Most, minEngines)
+		out[d.Model], ids = ids[:n], ids[n:]
+	}
+	return out, true
+}
+
 // Due returns the engines to move to the version named, of those given with the
 // versions that they hold, the most urgent first. Engines that are too old for
 // requests to come are moved at once: they serve nothing as they are. The others
--- a/pkg/weights/demand_test.go
+++ b/pkg/weights/demand_test.go
@@ -61,6 +61,50 @@
 	})
 }
 
+// Hundreds of engines, of which the steps can use a part: each model is dealt what its
+// texts can use, and those that it has stay while its work varies from step to step and
+// engines come and go.
+func TestPartitionOfMoreThanCanBeUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ids []string
+		for i := range rapid.IntRange(300, 3000).Draw(t, "engines") {
+			ids = append(ids, fmt.Sprintf("i%04d", i))
+		}
+		ds := make([]weights.Demand, rapid.IntRange(1, 4).Draw(t, "models"))
+		deal := func() map[string][]string {
+			for i := range ds {
+				ds[i].Work = rapid.Float64Range(500, 1500).Draw(t, "work")
+			}
+			return weights.Partition(ids, ds)
+		}
+		for i := range ds {
+			ds[i].Model, ds[i].Most = fmt.Sprintf("m%d", i), rapid.IntRange(1, 43).Draw(t, "most")
+		}
+		before := deal()
+		ids = slices.Delete(ids, 5, 6)
+		after := deal()
+		seen := map[string]bool{}
+		for _, d := range ds {
+			if n := len(after[d.Model]); n != max(d.Most, 2) {
+				t.Fatalf("%s is dealt %d engines and can use %d", d.Model, n, d.Most)
+			}
+			moved := 0
+			for _, id := range after[d.Model] {
+				if seen[id] {
+					t.Fatalf("%s is dealt twice", id)
+				}
+				seen[id] = true
+				if !slices.Contains(before[d.Model], id) {
+					moved++
+				}
+			}
+			if moved > 1 {
+				t.Fatalf("%s has %d other engines as one went", d.Model, moved)
+			}
+		}
+	})
+}
+
 // Replays a trainer that names a version every four seconds and whose steps
 // accept the one before, with pauses in which two engines load: none is left
 // too old, those moved in the last pause are new enough at once, and engines are
