entry, catalogue, ctl: keys of customers in the product's own interface

A customer of the catalogue may have API keys, kept as digests. Each call of callers and trainers that names such a customer wants one in Zinnia-Key and gets 401, not run, without. `ctl keys add` makes one and prints it once, `remove` and `list` name them by digest; changes are audited as all others. A file without digests leaves those that there are, the last key cannot be taken away, and a customer with keys cannot be removed while it owns entries: either would open its entries to all. The demo gives its customer one.

The retries of an operator's compare-and-set are one function now, shared with the states of upstreams.

--- a/cmd/zinnialadder/ctl.go
+++ b/cmd/zinnialadder/ctl.go
@@ -29,7 +29,7 @@
 
 	cmd.AddCommand(applyCmd(client, &author), showCmd(client), auditCmd(client),
 		upstreamCmd("drain", "Mark an upstream as leaving, so it gets no new work", catalogue.Leaving, client, &author),
-		upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
+		keysCmd(client, &author), upstreamCmd("undrain", "Mark an upstream as live again", catalogue.Live, client, &author),
 		removeCmd(client, &author), weightsCmd(client, &author), stepsCmd(client),
 		siteCmd(), versionsCmd(), dutiesCmd(), snapshotCmd(), inspectCmd(), releaseCmd())
 	return cmd
--- a/cmd/zinnialadder/demo.go
+++ b/cmd/zinnialadder/demo.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -40,23 +42,32 @@
 			f.Pools[0] = s.EnginePool("assistant-pool")
 			f.Pools[1] = s.ServicePool("desk-app")
 			f.Entries[0].Trainer = s.TrainerAddr
+			key := rand.Text()
+			f.Customers[0].KeyDigests = []string{catalogue.KeyDigest(key)}
 			if err := s.Apply(f); err != nil {
 				return err
 			}
 			fmt.Fprintf(out, "site up: platform %s, %d engines, 2 entry instances\n", s.PlatformURL, len(s.Engines))
-			return demoRequests(cmd.Context(), out, s)
+			return demoRequests(cmd.Context(), out, s, key)
 		},
 	}
 }
 
 // demoRequests does what a caller does: asks for a route, then sends one
-// generation and one non-idempotent call to the instance it was given.
-func demoRequests(ctx context.Context, out io.Writer, s *site.Site) error {
-	ra, err := entry.NewClient(s.Entries[0].Addr(), nil).Route(ctx, "minho", "agent-17")
+// generation and one non-idempotent call to the instance it was given, each with its
+// customer's key.
+func demoRequests(ctx context.Context, out io.Writer, s *site.Site, key string) error {
+	first := entry.NewClient(s.Entries[0].Addr(), nil)
+	if _, err := first.Route(ctx, "minho", "agent-17"); err == nil {
+		return errors.New("route: answered a caller without a key")
+	} else {
+		fmt.Fprintf(out, "route without the customer's key: %v\n", err)
+	}
+	ra, err := first.WithKey(key).Route(ctx, "minho", "agent-17")
 	if err != nil {
 		return err
 	}
-	instance := entry.NewClient(ra.Address, nil)
+	instance := entry.NewClient(ra.Address, nil).WithKey(key)
 	fmt.Fprintf(out, "route: use %s (%s) until %s\n", ra.Address, ra.ID, ra.ExpiresAt.Format(time.TimeOnly))
 	gen := entry.GenerateRequest{Customer: "minho", Entry: "negotiation-drafts", RequestID: "draft-1",
 		Prompt: "Draft a repayment script for a farm loan three months overdue.", MaxTokens: 12}
--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -68,8 +68,11 @@
 type Customer struct {
 	Name        string `json:"name"`
 	MaxInFlight int    `json:"max_in_flight"` // requests at once, per entry instance
-	Generation  uint64 `json:"generation"`
-	Removed     bool   `json:"removed,omitempty"` // see Remove
+	// KeyDigests are the SHA-256 digests of its API keys, in hexadecimal. With none,
+	// callers need no key.
+	KeyDigests []string `json:"key_digests,omitempty"`
+	Generation uint64   `json:"generation"`
+	Removed    bool     `json:"removed,omitempty"` // see Remove
 }
 
 // Check reports the first problem with c, naming the field.
@@ -80,7 +83,7 @@
 	if c.MaxInFlight <= 0 {
 		return fmt.Errorf("customer %s: max_in_flight must be positive", c.Name)
 	}
-	return nil
+	return c.checkKeys()
 }
 
 // UpstreamState says whether an upstream takes new work.
--- a/pkg/catalogue/file.go
+++ b/pkg/catalogue/file.go
@@ -99,6 +99,9 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return Outcome{}, err
 	}
+	if err == nil {
+		v = withKeys(v, row.Value)
+	}
 	if err == nil && sameItem(row.Value, v) {
 		return Outcome{Key: key, Version: row.Version}, nil
 	}
@@ -109,6 +112,18 @@
 	return Outcome{Key: key, Changed: true, Version: got.Version}, nil
 }
 
+// withKeys returns a customer from a file without keys with those that are stored:
+// keys are added and taken away apart from files.
+func withKeys(v any, stored json.RawMessage) any {
+	c, ok := v.(Customer)
+	var was Customer
+	if !ok || len(c.KeyDigests) > 0 || json.Unmarshal(stored, &was) != nil {
+		return v
+	}
+	c.KeyDigests = was.KeyDigests
+	return c
+}
+
 // sameItem reports whether stored equals v but for its generation.
 func sameItem(stored json.RawMessage, v any) bool {
 	fresh := reflect.New(reflect.TypeOf(v))
@@ -126,17 +141,7 @@
 // SetUpstreamState changes the state of the upstream at addr in pool, by a
 // compare-and-set on the pool's row, retrying when another edit won.
 func SetUpstreamState(ctx context.Context, c *platform.Client, pool, addr string, st UpstreamState, author string, now time.Time) (Pool, error) {
-	const tries = 5
-	key := PoolPrefix + pool
-	for i := 0; i < tries; i++ {
-		row, err := c.Get(ctx, key)
-		if err != nil {
-			return Pool{}, fmt.Errorf("pool %s: %w", pool, err)
-		}
-		var p Pool
-		if err := json.Unmarshal(row.Value, &p); err != nil {
-			return Pool{}, fmt.Errorf("pool %s: %w", pool, err)
-		}
+	return edit(ctx, c, PoolPrefix+pool, author, now, func(p *Pool) error {
 		found := false
 		for j := range p.Upstreams {
 			if p.Upstreams[j].Address == addr {
@@ -144,13 +149,8 @@
 			}
 		}
 		if !found {
-			return Pool{}, fmt.Errorf("pool %s has no upstream %s", pool, addr)
+			return fmt.Errorf("pool %s has no upstream %s", pool, addr)
 		}
-		_, err = Apply(ctx, c, Edit{Key: key, ExpectVersion: row.Version, Value: p, Author: author, At: now})
-		if errors.Is(err, ErrConflict) {
-			continue
-		}
-		return p, err
-	}
-	return Pool{}, fmt.Errorf("pool %s: %w after %d tries", pool, ErrConflict, tries)
+		return nil
+	})
 }
--- a/pkg/catalogue/remove.go
+++ b/pkg/catalogue/remove.go
@@ -13,8 +13,9 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
-// ErrInUse is returned by Remove for a pool that entries still use; nothing
-// was written.
+// ErrInUse is returned by Remove for a pool that entries still use, or a customer with
+// keys that still owns entries, which nobody would need a key for then; nothing was
+// written.
 var ErrInUse = errors.New("catalogue: still in use")
 
 // removeTries bounds how often Remove starts again because the catalogue
@@ -25,7 +26,7 @@
 // audit record. Its row stays, marked as removed, so that an instance that
 // applies only newer rows learns of the removal and none brings it back. A
 // pool that entries use is ErrInUse, also when an entry that uses it is
-// added meanwhile.
+// added meanwhile; a customer with keys likewise.
 func Remove(ctx context.Context, c *platform.Client, key, author string, now time.Time) error {
 	remove := func() ([]platform.Op, error) { return removal(ctx, c, key, author, now) }
 	for range removeTries {
@@ -68,16 +69,19 @@
 	return []platform.Op{put, audit}, err
 }
 
-// users returns the names of the entries that use the pool with the given
-// key, sorted.
+// users returns the names of the entries that use the pool, or are of the customer with
+// keys, that has the given key, sorted.
 func (s Snapshot) users(key string) []string {
-	pool, ok := strings.CutPrefix(key, PoolPrefix)
-	if !ok {
-		return nil
+	uses := func(Entry) bool { return false }
+	if pool, ok := strings.CutPrefix(key, PoolPrefix); ok {
+		uses = func(e Entry) bool { return e.Pool == pool }
+	}
+	if name, ok := strings.CutPrefix(key, CustomerPrefix); ok && len(s.Customers[name].KeyDigests) > 0 {
+		uses = func(e Entry) bool { return e.Owner == name }
 	}
 	var out []string
 	for _, name := range slices.Sorted(maps.Keys(s.Entries)) {
-		if e := s.Entries[name]; e.Pool == pool && !e.Removed {
+		if e := s.Entries[name]; uses(e) && !e.Removed {
 			out = append(out, name)
 		}
 	}
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -29,6 +29,28 @@
 	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
 }
 
+// WithKey returns a Client like c that shows an API key with each request.
+func (c *Client) WithKey(key string) *Client {
+	hc := *c.server.HTTP
+	hc.Transport = keyed{hc.Transport, key}
+	return &Client{server: httpjson.NewClient(c.server.Base, &hc)}
+}
+
+// keyed adds a key to requests.
+type keyed struct {
+	next http.RoundTripper // nil for the default
+	key  string
+}
+
+func (k keyed) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set(KeyHeader, k.key)
+	if k.next == nil {
+		return http.DefaultTransport.RoundTrip(r)
+	}
+	return k.next.RoundTrip(r)
+}
+
 // Answer is what a generation came to. It is whole if Last has Done set;
 // else Last tells the error and whether the generation may have run.
 type Answer struct {
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -37,6 +37,9 @@
 func (in *Instance) admitted(r *http.Request, req request, run func(context.Context, *View, catalogue.Entry) error) error {
 	v := in.View()
 	customer, name := req.target()
+	if err := in.authorize(r, customer); err != nil {
+		return err
+	}
 	e, release, err := in.admit(v, customer, name)
 	if err != nil {
 		return err
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -47,6 +47,10 @@
 		in.fail(w, verdict.New(verdict.NotRun, http.StatusNotFound, fmt.Errorf("route: no customer %q in the catalogue", customer)))
 		return
 	}
+	if err := in.authorize(r, customer); err != nil {
+		in.fail(w, err)
+		return
+	}
 	members := near(in.View().Routable(), r.URL.Query().Get("data_centre"))
 	if len(members) == 0 {
 		members = []Member{in.self} // membership not read yet: answer for ourselves
--- a/pkg/entry/steps.go
+++ b/pkg/entry/steps.go
@@ -38,7 +38,11 @@
 		in.fail(w, err)
 		return
 	}
-	head, err := in.acceptStep(r.Context(), spec)
+	err := in.authorize(r, spec.Customer)
+	var head step.Head
+	if err == nil {
+		head, err = in.acceptStep(r.Context(), spec)
+	}
 	if err != nil {
 		in.fail(w, err)
 		return
@@ -123,6 +127,10 @@
 
 // serveStepStatus answers GET /v1/steps/{customer}/{entry}/{id}.
 func (in *Instance) serveStepStatus(w http.ResponseWriter, r *http.Request) {
+	if err := in.authorize(r, r.PathValue("customer")); err != nil {
+		in.fail(w, err)
+		return
+	}
 	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
 	head, _, err := step.ReadHead(r.Context(), in.cfg.Platform, key)
 	if err != nil {
@@ -140,6 +148,10 @@
 // serveStepCancel answers DELETE /v1/steps/{customer}/{entry}/{id}: 204 once
 // the step is closed, also if it was before.
 func (in *Instance) serveStepCancel(w http.ResponseWriter, r *http.Request) {
+	if err := in.authorize(r, r.PathValue("customer")); err != nil {
+		in.fail(w, err)
+		return
+	}
 	key := step.Key(r.PathValue("customer"), r.PathValue("entry"), r.PathValue("id"))
 	closed, err := step.Close(r.Context(), in.cfg.Platform, key, step.Cancelled, in.cfg.Clock.Now())
 	if err != nil {
--- a/pkg/entry/weights.go
+++ b/pkg/entry/weights.go
@@ -28,7 +28,11 @@
 		in.fail(w, err)
 		return
 	}
-	if err := in.nameWeights(r.Context(), req); err != nil {
+	err := in.authorize(r, req.Customer)
+	if err == nil {
+		err = in.nameWeights(r.Context(), req)
+	}
+	if err != nil {
 		in.fail(w, err)
 		return
 	}
