--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -100,12 +100,25 @@
 	n.cfg.Logger.Info("submission kept", "submission", s.ID, "items", len(s.Items), "min_version", s.MinVersion, "owner", o.Owner, "took", time.Since(begun))
 	n.heads.set(o)
 	if err := kept(o, s); err != nil {
+		n.dropSpec(context.WithoutCancel(ctx), s)
 		return err
 	}
 	n.tell(ctx, accepted{o, s})
 	return nil
 }
 
+// dropSpec deletes what was written of a submission that is not kept.
+func (n *Node) dropSpec(ctx context.Context, s submission.Spec) {
+	n.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(ctx, storeTime)
+		defer cancel()
+		if err := n.log.DropSpec(ctx, s); err != nil {
+			n.cfg.Logger.Warn("refused submission not dropped", "submission", s.ID, "err", err)
+		}
+		return nil
+	})
+}
+
 // whileReached returns a context for calls of the store that a caller waits for. It
 // does not end when the caller leaves, as what has begun may be kept, but when no way
 // leads to the store: another instance may have one, and a caller that waited here for
--- a/pkg/submission/log.go
+++ b/pkg/submission/log.go
@@ -169,6 +169,12 @@
 	return s, nil
 }
 
+// DropSpec deletes what Accept wrote of a submission that is not kept, as another
+// customer's has its ID.
+func (l Log) DropSpec(ctx context.Context, s Spec) error {
+	return l.Store.DeleteObject(ctx, specName(s.ID, s.Customer))
+}
+
 // Results reads up to limit results from position on.
 func (l Log) Results(ctx context.Context, id string, position, limit int) ([]Result, error) {
 	page, err := l.Store.ScanFrom(ctx, resultsPrefix(id), resultKey(id, position), limit)
