--- /dev/null
+++ b/pkg/customer/customer_test.go
@@ -0,0 +1,158 @@
+package customer_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/customer"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 60) }
+
+func entry(name string, keys ...string) customer.Entry {
+	e := customer.Entry{Customer: customer.Customer{Name: name}}
+	for _, k := range keys {
+		e.Keys = append(e.Keys, customer.DigestOf(k))
+	}
+	return e
+}
+
+// A key finds the customer who has it in that version of the index, whatever other
+// versions have or had, and nobody else.
+func TestFind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var versions []*customer.Index
+		var owners []map[string]string // of keys, by version
+		for range rapid.IntRange(1, 5).Draw(t, "versions") {
+			owner, keys := map[string]string{}, map[string][]string{}
+			for k := range 12 {
+				if c := rapid.IntRange(-1, 4).Draw(t, "owner"); c >= 0 {
+					key, name := fmt.Sprintf("key%d", k), fmt.Sprintf("c%d", c)
+					owner[key], keys[name] = name, append(keys[name], key)
+				}
+			}
+			var entries []customer.Entry
+			for name, ks := range keys {
+				entries = append(entries, entry(name, ks...))
+			}
+			x, err := customer.NewIndex(entries)
+			if err != nil {
+				t.Fatal(err)
+			}
+			versions, owners = append(versions, x), append(owners, owner)
+		}
+		for i, x := range versions {
+			for k := range 12 {
+				key := fmt.Sprintf("key%d", k)
+				got, ok := x.Find(key)
+				if want, has := owners[i][key]; ok != has || got.Name != want {
+					t.Fatalf("version %d: %s is %q, want %q", i, key, got.Name, want)
+				}
+			}
+			for _, other := range []string{"", "c0", "key", "key1 "} {
+				if c, ok := x.Find(other); ok {
+					t.Fatalf("%q is a key of %s", other, c.Name)
+				}
+			}
+		}
+	})
+}
+
+func TestBadEntries(t *testing.T) {
+	for what, entries := range map[string][]customer.Entry{
+		"no name":      {entry("", "k")},
+		"one name":     {entry("a", "k"), entry("a", "l")},
+		"one key":      {entry("a", "k"), entry("b", "k")},
+		"one of a few": {entry("a", "k", "l"), entry("b", "m", "l")},
+	} {
+		if _, err := customer.NewIndex(entries); err == nil {
+			t.Errorf("%s: no error", what)
+		}
+	}
+	if _, err := customer.NewIndex([]customer.Entry{entry("a", "k", "k")}); err != nil {
+		t.Errorf("a key that a customer has twice: %v", err)
+	}
+}
+
+// A site without customers has nobody; one with none knows no key.
+func TestNobody(t *testing.T) {
+	empty, err := customer.NewIndex(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*customer.Index{nil, empty} {
+		if _, ok := x.Find("k"); ok {
+			t.Error("found by a key")
+		}
+		if _, ok := x.Named("a"); ok || x.Size() != 0 {
+			t.Error("found by a name")
+		}
+	}
+}
+
+func TestCompare(t *testing.T) {
+	before, err := customer.NewIndex([]customer.Entry{entry("gone", "g"), entry("kept", "k", "l"), entry("rotated", "r"), entry("more", "m")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	urgent := entry("kept", "l", "k")
+	urgent.Priority = option.Some(0)
+	after, err := customer.NewIndex([]customer.Entry{urgent, entry("rotated", "s"), entry("more", "m", "n"), entry("new", "x")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := after.Compare(before)
+	if !slices.Equal(d.Added, []string{"new"}) || !slices.Equal(d.Removed, []string{"gone"}) || !slices.Equal(d.Rekeyed, []string{"more", "rotated"}) {
+		t.Errorf("%+v", d)
+	}
+	if d := after.Compare(after); !d.Empty() {
+		t.Errorf("the same: %+v", d)
+	}
+	if d := before.Compare(nil); len(d.Added) != 4 {
+		t.Errorf("against none: %+v", d)
+	}
+	if c, _ := after.Named("kept"); c.Priority.Or(7) != 0 {
+		t.Errorf("priority %d", c.Priority.Or(7))
+	}
+}
+
+// A digest shows nothing of itself in logs.
+func TestDigestIsHidden(t *testing.T) {
+	d := customer.DigestOf("k")
+	for _, s := range []string{fmt.Sprint(d), fmt.Sprintf("%v %s", entry("a", "k"), d)} {
+		if strings.Contains(s, fmt.Sprintf("%x", d[:4])) || strings.Contains(s, fmt.Sprint(d[0], " ", d[1])) {
+			t.Errorf("a digest is shown: %s", s)
+		}
+	}
+}
+
+// maxFind bounds what a request's key adds to it, in nanoseconds: a hundredth of a
+// request's processor time at an instance.
+const maxFind = 20_000
+
+func BenchmarkFind(b *testing.B) {
+	entries := make([]customer.Entry, 10_000)
+	for i := range entries {
+		entries[i] = entry(fmt.Sprintf("c%d", i), fmt.Sprintf("key%d", i))
+	}
+	x, err := customer.NewIndex(entries)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		if _, ok := x.Find(entries[n%len(entries)].Name); ok {
+			b.Fatal("a name is a key")
+		}
+	}
+	if each := float64(b.Elapsed().Nanoseconds()) / float64(b.N); b.N > 100 && each > maxFind {
+		b.Errorf("%.0f ns a key, want %d at the most", each, maxFind)
+	}
+}
