--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -41,8 +41,7 @@
 )
 
 // duties makes the calls to the cloud while this instance holds the lease of orders.
-// One lease serves all duties: its holder is among the first to be replaced, and a
-// second one would cost as many calls of the store again.
+// One lease serves all duties: a second one would cost as many calls of the store again.
 type duties struct {
 	node    *Node
 	ledger  usage.Ledger
