node: a holder that lost its lease and took it again while it worked sends nothing more

Found by reading: the time to wait after taking the lease was looked at when a round of work begins, and a round can last seconds where the store is slow and the cloud silent. Had the lease gone to another and come back meanwhile, the rest of the round would have gone out under the new token without the wait, though the other may have acted in between. Each call now wants the lease that the round began under.

--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -46,7 +46,7 @@
 	node    *Node
 	ledger  usage.Ledger
 	billing usage.Billing
-	begun   uint64 // fencing token under which billing was begun; 0 for none
+	since   time.Time // when the lease was taken under which work is done; zero for none
 	plans   map[string]*scaling.Plan
 	wake    clock.Wakeup // the lease was taken, or lost
 }
@@ -70,8 +70,6 @@
 		if since := d.node.orders.heldSince(); !since.IsZero() {
 			wait = dutyPeriod
 			d.work(ctx, since)
-		} else {
-			d.begun = 0
 		}
 		d.wake.Wait(ctx, wait)
 	}
@@ -85,15 +83,15 @@
 	if now.Sub(since) < d.node.cfg.LeaseTime || d.node.draining.Load() {
 		return
 	}
-	if d.begun == 0 && !d.begin(ctx, now) {
+	if !d.since.Equal(since) && !d.begin(ctx, since, now) {
 		return
 	}
 	d.bill(ctx)
 	d.scale(ctx)
 }
 
-// begin takes up what holders before have left.
-func (d *duties) begin(ctx context.Context, now time.Time) bool {
+// begin takes up what holders before have left, as the holder since a time.
+func (d *duties) begin(ctx context.Context, since, now time.Time) bool {
 	n := d.node
 	lctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
@@ -104,8 +102,8 @@
 	}
 	d.billing.Begin(left, n.begunAt, now)
 	d.plans = map[string]*scaling.Plan{}
-	d.begun = n.orders.current().Fencing
-	n.cfg.Logger.Info("duties taken up", "fencing", d.begun, "reports", len(left))
+	d.since = since
+	n.cfg.Logger.Info("duties taken up", "fencing", n.orders.current().Fencing, "reports", len(left))
 	return true
 }
 
@@ -190,12 +188,13 @@
 	return true
 }
 
-// call makes a call to the cloud under the lease as it is held now. A refusal for
-// another's fencing token ends the holding.
+// call makes a call to the cloud under the lease as it is held now. If it was lost and
+// taken again since work began, another may have acted meanwhile, and nothing is sent. A
+// refusal for another's fencing token ends the holding.
 func (d *duties) call(ctx context.Context, f func(context.Context, Holder) error) error {
 	n := d.node
 	held := n.orders.current()
-	if held.Fencing == 0 || !time.Now().Before(orderUntil(held).Add(-orderMargin)) {
+	if held.Fencing == 0 || !n.orders.heldSince().Equal(d.since) || !time.Now().Before(orderUntil(held).Add(-orderMargin)) {
 		return errTooLate
 	}
 	cctx, cancel := context.WithTimeout(ctx, dutyCall)
