node: lines of upstreams that come and go are bounded

Cause: each instance logged a line for each upstream that registered, left or changed its state.

Now ten a second, with the number skipped in the next line, as for requests and items.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -26,6 +26,11 @@
 		what   string
 		fields []any
 	}
+	// upstreamNote is a note of an upstream's entry.
+	upstreamNote struct {
+		what   string
+		fields []any
+	}
 	setTable     struct{ table *routetable.Table }
 	setNamed     struct{ versions map[string]uint64 }
 	setUpstreams struct{ entries []upstream.Entry }
@@ -64,6 +69,10 @@
 
 func (e note) carryOut(_ context.Context, n *Node) { n.cfg.Logger.Info(e.what, e.fields...) }
 
+func (e upstreamNote) carryOut(_ context.Context, n *Node) {
+	n.observer.line(n.observer.upstreams, false, e.what, e.fields...)
+}
+
 func (e setTable) carryOut(_ context.Context, n *Node) {
 	n.table.Store(e.table)
 	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.Routes())
--- a/pkg/node/entries.go
+++ b/pkg/node/entries.go
@@ -55,11 +55,11 @@
 	}
 	e, err := s.decoder.Entry(row)
 	if err != nil {
-		return s.entryGone(id, at), []effect{note{"entry not usable", []any{"upstream", id, "err", err}}}
+		return s.entryGone(id, at), []effect{upstreamNote{"entry not usable", []any{"upstream", id, "err", err}}}
 	}
 	delete(s.missing, id)
 	if !known || !old.SameStart(e) || old.Draining != e.Draining {
-		notes = []effect{note{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}}}
+		notes = []effect{upstreamNote{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}}}
 	}
 	s.entries[id], s.entryRows[id] = e, row
 	return !known || !old.Equal(e), notes
@@ -93,7 +93,7 @@
 			continue
 		}
 		s.dropEntry(id)
-		effs = append(effs, note{"upstream gone", []any{"upstream", id}})
+		effs = append(effs, upstreamNote{"upstream gone", []any{"upstream", id}})
 	}
 	if len(effs) == 0 {
 		return nil
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -17,23 +17,25 @@
 
 // Lines a second of each kind. An instance's usual load is a few requests a
 // second and, where it owns a submission, some tens of items; a line costs
-// about 20 µs.
+// about 20 µs. Upstreams come and go by the thousand where a large site starts.
 const (
-	failureLines = 40
-	requestLines = 15
-	itemLines    = 25
+	failureLines  = 40
+	requestLines  = 15
+	itemLines     = 25
+	upstreamLines = 10
 )
 
 // observer counts and logs what happens to requests and items.
 type observer struct {
-	node     *Node
-	failures *logs.Budget
-	requests *logs.Budget
-	items    *logs.Budget
+	node      *Node
+	failures  *logs.Budget
+	requests  *logs.Budget
+	items     *logs.Budget
+	upstreams *logs.Budget
 }
 
 func newObserver(n *Node) *observer {
-	return &observer{node: n, failures: logs.NewBudget(failureLines), requests: logs.NewBudget(requestLines), items: logs.NewBudget(itemLines)}
+	return &observer{node: n, failures: logs.NewBudget(failureLines), requests: logs.NewBudget(requestLines), items: logs.NewBudget(itemLines), upstreams: logs.NewBudget(upstreamLines)}
 }
 
 func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(1) }
