upstream, node: a change of an upstream costs what changes, not what is there

Cause: one change of one entry had the control state copy all entries, the registry make all of its pools anew, sorted, under the lock that requests wait for, and each request for a model look at all upstreams of its pool, twice (who is slow is compared among all). An instance kept three copies of each entry, the raw row among them.

Now the state hands the registry what changed; a model's upstreams are looked up once for each deal; slowness compares the upstreams whose pace is known; one copy of an entry and of texts and versions that thousands of entries have alike; nothing is kept of upstreams that an instance does not use. Heartbeats are told by a digest instead of the last row.

TestSameEntry became TestEntryDigest with the same rows: the function that it tested is gone, its successor must tell the same ones apart.

--- a/pkg/health/pace.go
+++ b/pkg/health/pace.go
@@ -63,13 +63,6 @@
 	p.paces[addr] = pace{perToken: perToken, at: now}
 }
 
-// Any reports whether any pace has been observed.
-func (p *Paces) Any() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.paces) > 0
-}
-
 // Slowness returns, for each of addrs, how many times the usual time it takes,
 // that of the lower quartile: 1 for those not slow and those not known, which are never held
 // against each other.
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -33,8 +33,11 @@
 	}
 	setTable     struct{ table *routetable.Table }
 	setNamed     struct{ versions map[string]uint64 }
-	setUpstreams struct{ entries []upstream.Entry }
-	setMembers   struct {
+	setUpstreams struct {
+		changes upstream.Changes
+		total   int // upstreams that there are
+	}
+	setMembers struct {
 		live *membership.Roster
 		rows int // of live and lapsed members
 		// current means that callers may be told of live.
@@ -80,7 +83,7 @@
 
 func (e setNamed) carryOut(_ context.Context, n *Node) { n.named.Store(&e.versions) }
 
-func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Set(e.entries) }
+func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Apply(e.changes) }
 
 func (e setMembers) carryOut(_ context.Context, n *Node) {
 	if st := n.standing.Load(); st == nil || st.roster != e.live {
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -52,7 +52,7 @@
 		case releaseRun:
 			out = append(out, "release "+e.ID)
 		case setUpstreams:
-			out = append(out, fmt.Sprintf("upstreams %d", len(e.entries)))
+			out = append(out, fmt.Sprintf("upstreams %d", e.total))
 		case writeAudit:
 			for _, c := range e.changes {
 				out = append(out, fmt.Sprintf("audit %d", c.Version))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,10 +50,10 @@
 	Entry         func(platform.Row) (upstream.Entry, error)
 	// WithoutKeys returns a row of the operator's without callers' keys.
 	WithoutKeys func(platform.Row) platform.Row
-	// SameEntry reports whether two rows of one upstream tell the same Entry,
-	// without reading them whole: nearly all writes are heartbeats that change
-	// nothing else. It may report false for rows that do. Nil for never.
-	SameEntry func(old, new platform.Row) bool
+	// EntryDigest returns the same number for rows of one upstream that tell the same
+	// Entry, without reading them whole: nearly all writes are heartbeats that change
+	// nothing else. It returns 0 for a row that is to be read. Nil for always 0.
+	EntryDigest func(platform.Row) uint64
 }
 
 // Reach tells whether a way leads to the store.
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -7,10 +7,8 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
-	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
-	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -81,10 +79,9 @@
 	retryAt map[string]time.Time // of adoptions that failed
 	running map[string]bool      // submissions that run here or are being adopted
 
-	entries   map[string]upstream.Entry
-	entryRows map[string]platform.Row // that entries were read from
-	missing   map[string]time.Time    // entries that are gone, and kept until then
-	graceTill time.Time               // entries that go until then may come back
+	entries   map[string]registered
+	missing   map[string]time.Time // entries that are gone, and kept until then
+	graceTill time.Time            // entries that go until then may come back
 
 	named map[string]uint64  // newest weight version, by model
 	lag   map[string]uint64  // how many versions behind it requests accept, by model
@@ -111,7 +108,7 @@
 func newState(name, start string, d Decoder, keepFor time.Duration) *state {
 	return &state{name: name, start: start, decoder: d, keepFor: keepFor, members: membership.NewView(),
 		heads: map[string]submission.Owned{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
-		entries: map[string]upstream.Entry{}, entryRows: map[string]platform.Row{}, missing: map[string]time.Time{},
+		entries: map[string]registered{}, missing: map[string]time.Time{},
 		named: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, dealt: map[string]float64{}, read: map[string]bool{}, awaySince: map[string]time.Time{}}
 }
 
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -245,7 +246,7 @@
 // anew does.
 func TestHeartbeatsPublishNothing(t *testing.T) {
 	d := decoder
-	d.SameEntry = func(old, new platform.Row) bool { return string(old.Value) == string(new.Value) }
+	d.EntryDigest = func(r platform.Row) uint64 { return uint64(len(r.Value)) + uint64(r.Value[0])<<8 }
 	d.Entry = func(r platform.Row) (upstream.Entry, error) {
 		return upstream.Entry{ID: strings.TrimPrefix(r.Key, entries+"//"), Pool: "p", Address: "10.0.0.1:1", Draining: strings.Contains(string(r.Value), "leaves")}, nil
 	}
@@ -275,6 +276,35 @@
 	}
 }
 
+// What an upstream's change costs does not grow with the upstreams that there are.
+func TestUpdateCostsWhatChanges(t *testing.T) {
+	d := decoder
+	d.EntryDigest = func(r platform.Row) uint64 { return uint64(r.Value[0]) }
+	d.Entry = func(r platform.Row) (upstream.Entry, error) {
+		return upstream.Entry{ID: strings.TrimPrefix(r.Key, entries+"//"), Pool: "p", Address: "10.0.0.1:1", Draining: r.Value[0] == 'd'}, nil
+	}
+	bytes := map[int]uint64{}
+	for _, n := range []int{1000, 10_000} {
+		s, now := node.NewState("a", "a#1", d), start()
+		var all []platform.Change
+		for i := range n {
+			all = append(all, entry(fmt.Sprint(i), "r", uint64(i+1)))
+		}
+		s.Update(feed.Update{Table: entries, At: now, Reset: true, Changes: all})
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range 100 {
+			s.Update(feed.Update{Table: entries, At: now, Changes: []platform.Change{entry(fmt.Sprint(i), "d", uint64(n+i+1))}})
+		}
+		runtime.ReadMemStats(&after)
+		bytes[n] = (after.TotalAlloc - before.TotalAlloc) / 100
+	}
+	t.Logf("bytes allocated for a change: %v", bytes)
+	if bytes[10_000] > 2*bytes[1000] {
+		t.Errorf("a change takes %d bytes among 1,000 upstreams and %d among 10,000", bytes[1000], bytes[10_000])
+	}
+}
+
 // A submission whose run has written every result is not run again while the
 // feed has not told yet that it is complete.
 func TestCompleteIsNotRunAgain(t *testing.T) {
--- /dev/null
+++ b/pkg/upstream/changes_test.go
@@ -0,0 +1,112 @@
+package upstream_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m, 1000) }
+
+// allocated returns how many bytes f allocates in the mean of some calls.
+func allocated(f func(i int)) float64 {
+	const calls = 50
+	var before, after runtime.MemStats
+	f(0) // what is made once
+	runtime.ReadMemStats(&before)
+	for i := range calls {
+		f(i + 1)
+	}
+	runtime.ReadMemStats(&after)
+	return float64(after.TotalAlloc-before.TotalAlloc) / calls
+}
+
+// engines returns n engines of a pool.
+func engines(n int) []upstream.Entry {
+	es := make([]upstream.Entry, n)
+	for i := range es {
+		es[i] = upstream.Entry{ID: fmt.Sprintf("i-%05d", i), Pool: "p", Address: "10.0.0.1:1", Slots: 6, DataCentre: "z1", Versions: map[string]uint64{"m": 3}}
+	}
+	return es
+}
+
+// A change of an entry costs the same among a thousand upstreams and among ten thousand,
+// and so does a request for a model that is dealt some of them.
+func TestCostGrowsWithChangesAndParts(t *testing.T) {
+	change, request := map[int]float64{}, map[int]float64{}
+	for _, n := range []int{1000, 10_000} {
+		r := upstream.NewRegistry("z1")
+		es := engines(n)
+		r.Set(es)
+		change[n] = allocated(func(i int) {
+			e := es[i]
+			e.Draining = i%2 == 0
+			r.Apply(upstream.Changes{Put: []*upstream.Entry{&e}})
+		})
+		part := make([]string, 40)
+		for i := range part {
+			part[i] = es[i*7].ID
+		}
+		r.SetParts(map[string][]string{"m": part})
+		request[n] = allocated(func(int) {
+			ticket, ok := r.Acquire(upstream.Want{Pool: "p", Model: "m", MinVersion: 3, At: start()})
+			if !ok {
+				t.Fatal("no room")
+			}
+			ticket.Done(upstream.Report{At: start(), Pace: time.Millisecond})
+		})
+	}
+	t.Logf("bytes allocated: a change %v, a request %v", change, request)
+	for what, by := range map[string]map[int]float64{"a change": change, "a request": request} {
+		if by[10_000] > 1.5*by[1000]+100 {
+			t.Errorf("%s takes %.0f bytes among 1,000 upstreams and %.0f among 10,000", what, by[1000], by[10_000])
+		}
+	}
+}
+
+// Whatever becomes of entries, a registry that takes the changes tells the same as one
+// that is given all entries anew.
+func TestChangesTellWhatAllEntriesWould(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		changed, set := upstream.NewRegistry("z1"), upstream.NewRegistry("z1")
+		there := map[string]upstream.Entry{}
+		for range rapid.IntRange(1, 30).Draw(t, "updates") {
+			var c upstream.Changes
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				e := upstream.Entry{ID: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"), Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"),
+					Address: "10.0.0.1:1", Slots: rapid.IntRange(1, 2).Draw(t, "slots"), Draining: rapid.Bool().Draw(t, "draining"), Born: rapid.Int64Range(1, 2).Draw(t, "born")}
+				if rapid.Bool().Draw(t, "gone") {
+					c.Gone = append(c.Gone, e.ID)
+					c.Put = slices.DeleteFunc(c.Put, func(p *upstream.Entry) bool { return p.ID == e.ID })
+					delete(there, e.ID)
+					continue
+				}
+				c.Gone = slices.DeleteFunc(c.Gone, func(id string) bool { return id == e.ID })
+				c.Put = append(c.Put, &e)
+				there[e.ID] = e
+			}
+			changed.Apply(c)
+			var all []upstream.Entry
+			for _, e := range there {
+				all = append(all, e)
+			}
+			set.Set(all)
+			for _, pool := range []string{"p", "q"} {
+				if a, b := fmt.Sprint(changed.Entries(pool)), fmt.Sprint(set.Entries(pool)); a != b {
+					t.Fatalf("by changes %s, by all entries %s", a, b)
+				}
+				ids, slots := changed.Staying(pool)
+				if want, n := set.Staying(pool); !slices.Equal(ids, want) || slots != n {
+					t.Fatalf("staying by changes %v with %d slots, by all entries %v with %d", ids, slots, want, n)
+				}
+			}
+		}
+	})
+}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -38,16 +38,46 @@
 
 	mu    sync.Mutex
 	byID  map[string]*known
-	pools map[string][]*known // in order of ID
-	parts map[string]part     // by model
+	pools map[string]*pool
+	parts map[string]*part // by model
+}
+
+// pool is the upstreams of one pool.
+type pool struct {
+	members []*known        // in order of ID
+	paced   map[string]bool // IDs of those of which a pace has been observed
+	staying *staying        // nil if it is to be worked out
+}
+
+// staying is the upstreams of a pool that do not leave.
+type staying struct {
+	ids   []string // in order
+	slots int      // of all
 }
 
 // part is the upstreams that a model is dealt.
-type part map[string]bool
+type part struct {
+	ids     []string
+	members []*known // of ids, those that there are; nil if they are to be looked up
+}
+
+// Changes are what became of upstreams' entries.
+type Changes struct {
+	Put  []*Entry // new, or changed; not changed any more
+	Gone []string // IDs
+	// Reset means that Put holds all entries.
+	Reset bool
+}
 
-// known is one upstream.
+// known is one upstream. Of the thousands of a large site an instance uses a few, and
+// has nothing to keep of the others.
 type known struct {
-	Entry
+	*Entry        // not changed; shared with who told it
+	use    *usage // nil while nothing has been sent to it
+}
+
+// usage is what an instance knows of an upstream that it has sent requests to.
+type usage struct {
 	inFlight  int // of this process
 	others    int // requests of others, when last told
 	othersAt  time.Time
@@ -56,37 +86,135 @@
 	asking    bool      // such a request is under way
 	askedAt   time.Time // whether it still holds an old version
 	gone      bool      // another upstream has its address
+	// confirmed are the versions that answers have shown, by model.
 	confirmed map[string]uint64
 }
 
+// unused is the usage of upstreams that nothing has been sent to. It is not changed.
+var unused usage
+
+// seen returns what is known of k, not to be changed.
+func (k *known) seen() *usage {
+	if k.use == nil {
+		return &unused
+	}
+	return k.use
+}
+
+// used returns what is known of k, to be changed.
+func (k *known) used() *usage {
+	if k.use == nil {
+		k.use = &usage{}
+	}
+	return k.use
+}
+
 // NewRegistry returns an empty Registry of an instance in dataCentre.
 func NewRegistry(dataCentre string) *Registry {
-	return &Registry{dataCentre: dataCentre, byID: map[string]*known{}, pools: map[string][]*known{},
+	return &Registry{dataCentre: dataCentre, byID: map[string]*known{}, pools: map[string]*pool{},
 		health: health.NewTracker(health.Config{Failures: 2, EjectFor: firstEjection, MaxEjectFor: maxEjection}),
 		paces:  health.NewPaces(0)}
 }
 
-// Set replaces the upstreams by entries. What is known of one that has
-// started again under its ID is forgotten.
+// Set replaces the upstreams by entries.
 func (r *Registry) Set(entries []Entry) {
+	c := Changes{Reset: true}
+	for _, e := range entries {
+		c.Put = append(c.Put, &e)
+	}
+	r.Apply(c)
+}
+
+// Apply takes up changes of entries, at a cost that grows with them and not with
+// the upstreams that there are. What is known of one that has started again under its
+// ID is forgotten.
+func (r *Registry) Apply(c Changes) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byID := make(map[string]*known, len(entries))
-	pools := map[string][]*known{}
+	if c.Reset {
+		r.keepOnly(c.Put)
+	}
+	for _, id := range c.Gone {
+		r.remove(id)
+	}
+	for _, e := range c.Put {
+		r.put(e)
+	}
+}
+
+// keepOnly removes the upstreams that are not among entries.
+func (r *Registry) keepOnly(entries []*Entry) {
+	kept := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		k := r.byID[e.ID]
-		if k == nil || !k.SameStart(e) {
-			k = &known{confirmed: map[string]uint64{}}
-			r.health.Succeeded(e.ID)
+		kept[e.ID] = true
+	}
+	for id := range r.byID {
+		if !kept[id] {
+			r.remove(id)
+		}
+	}
+}
+
+func (r *Registry) put(e *Entry) {
+	k := r.byID[e.ID]
+	if k != nil && k.SameStart(*e) {
+		if k.Draining != e.Draining || k.Slots != e.Slots {
+			r.pools[e.Pool].staying = nil
 		}
 		k.Entry = e
-		byID[e.ID] = k
-		pools[e.Pool] = append(pools[e.Pool], k)
+		return
+	}
+	r.remove(e.ID)
+	r.health.Succeeded(e.ID)
+	k = &known{Entry: e}
+	r.byID[e.ID] = k
+	p := r.pools[e.Pool]
+	if p == nil {
+		p = &pool{paced: map[string]bool{}}
+		r.pools[e.Pool] = p
+	}
+	i, _ := p.find(e.ID)
+	p.members = slices.Insert(p.members, i, k)
+	p.staying = nil
+	r.forgetMembers()
+}
+
+func (r *Registry) remove(id string) {
+	k := r.byID[id]
+	if k == nil {
+		return
+	}
+	delete(r.byID, id)
+	p := r.pools[k.Pool]
+	if i, found := p.find(id); found {
+		p.members = slices.Delete(p.members, i, i+1)
+	}
+	p.staying = nil
+	delete(p.paced, id)
+	if len(p.members) == 0 {
+		delete(r.pools, k.Pool)
+	}
+	r.forgetMembers()
+}
+
+// find returns where the upstream with an ID stands among p's members, or would.
+func (p *pool) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(p.members, id, func(k *known, id string) int { return strings.Compare(k.ID, id) })
+}
+
+// members returns the upstreams of a pool.
+func (r *Registry) members(name string) []*known {
+	if p := r.pools[name]; p != nil {
+		return p.members
 	}
-	for _, ks := range pools {
-		slices.SortFunc(ks, func(a, b *known) int { return strings.Compare(a.ID, b.ID) })
+	return nil
+}
+
+// forgetMembers has the members of parts looked up again.
+func (r *Registry) forgetMembers() {
+	for _, p := range r.parts {
+		p.members = nil
 	}
-	r.byID, r.pools = byID, pools
 }
 
 // SetParts tells which upstreams each model is dealt, by ID. Requests for a model
@@ -95,14 +223,27 @@
 func (r *Registry) SetParts(parts map[string][]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.parts = make(map[string]part, len(parts))
+	r.parts = make(map[string]*part, len(parts))
 	for model, ids := range parts {
-		p := make(part, len(ids))
-		for _, id := range ids {
-			p[id] = true
+		r.parts[model] = &part{ids: ids}
+	}
+}
+
+// dealt returns the upstreams of a pool that a model is dealt.
+func (r *Registry) dealt(model, pool string) []*known {
+	p := r.parts[model]
+	if p == nil {
+		return nil
+	}
+	if p.members == nil {
+		p.members = make([]*known, 0, len(p.ids))
+		for _, id := range p.ids {
+			if k := r.byID[id]; k != nil && k.Pool == pool {
+				p.members = append(p.members, k)
+			}
 		}
-		r.parts[model] = p
 	}
+	return p.members
 }
 
 // Entries returns the upstreams of a pool, in order of ID, with the weight
@@ -110,8 +251,9 @@
 func (r *Registry) Entries(pool string) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]Entry, 0, len(r.pools[pool]))
-	for _, k := range r.pools[pool] {
+	ks := r.members(pool)
+	out := make([]Entry, 0, len(ks))
+	for _, k := range ks {
 		out = append(out, k.entry())
 	}
 	return out
@@ -129,34 +271,43 @@
 }
 
 // Staying returns the IDs of a pool's upstreams that do not leave, in order, and
-// how many requests they serve at once together.
+// how many requests they serve at once together. The IDs are not to be changed.
 func (r *Registry) Staying(pool string) (ids []string, slots int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, k := range r.pools[pool] {
-		if !k.Draining {
-			ids = append(ids, k.ID)
-			slots += k.Slots
+	p := r.pools[pool]
+	if p == nil {
+		return nil, 0
+	}
+	if p.staying == nil {
+		p.staying = &staying{}
+		for _, k := range p.members {
+			if !k.Draining {
+				p.staying.ids = append(p.staying.ids, k.ID)
+				p.staying.slots += k.Slots
+			}
 		}
 	}
-	return ids, slots
+	return p.staying.ids, p.staying.slots
 }
 
 // entry returns k's entry with the weight versions that answers have shown since.
 func (k *known) entry() Entry {
-	e := k.Entry
+	e := *k.Entry
 	e.Versions = k.versions()
 	return e
 }
 
 // version returns the newest version of a model that k is known to hold.
-func (k *known) version(model string) uint64 { return max(k.Versions[model], k.confirmed[model]) }
+func (k *known) version(model string) uint64 {
+	return max(k.Versions[model], k.seen().confirmed[model])
+}
 
 // versions returns the newest weight versions that k is known to hold. The map
 // may be the entry's own, which nobody changes.
 func (k *known) versions() map[string]uint64 {
 	var newer map[string]uint64
-	for m, n := range k.confirmed {
+	for m, n := range k.seen().confirmed {
 		if n <= k.Versions[m] {
 			continue
 		}
@@ -190,10 +341,11 @@
 		return nil, false
 	}
 	k := ks[i]
-	k.inFlight++
-	k.asking = k.doubted
+	u := k.used()
+	u.inFlight++
+	u.asking = u.doubted
 	if w.Outdated {
-		k.askedAt = w.At
+		u.askedAt = w.At
 	}
 	r.health.Trying(k.ID, w.At)
 	return &Ticket{Entry: k.entry(), registry: r, known: k}, true
@@ -202,21 +354,22 @@
 // usablePart returns the upstreams that may take a request: of those that its
 // model is dealt if there are any.
 func (r *Registry) usablePart(w Want) []*known {
-	p := r.parts[w.Model]
-	if len(p) == 0 {
-		return r.usableOf(w, func(*known) bool { return true })
+	dealt := r.parts[w.Model] != nil && len(r.parts[w.Model].ids) > 0
+	if !dealt {
+		return r.usableOf(w, r.members(w.Pool))
 	}
-	own := r.usableOf(w, func(k *known) bool { return p[k.ID] })
+	own := r.usableOf(w, r.dealt(w.Model, w.Pool))
 	if len(own) > 0 || w.Outdated {
 		return own // others are not moved to the model's versions
 	}
-	return r.usableOf(w, func(*known) bool { return true })
+	return r.usableOf(w, r.members(w.Pool))
 }
 
-func (r *Registry) usableOf(w Want, among func(*known) bool) []*known {
-	out := make([]*known, 0, len(r.pools[w.Pool]))
-	for _, k := range r.pools[w.Pool] {
-		if among(k) && r.usable(k, w) {
+// usableOf returns those of ks that may take a request.
+func (r *Registry) usableOf(w Want, ks []*known) []*known {
+	out := make([]*known, 0, len(ks))
+	for _, k := range ks {
+		if r.usable(k, w) {
 			out = append(out, k)
 		}
 	}
@@ -228,23 +381,23 @@
 	slowness := r.slowness(w.Pool, w.At)
 	out := make([]Candidate, 0, len(ks))
 	for _, k := range ks {
-		out = append(out, Candidate{ID: k.ID, Load: k.load(w.At), InFlight: k.inFlight, Slots: max(k.Slots, 1),
+		out = append(out, Candidate{ID: k.ID, Load: k.load(w.At), InFlight: k.seen().inFlight, Slots: max(k.Slots, 1),
 			Slowness: max(slowness[k.ID], 1), Near: k.DataCentre == r.dataCentre})
 	}
 	return out
 }
 
 // slowness returns, by ID, how many times the usual time the upstreams of a pool
-// take, of those that take longer. All of them are compared, so that those that
-// may take a request are not taken for usual when all of them are slow.
+// take, of those that take longer. All whose pace is known are compared, so that those
+// that may take a request are not taken for usual when all of them are slow.
 func (r *Registry) slowness(pool string, now time.Time) map[string]float64 {
-	if !r.paces.Any() {
+	p := r.pools[pool]
+	if p == nil || len(p.paced) == 0 {
 		return nil
 	}
-	ks := r.pools[pool]
-	ids := make([]string, len(ks))
-	for i, k := range ks {
-		ids[i] = k.ID
+	ids := make([]string, 0, len(p.paced))
+	for id := range p.paced {
+		ids = append(ids, id)
 	}
 	out := map[string]float64{}
 	for i, times := range r.paces.Slowness(ids, now) {
@@ -256,24 +409,26 @@
 }
 
 func (r *Registry) usable(k *known, w Want) bool {
+	u := k.seen()
 	switch {
-	case k.Draining, k.gone, k.asking, w.At.Before(k.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
+	case k.Draining, u.gone, u.asking, w.At.Before(u.busyUntil), slices.Contains(w.Except, k.ID), !r.health.Usable(k.ID, w.At):
 		return false
 	case w.Model == "":
 		return true
 	case w.Outdated:
 		v := k.version(w.Model)
-		return v < w.MinVersion && v+askWithin >= w.MinVersion && w.At.Sub(k.askedAt) >= askAgainAfter
+		return v < w.MinVersion && v+askWithin >= w.MinVersion && w.At.Sub(u.askedAt) >= askAgainAfter
 	}
 	return k.version(w.Model) >= w.MinVersion
 }
 
 // load returns how many requests k is believed to hold.
 func (k *known) load(now time.Time) int {
-	if now.Sub(k.othersAt) > loadBelief {
-		return k.inFlight
+	u := k.seen()
+	if now.Sub(u.othersAt) > loadBelief {
+		return u.inFlight
 	}
-	return k.inFlight + k.others
+	return u.inFlight + u.others
 }
 
 // Done ends the ticket's request and tells how it went.
@@ -281,7 +436,7 @@
 	r := t.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.known.inFlight--
+	t.known.used().inFlight--
 	r.learn(t.known, rep)
 }
 
@@ -290,8 +445,9 @@
 	r := t.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.known.inFlight--
-	t.known.asking = false
+	u := t.known.used()
+	u.inFlight--
+	u.asking = false
 }
 
 // Better reports whether the ticket's upstream has been from times slower than
@@ -316,22 +472,29 @@
 }
 
 func (r *Registry) learn(k *known, rep Report) {
+	u := k.used()
 	if rep.Load != nil {
-		k.others = max(0, rep.Load.Running+rep.Load.Waiting-k.inFlight)
-		k.othersAt = rep.At
+		u.others = max(0, rep.Load.Running+rep.Load.Waiting-u.inFlight)
+		u.othersAt = rep.At
 	}
-	k.asking = false
+	u.asking = false
 	if rep.Busy {
-		k.busyUntil, k.doubted = rep.BusyUntil, true
+		u.busyUntil, u.doubted = rep.BusyUntil, true
 	} else if !rep.OtherVersion {
-		k.doubted = false
+		u.doubted = false
 	}
-	k.gone = k.gone || rep.Gone
+	u.gone = u.gone || rep.Gone
 	for m, v := range rep.Versions {
-		k.confirmed[m] = max(k.confirmed[m], v)
+		if u.confirmed == nil {
+			u.confirmed = map[string]uint64{}
+		}
+		u.confirmed[m] = max(u.confirmed[m], v)
 	}
 	if rep.Pace > 0 {
 		r.paces.Observe(k.ID, rep.Pace, rep.At)
+		if p := r.pools[k.Pool]; p != nil && r.byID[k.ID] == k {
+			p.paced[k.ID] = true
+		}
 	}
 	switch {
 	case rep.Failed || rep.Unreachable:
