node: engines are dealt where they are used, and planned without listing all

Cause: each change of an entry had every instance deal all engines to the models anew, and the holder of the orders list all engines, with their versions, at each tick. Both grow with instances times engines times their changes.

Now an instance that runs no submission deals when something is sent to a model; the IDs that stay are kept by the registry until one comes or goes; the holder looks up those that a model is dealt.

That idle instances deal nothing: TestIdleInstanceDealsWhenNeeded.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -112,6 +111,7 @@
 	r := submission.NewRunner(n.runnerConfig(), e.Owned, e.spec, e.left)
 	run := &ownRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
 	n.readers.own(e.ID, run)
+	n.dealer.need()
 	n.member.changed()
 	n.cfg.Logger.Info("submission runs", "submission", e.ID, "items", len(e.spec.Items), "listed", len(e.left.Results), "begun", len(e.left.Texts), "fencing", e.Fencing)
 	n.group.Go(func() error {
@@ -225,19 +225,6 @@
 	return spec, out, g.Wait()
 }
 
-func (e dealEngines) carryOut(_ context.Context, n *Node) {
-	t := n.table.Load()
-	if t == nil {
-		return
-	}
-	parts := map[string][]string{}
-	for _, pool := range t.Pools {
-		if len(pool.Models) > 0 {
-			ids, _ := n.registry.Staying(pool.Name)
-			maps.Copy(parts, weights.Partition(ids, ofPool(pool, e.demands)))
-		}
-	}
-	n.registry.SetParts(parts)
-}
+func (e dealEngines) carryOut(_ context.Context, n *Node) { n.dealer.want(e.demands) }
 
 func (e planOrders) carryOut(ctx context.Context, n *Node) { n.orders.plan(ctx, e) }
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -8,6 +8,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
 // State is the control state, for tests.
@@ -94,3 +95,13 @@
 
 // Items returns how many texts of a model may be under way at once.
 func (s State) Items(model string) int { return s.s.itemsAtOnce()[model] }
+
+// Dealer decides when engines are dealt, for tests.
+type Dealer struct{ d *dealer }
+
+func NewDealer(busy func() bool, deal func([]weights.Demand) bool) Dealer {
+	return Dealer{&dealer{busy: busy, deal: deal}}
+}
+
+func (d Dealer) Want(demands []weights.Demand) { d.d.want(demands) }
+func (d Dealer) Need()                         { d.d.need() }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -123,6 +123,7 @@
 	observer *observer
 	member   *memberRow
 	orders   *orderSender
+	dealer   *dealer
 	duties   *duties
 	usage    *teller
 	begunAt  time.Time
@@ -156,6 +157,7 @@
 	n.readers = newReaders(n)
 	n.member = &memberRow{node: n, wake: clock.NewWakeup()}
 	n.orders = newOrderSender(n)
+	n.dealer = newDealer(n)
 	n.duties = newDuties(n)
 	n.usage = newTeller(n)
 	return n
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
-	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -30,21 +29,16 @@
 // planPool gives the orders that are due in one pool, of which a part may load
 // at once.
 func (o *orderSender) planPool(ctx context.Context, p planOrders, pool routetable.Pool, until time.Time, carryOn bool) {
-	byID := map[string]upstream.Entry{}
-	var ids []string
-	for _, e := range o.node.registry.Entries(pool.Name) {
-		byID[e.ID] = e
-		if !e.Draining {
-			ids = append(ids, e.ID)
-		}
-	}
+	ids, _ := o.node.registry.Staying(pool.Name)
 	demands := ofPool(pool, p.demands)
 	parts := weights.Partition(ids, demands)
 	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
 	held := func(d weights.Demand) map[string]uint64 {
 		out := map[string]uint64{}
 		for _, id := range parts[d.Model] {
-			out[id] = byID[id].Versions[d.Model]
+			if e, ok := o.node.registry.Entry(id); ok {
+				out[id] = e.Versions[d.Model]
+			}
 		}
 		return out
 	}
@@ -53,7 +47,10 @@
 		key := pool.Name + "/" + d.Model
 		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
 		for _, ord := range orders {
-			e := byID[ord.Address]
+			e, ok := o.node.registry.Entry(ord.Address)
+			if !ok {
+				continue // it has gone since; its order ends with its time
+			}
 			// Its fencing token will be that of the row that holds its engine's entry.
 			mo := weights.ModelOrder{Model: d.Model, Version: ord.Version, Holder: o.node.cfg.Name, Continue: carryOn}
 			o.ledger.begin(e.ID)
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -64,6 +64,9 @@
 // prompt that it shares, if any.
 func (n *Node) Stream(ctx context.Context, rt routetable.Route, r forward.Request, prompt string, sink forward.Sink) error {
 	begun := time.Now()
+	if r.Model != "" {
+		n.dealer.need()
+	}
 	err := n.forwarder.Stream(ctx, rt, r, prompt, sink)
 	n.observer.request(rt, r, 0, begun, err)
 	return err
--- a/pkg/weights/demand.go
+++ b/pkg/weights/demand.go
@@ -73,9 +73,13 @@
 // the texts of all models can use, each model is dealt what its own can use: each
 // engine that it has loads its versions, and of hundreds most would do so in vain while
 // those that its next step needs wait for their turn; and its work varies from step to
-// step, by a part that is many engines of hundreds.
+// step, by a part that is many engines of hundreds. What it returns may share memory
+// with engines.
 func Partition(engines []string, demands []Demand) map[string][]string {
-	ids := slices.Sorted(slices.Values(engines))
+	ids := engines
+	if !slices.IsSorted(ids) {
+		ids = slices.Sorted(slices.Values(engines))
+	}
 	if out, ok := dealByNeed(ids, demands); ok {
 		return out
 	}
