membership, route: what all members tell with each configuration leaves the roster

Cause: a member's row tells the configuration that it has in force, for operators.

Now a view leaves the configuration out (operators read the rows); a ranking sorts indexes, not members.

TestConfigurationsLeaveTheRoster was seen to fail without the change.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -56,7 +56,8 @@
 	// Cores is how much work it can carry, in processor cores.
 	Cores float64 `json:"cores"`
 	// Configuration is the version of the configuration that it had in force when
-	// it last wrote its row; 0 for none. Operators read it.
+	// it last wrote its row; 0 for none. Operators read it from the rows; a View does
+	// not tell it, as it changes at all members with each configuration.
 	Configuration uint64 `json:"configuration,omitempty"`
 	// Prompt means that the row is renewed so often that callers may be told of
 	// the member.
@@ -197,6 +198,7 @@
 	} else if s.Member, err = decodeMember(row.Key, l); err != nil {
 		return err
 	}
+	s.Configuration = 0
 	s.Prompt = s.ttl <= TTL(toldPeriod)
 	if old == nil || old.Member != s.Member || !v.roster.has(name) || s.lapsesAt().Before(v.validUntil) {
 		v.changed = true
--- a/pkg/membership/roster_test.go
+++ b/pkg/membership/roster_test.go
@@ -103,3 +103,33 @@
 		t.Fatal("the same roster after b has started again")
 	}
 }
+
+// A new configuration, which all members tell of within their renewals, leaves the
+// roster as it is.
+func TestConfigurationsLeaveTheRoster(t *testing.T) {
+	v, now := membership.NewView(), time.Unix(1_800_000_000, 0)
+	put := func(name string, configuration, version uint64) {
+		data, err := json.Marshal(membership.Member{Address: name + ":1", Configuration: configuration})
+		if err != nil {
+			t.Fatal(err)
+		}
+		value, err := json.Marshal(lease.Lease{Holder: name + "#1", Data: data})
+		if err != nil {
+			t.Fatal(err)
+		}
+		row := platform.Row{Key: membership.Key(name), Version: version, Value: value}
+		if err := v.Apply([]platform.Change{{Row: row}}, false, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		put(name, 1, uint64(i+1))
+	}
+	before := v.Roster(now, "a")
+	for i, name := range []string{"a", "b", "c"} {
+		put(name, 2, uint64(i+10))
+		if v.Roster(now, "a") != before {
+			t.Fatalf("another roster after %s has told the new configuration", name)
+		}
+	}
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -82,17 +82,17 @@
 // sortedBy returns items in ascending order of at, which is asked once for each.
 func sortedBy[T any, K cmp.Ordered](items []T, at func(T) K) []T {
 	type placed struct {
-		item T
-		at   K
+		index int32 // of the item, which may be large
+		at    K
 	}
 	all := make([]placed, len(items))
 	for i, it := range items {
-		all[i] = placed{it, at(it)}
+		all[i] = placed{int32(i), at(it)}
 	}
 	slices.SortStableFunc(all, func(a, b placed) int { return cmp.Compare(a.at, b.at) })
 	out := make([]T, len(all))
 	for i, p := range all {
-		out[i] = p.item
+		out[i] = items[p.index]
 	}
 	return out
 }
