feed: a follower goes on from a version, and is not led back to an older table

For instances that follow tables now from the store and now through others: an update tells up to which version the table is known, and a follower begins from one. A whole table that is older than what is known, as a store that has just forgotten its history may answer, is not taken but asked for again: it would have brought back upstreams that had left, until the changes after it were read once more (TestOldTableIsNotTaken).

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -30,10 +31,17 @@
 	// Reset means that Changes hold the whole table.
 	Reset   bool
 	Changes []platform.Change
+	// Version is the one up to which the table is known now.
+	Version uint64
+	// Relayed means that another instance told it, which follows the table.
+	Relayed bool
 	// Err means that the store could not be asked; Changes are empty.
 	Err error
 }
 
+// errOld is told of a table that was read as it was before what is known of it.
+var errOld = errors.New("the table was read as of an earlier time")
+
 // Follower follows one table.
 type Follower struct {
 	Store platform.Follower
@@ -46,6 +54,8 @@
 	// Pause returns the least time between two calls, so that changes in quick
 	// succession are read together; nil for none.
 	Pause func() time.Duration
+	// From is the version up to which the table is known already; 0 for nothing.
+	From uint64
 	// Tell is given each Update, in order.
 	Tell func(Update)
 }
@@ -54,33 +64,40 @@
 func (f *Follower) Run(ctx context.Context) error {
 	backoff := minBackoff
 	failed := func(err error) {
+		if ctx.Err() != nil {
+			return // it was given up here
+		}
 		f.Tell(Update{Table: f.Table, At: time.Now(), Err: err})
 		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
+	version, known := f.From, f.From != 0
 	for ctx.Err() == nil {
-		rows, version, err := f.scan(ctx)
-		if err != nil {
-			failed(err)
-			continue
-		}
-		backoff = minBackoff
-		f.Tell(Update{Table: f.Table, At: time.Now(), Reset: true, Changes: rows})
-		for ctx.Err() == nil {
-			ch, err := f.Store.Changes(ctx, f.Table, version, f.Wait)
-			if errors.Is(err, platform.ErrHistoryGone) {
-				break
+		if !known {
+			rows, scanned, err := f.scan(ctx)
+			if err == nil && scanned < version {
+				err = fmt.Errorf("%w: feed: %s: %w", platform.ErrUnavailable, f.Table, errOld)
 			}
 			if err != nil {
 				failed(err)
 				continue
 			}
-			backoff = minBackoff
-			version = ch.Version
-			f.Tell(Update{Table: f.Table, At: time.Now(), Changes: ch.Rows})
-			if f.Pause != nil {
-				clock.Sleep(ctx, f.Pause())
-			}
+			backoff, version, known = minBackoff, scanned, true
+			f.Tell(Update{Table: f.Table, At: time.Now(), Reset: true, Changes: rows, Version: version})
+		}
+		ch, err := f.Store.Changes(ctx, f.Table, version, f.Wait)
+		switch {
+		case errors.Is(err, platform.ErrHistoryGone):
+			known = false
+			continue
+		case err != nil:
+			failed(err)
+			continue
+		}
+		backoff, version = minBackoff, ch.Version
+		f.Tell(Update{Table: f.Table, At: time.Now(), Changes: ch.Rows, Version: version})
+		if f.Pause != nil {
+			clock.Sleep(ctx, f.Pause())
 		}
 	}
 	return nil
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -22,6 +22,8 @@
 	history []platform.Change
 	version uint64
 	lostTo  uint64
+	old     []platform.Row // what scans tell as of oldAt, unless that is 0
+	oldAt   uint64
 	away    bool
 	scans   int
 }
@@ -51,8 +53,11 @@
 	if t.away {
 		return platform.Page{}, errAway
 	}
-	p := platform.Page{Version: t.version}
-	for _, r := range t.rows {
+	p, rows := platform.Page{Version: t.version}, t.rows
+	if t.oldAt != 0 {
+		p.Version, rows = t.oldAt, t.old
+	}
+	for _, r := range rows {
 		if !strings.HasPrefix(r.Key, prefix) || r.Key < from {
 			continue
 		}
@@ -155,3 +160,56 @@
 		t.Fatalf("%d calls in 1.5 s", tab.scans)
 	}
 }
+
+// A store that has forgotten its history and tells an old table is not followed back.
+func TestOldTableIsNotTaken(t *testing.T) {
+	tab := &table{}
+	tab.put("t/0/a")
+	tab.put("t/0/b")
+	var mu sync.Mutex
+	var told []feed.Update
+	f := feed.Follower{Store: tab, Table: "t", Prefixes: []string{"t/0/"}, Wait: 5 * time.Millisecond, Tell: func(u feed.Update) {
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, u)
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return f.Run(ctx) })
+	defer func() { cancel(); _ = g.Wait() }()
+	resets := func() (n int, last uint64) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, u := range told {
+			if u.Reset {
+				n, last = n+1, u.Version
+			}
+		}
+		return n, last
+	}
+	await := func(what string, ok func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(3 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("not seen: %s", what)
+			}
+		}
+	}
+	await("the table", func() bool { n, _ := resets(); return n == 1 })
+	tab.set(func() {
+		tab.old, tab.oldAt = tab.rows[:1], 1
+		tab.version++
+		tab.lostTo, tab.history = tab.version, nil
+	})
+	await("that it cannot be read", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return errors.Is(told[len(told)-1].Err, platform.ErrUnavailable)
+	})
+	time.Sleep(300 * time.Millisecond)
+	if n, last := resets(); n != 1 {
+		t.Fatalf("told %d tables, the last as of %d", n, last)
+	}
+	tab.set(func() { tab.oldAt = 0 })
+	await("the table as it is", func() bool { n, last := resets(); return n == 2 && last == tab.version })
+}
