node: the tables of a large site are followed through a few instances that read them

Cause: each instance read each heartbeat of each upstream and each renewal of each member, and whole tables at its start and when the store forgot its history. Bytes at the store grow with instances times upstreams: 690 MB a second at 985 and 10,000, worked out, of a link that carries 500.

Now an instance that reads a table of more than 500 rows takes a slot as a relay, or follows one (docs/design/fleet.md): it is told what changes, from the version that it knows, over a connection of its own, with a sign of life each 0.2 s. Smaller sites pay one read of an empty table at an instance's start. Members tell operators what they follow; ctl site lists the relays.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -26,6 +26,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/node"
 	pkgplatform "github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/usage"
+	"github.com/zinnialadder/zinnialadder/pkg/watch"
 	"github.com/zinnialadder/zinnialadder/platform"
 )
 
@@ -112,7 +113,7 @@
 		cloud = platform.NewCloud(s.Cloud)
 	}
 	n := node.New(node.Config{
-		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, PeerAddress: s.Peers, Cores: s.Cores, Store: links, Reach: links, Engines: platform.NewEngines(),
+		Name: s.Node, DataCentre: s.DataCentre, Address: s.Callers, PeerAddress: s.Peers, Cores: s.Cores, Store: links, Reach: links, Dial: watch.Peers, Engines: platform.NewEngines(),
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRow: s.RowBytes, LeaseTime: s.LeaseTime, KeepFor: s.StatusTime, Grace: s.Grace,
 		Cloud: cloud, Calendar: usage.Calendar{Length: s.UsageWindow, Late: s.UsageLate},
 	})
@@ -134,7 +135,7 @@
 	rctx, stopReloading := context.WithCancel(context.Background())
 	defer stopReloading()
 	group.Go(func() error { return reload(rctx, logger, path, store) })
-	links.Serve(rctx, n.Peers)
+	links.Serve(rctx, n.Peers, n)
 	err = n.Run(ctx)
 	stopReloading()
 	sctx, cancel := context.WithTimeout(context.Background(), s.Grace/shutdownShare)
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -18,6 +18,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/usage"
+	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
 // Tables returns the tables that a site's state is in, d being what reads its
@@ -25,6 +26,7 @@
 func Tables(d node.Decoder) []Table {
 	return append(DutyTables(d),
 		Table{Name: node.AuditTable, Prefixes: []string{node.AuditTable + "//"}},
+		Table{Name: watch.Table, Prefixes: []string{watch.Prefix()}},
 		Table{Name: submission.ResultsTable, Prefixes: submission.ResultPrefixes()})
 }
 
@@ -52,6 +54,7 @@
 	Instances     []Instance        `json:"instances"`
 	Upstreams     []upstream.Entry  `json:"upstreams"`
 	Leases        []Lease           `json:"leases"`
+	Relays        []Relay           `json:"relays"`
 	Suspects      []Suspect         `json:"suspects"`
 	Submissions   []Submission      `json:"submissions"`
 	Changes       []node.Change     `json:"changes"`    // of the configuration, the oldest first
@@ -76,10 +79,21 @@
 	DataCentre    string    `json:"data_centre"`
 	Draining      bool      `json:"draining"`
 	Configuration uint64    `json:"configuration"` // version in force there
+	Follows       string    `json:"follows"`       // what it follows the store's tables by
 	RenewedAt     time.Time `json:"renewed_at"`    // by its own clock, as ExpiresAt is
 	ExpiresAt     time.Time `json:"expires_at"`
 }
 
+// Relay is an instance that others follow the store's tables through.
+type Relay struct {
+	DataCentre string `json:"data_centre"`
+	Slot       int    `json:"slot"`
+	Start      string `json:"start"`
+	Address    string `json:"address"`
+	Gone       bool   `json:"gone"`     // its instance is not there, or has started again
+	Watchers   int    `json:"watchers"` // instances whose rows tell that they follow it
+}
+
 // Suspect is a request, by its content, under which upstreams have ended since one
 // answered it.
 type Suspect struct {
@@ -124,6 +138,8 @@
 			err = st.report(r)
 		case node.AuditTable:
 			err = st.change(r)
+		case watch.Table:
+			err = st.relay(r)
 		case submission.HeadsTable:
 			err = st.submission(r)
 		case submission.ResultsTable:
@@ -136,6 +152,7 @@
 	for i := range st.Submissions {
 		st.Submissions[i].Results = results[st.Submissions[i].ID]
 	}
+	st.countWatchers()
 	slices.SortFunc(st.Submissions, func(a, b Submission) int { return a.AcceptedAt.Compare(b.AcceptedAt) })
 	return st
 }
@@ -198,7 +215,7 @@
 		return err
 	}
 	st.Instances = append(st.Instances, Instance{Name: m.Name, Start: m.Start, Address: m.Address, DataCentre: m.DataCentre,
-		Draining: m.Draining, Configuration: m.Configuration, RenewedAt: l.RenewedAt, ExpiresAt: l.ExpiresAt})
+		Draining: m.Draining, Configuration: m.Configuration, Follows: m.Follows, RenewedAt: l.RenewedAt, ExpiresAt: l.ExpiresAt})
 	return nil
 }
 
@@ -210,6 +227,26 @@
 	return err
 }
 
+func (st *State) relay(r Row) error {
+	at, err := watch.Decode(r.row())
+	if err == nil {
+		st.Relays = append(st.Relays, Relay{DataCentre: at.DataCentre, Slot: at.Slot, Start: at.Start, Address: at.Address})
+	}
+	return err
+}
+
+// countWatchers fills in what instances' rows tell of relays.
+func (st *State) countWatchers() {
+	starts, watchers := map[string]bool{}, map[string]int{}
+	for _, in := range st.Instances {
+		starts[in.Start] = true
+		watchers[in.Follows]++
+	}
+	for i, r := range st.Relays {
+		st.Relays[i].Gone, st.Relays[i].Watchers = !starts[r.Start], watchers[r.Address]
+	}
+}
+
 func (st *State) report(r Row) error {
 	rep, err := usage.DecodeReport(r.row())
 	if err == nil {
@@ -240,11 +277,14 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "configuration\tversion %d, %d routes, %d customers, pools %s\n", st.Configuration.Version, st.Configuration.Routes, st.Configuration.Customers, strings.Join(st.Configuration.Pools, " "))
 	for _, in := range st.Instances {
-		fmt.Fprintf(t, "instance %s\t%s\t%s\tconfiguration %d\tdraining %t\trenewed %s\n", in.Name, in.Address, in.DataCentre, in.Configuration, in.Draining, in.RenewedAt.UTC().Format(time.TimeOnly))
+		fmt.Fprintf(t, "instance %s\t%s\t%s\tconfiguration %d\tdraining %t\trenewed %s\tfollows %s\n", in.Name, in.Address, in.DataCentre, in.Configuration, in.Draining, in.RenewedAt.UTC().Format(time.TimeOnly), in.Follows)
 	}
 	for _, e := range st.Upstreams {
 		fmt.Fprintf(t, "upstream %s\t%s\t%s\tpool %s\tdraining %t\tversions %v\n", e.ID, e.Address, e.DataCentre, e.Pool, e.Draining, e.Versions)
 	}
+	for _, r := range st.Relays {
+		fmt.Fprintf(t, "relay %s/%d\t%s\t%s\tfollowed by %d\tgone %t\n", r.DataCentre, r.Slot, r.Start, r.Address, r.Watchers, r.Gone)
+	}
 	for _, l := range st.Leases {
 		fmt.Fprintf(t, "lease %s\theld by %s\tfencing %d\n", l.Name, l.Holder, l.Fencing)
 	}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -59,6 +59,9 @@
 	// it last wrote its row; 0 for none. Operators read it from the rows; a View does
 	// not tell it, as it changes at all members with each configuration.
 	Configuration uint64 `json:"configuration,omitempty"`
+	// Follows is what it follows the store's tables by, as its row told last: its relay's
+	// address, or that it reads them itself. Operators read it, as Configuration.
+	Follows string `json:"follows,omitempty"`
 	// Prompt means that the row is renewed so often that callers may be told of
 	// the member.
 	Prompt bool `json:"-"`
@@ -117,6 +120,8 @@
 	version   uint64
 	ttl       time.Duration // how long the row may stand unchanged
 	changedAt time.Time
+	// told means that another instance told it, which judges whether it has lapsed.
+	told, lapsed bool
 }
 
 // lapsesAt returns when s is taken for gone.
@@ -185,7 +190,7 @@
 // tell nothing new of their member, which leave the roster as it is.
 func (v *View) put(name string, row platform.Row, at time.Time) error {
 	old := v.members[name]
-	if old != nil && old.version == row.Version {
+	if old != nil && !old.told && old.version == row.Version {
 		return nil
 	}
 	l, err := lease.Decode(row)
@@ -198,8 +203,11 @@
 	} else if s.Member, err = decodeMember(row.Key, l); err != nil {
 		return err
 	}
-	s.Configuration = 0
+	s.Configuration, s.Follows = 0, ""
 	s.Prompt = s.ttl <= TTL(toldPeriod)
+	if old != nil && old.lapsed && old.version == row.Version {
+		s.changedAt = at.Add(-s.ttl) // it has not been renewed since
+	}
 	if old == nil || old.Member != s.Member || !v.roster.has(name) || s.lapsesAt().Before(v.validUntil) {
 		v.changed = true
 	}
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -53,7 +53,7 @@
 	v.changed, v.madeBy, v.madeFor, v.validUntil = false, self, now, now.Add(forever)
 	var live []Member
 	for _, s := range v.members {
-		if own != nil && !now.Before(s.lapsesAt()) {
+		if s.lapsed || own != nil && !now.Before(s.lapsesAt()) {
 			continue
 		}
 		live = append(live, s.Member)
--- a/pkg/membership/roster_test.go
+++ b/pkg/membership/roster_test.go
@@ -104,12 +104,12 @@
 	}
 }
 
-// A new configuration, which all members tell of within their renewals, leaves the
-// roster as it is.
+// A new configuration, which all members tell of within their renewals, and another relay,
+// leave the roster as it is.
 func TestConfigurationsLeaveTheRoster(t *testing.T) {
 	v, now := membership.NewView(), time.Unix(1_800_000_000, 0)
 	put := func(name string, configuration, version uint64) {
-		data, err := json.Marshal(membership.Member{Address: name + ":1", Configuration: configuration})
+		data, err := json.Marshal(membership.Member{Address: name + ":1", Configuration: configuration, Follows: fmt.Sprintf("relay%d", configuration)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/node/addresses.go
+++ b/pkg/node/addresses.go
@@ -80,7 +80,7 @@
 	if n.readers.owning() > 0 {
 		return membership.Owner
 	}
-	if st := n.standing.Load(); st != nil && st.standby {
+	if st := n.standing.Load(); n.follower.Relays() || st != nil && st.standby {
 		return membership.Told
 	}
 	return membership.Idle
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -82,7 +82,10 @@
 
 func (e setNamed) carryOut(_ context.Context, n *Node) { n.named.Store(&e.versions) }
 
-func (e setUpstreams) carryOut(_ context.Context, n *Node) { n.registry.Apply(e.changes) }
+func (e setUpstreams) carryOut(_ context.Context, n *Node) {
+	n.registry.Apply(e.changes)
+	n.upstreams.Store(int64(e.total))
+}
 
 func (e setMembers) carryOut(_ context.Context, n *Node) {
 	if st := n.standing.Load(); st == nil || st.roster != e.live {
@@ -104,7 +107,16 @@
 
 func (e setOpenItems) carryOut(_ context.Context, n *Node) { n.openItems.Store(&e.items) }
 
-func (leave) carryOut(_ context.Context, n *Node) { n.member.leave() }
+// carryOut also has those who follow tables through this instance look for another.
+func (leave) carryOut(ctx context.Context, n *Node) {
+	n.member.leave()
+	n.group.Go(func() error {
+		if err := n.follower.Leave(ctx); err != nil {
+			n.cfg.Logger.Debug("slot of a relay not given up", "err", err)
+		}
+		return nil
+	})
+}
 
 func (e startRun) carryOut(ctx context.Context, n *Node) {
 	rctx, cancel := context.WithCancel(ctx)
--- a/pkg/node/feeds.go
+++ b/pkg/node/feeds.go
@@ -7,6 +7,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
 const (
@@ -37,21 +38,37 @@
 	headsPause          = 40 * time.Millisecond
 	headsPausePerMember = time.Millisecond
 	idleHeadsPause      = 250 * time.Millisecond
+
+	// relayPause is the least time between two reads of a table by an instance that
+	// others follow it through: there are few of these.
+	relayPause = 50 * time.Millisecond
+
+	// crowdedRows is from how many rows on a table is not to be read by each instance:
+	// more than the store answers at once.
+	crowdedRows = 500
 )
 
-// followAll follows the tables of the store that an instance knows its site by.
-func (n *Node) followAll(ctx context.Context) {
+// newFollower returns what follows the tables that an instance knows its site by.
+func newFollower(n *Node) *watch.Follower {
 	d := n.cfg.Decoder
-	n.follow(ctx, d.OperatorTable, []string{d.OperatorTable + "//"}, configurationWait, nil)
-	n.follow(ctx, d.EntriesTable, []string{d.EntriesTable + "//"}, entriesWait, n.pause(entriesPause))
-	n.follow(ctx, membership.Table, []string{membership.Prefix()}, membersWait, n.pause(membersPause))
-	n.follow(ctx, submission.HeadsTable, submission.HeadPrefixes(), headsWait, n.headsPause)
-}
-
-func (n *Node) follow(ctx context.Context, table string, prefixes []string, wait time.Duration, pause func() time.Duration) {
-	f := feed.Follower{Store: n.cfg.Store, Table: table, Prefixes: prefixes, Wait: wait, Pause: pause,
-		Tell: func(u feed.Update) { n.tell(ctx, u) }}
-	n.group.Go(func() error { return f.Run(ctx) })
+	return watch.New(watch.Config{
+		Start: n.start, DataCentre: n.cfg.DataCentre, Address: n.cfg.PeerAddress, Cores: n.cfg.Cores, Store: n.cfg.Store, Dial: n.cfg.Dial,
+		Tables: []watch.TableConfig{
+			{Name: d.OperatorTable, Prefixes: []string{d.OperatorTable + "//"}, Wait: configurationWait, Urgent: true},
+			{Name: d.EntriesTable, Prefixes: []string{d.EntriesTable + "//"}, Wait: entriesWait, Pause: n.pause(entriesPause), RelayPause: relayPause, Digest: d.EntryDigest},
+			{Name: membership.Table, Prefixes: []string{membership.Prefix()}, Wait: membersWait, Pause: n.pause(membersPause), RelayPause: relayPause, Derived: true},
+			{Name: submission.HeadsTable, Prefixes: submission.HeadPrefixes(), Wait: headsWait, Pause: n.headsPause, RelayPause: headsPause},
+		},
+		Crowded: func() bool { return max(n.upstreams.Load(), n.member.rows.Load()) > crowdedRows },
+		Live: func(start string) (live, known bool) {
+			st := n.standing.Load()
+			return st != nil && st.roster.HasStart(start), st != nil
+		},
+		Tell:    func(ctx context.Context, u feed.Update) { n.tell(ctx, u) },
+		Group:   func(f func() error) { n.group.Go(f) },
+		Draw:    draw,
+		Observe: n.observer.source,
+	})
 }
 
 // pause returns the least time between two calls for a table that changes with
--- a/pkg/node/member.go
+++ b/pkg/node/member.go
@@ -61,7 +61,7 @@
 func (m *memberRow) write(ctx context.Context, held lease.Lease) lease.Lease {
 	n := m.node
 	data, err := json.Marshal(membership.Member{Address: n.cfg.Address, PeerAddress: n.cfg.PeerAddress, DataCentre: n.cfg.DataCentre, Cores: n.cfg.Cores, Draining: m.left.Load(),
-		Configuration: n.configurationVersion()})
+		Configuration: n.configurationVersion(), Follows: n.follower.Source().String()})
 	if err != nil {
 		n.cfg.Logger.Error("member row", "err", err)
 		return lease.Lease{}
--- a/pkg/node/members.go
+++ b/pkg/node/members.go
@@ -13,7 +13,12 @@
 func (s *state) onMembers(u feed.Update, away bool, since time.Time) []effect {
 	var effs []effect
 	q := quarantine.Split(u.Changes, QuarantinePrefix())
-	if err := s.members.Apply(q.Others, u.Reset, u.At); err != nil {
+	s.relayed.learn(u.Changes, u.Reset)
+	apply := s.members.Apply
+	if u.Relayed {
+		apply = s.members.ApplyRelayed
+	}
+	if err := apply(q.Others, u.Reset, u.At); err != nil {
 		effs = append(effs, note{"member not understood", []any{"err", err}})
 	}
 	if u.Reset || len(q.Rows) > 0 || len(q.Unreadable) > 0 {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/usage"
+	"github.com/zinnialadder/zinnialadder/pkg/watch"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -81,15 +82,18 @@
 	// PeerAddress is where other instances connect; empty for nowhere.
 	PeerAddress string
 	Store       platform.Store
-	Reach       Reach // nil for a store that is never lost
-	Engines     Engines
-	Decoder     Decoder
-	Logger      *log.Logger
-	Metrics     metrics.Registry // counters and timers; nil for ones that nobody reads
-	MaxRow      int              // largest value of a row of the store, in bytes
-	LeaseTime   time.Duration    // holders of orders must not alternate within it
-	KeepFor     time.Duration    // submissions are kept so long after their acceptance; 0 for ever
-	Grace       time.Duration    // from the request to stop until the process is killed
+	// Dial opens a link to another instance to follow tables through it; nil if each
+	// instance reads them from the store.
+	Dial      watch.Dial
+	Reach     Reach // nil for a store that is never lost
+	Engines   Engines
+	Decoder   Decoder
+	Logger    *log.Logger
+	Metrics   metrics.Registry // counters and timers; nil for ones that nobody reads
+	MaxRow    int              // largest value of a row of the store, in bytes
+	LeaseTime time.Duration    // holders of orders must not alternate within it
+	KeepFor   time.Duration    // submissions are kept so long after their acceptance; 0 for ever
+	Grace     time.Duration    // from the request to stop until the process is killed
 	// Cloud takes the site's reports of use and orders of engines; nil for none.
 	Cloud Cloud
 	// Calendar is that of the reports of use; zero if none are wanted.
@@ -124,6 +128,8 @@
 	member   *memberRow
 	orders   *orderSender
 	dealer   *dealer
+	follower *watch.Follower
+	told     toldMembers
 	duties   *duties
 	usage    *teller
 	begunAt  time.Time
@@ -132,6 +138,8 @@
 	reachedAt atomic.Int64
 	// openItems are the texts of open submissions, by pool.
 	openItems atomic.Pointer[map[string]int]
+	// upstreams is how many upstreams there are.
+	upstreams atomic.Int64
 	// quarantine is what is known of requests that crash upstreams.
 	quarantine *quarantine.Keeper
 	named      atomic.Pointer[map[string]uint64]
@@ -160,6 +168,8 @@
 	n.dealer = newDealer(n)
 	n.duties = newDuties(n)
 	n.usage = newTeller(n)
+	n.follower = newFollower(n)
+	n.told = toldMembers{}
 	return n
 }
 
@@ -172,7 +182,7 @@
 	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	n.cfg.Logger.Info("start", "start", n.start, "address", n.cfg.Address)
-	n.followAll(ctx)
+	n.group.Go(func() error { return n.follower.Run(ctx) })
 	n.group.Go(func() error { return n.member.keep(ctx) })
 	n.group.Go(func() error { return n.orders.keep(ctx) })
 	n.group.Go(func() error { return n.duties.keep(ctx) })
@@ -206,7 +216,7 @@
 		select {
 		case ev = <-n.events:
 		case at := <-ticker.C:
-			ev = tick{At: at}
+			ev = tick{At: at, Relays: n.follower.Relays()}
 			if at.Sub(gaugedAt) >= gaugePeriod {
 				gaugedAt = at
 				n.observer.state(s)
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
 // Lines a second of each kind. An instance's usual load is a few requests a
@@ -133,6 +134,16 @@
 	o.line(budget, s.Err != nil, s.What, fields...)
 }
 
+// source is told of each change of what the tables are followed by.
+func (o *observer) source(e watch.Event) {
+	if e.Err != nil {
+		o.line(o.failures, true, "relays", "err", e.Err)
+		return
+	}
+	o.count("watch.sources_taken")
+	o.node.cfg.Logger.Info("tables followed by", "source", e.Source.Kind, "relay", e.Source.Relay, "why", e.Why, "away", e.Away)
+}
+
 // runEnded is told how a submission's run here ended: one line tells what its last
 // item waited for.
 func (o *observer) runEnded(h submission.Head, s submission.Summary, err error) {
@@ -161,6 +172,7 @@
 	o.gauge("configuration.version", int64(o.node.configurationVersion()))
 	o.gauge("orders.fencing_token_held", int64(o.node.orders.current().Fencing))
 	o.gauge("store.tables_away", int64(len(s.awaySince)))
+	o.gauge("watch.watchers", int64(o.node.follower.Watchers()))
 	contents, quarantined := o.node.quarantine.Guard.Sizes()
 	o.gauge("quarantine.contents", int64(contents))
 	o.gauge("quarantine.refused_contents", int64(quarantined))
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -35,8 +35,11 @@
 
 // Events, beside feed.Update.
 type (
-	// tick tells the time.
-	tick struct{ At time.Time }
+	// tick tells the time, and whether other instances follow tables through this one.
+	tick struct {
+		At     time.Time
+		Relays bool
+	}
 	// accepted tells that this instance has accepted a submission.
 	accepted struct {
 		submission.Owned
@@ -74,6 +77,7 @@
 
 	members *membership.View
 	ranks   ranks
+	relayed relayedMembers
 	heads   map[string]submission.Owned
 	orphans map[string]time.Time // open submissions without a live owner, since when
 	retryAt map[string]time.Time // of adoptions that failed
@@ -118,7 +122,7 @@
 	case feed.Update:
 		return s.onUpdate(e)
 	case tick:
-		return s.onTick(e.At)
+		return append(s.onTick(e.At), s.relay(e)...)
 	case accepted:
 		return s.onAccepted(e)
 	case adopted:
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -20,12 +20,16 @@
 const dialTimeout = time.Second
 
 // yamuxConfig finds and closes a session that has gone silent within two of its
-// keepalives.
+// keepalives. With 0 there are none: who uses the session finds out.
 func yamuxConfig(keepAlive time.Duration) *yamux.Config {
 	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	if keepAlive == 0 {
+		c.EnableKeepAlive = false
+		return c
+	}
 	c.KeepAliveInterval = keepAlive
 	c.ConnectionWriteTimeout = keepAlive
-	c.LogOutput = io.Discard
 	return c
 }
 
@@ -69,7 +73,7 @@
 	if p.session != nil && !p.session.IsClosed() {
 		return p.session, nil
 	}
-	session, err := s.dial(ctx, addr)
+	session, err := dial(ctx, addr, s.keepAlive)
 	if err != nil {
 		return nil, err
 	}
@@ -77,13 +81,13 @@
 	return session, nil
 }
 
-func (s *Sessions) dial(ctx context.Context, addr string) (*yamux.Session, error) {
+func dial(ctx context.Context, addr string, keepAlive time.Duration) (*yamux.Session, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(conn, yamuxConfig(s.keepAlive))
+	session, err := yamux.Client(conn, yamuxConfig(keepAlive))
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/pkg/peer/storeserver.go
+++ b/pkg/peer/storeserver.go
@@ -25,12 +25,13 @@
 	ping  func(context.Context) error // whether it is
 	start func(func() error)
 	room  chan struct{}
+	watch WatchServer // nil for none
 }
 
 // NewStoreServer returns a StoreServer for store as this instance reaches it
-// itself. start starts a goroutine of the instance's group.
-func NewStoreServer(store platform.Store, ping func(context.Context) error, start func(func() error)) *StoreServer {
-	return &StoreServer{store: store, ping: ping, start: start, room: make(chan struct{}, maxRelayed)}
+// itself. watch answers those who watch tables, nil for nobody. start starts a goroutine of the instance's group.
+func NewStoreServer(store platform.Store, ping func(context.Context) error, watch WatchServer, start func(func() error)) *StoreServer {
+	return &StoreServer{store: store, ping: ping, watch: watch, start: start, room: make(chan struct{}, maxRelayed)}
 }
 
 // Serve serves the one call of a stream. A caller that closes the stream takes its
@@ -47,6 +48,10 @@
 		_, _ = io.Copy(io.Discard, stream) // until it is closed at either end
 		return nil
 	})
+	if w := call.GetWatch(); w != nil && s.watch != nil {
+		serveWatch(ctx, s.watch, w, stream)
+		return
+	}
 	// An answer that cannot be written is one that nobody waits for.
 	_, _ = protodelim.MarshalTo(stream, s.answer(ctx, call))
 }
--- a/pkg/storepath/links.go
+++ b/pkg/storepath/links.go
@@ -15,6 +15,11 @@
 // store only, so that they cost nothing otherwise.
 const keepAlive = 500 * time.Millisecond
 
+// acceptedKeepAlive is how often a session that a peer has opened is probed: peers find
+// out themselves that this instance is gone, and one that has gone is to be noticed only
+// some time.
+const acceptedKeepAlive = 5 * time.Second
+
 // LinksConfig configures Links.
 type LinksConfig struct {
 	Listen string // IP:port where peers connect; empty for nowhere
@@ -72,9 +77,10 @@
 	})
 }
 
-// Serve looks after the way to the store and makes calls for peers, until ctx ends.
-// peers returns the addresses of the peers to ask, as in Config.
-func (l *Links) Serve(ctx context.Context, peers func() []string) {
+// Serve looks after the way to the store, makes calls for peers and has watch answer
+// those who watch tables, until ctx ends. peers returns the addresses of the peers to
+// ask, as in Config.
+func (l *Links) Serve(ctx context.Context, peers func() []string, watch peer.WatchServer) {
 	l.peers = peers
 	l.cfg.Start(func() error { return l.Run(ctx) })
 	context.AfterFunc(ctx, l.sessions.Close)
@@ -82,6 +88,6 @@
 		return
 	}
 	context.AfterFunc(ctx, func() { l.listener.Close() })
-	server := peer.NewStoreServer(l.cfg.Direct, l.cfg.Ping, l.cfg.Start)
-	l.cfg.Start(func() error { return peer.Accept(ctx, l.listener, keepAlive, l.cfg.Start, server.Serve) })
+	server := peer.NewStoreServer(l.cfg.Direct, l.cfg.Ping, watch, l.cfg.Start)
+	l.cfg.Start(func() error { return peer.Accept(ctx, l.listener, acceptedKeepAlive, l.cfg.Start, server.Serve) })
 }
--- a/pkg/storepath/ping_test.go
+++ b/pkg/storepath/ping_test.go
@@ -102,7 +102,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	links.Serve(ctx, func() []string { return nil })
+	links.Serve(ctx, func() []string { return nil }, nil)
 	t.Cleanup(func() {
 		cancel()
 		_ = group.Wait() // its functions end with ctx
