membership, node: a change of the members costs a pass over them, not rankings

Cause: each change of who is there had each instance copy and sort all members and rank them twice. Where hundreds start, stop in turn or come back together there are up to ten such changes a second at each of them.

Now members are kept in order of name and shared by rosters; where an instance stands is worked out when it is asked for, by counting who comes before it; a ranking is made only where callers are told addresses or work gets an owner.

TestBeforeIsTheRank, TestStandbysKnowThemselves hold the new ways against the old; TestRelayedMembersAreThoseOfTheReader holds what is told through relays against what the reader knows.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -106,6 +106,7 @@
 // concurrent use.
 type View struct {
 	members map[string]*seen
+	names   []string // of members, in order
 	roster  *Roster // as last made
 	// What roster tells holds for the instance named madeBy from madeFor on and
 	// before validUntil, unless what members' rows tell has changed since.
@@ -115,7 +116,7 @@
 }
 
 type seen struct {
-	Member
+	*Member                   // not changed
 	data      json.RawMessage // what Member was read from
 	version   uint64
 	ttl       time.Duration // how long the row may stand unchanged
@@ -124,6 +125,15 @@
 	told, lapsed bool
 }
 
+// same returns m, as s holds it already if it does: rosters are told apart by their
+// members' addresses in memory. s may be nil.
+func (s *seen) same(m Member) *Member {
+	if s != nil && *s.Member == m {
+		return s.Member
+	}
+	return &m
+}
+
 // lapsesAt returns when s is taken for gone.
 func (s *seen) lapsesAt() time.Time { return s.changedAt.Add(s.ttl) }
 
@@ -163,10 +173,21 @@
 }
 
 func (v *View) remove(name string) {
+	if i, found := slices.BinarySearch(v.names, name); found {
+		v.names = slices.Delete(v.names, i, i+1)
+	}
 	delete(v.members, name)
 	v.changed = true
 }
 
+// set keeps what is known of the member named name.
+func (v *View) set(name string, s *seen) {
+	if i, found := slices.BinarySearch(v.names, name); !found {
+		v.names = slices.Insert(v.names, i, name)
+	}
+	v.members[name] = s
+}
+
 // Decode returns the member that row tells of, and the lease that the row is.
 func Decode(row platform.Row) (Member, lease.Lease, error) {
 	l, err := lease.Decode(row)
@@ -198,20 +219,24 @@
 		return err
 	}
 	s := &seen{data: l.Data, version: row.Version, ttl: l.TTL(TTL(minPeriod)), changedAt: at}
-	if old != nil && old.Start == l.Holder && bytes.Equal(old.data, l.Data) {
+	prompt := s.ttl <= TTL(toldPeriod)
+	if old != nil && old.Start == l.Holder && old.Prompt == prompt && bytes.Equal(old.data, l.Data) {
 		s.Member = old.Member
-	} else if s.Member, err = decodeMember(row.Key, l); err != nil {
-		return err
+	} else {
+		m, err := decodeMember(row.Key, l)
+		if err != nil {
+			return err
+		}
+		m.Configuration, m.Follows, m.Prompt = 0, "", prompt
+		s.Member = old.same(m)
 	}
-	s.Configuration, s.Follows = 0, ""
-	s.Prompt = s.ttl <= TTL(toldPeriod)
 	if old != nil && old.lapsed && old.version == row.Version {
 		s.changedAt = at.Add(-s.ttl) // it has not been renewed since
 	}
 	if old == nil || old.Member != s.Member || !v.roster.has(name) || s.lapsesAt().Before(v.validUntil) {
 		v.changed = true
 	}
-	v.members[name] = s
+	v.set(name, s)
 	return nil
 }
 
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -24,7 +24,7 @@
 	return platform.Change{Row: platform.Row{Key: membership.Key(name), Version: version, Value: value}}
 }
 
-func names(ms []membership.Member) string {
+func names(ms []*membership.Member) string {
 	out := ""
 	for _, m := range ms {
 		out += m.Name
--- a/pkg/membership/relayed.go
+++ b/pkg/membership/relayed.go
@@ -32,7 +32,7 @@
 	live := v.Roster(now, self)
 	out := make([]Relayed, 0, len(v.members))
 	for _, s := range v.members {
-		t := Relayed{Member: s.Member, Start: s.Start, Prompt: s.Prompt}
+		t := Relayed{Member: *s.Member, Start: s.Start, Prompt: s.Prompt}
 		if !live.HasStart(s.Start) {
 			t.Lapsed, t.Version = true, s.version
 		}
@@ -60,7 +60,7 @@
 			continue
 		}
 		t.Member.Name, t.Member.Start, t.Member.Prompt = name, t.Start, t.Prompt
-		v.members[name] = &seen{Member: t.Member, told: true, lapsed: t.Lapsed, version: t.Version, ttl: forever, changedAt: at}
+		v.set(name, &seen{Member: v.members[name].same(t.Member), told: true, lapsed: t.Lapsed, version: t.Version, ttl: forever, changedAt: at})
 	}
 	return first
 }
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -11,30 +11,42 @@
 // the same rows' contents, so that what is derived from one can be kept with it:
 // among hundreds of members renewals come each few milliseconds, and changes rarely.
 type Roster struct {
-	Members []Member // in order of name; not to be changed
-	starts  map[string]bool
+	Members []*Member // in order of name; not to be changed
 }
 
 // NewRoster returns the Roster of members.
-func NewRoster(members []Member) *Roster {
-	r := &Roster{Members: slices.SortedFunc(slices.Values(members), byName), starts: make(map[string]bool, len(members))}
-	for _, m := range members {
-		r.starts[m.Start] = true
-	}
-	return r
+func NewRoster(members []*Member) *Roster {
+	return &Roster{Members: slices.SortedFunc(slices.Values(members), byName)}
 }
 
-func byName(a, b Member) int { return cmp.Compare(a.Name, b.Name) }
+func byName(a, b *Member) int { return cmp.Compare(a.Name, b.Name) }
 
 // HasStart reports whether the instance with the start given is live.
-func (r *Roster) HasStart(start string) bool { return r.starts[start] }
+func (r *Roster) HasStart(start string) bool {
+	i, found := r.find(NameOf(start))
+	return found && r.Members[i].Start == start
+}
+
+// Member returns the live member named name, if there is one.
+func (r *Roster) Member(name string) (*Member, bool) {
+	i, found := r.find(name)
+	if !found {
+		return nil, false
+	}
+	return r.Members[i], true
+}
 
 // has reports whether the member named name is live.
 func (r *Roster) has(name string) bool {
-	_, found := slices.BinarySearchFunc(r.Members, name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+	_, found := r.find(name)
 	return found
 }
 
+// find returns where the member named name stands, or would.
+func (r *Roster) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(r.Members, name, func(m *Member, name string) int { return cmp.Compare(m.Name, name) })
+}
+
 // Roster returns the members that are there at now, as seen by the one named self.
 // While its own row stands unchanged, or is not there, the others may be unable to
 // write theirs as well: the platform's store can serve a part of its tables only. No
@@ -51,8 +63,9 @@
 		return v.roster
 	}
 	v.changed, v.madeBy, v.madeFor, v.validUntil = false, self, now, now.Add(forever)
-	var live []Member
-	for _, s := range v.members {
+	live := make([]*Member, 0, len(v.members))
+	for _, name := range v.names {
+		s := v.members[name]
 		if s.lapsed || own != nil && !now.Before(s.lapsesAt()) {
 			continue
 		}
@@ -61,8 +74,8 @@
 			v.validUntil = s.lapsesAt()
 		}
 	}
-	if made := NewRoster(live); !slices.Equal(made.Members, v.roster.Members) {
-		v.roster = made
+	if !slices.Equal(live, v.roster.Members) {
+		v.roster = &Roster{Members: live}
 	}
 	return v.roster
 }
@@ -71,4 +84,4 @@
 const forever = 24 * time.Hour
 
 // Live returns the members of the Roster at now.
-func (v *View) Live(now time.Time, self string) []Member { return v.Roster(now, self).Members }
+func (v *View) Live(now time.Time, self string) []*Member { return v.Roster(now, self).Members }
--- a/pkg/membership/roster_test.go
+++ b/pkg/membership/roster_test.go
@@ -51,7 +51,7 @@
 				f(fresh)
 			}
 			self := rapid.SampledFrom([]string{"a", "a", "a", "new"}).Draw(t, "self")
-			got, want := fmt.Sprint(kept.Live(now, self)), fmt.Sprint(fresh.Live(now, self))
+			got, want := values(kept.Live(now, self)), values(fresh.Live(now, self))
 			if got != want {
 				t.Fatalf("kept roster %s, a new one %s", got, want)
 			}
@@ -59,6 +59,15 @@
 	})
 }
 
+// values tells the members themselves.
+func values(ms []*membership.Member) string {
+	var out []membership.Member
+	for _, m := range ms {
+		out = append(out, *m)
+	}
+	return fmt.Sprint(out)
+}
+
 func apply(v *membership.View, at time.Time, reset bool, ch platform.Change) {
 	if err := v.Apply([]platform.Change{ch}, reset, at); err != nil {
 		panic(err)
@@ -133,3 +142,61 @@
 		}
 	}
 }
+
+// Whatever becomes of the rows, an instance that is told of the members by one that reads
+// them takes the same ones for live, also when it reads the rows itself again.
+func TestRelayedMembersAreThoseOfTheReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, version := time.Unix(1_800_000_000, 0), uint64(0)
+		reader, told := membership.NewView(), membership.NewView()
+		rows := map[string]platform.Change{}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "after_ms")) * time.Millisecond)
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			version++
+			switch rapid.SampledFrom([]string{"renew", "renew", "renew", "remove", "nothing"}).Draw(t, "event") {
+			case "renew":
+				rows[name] = drawnRow(t, name, version, now)
+				apply(reader, now, false, rows[name])
+			case "remove":
+				delete(rows, name)
+				apply(reader, now, false, platform.Change{Row: platform.Row{Key: membership.Key(name)}, Deleted: true})
+			}
+			var changes []platform.Change
+			for _, m := range reader.Relay(now, "a") {
+				value, err := m.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				changes = append(changes, platform.Change{Row: platform.Row{Key: membership.Key(m.Name), Value: value}})
+			}
+			if err := told.ApplyRelayed(changes, true, now); err != nil {
+				t.Fatal(err)
+			}
+			later := now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "minutes")) * time.Minute)
+			if got, want := values(told.Live(later, "b")), values(reader.Live(now, "a")); got != want {
+				t.Fatalf("told of %s, the reader knows %s", got, want)
+			}
+			if reader.Size() != told.Size() {
+				t.Fatalf("told of %d rows, the reader knows %d", told.Size(), reader.Size())
+			}
+		}
+		// It reads the rows itself from now on: those that had lapsed stay so.
+		lapsed := map[string]bool{}
+		for _, m := range reader.Relay(now, "a") {
+			lapsed[m.Name] = m.Lapsed
+		}
+		var all []platform.Change
+		for _, r := range rows {
+			all = append(all, r)
+		}
+		if err := told.Apply(all, true, now); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range told.Live(now, "a") {
+			if _, there := rows["a"]; there && lapsed[m.Name] {
+				t.Fatalf("%s lives again", m.Name)
+			}
+		}
+	})
+}
--- a/pkg/node/addresses.go
+++ b/pkg/node/addresses.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
 
@@ -35,7 +36,7 @@
 	if st == nil || !n.membersCurrent.Load() {
 		return n.ownAddress()
 	}
-	out := toldAddresses(st.callers, func(m membership.Member) bool { return m.Name == n.cfg.Name && (!n.Ready() || n.cfg.Reach.Lost()) })
+	out := toldAddresses(st.callers(), func(m *membership.Member) bool { return m.Name == n.cfg.Name && (!n.Ready() || n.cfg.Reach.Lost()) })
 	if len(out) == 0 {
 		return n.ownAddress()
 	}
@@ -53,11 +54,11 @@
 // toldAddresses returns the addresses of the members that callers are told, of those
 // ranked for them, without those that except reports: of those that are missed soon
 // after they are gone if there are any, as others may have gone long since.
-func toldAddresses(ranked []membership.Member, except func(membership.Member) bool) []string {
+func toldAddresses(ranked []*membership.Member, except func(*membership.Member) bool) []string {
 	count := toldCount(len(ranked))
 	able := slices.DeleteFunc(slices.Clone(ranked), except)
-	if slices.ContainsFunc(able, func(m membership.Member) bool { return m.Prompt }) {
-		able = slices.DeleteFunc(able, func(m membership.Member) bool { return !m.Prompt })
+	if slices.ContainsFunc(able, func(m *membership.Member) bool { return m.Prompt }) {
+		able = slices.DeleteFunc(able, func(m *membership.Member) bool { return !m.Prompt })
 	}
 	var out []string
 	for _, m := range able[:min(count, len(able))] {
@@ -66,8 +67,11 @@
 	return out
 }
 
-func rankedForCallers(live []membership.Member) []membership.Member {
-	return owners(live, submission.Head{Host: addressKey})
+// callersHead has owners rank the instances that callers are told.
+var callersHead = submission.Head{Host: addressKey}
+
+func rankedForCallers(live []*membership.Member) []*membership.Member {
+	return owners(live, callersHead)
 }
 
 // toldCount returns how many of n instances callers are told.
@@ -80,14 +84,22 @@
 	if n.readers.owning() > 0 {
 		return membership.Owner
 	}
-	if st := n.standing.Load(); n.follower.Relays() || st != nil && st.standby {
+	if st := n.standing.Load(); n.follower.Relays() || st != nil && st.standby() {
 		return membership.Told
 	}
 	return membership.Idle
 }
 
-// standbys returns the members that callers are told, of those ranked for them, and
-// those that would be if some of these were gone.
-func standbys(ranked []membership.Member) []membership.Member {
-	return ranked[:min(int(standbyShare*float64(toldCount(len(ranked)))), len(ranked))]
+// standbyCount returns how many of n instances, in the order in which they are ranked for
+// callers, are told or would be if some of these were gone.
+func standbyCount(n int) int { return min(int(standbyShare*float64(toldCount(n))), n) }
+
+// isStandby reports whether the instance named name is one of these among r.
+func isStandby(name string, r *membership.Roster) bool {
+	self, ok := r.Member(name)
+	if !ok || self.Draining {
+		return false
+	}
+	callers := able(r.Members)
+	return route.BeforeWeighted(callers, memberName, memberCores, ownerKey(callersHead), self) < standbyCount(len(callers))
 }
--- a/pkg/node/addresses_test.go
+++ b/pkg/node/addresses_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 }
 
 // live returns the members as an instance that is not off sees them.
-func (f *fleet) live() []membership.Member {
+func (f *fleet) live() []*membership.Member {
 	for i := f.size - 1; i >= 0; i-- {
 		name := fmt.Sprintf("n%03d", i)
 		if _, on := f.next[name]; on {
@@ -89,7 +90,7 @@
 }
 
 func (f *fleet) told() []string {
-	return node.ToldAddresses(f.live(), func(membership.Member) bool { return false })
+	return node.ToldAddresses(f.live(), func(*membership.Member) bool { return false })
 }
 
 // Whatever part of a site loses power at once, of 10, 90 or 370 instances, callers
@@ -136,7 +137,7 @@
 // Peers are asked from the own data centre first and then from others, those that
 // drain last.
 func TestPeersToAsk(t *testing.T) {
-	members := []membership.Member{{Name: "self", PeerAddress: "self", DataCentre: "z1"}, {Name: "a", PeerAddress: "a", DataCentre: "z1", Draining: true},
+	members := []*membership.Member{{Name: "self", PeerAddress: "self", DataCentre: "z1"}, {Name: "a", PeerAddress: "a", DataCentre: "z1", Draining: true},
 		{Name: "b", PeerAddress: "b", DataCentre: "z1"}, {Name: "c", PeerAddress: "c", DataCentre: "z1"}, {Name: "d", PeerAddress: "d", DataCentre: "z2"},
 		{Name: "e", DataCentre: "z2"}}
 	if got := fmt.Sprint(node.PeersToAsk(members, "self", "z1", []int{5, 4, 3, 2, 1, 0})); got != "[c d b a]" {
@@ -162,3 +163,19 @@
 		}
 	}
 }
+
+// Each instance finds out by itself whether it is one of those that are kept ready.
+func TestStandbysKnowThemselves(t *testing.T) {
+	for _, n := range []int{1, 5, 40, 300} {
+		var live []*membership.Member
+		for i := range n {
+			live = append(live, &membership.Member{Name: fmt.Sprintf("n%03d", i), Cores: []float64{0.2, 0.8}[i%2], Draining: i%7 == 3})
+		}
+		ready := node.Standbys(live)
+		for _, m := range live {
+			if got, want := node.IsStandby(m.Name, live), slices.Contains(ready, m); got != want {
+				t.Errorf("%s of %d: standby %t, want %t", m.Name, n, got, want)
+			}
+		}
+	}
+}
--- a/pkg/node/adopt.go
+++ b/pkg/node/adopt.go
@@ -81,8 +81,11 @@
 // owners returns the members that may own a submission, first the one that
 // should. Those of one model go to the same instance, so that its connections
 // to the engines are used again and again, and larger instances own more.
-func owners(members []membership.Member, h submission.Head) []membership.Member {
-	key := ownerKey(h)
-	able := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Draining })
-	return route.RankWeighted(able, func(m membership.Member) string { return m.Name }, func(m membership.Member) float64 { return m.Cores }, key)
+func owners(members []*membership.Member, h submission.Head) []*membership.Member {
+	return route.RankWeighted(able(members), memberName, memberCores, ownerKey(h))
+}
+
+// able returns the members that take on work: those that do not drain.
+func able(members []*membership.Member) []*membership.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m *membership.Member) bool { return m.Draining })
 }
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -70,10 +70,12 @@
 // ToldAddresses, Standbys and PeersToAsk decide what instances tell callers, which
 // of them are ready to be told, and whom one asks for the store.
 var (
-	ToldAddresses = func(live []membership.Member, except func(membership.Member) bool) []string {
+	ToldAddresses = func(live []*membership.Member, except func(*membership.Member) bool) []string {
 		return toldAddresses(rankedForCallers(live), except)
 	}
-	Standbys   = func(live []membership.Member) []membership.Member { return standbys(rankedForCallers(live)) }
+	Standbys = func(live []*membership.Member) []*membership.Member {
+		return rankedForCallers(live)[:standbyCount(len(able(live)))]
+	}
 	PeersToAsk = peersToAsk
 
 	// MembersPause is the least time between two reads of the members' rows.
@@ -105,3 +107,8 @@
 
 func (d Dealer) Want(demands []weights.Demand) { d.d.want(demands) }
 func (d Dealer) Need()                         { d.d.need() }
+
+// IsStandby reports whether an instance finds that it is one of the Standbys.
+func IsStandby(name string, live []*membership.Member) bool {
+	return isStandby(name, membership.NewRoster(live))
+}
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -210,5 +210,5 @@
 		return true
 	}
 	st := n.standing.Load()
-	return st != nil && st.orders
+	return st != nil && st.orders()
 }
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -23,7 +23,7 @@
 // paid for, then those of others, as what cuts off an instance may have cut off its
 // data centre, and last those that drain: they reach the store for some seconds
 // more, and while instances are stopped in turn they can be all that do.
-func peersToAsk(members []membership.Member, self, dataCentre string, order []int) []string {
+func peersToAsk(members []*membership.Member, self, dataCentre string, order []int) []string {
 	var near, far, leaving []string
 	for _, i := range order {
 		m := members[i]
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -143,7 +143,7 @@
 	}
 	able := owners(st.roster.Members, h)
 	last := n.heads.lastOwner(ownerKey(h))
-	if slices.ContainsFunc(able, func(m membership.Member) bool { return m.Start == last }) {
+	if slices.ContainsFunc(able, func(m *membership.Member) bool { return m.Start == last }) {
 		return last
 	}
 	if len(able) > 0 {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -71,12 +71,38 @@
 // but so that an item comes first for a share of the keys proportional to its
 // weight (weighted rendezvous hashing).
 func RankWeighted[T any](items []T, name func(T) string, weight func(T) float64, key string) []T {
+	return sortedBy(items, func(it T) float64 { return weightedPlace(name(it), weight(it), key) })
+}
+
+// weightedPlace is lower for items that key ranks first.
+func weightedPlace(name string, weight float64, key string) float64 {
 	const top = 1 << 53 // scores are taken as numbers in (0, 1)
-	at := func(it T) float64 {
-		u := (float64(score(name(it), key)>>11) + 0.5) / top
-		return -math.Log(u) / max(weight(it), minWeight)
+	u := (float64(score(name, key)>>11) + 0.5) / top
+	return -math.Log(u) / max(weight, minWeight)
+}
+
+// BeforeWeighted returns how many of items come before one as RankWeighted ranks them,
+// without ranking all of them.
+func BeforeWeighted[T any](items []T, name func(T) string, weight func(T) float64, key string, one T) int {
+	at := weightedPlace(name(one), weight(one), key)
+	return before(items, func(it T) bool { return weightedPlace(name(it), weight(it), key) < at })
+}
+
+// Before returns how many of items come before one as Rank ranks them, without ranking
+// all of them.
+func Before[T any](items []T, name func(T) string, key string, one T) int {
+	at := score(name(one), key)
+	return before(items, func(it T) bool { return score(name(it), key) > at })
+}
+
+func before[T any](items []T, precedes func(T) bool) int {
+	n := 0
+	for _, it := range items {
+		if precedes(it) {
+			n++
+		}
 	}
-	return sortedBy(items, at)
+	return n
 }
 
 // sortedBy returns items in ascending order of at, which is asked once for each.
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// What comes before an item is what its rank tells.
+func TestBeforeIsTheRank(t *testing.T) {
+	name := func(s string) string { return s }
+	weight := func(s string) float64 { return float64(len(s)) }
+	rapid.Check(t, func(t *rapid.T) {
+		items := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 1, 30, rapid.ID[string]).Draw(t, "items")
+		key := rapid.StringMatching("[a-z]{0,4}").Draw(t, "key")
+		for i, it := range route.Rank(items, name, key) {
+			if got := route.Before(items, name, key, it); got != i {
+				t.Fatalf("%d before %q, which is at %d", got, it, i)
+			}
+		}
+		for i, it := range route.RankWeighted(items, name, weight, key) {
+			if got := route.BeforeWeighted(items, name, weight, key, it); got != i {
+				t.Fatalf("%d before %q by weight, which is at %d", got, it, i)
+			}
+		}
+	})
+}
