--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -107,7 +107,7 @@
 type View struct {
 	members map[string]*seen
 	names   []string // of members, in order
-	roster  *Roster // as last made
+	roster  *Roster  // as last made
 	// What roster tells holds for the instance named madeBy from madeFor on and
 	// before validUntil, unless what members' rows tell has changed since.
 	madeBy              string
