watch: what an instance follows is decided by a machine without I/O

The decisions (which relay is tried and for how long, when the store is read instead, who takes a slot and when, when a source is left) stood between calls of the store and of relays, where no test could replay a load against them. Now a Machine reduces events to effects, which the Follower carries out; searches, claims and checks go on beside what is followed.

Found by its property test (TestMachineIsNeverStuck) before it was used: an instance that has become a relay never looked whether its slot is still its own. Found on the way: what a relay or the store had told while the source was changed could be kept as known and not told, where the instance was busy; it is told now whatever follows.

--- a/pkg/watch/directory.go
+++ b/pkg/watch/directory.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -73,6 +74,25 @@
 	return r, nil
 }
 
+// set takes the relays there are.
+func (d *directory) set(relays []Relay) {
+	d.relays = make(map[string]Relay, len(relays))
+	for _, r := range relays {
+		d.relays[Key(r.DataCentre, r.Slot)] = r
+	}
+}
+
+// take takes a relay for the one that has a key.
+func (d *directory) take(key string, r Relay) {
+	if d.relays == nil {
+		d.relays = map[string]Relay{}
+	}
+	d.relays[key] = r
+}
+
+// all returns the relays there are, in no order.
+func (d *directory) all() []Relay { return slices.Collect(maps.Values(d.relays)) }
+
 // of returns the relay that has a key, if there is one.
 func (d *directory) of(key string) (Relay, bool) {
 	r, ok := d.relays[key]
--- a/pkg/watch/relay.go
+++ b/pkg/watch/relay.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/watchcache"
 )
@@ -13,7 +14,6 @@
 // relay is what an instance keeps for those that follow tables through it.
 type relay struct {
 	key     string // of its slot
-	version uint64 // of its slot's row, if known
 	caches  map[string]*watchcache.Cache
 	news    signal // there is something to tell
 	urgent  signal // and it is not to wait
@@ -49,9 +49,9 @@
 	}
 }
 
-// newRelay returns a relay that knows nothing yet.
-func newRelay(cfg Config) *relay {
-	r := &relay{caches: map[string]*watchcache.Cache{}, room: max(1, int(watchersPerCore*cfg.Cores))}
+// newRelay returns the relay that has a slot, which knows nothing yet.
+func newRelay(cfg Config, key string) *relay {
+	r := &relay{key: key, caches: map[string]*watchcache.Cache{}, room: max(1, int(watchersPerCore*cfg.Cores))}
 	for _, t := range append([]TableConfig{relaysTable()}, cfg.Tables...) {
 		changed := r.news.ring
 		if t.Urgent {
@@ -77,6 +77,23 @@
 	return f.relay
 }
 
+func (f *Follower) setRelay(r *relay) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relay = r
+}
+
+// take keeps what was read of a table for watchers.
+func (r *relay) take(u feed.Update, tables []TableConfig) {
+	for _, t := range tables {
+		if t.Name == u.Table && t.Derived {
+			r.caches[u.Table].Touch(u)
+			return
+		}
+	}
+	r.caches[u.Table].Apply(u)
+}
+
 // SetDerived tells what a relay is to pass on of a derived table, all of it. The
 // versions of the rows are not looked at.
 func (f *Follower) SetDerived(table string, rows []platform.Row, at time.Time) {
@@ -119,10 +136,10 @@
 }
 
 // Leave has this instance be no relay any more, and never again: those that follow
-// tables through it are told to look for another. It may be called once.
+// tables through it are told to look for another. It may be called once, while Run runs.
 func (f *Follower) Leave(ctx context.Context) error {
+	f.post(ctx, Left{time.Now()})
 	f.mu.Lock()
-	f.leaving = true
 	r := f.relay
 	f.mu.Unlock()
 	if r == nil {
@@ -131,14 +148,14 @@
 	r.leaving.Store(true)
 	r.news.ring()
 	r.urgent.ring()
-	version := r.version
 	f.mu.Lock()
-	if at, ok := f.dir.of(r.key); ok && at.Start == f.cfg.Start {
-		version = at.version
-	}
+	at, ok := f.dir.of(r.key)
 	f.mu.Unlock()
+	if !ok || at.Start != f.cfg.Start {
+		return nil // its slot is another's, or not known to be its own yet
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
-	_, err := f.cfg.Store.Commit(ctx, platform.Delete(r.key, version))
+	_, err := f.cfg.Store.Commit(ctx, platform.Delete(r.key, at.version))
 	return err
 }
--- a/pkg/watch/serve.go
+++ b/pkg/watch/serve.go
@@ -30,7 +30,7 @@
 
 // serve tells a watcher what changes until ctx ends or the watcher is gone.
 func (r *relay) serve(ctx context.Context, tables []peer.WatchedTable, send func(peer.News) error) error {
-	s := serving{relay: r, after: map[string]uint64{}, lost: map[string]bool{}}
+	s := served{relay: r, after: map[string]uint64{}, lost: map[string]bool{}}
 	for _, t := range tables {
 		s.after[t.Table] = t.After
 	}
@@ -97,8 +97,8 @@
 	return true
 }
 
-// serving is one watcher's state at its relay.
-type serving struct {
+// served is one watcher's state at its relay.
+type served struct {
 	relay *relay
 	after map[string]uint64 // versions up to which the watcher knows the tables
 	lost  map[string]bool   // tables of which it was told that the store is lost
@@ -108,7 +108,7 @@
 
 // since returns what is to be told at now: tables that have changed, all of them in the
 // first answer and if versions are to be told.
-func (s *serving) since(now time.Time, versions bool) []peer.TableNews {
+func (s *served) since(now time.Time, versions bool) []peer.TableNews {
 	var out []peer.TableNews
 	s.more = false
 	for table, after := range s.after {
@@ -132,7 +132,7 @@
 }
 
 // await waits until ch is closed, for a time at the most, and reports whether it was.
-func (s *serving) await(ctx context.Context, ch <-chan struct{}, limit time.Duration) bool {
+func (s *served) await(ctx context.Context, ch <-chan struct{}, limit time.Duration) bool {
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
--- a/pkg/watch/session.go
+++ b/pkg/watch/session.go
@@ -2,101 +2,193 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
-	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
-// checkPause is how often an instance that watches a relay looks whether it is to be a
-// relay itself, or whether another relay has the store that its own has lost.
-const checkPause = time.Second
+// close ends j, if there is one.
+func (j joined) close() {
+	if j.link != nil {
+		j.link.Close()
+	}
+}
 
-// watch follows the tables through a relay until it is to be left, and returns why.
-func (f *Follower) watch(ctx context.Context, s joined) string {
-	n := s.first
-	s.first = peer.News{} // it may hold whole tables, and s is kept
-	wctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer s.close()
-	stop := context.AfterFunc(wctx, s.close)
-	defer stop()
-	c := check{begun: make(chan struct{}, 1), ended: make(chan string, 1)}
-	lost := map[string]time.Time{} // tables for which the relay has lost the store, since when
-	checkAt := time.Now().Add(checkPause)
-	for {
-		f.learn(ctx, n, lost)
-		if n.Leaving {
-			f.avoid(s.Address, gone)
-			return "the relay is about to stop"
-		}
-		if now := time.Now(); now.After(checkAt) {
-			checkAt = now.Add(checkPause)
-			c.start(f, wctx, s.Relay, longLost(lost, now))
-		}
-		select {
-		case why := <-c.ended:
-			return why
-		default:
-		}
-		var err error
-		if n, err = s.Next(silence); err != nil {
-			f.take(Source{Kind: None}, err.Error())
-			f.avoidGone(ctx, s.Address)
-			return err.Error()
+// begin tries a relay: it opens a link and a watch of the relays' table.
+func (f *Follower) begin(ctx context.Context, r Relay) {
+	tctx, cancel := context.WithTimeout(ctx, raceTime)
+	t := &try{cancel: cancel}
+	f.tries[r.Address] = t
+	f.cfg.Group(func() error {
+		j, err := f.join(tctx, r)
+		f.post(ctx, answered{t, j, err})
+		return nil
+	})
+}
+
+// answered tells what became of a try, before the machine is told.
+type answered struct {
+	try    *try
+	joined joined
+	err    error
+}
+
+// join opens a link to a relay and a watch of the relays' table, and waits for its first
+// news.
+func (f *Follower) join(ctx context.Context, r Relay) (joined, error) {
+	link, err := f.cfg.Dial(ctx, r.Address)
+	if err != nil {
+		return joined{Relay: r}, err
+	}
+	stop := context.AfterFunc(ctx, link.Close)
+	j := joined{Relay: r, link: link}
+	j.session, j.first, err = watchFrom(link, []peer.WatchedTable{{Table: Table}})
+	if !stop() {
+		return joined{Relay: r}, ctx.Err() // the link is closed
+	}
+	if err != nil {
+		link.Close()
+		return joined{Relay: r}, err
+	}
+	return j, nil
+}
+
+// onAnswered keeps what a try has opened and returns what the machine is to be told,
+// nothing for a try that has been ended.
+func (f *Follower) onAnswered(a answered) (Tried, bool) {
+	if f.tries[a.joined.Address] != a.try {
+		a.joined.close()
+		return Tried{}, false
+	}
+	e := Tried{At: time.Now(), Address: a.joined.Address, Outcome: outcome(a)}
+	a.try.joined = a.joined
+	if a.err != nil {
+		delete(f.tries, a.joined.Address)
+	}
+	return e, true
+}
+
+func outcome(a answered) Outcome {
+	switch {
+	case errors.Is(a.err, errFull):
+		return IsFull
+	case a.err != nil:
+		return IsGone
+	case a.joined.first.AnyLost():
+		return HasLost
+	}
+	return Serves
+}
+
+// endTries ends all tries but that of the relay at the address keep.
+func (f *Follower) endTries(keep string) {
+	for address, t := range f.tries {
+		if address == keep {
+			continue
 		}
+		t.cancel()
+		t.joined.close()
+		delete(f.tries, address)
 	}
 }
 
-// check looks, beside a watch, whether another source is to be taken. It asks the store
-// and relays, which may take seconds.
-type check struct {
-	begun chan struct{} // holds one while a check is under way
-	ended chan string   // why another source is to be taken
+// watchFrom opens a watch and waits for its first news, which tell all tables.
+func watchFrom(link Link, tables []peer.WatchedTable) (Session, peer.News, error) {
+	s, err := link.Watch(tables)
+	if err != nil {
+		return nil, peer.News{}, err
+	}
+	var first peer.News
+	for len(first.Tables) < len(tables) {
+		n, err := s.Next(raceTime)
+		switch {
+		case err != nil:
+		case n.Full:
+			err = errFull
+		case n.Leaving:
+			err = errLeaving
+		}
+		if err != nil {
+			s.Close()
+			return nil, peer.News{}, err
+		}
+		first.Tables = append(first.Tables, n.Tables...)
+	}
+	return s, first, nil
 }
 
-// start begins a check unless one is under way. Lost means that the relay has lost the
-// store.
-func (c check) start(f *Follower, ctx context.Context, r Relay, lost bool) {
-	select {
-	case c.begun <- struct{}{}:
-	default:
+// open ends what is followed, and goes on from a try of a relay to a watch of all tables.
+func (f *Follower) open(ctx context.Context, r Relay) {
+	t := f.tries[r.Address]
+	delete(f.tries, r.Address)
+	f.stop()
+	f.stop = func() {}
+	if t == nil {
+		f.reduce(ctx, Opened{time.Now(), errLeaving})
 		return
 	}
+	t.cancel()
+	f.forget()
+	wctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Add(1)
+	j := t.joined
+	stopped := context.AfterFunc(wctx, j.close)
+	f.stop = func() {
+		cancel()
+		running.Wait()
+	}
 	f.cfg.Group(func() error {
-		defer func() { <-c.begun }()
-		switch {
-		case f.claim(ctx):
-			c.ended <- "a relay is wanted"
-		case lost && f.probe(ctx, f.candidates(true), r):
-			f.avoid(r.Address, full)
-			c.ended <- "the relay has lost the store, another has not"
-		case r.DataCentre != f.cfg.DataCentre && f.probe(ctx, f.candidates(false), r):
-			c.ended <- "there is a relay in the data centre"
+		defer running.Done()
+		defer j.close()
+		defer stopped()
+		tables := f.watched()
+		s, first, err := watchFrom(j.link, tables)
+		if err == nil && isBehind(first, tables) {
+			err = errBehind
+		}
+		f.post(wctx, Opened{time.Now(), err})
+		if err == nil {
+			j.session.Close()
+			f.read(ctx, wctx, s, first)
 		}
 		return nil
 	})
 }
 
-// longLost reports whether one of the tables was lost long before now.
-func longLost(lost map[string]time.Time, now time.Time) bool {
-	for _, since := range lost {
-		if now.Sub(since) > lostPatience {
-			return true
+// read reads what a relay tells until the watch ends, as it does when watching ends. What
+// has been read is told all the same.
+func (f *Follower) read(ctx, watching context.Context, s Session, n peer.News) {
+	lost := map[string]bool{} // tables for which the relay has lost the store
+	told := false             // that it has lost any
+	for {
+		f.learn(ctx, watching, n, lost)
+		if anyLost := len(lost) > 0; n.Leaving || anyLost != told {
+			told = anyLost
+			f.post(watching, Heard{time.Now(), anyLost, n.Leaving})
+		}
+		if n.Leaving {
+			return
+		}
+		var err error
+		if n, err = s.Next(silence); err != nil {
+			f.post(watching, Ended{time.Now(), err.Error()})
+			return
 		}
 	}
-	return false
 }
 
 // learn takes what a relay told.
-func (f *Follower) learn(ctx context.Context, n peer.News, lost map[string]time.Time) {
+func (f *Follower) learn(ctx, watching context.Context, n peer.News, lost map[string]bool) {
 	now := time.Now()
 	for _, t := range n.Tables {
 		if t.Table == Table {
-			f.learnRelays(t.Changes, t.Reset)
+			if t.Reset || len(t.Changes) > 0 {
+				f.post(watching, DirectoryChanged{now, f.learnRelays(t.Changes, t.Reset)})
+			}
 			continue
 		}
 		if !t.Lost || t.Reset || len(t.Changes) > 0 {
@@ -104,20 +196,44 @@
 			f.tell(ctx, feed.Update{Table: t.Table, At: now, Reset: t.Reset, Changes: t.Changes, Version: t.Version, Relayed: true})
 		}
 		if t.Lost {
-			if lost[t.Table].IsZero() {
-				lost[t.Table] = now
-			}
+			lost[t.Table] = true
 			f.tell(ctx, feed.Update{Table: t.Table, At: now, Err: errRelayLost, Relayed: true})
 		}
 	}
 }
 
-// probe reports whether one of the relays, beside the one given, serves.
-func (f *Follower) probe(ctx context.Context, relays []Relay, except Relay) bool {
-	others := slices.DeleteFunc(relays, func(r Relay) bool { return r.Address == except.Address })
-	j, _ := f.race(ctx, others, raceTime)
-	j.close()
-	return j.serves()
+// watched returns what to ask a relay for.
+func (f *Follower) watched() []peer.WatchedTable {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []peer.WatchedTable{{Table: Table}}
+	for _, t := range f.cfg.Tables {
+		out = append(out, peer.WatchedTable{Table: t.Name, After: f.from[t.Name]})
+	}
+	return out
+}
+
+// forget has the derived tables be told or read whole next: what a relay tells of them has
+// no version of the store.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.cfg.Tables {
+		if t.Derived {
+			delete(f.from, t.Name)
+		}
+	}
 }
 
-var errRelayLost = fmt.Errorf("%w: watch: the relay has lost the store", platform.ErrUnavailable)
+// isBehind reports whether a relay tells less than is known here: it has been suspended,
+// say, and does not know.
+func isBehind(n peer.News, asked []peer.WatchedTable) bool {
+	for _, t := range n.Tables {
+		for _, a := range asked {
+			if a.Table == t.Table && t.Version < a.After {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/pkg/watch/watch.go
+++ b/pkg/watch/watch.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
@@ -58,6 +57,9 @@
 	// avoidTime is how long a relay is not tried that was full, or has just been left.
 	avoidTime = 3 * time.Second
 
+	// checkPause is how often an instance that watches a relay looks whether it is to be
+	// one itself, or whether another is better, and a relay whether it still is one.
+	checkPause = time.Second
 	// lookPause is about how often an instance looks for a relay where it has none.
 	lookPause = time.Second
 	// patience is how long an instance of a large site waits for a relay until it reads
@@ -186,106 +188,3 @@
 	// Err is of a slot that was not taken, or a row that cannot be read.
 	Err error
 }
-
-// Follower follows tables. Call New, then Run; the other methods may be called at any
-// time.
-type Follower struct {
-	cfg Config
-
-	mu      sync.Mutex
-	dir     directory
-	avoided map[string]avoidance // by address
-	source  Source
-	lostAt  time.Time // when the last source was lost
-	relay   *relay    // nil while this instance is none
-	leaving bool
-
-	from map[string]uint64 // up to which versions tables are known
-	// claimAt is when a free slot may be taken; zero while none is known to be free.
-	claimAt time.Time
-}
-
-// avoidance tells why a relay is not tried for a while.
-type avoidance struct {
-	until time.Time
-	found condition
-}
-
-// New returns a Follower.
-func New(cfg Config) *Follower {
-	if cfg.Observe == nil {
-		cfg.Observe = func(Event) {}
-	}
-	return &Follower{cfg: cfg, avoided: map[string]avoidance{}, source: Source{Kind: None}, lostAt: time.Now(), from: map[string]uint64{}}
-}
-
-// Source returns what the tables are followed by.
-func (f *Follower) Source() Source {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.source
-}
-
-// take tells that the tables are followed by s from now on.
-func (f *Follower) take(s Source, why string) {
-	now := time.Now()
-	f.mu.Lock()
-	e := Event{Source: s, Why: why}
-	if f.source.Kind == None && s.Kind != None {
-		e.Away = now.Sub(f.lostAt)
-	}
-	if f.source.Kind != None && s.Kind == None {
-		f.lostAt = now
-	}
-	changed := f.source != s
-	f.source = s
-	f.mu.Unlock()
-	if changed {
-		f.cfg.Observe(e)
-	}
-}
-
-// tell passes on what was learned of a table, and keeps up to which version it is known.
-func (f *Follower) tell(ctx context.Context, u feed.Update) {
-	if u.Err == nil {
-		f.mu.Lock()
-		f.from[u.Table] = u.Version
-		f.mu.Unlock()
-	}
-	f.cfg.Tell(ctx, u)
-}
-
-// forget has the derived tables be read whole next: what a relay tells of them has no
-// version of the store.
-func (f *Follower) forget() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, t := range f.cfg.Tables {
-		if t.Derived {
-			delete(f.from, t.Name)
-		}
-	}
-}
-
-// Run follows the tables until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	why := "begins"
-	for ctx.Err() == nil {
-		if f.relaying() != nil {
-			f.take(Source{Kind: AsRelay}, why)
-			why = f.runRelay(ctx)
-			continue
-		}
-		if s, ok := f.find(ctx); ok {
-			f.take(Source{Kind: FromRelay, Relay: s.Address}, why)
-			why = f.watch(ctx, s)
-			f.forget()
-			continue
-		}
-		if f.relaying() == nil && ctx.Err() == nil {
-			f.take(Source{Kind: FromStore}, why)
-			why = f.runDirect(ctx)
-		}
-	}
-	return nil
-}
