watch: read the store while a claim of a relay slot is in flight

What callers saw: when all relays of a data centre failed, an instance went on with outdated tables for as long as the write of its claim took, up to storeTimeout, and for another search if it lost the slot.

Cause: Machine.noRelayFound returned the claim instead of the read of the store once the claim was due.

Change: an instance that knows the tables reads the store and claims at the same time.

TestClaimDoesNotDelayReading failed before in both cases.

--- a/pkg/watch/machine.go
+++ b/pkg/watch/machine.go
@@ -302,13 +302,20 @@
 	return nil
 }
 
-// noRelayFound returns the effects of a search without a result.
+// noRelayFound returns the effects of a search without a result. An instance with
+// versions that claims a slot reads the store meanwhile: the claim is a write that may
+// take storeTimeout or lose against another instance.
 func (m *Machine) noRelayFound(now time.Time) []Effect {
-	if effs := m.claim(now); effs != nil {
+	claims := m.claim(now)
+	switch {
+	case m.hasVersions && (claims != nil || m.directoryReads > 0), !m.hasVersions && now.After(m.readStoreAt):
+		effs := append(m.readStore(now), claims...)
+		if claims != nil {
+			m.nextCheckAt = time.Time{} // ClaimDone is next
+		}
 		return effs
-	}
-	if m.hasVersions && m.directoryReads > 0 || !m.hasVersions && now.After(m.readStoreAt) {
-		return m.readStore(now)
+	case claims != nil:
+		return claims
 	}
 	m.directoryReads++
 	if m.hasVersions {
--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -123,6 +123,41 @@
 	}
 }
 
+// Guards against a claim that delays the read of the store: an instance without a source
+// claimed a slot and waited for the answer, up to storeTimeout, before it read any table.
+func TestClaimDoesNotDelayReading(t *testing.T) {
+	for name, run := range map[string]func(h *harness) []watch.Effect{
+		"the second read of the directory is answered late": func(h *harness) []watch.Effect {
+			h.send(watch.WatchEnded{At: h.now, Reason: "silent"})
+			h.advance(h.now.Add(2 * time.Second))
+			return h.send(watch.DirectoryRead{At: h.now, Relays: []watch.Relay{relay("a", "z1", 0)}})
+		},
+		"the slot was free before the relay failed": func(h *harness) []watch.Effect {
+			h.send(watch.DirectoryChanged{At: h.now, Relays: []watch.Relay{relay("a", "z1", 0), relay("b", "z1", 1)}})
+			h.gone["b#1"] = true
+			h.advance(h.now.Add(1100 * time.Millisecond)) // one check, which finds the slot of b free
+			h.send(watch.WatchEnded{At: h.now, Reason: "silent"})
+			return h.advance(h.now.Add(time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWatching(t, relay("a", "z1", 0))
+			effs := run(h)
+			if !has[watch.ClaimSlot](effs) || !has[watch.ReadStore](effs) {
+				t.Fatalf("effects once the slot may be claimed: %v, want a ClaimSlot and a ReadStore", effs)
+			}
+			if effs = h.advance(h.now.Add(10 * time.Second)); len(effs) != 0 {
+				t.Fatalf("effects while the claim is in flight: %v, want none", effs)
+			}
+			effs = h.send(watch.ClaimDone{At: h.now, Err: errUnavailable})
+			effs = append(effs, h.send(watch.DirectoryRead{At: h.now, Relays: []watch.Relay{relay("e", "z1", 0), relay("f", "z1", 1)}})...)
+			if got := connected(effs); len(got) != 1 || got[0] != "e" && got[0] != "f" {
+				t.Fatalf("connected to %v after the claim was lost, want one of the new relays", got)
+			}
+		})
+	}
+}
+
 // In an outage of the store, all relays report that they cannot reach it: three are
 // connected to, and one of them is watched, as it will report the end of the outage.
 func TestAllRelaysWithoutStore(t *testing.T) {
