quarantine: count crashes that different instances find under one process ID

What callers saw: a call that crashes its services ran once more than allowed, and got 502 where it was to be refused with 503.

Cause: each instance numbered the crashes under one process ID for itself. The first crash of a service that an instance found got the name of one that another instance had found and shared before, and was taken for it.

Change: crashes learned from other instances are numbered too. A crash is a new one if the request that it interrupted was sent after the last one was learned of.

--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -86,6 +86,72 @@
 	}
 }
 
+// share passes the crashes that g has found to another instance.
+func (g *testGuard) share(t *testing.T, to *testGuard) {
+	t.Helper()
+	rows := g.Pending(time.Now().Add(time.Second), false).Put
+	for i := range rows {
+		rows[i].Version = 1
+		g.MarkShared(rows[i].Fact, 1)
+	}
+	to.Apply(rows, false, time.Now())
+}
+
+// Guards against crashes that different instances find at an upstream that keeps its ID
+// when it restarts: they were taken for one crash, so that a request ran more often than
+// allowed.
+func TestCrashesFoundByDifferentInstancesCount(t *testing.T) {
+	a, b, c := newTestGuard(t), newTestGuard(t), quarantine.Content{URI: "/poison"}
+	for i, g := range []*testGuard{a, b, a} {
+		if err := a.Check(c, time.Now()); err != nil {
+			t.Fatalf("Check after %d crashes: got %v, want nil", i, err)
+		}
+		g.down.Store(true)
+		if err := g.run(c, 1, quarantine.ConnectionLost); err != nil {
+			t.Fatal(err)
+		}
+		g.waitForProbes()
+		time.Sleep(110 * time.Millisecond) // longer than staleConnectionWindow
+		a.share(t, b)
+		b.share(t, a)
+	}
+	for name, g := range map[string]*testGuard{"the first": a, "the second": b} {
+		if err := g.Check(c, time.Now()); !errors.Is(err, quarantine.ErrQuarantined) {
+			t.Errorf("Check at %s instance after three crashes: got %v, want ErrQuarantined", name, err)
+		}
+	}
+}
+
+// A crash that several instances find counts once, also if one learns of it from another
+// before its own probe ends.
+func TestCrashFoundByTwoInstancesCountsOnce(t *testing.T) {
+	a, b, c := newTestGuard(t), newTestGuard(t), quarantine.Content{URI: "/poison"}
+	a.down.Store(true)
+	b.down.Store(true)
+	for n := range 2 { // one crash of each of two upstreams
+		attempt, err := b.Begin(context.Background(), c, entryOf(n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := a.run(c, n, quarantine.ConnectionLost); err != nil {
+			t.Fatal(err)
+		}
+		a.waitForProbes()
+		if n == 1 {
+			a.share(t, b)
+		}
+		attempt.Done(context.Background(), quarantine.ConnectionLost)
+		b.waitForProbes()
+	}
+	a.share(t, b)
+	b.share(t, a)
+	for name, g := range map[string]*testGuard{"the first": a, "the second": b} {
+		if err := g.Check(c, time.Now()); err != nil {
+			t.Errorf("Check at %s instance after two crashes: got %v, want nil", name, err)
+		}
+	}
+}
+
 // Connections lost for another reason than a crash do not count: resets, upstreams that
 // leave, requests sent to an upstream that has crashed already, and error answers.
 func TestOtherFailuresDoNotCount(t *testing.T) {
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
@@ -36,6 +37,7 @@
 type probe struct {
 	startedAt   time.Time
 	interrupted []Interrupted
+	sentAt      time.Time     // when the last request was sent that the upstream may have been running; zero if none may
 	waiting     chan struct{} // closed once a request waits for the result
 	done        chan struct{}
 	expedited   bool
@@ -50,6 +52,16 @@
 	}
 }
 
+// interrupt adds contents that lost their connection to the upstream at now.
+func (p *probe) interrupt(contents []Interrupted, now time.Time) {
+	p.interrupted = append(p.interrupted, contents...)
+	for _, in := range contents {
+		if sentAt := now.Add(-in.RanFor); in.RanFor >= minCrashTime && sentAt.After(p.sentAt) {
+			p.sentAt = sentAt
+		}
+	}
+}
+
 // abandonedRequest is a request that was given up at an upstream and counts as running
 // there until a time.
 type abandonedRequest struct {
@@ -118,12 +130,14 @@
 // startProbe starts a probe of an upstream, or joins the one in progress. If the
 // upstream has crashed, the crash counts against the interrupted contents.
 func (g *Guard) startProbe(to upstream.Entry, interrupted ...Interrupted) {
-	process := processID(to)
-	if p := g.probes[process]; p != nil {
-		p.interrupted = append(p.interrupted, interrupted...)
+	process, now := processID(to), time.Now()
+	p := g.probes[process]
+	if p != nil {
+		p.interrupt(interrupted, now)
 		return
 	}
-	p := &probe{startedAt: time.Now(), interrupted: interrupted, waiting: make(chan struct{}), done: make(chan struct{})}
+	p = &probe{startedAt: now, waiting: make(chan struct{}), done: make(chan struct{})}
+	p.interrupt(interrupted, now)
 	g.probes[process] = p
 	g.probeCount.Add(1)
 	g.cfg.Go(func() error {
@@ -164,50 +178,82 @@
 	if !crashed {
 		return
 	}
-	crash := g.crashID(process, now)
-	interrupted := p.interrupted
 	for _, r := range g.abandoned[process] {
 		if now.Before(r.until) {
-			interrupted = append(interrupted, Interrupted{Content: r.content, RanFor: now.Sub(r.sentAt)})
+			p.interrupt([]Interrupted{{Content: r.content, RanFor: now.Sub(r.sentAt)}}, now)
 		}
 	}
 	delete(g.abandoned, process)
-	for _, f := range g.tracker.RecordCrash(interrupted, crash, now) {
+	for _, f := range g.tracker.RecordCrash(p.interrupted, g.recordCrash(process, p.sentAt, now), now) {
 		g.cfg.OnEvent(Event{What: "upstream ended under a request", Content: f, Upstream: to.ID, Crashes: g.tracker.Crashes(f), UnexplainedCrashes: g.tracker.unexplainedCrashes(f)})
 	}
 	g.onTrackerChanged()
 }
 
-// processCrashes holds the crashes found under one process ID. There may be several, as
-// the ID of a restarted upstream is learned only from the store.
+// processCrashes is what is known of the crashes of an upstream under one process ID.
+// There may be several, as the ID of a restarted upstream is learned only from the store,
+// if it changes at all.
 type processCrashes struct {
-	lastAt time.Time
-	count  int
+	last      int       // number of the last crash, from 1 on
+	foundAt   time.Time // when this instance last found a crash; zero for never
+	learnedAt time.Time // when it last learned of a crash that another had found; zero for never
 }
 
 // isRecent reports whether a request sent at sentAt may have been lost to the last
 // crash rather than to one of a later process.
 func (e processCrashes) isRecent(sentAt time.Time) bool {
-	return sentAt.After(e.lastAt) && sentAt.Sub(e.lastAt) < staleConnectionWindow
+	return sentAt.After(e.foundAt) && sentAt.Sub(e.foundAt) < staleConnectionWindow
+}
+
+// crashID returns the ID of a process's crash with the given number.
+func crashID(process string, number int) string {
+	if number == 1 {
+		return process
+	}
+	return process + "~" + strconv.Itoa(number)
 }
 
-// crashID records a crash of a process, found at now, and returns an ID that is unique
-// among all crashes. It also drops the crashes older than crashRetention.
-func (g *Guard) crashID(process string, now time.Time) string {
+// parseCrashID returns the process and the number of a crash with the given ID.
+func parseCrashID(id string) (process string, number int) {
+	if i := strings.LastIndexByte(id, '~'); i >= 0 {
+		if n, err := strconv.Atoi(id[i+1:]); err == nil {
+			return id[:i], n
+		}
+	}
+	return id, 1
+}
+
+// recordCrash records a crash of a process, found at now, and returns an ID that is unique
+// among all crashes. sentAt is when the last request was sent that the crash may have
+// interrupted. A crash that another instance found is a different one if the request was
+// sent after this instance had learned of it, as the process had restarted by then.
+func (g *Guard) recordCrash(process string, sentAt, now time.Time) string {
 	for other, e := range g.crashes {
-		if now.Sub(e.lastAt) > crashRetention {
+		if now.Sub(e.foundAt) > crashRetention && now.Sub(e.learnedAt) > crashRetention {
 			delete(g.crashes, other)
 		}
 	}
 	e := g.crashes[process]
-	if e.count == 0 || now.Sub(e.lastAt) >= staleConnectionWindow {
-		e = processCrashes{lastAt: now, count: e.count + 1}
+	if now.Sub(e.foundAt) >= staleConnectionWindow {
+		if e.learnedAt.IsZero() || sentAt.After(e.learnedAt) {
+			e.last++
+			for g.tracker.knowsCrash(crashID(process, e.last)) {
+				e.last++
+			}
+		}
+		e.foundAt = now
 		g.crashes[process] = e
 	}
-	if e.count == 1 {
-		return process
+	return crashID(process, e.last)
+}
+
+// learnCrash records that this instance learned at now of a crash that another had found.
+func (g *Guard) learnCrash(id string, now time.Time) {
+	process, number := parseCrashID(id)
+	if e := g.crashes[process]; number > e.last {
+		e.last, e.learnedAt = number, now
+		g.crashes[process] = e
 	}
-	return process + "~" + strconv.Itoa(e.count)
 }
 
 // noteAbandoned records a request that was given up at an upstream, which may continue
--- a/pkg/quarantine/rows.go
+++ b/pkg/quarantine/rows.go
@@ -9,7 +9,11 @@
 	if len(rows) == 0 && g.tracker.Len() == 0 {
 		return
 	}
-	g.tracker.Apply(rows, full, now)
+	for _, f := range g.tracker.Apply(rows, full, now) {
+		if f.Kind == Crash {
+			g.learnCrash(f.Subject, now)
+		}
+	}
 	g.onTrackerChanged()
 }
 
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -129,23 +129,28 @@
 	return true
 }
 
-// Apply takes rows read at now. full means that rows are all the rows of the store:
-// shared facts without a row are dropped.
-func (t *CrashTracker) Apply(rows []Row, full bool, now time.Time) {
+// Apply takes rows read at now, and returns the facts that were not known. full means that
+// rows are all the rows of the store: shared facts without a row are dropped.
+func (t *CrashTracker) Apply(rows []Row, full bool, now time.Time) []Fact {
 	if full {
 		t.dropMissing(rows, now)
 	}
+	var learned []Fact
 	for _, r := range rows {
 		if r.Deleted {
 			t.dropFact(r.Fact)
 			continue
 		}
-		s, _ := t.add(r.Fact, now)
+		s, added := t.add(r.Fact, now)
+		if added {
+			learned = append(learned, r.Fact)
+		}
 		s.version, s.sharedAt, s.unlikelyCause = r.Version, now, s.unlikelyCause || r.UnlikelyCause
 		if len(s.unrelatedCrashes) == 0 {
 			s.unrelatedCrashes = r.UnrelatedCrashes[:min(len(r.UnrelatedCrashes), maxUnrelatedCrashes)]
 		}
 	}
+	return learned
 }
 
 // dropMissing drops the shared facts that are not among rows, which were read
@@ -227,6 +232,9 @@
 	}
 }
 
+// knowsCrash reports whether there is a fact about the crash with the given ID.
+func (t *CrashTracker) knowsCrash(id string) bool { return len(t.contentsByProcess[id]) > 0 }
+
 // countFacts returns the number of valid facts of kind k about a content.
 func (t *CrashTracker) countFacts(f Fingerprint, k Kind) int {
 	c := t.contents[f]
