watch: a relay that lost its slot hands its watchers over

What callers saw: in a large site a third instance read all tables from the store for as long as a watcher stayed with it, and instances that looked for a relay did not know it.

Cause: an instance may claim the slot of a relay that it takes for gone, as on a machine that was busy for a moment. The old relay noticed that it had lost the slot, but stopped only without watchers.

Change: once the new holder of the slot answers, has read the tables and has room, the old relay tells its watchers to leave and follows the new holder. Until then it goes on as before.

Result: TestDisplacedRelayHandsOver and TestTwoRelaysAfterWrongClaim failed before.

--- a/pkg/watch/follower.go
+++ b/pkg/watch/follower.go
@@ -163,6 +163,9 @@
 		f.stop()
 		f.stop = f.startRelay(ctx, e.Key)
 	case StopRelay:
+		if r := f.currentRelay(); r != nil {
+			r.leave()
+		}
 		f.stop()
 		f.stop = func() {}
 		f.setRelay(nil)
--- a/pkg/watch/machine.go
+++ b/pkg/watch/machine.go
@@ -82,7 +82,7 @@
 	// StartRelay ends the current source and makes this instance the relay in the slot
 	// Key, which reads the tables from the store for its watchers.
 	StartRelay struct{ Key string }
-	// StopRelay stops acting as a relay.
+	// StopRelay stops acting as a relay and sends the watchers elsewhere.
 	StopRelay struct{}
 	// NotifyUnavailable notifies OnUpdate that the tables cannot be read for now.
 	NotifyUnavailable struct{}
@@ -252,15 +252,39 @@
 	case watching:
 		return m.check(now)
 	case relaying:
-		if m.cfg.Watchers() == 0 && !m.holdsSlot(m.claiming.Key) {
-			m.claiming = ClaimSlot{}
-			return append([]Effect{StopRelay{}, SetSource{Source{Kind: None}, "another instance has its slot"}}, m.restartSearch(now, "another instance has its slot")...)
-		}
-		m.nextCheckAt = now.Add(checkPeriod)
+		return m.checkSlot(now)
 	}
 	return nil
 }
 
+// slotLost is the reason of a relay for stopping.
+const slotLost = "another instance has its slot"
+
+// checkSlot decides, while this instance is a relay, whether to stop being one. A relay
+// that has lost its slot hands its watchers over to the new holder, once it is ready for
+// them. Otherwise the relay would read the tables from the store, and be unknown to
+// instances that look for one, for as long as a watcher stays.
+func (m *Machine) checkSlot(now time.Time) []Effect {
+	m.nextCheckAt = now.Add(checkPeriod)
+	if m.holdsSlot(m.claiming.Key) {
+		return nil
+	}
+	if m.cfg.Watchers() == 0 {
+		return append(m.stopRelay(), m.restartSearch(now, slotLost)...)
+	}
+	successor, ok := m.dir.get(m.claiming.Key)
+	if !ok || now.Before(m.avoided[successor.Address].until) {
+		return nil
+	}
+	return m.startSearch(now, forBetter, []Relay{successor}, searchTimeout)
+}
+
+// stopRelay gives up the role of a relay. The caller selects another source.
+func (m *Machine) stopRelay() []Effect {
+	m.claiming = ClaimSlot{}
+	return []Effect{StopRelay{}, SetSource{Source{Kind: None}, slotLost}}
+}
+
 // scheduleSearch schedules the next search for a relay, at the claim time at the latest.
 func (m *Machine) scheduleSearch(now time.Time) {
 	pause := time.Duration((0.5 + m.cfg.Rand()) * float64(searchPeriod))
--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -23,6 +23,7 @@
 	now       time.Time
 	useRelays bool
 	gone      map[string]bool // start IDs of instances that are not live
+	watchers  int
 	effects   []watch.Effect
 }
 
@@ -30,7 +31,7 @@
 	h := &harness{now: epoch, useRelays: true, gone: map[string]bool{}}
 	h.Machine = watch.NewMachine(watch.MachineConfig{StartID: start, DataCentre: "z1", Cores: 0.8, CanRelay: true,
 		UseRelays: func() bool { return h.useRelays }, Live: func(s string) (bool, bool) { return !h.gone[s], true },
-		Watchers: func() int { return 0 }, Rand: func() float64 { return 0.5 }})
+		Watchers: func() int { return h.watchers }, Rand: func() float64 { return 0.5 }})
 	return h
 }
 
@@ -246,6 +247,49 @@
 	}
 }
 
+// Guards against a relay that another instance has replaced, as on a machine that was busy
+// for a moment, and that stayed a relay for as long as it had watchers: it must hand them
+// over once the new holder of its slot is ready, and not before.
+func TestDisplacedRelayHandsOver(t *testing.T) {
+	h := newHarness("n#1")
+	h.send(watch.Started{At: h.now})
+	h.send(watch.DirectoryRead{At: h.now})
+	for !has[watch.ClaimSlot](h.effects) {
+		for _, e := range h.advance(h.now.Add(10 * time.Millisecond)) {
+			if _, ok := e.(watch.ReadDirectory); ok {
+				h.send(watch.DirectoryRead{At: h.now})
+			}
+		}
+	}
+	if effs := h.send(watch.ClaimDone{At: h.now}); !has[watch.StartRelay](effs) {
+		t.Fatalf("effects of a claim: %v, want a StartRelay", effs)
+	}
+	h.watchers = 3
+	h.send(watch.DirectoryChanged{At: h.now, Relays: []watch.Relay{relay("a", "z1", 0), relay("b", "z1", 1)}})
+	for _, o := range []watch.ConnectOutcome{watch.RelayGone, watch.RelayFull, watch.RelayWithoutStore} {
+		effs := h.advance(h.now.Add(5 * time.Second)) // longer than avoidPeriod
+		if got := connected(effs); len(got) == 0 || got[0] != "a" || has[watch.StopRelay](effs) {
+			t.Fatalf("effects after the loss of the slot: %v, want a Connect to a, the new holder, and no StopRelay", effs)
+		}
+		if effs = h.send(watch.ConnectDone{At: h.now, Address: "a", Outcome: o}); has[watch.StopRelay](effs) || has[watch.OpenWatch](effs) {
+			t.Fatalf("effects while the new holder is not ready: %v, want this instance to stay a relay", effs)
+		}
+	}
+	var effs []watch.Effect
+	for i := 0; len(connected(effs)) == 0; i++ {
+		if i == 100 {
+			t.Fatal("no Connect within 10 s")
+		}
+		effs = h.advance(h.now.Add(100 * time.Millisecond))
+	}
+	effs = h.send(watch.ConnectDone{At: h.now, Address: "a", Outcome: watch.RelayReady})
+	stop := slices.IndexFunc(effs, func(e watch.Effect) bool { _, ok := e.(watch.StopRelay); return ok })
+	open := slices.IndexFunc(effs, func(e watch.Effect) bool { _, ok := e.(watch.OpenWatch); return ok })
+	if stop < 0 || open < stop {
+		t.Fatalf("effects once the new holder is ready: %v, want a StopRelay, then an OpenWatch", effs)
+	}
+}
+
 // Whatever events arrive, the machine never gets stuck: it asks for a Ticked or for an
 // effect that is in flight. Once relays or the store are available again, it finds a
 // source.
--- a/pkg/watch/relay.go
+++ b/pkg/watch/relay.go
@@ -136,6 +136,13 @@
 	r.watchers--
 }
 
+// leave tells the watchers to look for another relay, and ends their watches.
+func (r *relay) leave() {
+	r.leaving.Store(true)
+	r.updates.broadcast()
+	r.urgent.broadcast()
+}
+
 // DisableRelaying makes this instance stop acting as a relay, for good: its watchers are
 // told to look for another relay, and the row of its slot is deleted. It returns the
 // error of the deletion. It may be called once, while Run runs.
@@ -147,9 +154,7 @@
 	if r == nil {
 		return nil
 	}
-	r.leaving.Store(true)
-	r.updates.broadcast()
-	r.urgent.broadcast()
+	r.leave()
 	f.mu.Lock()
 	at, ok := f.dir.get(r.key)
 	f.mu.Unlock()
--- a/pkg/watch/search.go
+++ b/pkg/watch/search.go
@@ -101,7 +101,11 @@
 		}
 	}
 	m.search = nil
-	return m.openRelay(r)
+	var effs []Effect
+	if m.mode == relaying {
+		effs = m.stopRelay()
+	}
+	return append(effs, m.openRelay(r)...)
 }
 
 // improvementReason returns why the current source is given up for a relay.
@@ -109,6 +113,8 @@
 	switch {
 	case m.mode == readingStore:
 		return "there are relays"
+	case m.mode == relaying:
+		return slotLost
 	case !m.storeLostAt.IsZero():
 		return "the relay cannot reach the store, another can"
 	}
@@ -139,7 +145,7 @@
 	switch m.mode {
 	case readingStore:
 		m.scheduleSearch(now)
-	case watching:
+	case watching, relaying:
 		m.nextCheckAt = now.Add(checkPeriod)
 	}
 	return effs
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -118,6 +118,7 @@
 	mu        sync.Mutex
 	instances map[string]*instance // by address
 	silent    map[string]bool      // by address: instances that are suspended, as others see them
+	doubted   map[string]string    // by name: another instance that this one takes for not live
 }
 
 type instance struct {
@@ -132,7 +133,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: &store{rows: map[string]platform.Row{}, unreachable: map[string]bool{}}, instances: map[string]*instance{}, silent: map[string]bool{}}
+	s := &site{t: t, store: &store{rows: map[string]platform.Row{}, unreachable: map[string]bool{}}, instances: map[string]*instance{}, silent: map[string]bool{}, doubted: map[string]string{}}
 	for i := range 10 {
 		s.store.put(fmt.Sprintf("t//%d", i), "old")
 	}
@@ -146,7 +147,7 @@
 	in.Follower = watch.New(watch.Config{StartID: name + "#1", DataCentre: dataCentre, Address: name, Cores: cores, Store: instanceStore{s.store, name}, Dial: s.dial,
 		Tables:    []watch.TableConfig{{Name: "t", Prefixes: []string{"t//"}, Wait: 50 * time.Millisecond}},
 		UseRelays: func() bool { return true },
-		Live:      func(start string) (bool, bool) { return s.isRunning(strings.TrimSuffix(start, "#1")), true },
+		Live:      func(start string) (bool, bool) { return s.isLive(name, strings.TrimSuffix(start, "#1")), true },
 		OnUpdate:  func(_ context.Context, u feed.Update) { in.apply(u) },
 		Go:        func(f func() error) { g.Go(f) },
 		Rand:      rand.Float64})
@@ -171,6 +172,13 @@
 	return s.instances[name] != nil
 }
 
+// isLive reports whether an instance is live as another one, by, judges it.
+func (s *site) isLive(by, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances[name] != nil && s.doubted[by] != name
+}
+
 func (s *site) isSilent(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -489,6 +497,31 @@
 	s.eventually(5*time.Second, "two relays again", func() bool { return len(s.withSource(watch.AsRelay)) == 2 })
 }
 
+// Guards against a third relay that stays: an instance that takes a relay for not live
+// claims its slot, and the old relay must hand its watchers over to it. None of them may
+// be without tables meanwhile.
+func TestTwoRelaysAfterWrongClaim(t *testing.T) {
+	s := newSettledSite(t, 8)
+	old, follower := s.withSource(watch.AsRelay)[0], s.withSource(watch.FromRelay)[0]
+	s.mu.Lock()
+	s.doubted[follower.name] = old.name
+	s.mu.Unlock()
+	s.eventually(8*time.Second, "the slot is taken", func() bool { return follower.Source().Kind == watch.AsRelay })
+	s.eventually(8*time.Second, "two relays, the others follow them", func() bool {
+		for _, in := range s.withSource(watch.FromRelay) {
+			if in.isUnavailable() {
+				t.Fatalf("%s is without tables", in.name)
+			}
+		}
+		return len(s.withSource(watch.AsRelay)) == 2 && len(s.withSource(watch.FromRelay)) == 6
+	})
+	if kind := old.Source().Kind; kind != watch.FromRelay {
+		t.Errorf("source of the old relay: %q, want a relay", kind)
+	}
+	s.store.put("t//3", "new")
+	s.eventually(time.Second, "the change is known", func() bool { return s.allKnow("t//3", "new") })
+}
+
 // Where relays have no room, other instances become relays: 3 to 8 of 40.
 func TestRelaysAddedWhenFull(t *testing.T) {
 	s := newSite(t)
