watch: a silent relay keeps its slot while it is live

What callers saw: on a busy machine relays took each other's slots in turn, and their followers were without tables meanwhile.

Cause: a relay that was silent towards one instance for 0.6 s counted as gone, although its member row was current.

Evidence: in a trace of TestChangesThroughRelaysInTime, 8 copies at once, four instances claim the slots of two relays whose member rows are current.

Change: a silent relay is left as before, but its slot is free only if the relay is not live, or if the instance has found no relay for 5 s.

Result: TestSilentRelayKeepsSlot failed with the former rule.

--- a/pkg/watch/connect.go
+++ b/pkg/watch/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	switch {
 	case errors.Is(r.err, errFull):
 		return RelayFull
+	case isTimeout(r.err):
+		return RelaySilent
 	case r.err != nil:
 		return RelayGone
 	case r.conn.first.AnyUnavailable():
@@ -82,6 +85,12 @@
 	return RelayReady
 }
 
+// isTimeout reports whether err means that a relay did not answer in time.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // closeConnections cancels and closes all attempts but that for the relay at the address
 // keep.
 func (f *Follower) closeConnections(keep string) {
@@ -176,7 +185,7 @@
 		}
 		var err error
 		if u, err = s.Next(silenceTimeout); err != nil {
-			f.post(watchCtx, WatchEnded{time.Now(), err.Error()})
+			f.post(watchCtx, WatchEnded{time.Now(), err.Error(), isTimeout(err)})
 			return
 		}
 	}
--- a/pkg/watch/directory.go
+++ b/pkg/watch/directory.go
@@ -151,6 +151,7 @@
 	usable relayState = iota
 	full              // it has no room for another watcher
 	gone              // it no longer acts as a relay
+	silent            // it did not answer in time
 )
 
 // findFreeSlot returns the lowest slot of dataCentre that an instance may claim. It
--- a/pkg/watch/machine.go
+++ b/pkg/watch/machine.go
@@ -49,6 +49,7 @@
 	WatchEnded struct {
 		At     time.Time
 		Reason string
+		Silent bool // the relay sent nothing for silenceTimeout; its connection may still be open
 	}
 	// ClaimDone is the outcome of a ClaimSlot. The Machine starts relaying, or reads the
 	// directory again.
@@ -105,6 +106,7 @@
 	RelayWithoutStore                       // the relay cannot reach the store
 	RelayFull                               // the relay has no room for another watcher
 	RelayGone                               // there is no relay at the address, or it is about to stop
+	RelaySilent                             // the relay did not answer in time
 )
 
 // MachineConfig configures a Machine.
@@ -199,7 +201,11 @@
 		return m.onRelayStatus(e)
 	case WatchEnded:
 		if m.mode == watching {
-			m.avoid(m.relay.Address, gone, e.At)
+			found := gone
+			if e.Silent {
+				found = silent
+			}
+			m.avoid(m.relay.Address, found, e.At)
 			return append([]Effect{SetSource{Source{Kind: None}, e.Reason}}, m.restartSearch(e.At, e.Reason)...)
 		}
 	case ClaimDone:
@@ -399,7 +405,9 @@
 // minSearchPause is the least time between two searches for a relay.
 const minSearchPause = 50 * time.Millisecond
 
-// stateOf returns the state of a relay as far as this instance knows.
+// stateOf returns the state of a relay as far as this instance knows. A relay that is
+// silent is not gone while it is live: this instance itself may have been suspended or
+// starved, and if it claimed the slot, the relay would lose it with all its watchers.
 func (m *Machine) stateOf(r Relay, now time.Time) relayState {
 	if r.StartID == m.cfg.StartID {
 		if m.mode != relaying {
@@ -407,19 +415,28 @@
 		}
 		return usable
 	}
-	if a := m.avoided[r.Address]; now.Before(a.until) {
+	a := m.avoided[r.Address]
+	avoided := now.Before(a.until)
+	if avoided && a.found != silent {
 		return a.found
 	}
-	if live, known := m.cfg.Live(r.StartID); known && !live {
+	live, known := m.cfg.Live(r.StartID)
+	if known && !live || avoided && (!known || m.longWithoutRelay(now)) {
 		return gone
 	}
 	return usable
 }
 
-// avoid leaves the relay at address out of searches for avoidPeriod, as it was found full
-// or gone. A relay that has reported itself full is not marked gone within that time.
+// longWithoutRelay reports whether this instance reads the store because it has found no
+// relay for storeFallbackDelay. It may then be unable to reach relays that are live.
+func (m *Machine) longWithoutRelay(now time.Time) bool {
+	return m.mode == readingStore && !now.Before(m.acceptRemoteAt)
+}
+
+// avoid leaves the relay at address out of searches for avoidPeriod, as it was found full,
+// gone or silent. A relay that has reported itself full stays marked full for that time.
 func (m *Machine) avoid(address string, found relayState, now time.Time) {
-	if a := m.avoided[address]; found == gone && a.found == full && now.Before(a.until) {
+	if a := m.avoided[address]; found != full && a.found == full && now.Before(a.until) {
 		return
 	}
 	m.avoided[address] = avoidance{until: now.Add(avoidPeriod), found: found}
@@ -444,8 +461,11 @@
 	}
 	if e.Err != nil {
 		found := gone
-		if errors.Is(e.Err, errBehind) || errors.Is(e.Err, errFull) {
+		switch {
+		case errors.Is(e.Err, errBehind), errors.Is(e.Err, errFull):
 			found = full
+		case isTimeout(e.Err):
+			found = silent
 		}
 		m.avoid(m.relay.Address, found, e.At)
 		m.mode = searching
--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -247,6 +247,47 @@
 	}
 }
 
+// Guards against an instance that replaces a live relay because it has not heard from it
+// for a moment, as when it was starved itself: it leaves the relay, but claims the slot only
+// once the relay is not live, or if it has found no relay for long.
+func TestSilentRelayKeepsSlot(t *testing.T) {
+	a, b := relay("a", "z1", 0), relay("b", "z1", 1)
+	t.Run("another relay answers", func(t *testing.T) {
+		h := newWatching(t, a, b)
+		h.send(watch.WatchEnded{At: h.now, Reason: "silent", Silent: true})
+		h.send(watch.ConnectDone{At: h.now, Address: "b", Outcome: watch.RelayReady})
+		h.send(watch.WatchOpened{At: h.now})
+		if h.advance(h.now.Add(10 * time.Second)); has[watch.ClaimSlot](h.effects) {
+			t.Fatal("slot of a live relay claimed, want none")
+		}
+		h.gone["a#1"] = true
+		if h.advance(h.now.Add(5 * time.Second)); !has[watch.ClaimSlot](h.effects) {
+			t.Error("slot of a relay that is not live not claimed")
+		}
+	})
+	t.Run("no relay answers", func(t *testing.T) {
+		h := newWatching(t, a, b)
+		h.send(watch.WatchEnded{At: h.now, Reason: "silent", Silent: true})
+		start, readAt := h.now, time.Duration(0)
+		for at := time.Duration(0); !has[watch.ClaimSlot](h.effects); at += 10 * time.Millisecond {
+			if at > 15*time.Second {
+				t.Fatal("no slot claimed within 15 s without a relay")
+			}
+			for _, e := range h.advance(start.Add(at)) {
+				if _, ok := e.(watch.ReadDirectory); ok { // no Connect is answered
+					h.send(watch.DirectoryRead{At: h.now, Relays: []watch.Relay{a, b}})
+				}
+			}
+			if readAt == 0 && has[watch.ReadStore](h.effects) {
+				readAt = at
+			}
+		}
+		if took := h.now.Sub(start); readAt == 0 || readAt > 1700*time.Millisecond || took < readAt+5*time.Second {
+			t.Errorf("store read after %v, slot claimed after %v; want a read within 1.7 s, and a claim 5 s later at the earliest", readAt, took)
+		}
+	})
+}
+
 // Guards against a relay that another instance has replaced, as on a machine that was busy
 // for a moment, and that stayed a relay for as long as it had watchers: it must hand them
 // over once the new holder of its slot is ready, and not before.
--- a/pkg/watch/search.go
+++ b/pkg/watch/search.go
@@ -70,6 +70,8 @@
 		m.avoid(e.Address, full, e.At)
 	case RelayGone:
 		m.avoid(e.Address, gone, e.At)
+	case RelaySilent:
+		m.avoid(e.Address, silent, e.At)
 	}
 	s := m.search
 	if s == nil {
@@ -132,7 +134,7 @@
 	m.search = nil
 	for _, pc := range s.inFlight {
 		if now.Sub(pc.startedAt) >= silenceTimeout {
-			m.avoid(pc.Address, gone, now)
+			m.avoid(pc.Address, silent, now)
 		}
 	}
 	if s.purpose == forAny && len(s.withoutStore) > 0 {
