quarantine: end probes when the instance stops

What callers saw: an instance that was told to stop went on for up to 0.55 s after its drain if it was probing an upstream that did not answer, and could be killed before its last writes.

Cause: the context of a probe was derived from context.Background, and the instance waits for its goroutines.

Change: Syncer.Run stops the guard when it ends. The log line "stop" has the time that the instance waited for its goroutines.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -196,8 +196,9 @@
 	n.group.Go(func() error { return n.quarantine.Run(ctx) })
 	err := n.controlLoop(ctx, stop)
 	cancel()
+	cancelledAt := time.Now()
 	_ = n.group.Wait() // all functions of the group return when ctx is done, with nil
-	n.cfg.Logger.Info("stop", "start", n.startID)
+	n.cfg.Logger.Info("stop", "start", n.startID, "waited", time.Since(cancelledAt))
 	return err
 }
 
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -91,6 +91,8 @@
 	// requests pass without the cost of a fingerprint.
 	contentCount atomic.Int64
 	probeCount   atomic.Int64 // probes in progress
+	probeCtx     context.Context
+	cancelProbes context.CancelFunc
 
 	mu          sync.Mutex
 	tracker     *CrashTracker
@@ -102,10 +104,16 @@
 
 // NewGuard returns a Guard without any known crash.
 func NewGuard(cfg Config) *Guard {
-	return &Guard{cfg: cfg, tracker: NewCrashTracker(), probes: map[string]*probe{}, abandoned: map[string][]abandonedRequest{},
+	g := &Guard{cfg: cfg, tracker: NewCrashTracker(), probes: map[string]*probe{}, abandoned: map[string][]abandonedRequest{},
 		crashes: map[string]processCrashes{}, quarantined: map[Fingerprint]bool{}}
+	g.probeCtx, g.cancelProbes = context.WithCancel(context.Background())
+	return g
 }
 
+// Stop ends the probes in progress, which then find no crash, and later ones at once. An
+// instance that stops must not wait for upstreams that do not answer.
+func (g *Guard) Stop() { g.cancelProbes() }
+
 // processID identifies the process of an upstream by the upstream's ID and start time.
 func processID(e upstream.Entry) string { return e.ID + "@" + strconv.FormatInt(e.Born, 10) }
 
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -18,6 +18,7 @@
 type testGuard struct {
 	*quarantine.Guard
 	down     atomic.Bool // whether upstreams refuse connections
+	hanging  atomic.Bool // whether connections to upstreams hang
 	leaving  atomic.Bool
 	probes   atomic.Int64
 	claims   atomic.Int64
@@ -28,8 +29,12 @@
 func newTestGuard(t *testing.T) *testGuard {
 	g := &testGuard{}
 	g.Guard = quarantine.NewGuard(quarantine.Config{
-		NotListening: func(context.Context, upstream.Entry) bool {
+		NotListening: func(ctx context.Context, _ upstream.Entry) bool {
 			g.probes.Add(1)
+			if g.hanging.Load() {
+				<-ctx.Done()
+				return false
+			}
 			return g.down.Load()
 		},
 		IsLeaving: func(upstream.Entry) bool { return g.leaving.Load() },
@@ -209,6 +214,27 @@
 	}
 }
 
+// Guards against an instance that stops and waits for a probe of an upstream that does not
+// answer, half a second of the time until it is killed.
+func TestStopEndsProbes(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before it connects": 0, "while it connects": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGuard(t)
+			g.hanging.Store(true)
+			if err := g.run(quarantine.Content{URI: "/a"}, 1, quarantine.ConnectionLost); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(delay)
+			startedAt := time.Now()
+			g.Stop()
+			g.waitForProbes()
+			if took := time.Since(startedAt); took > 200*time.Millisecond {
+				t.Errorf("probe ended %v after the stop, want 200ms at most", took)
+			}
+		})
+	}
+}
+
 // A request that was abandoned at an upstream counts as running when the upstream is
 // found to have crashed shortly after, here by a request that gets no connection.
 func TestAbandonedRequestCounts(t *testing.T) {
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -148,13 +148,15 @@
 
 // runProbe reports whether nothing listens at the upstream's address. It waits for
 // probeDelay, or until the probe is expedited, and makes no connection if the upstream
-// has answered meanwhile.
+// has answered meanwhile or the guard is stopped.
 func (g *Guard) runProbe(to upstream.Entry, p *probe) bool {
 	t := time.NewTimer(probeDelay)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-p.waiting:
+	case <-g.probeCtx.Done():
+		return false
 	}
 	g.mu.Lock()
 	answered := p.answered
@@ -162,7 +164,7 @@
 	if answered {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(g.probeCtx, probeTimeout)
 	defer cancel()
 	return g.cfg.NotListening(ctx, to)
 }
--- a/pkg/quarantine/syncer.go
+++ b/pkg/quarantine/syncer.go
@@ -85,8 +85,9 @@
 }
 
 // Run writes the facts of the Guard and deletes the rows that are no longer needed
-// until ctx is done. It always returns nil.
+// until ctx is done, and stops the Guard then. It always returns nil.
 func (s *Syncer) Run(ctx context.Context) error {
+	defer s.Guard.Stop()
 	sweepAt := time.Now().Add(sweepPeriod)
 	for ctx.Err() == nil {
 		now := time.Now()
