watch: one claim of a relay slot at a time

What callers saw: a data centre could have one relay that held both slots, so that it had none when that one failed; or a relay started twice, and its first watchers stayed on tables that were not read any more.

Cause: a read of the directory made the Machine forget a claim that was in flight.

Evidence: TestOneClaimAtATime failed before: a second ClaimSlot while the first was in flight, and two StartRelay for one claim.

Change: a claim is forgotten only once it is answered, and its answer is ignored if the directory has shown the outcome.

Result: the test passes; pkg/watch passes with -race.

--- a/pkg/watch/machine.go
+++ b/pkg/watch/machine.go
@@ -144,7 +144,8 @@
 	readStoreAt      time.Time // when an instance without versions falls back to the store
 	directoryReads   int       // reads of the directory since the last source was left
 	claimAt          time.Time // when this instance may claim a free slot; zero while no slot is known to be free
-	claiming         ClaimSlot // claim in flight or carried out; zero for none
+	claiming         ClaimSlot // slot that is claimed, until the outcome is known, or held; zero for none
+	claimInFlight    bool      // a ClaimSlot has not been answered
 	relayingDisabled bool
 	relay            Relay     // relay that is watched
 	storeLostAt      time.Time // since when the watched relay cannot reach the store; zero if it can
@@ -308,9 +309,11 @@
 		return nil
 	}
 	if m.claiming != (ClaimSlot{}) && m.holdsSlot(m.claiming.Key) {
-		return m.becomeRelay(e.At) // the claim succeeded, but its answer was lost
+		return m.becomeRelay(e.At) // the claim succeeded; its answer was lost or is late
+	}
+	if !m.claimInFlight {
+		m.claiming = ClaimSlot{}
 	}
-	m.claiming = ClaimSlot{}
 	switch m.mode {
 	case searching:
 		if e.Err == nil && len(m.dir.relays) == 0 && !m.cfg.UseRelays() {
@@ -378,11 +381,15 @@
 	if now.Before(m.claimAt) {
 		return nil
 	}
-	m.claiming = ClaimSlot{Key: slot.key, Version: slot.version}
+	m.claiming, m.claimInFlight = ClaimSlot{Key: slot.key, Version: slot.version}, true
 	return []Effect{m.claiming}
 }
 
 func (m *Machine) onClaimDone(e ClaimDone) []Effect {
+	m.claimInFlight = false
+	if m.mode == relaying {
+		return nil // the directory has shown the outcome already
+	}
 	if e.Err != nil {
 		return []Effect{ReadDirectory{}} // another instance has the slot, or this one has and the answer was lost
 	}
--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -159,6 +159,54 @@
 	}
 }
 
+// Guards against an instance that claims a second slot while the claim of the first is in
+// flight, as when the store is slow, and then holds two slots as one relay.
+func TestOneClaimAtATime(t *testing.T) {
+	relays := []watch.Relay{relay("a", "z1", 0), relay("b", "z1", 1)}
+	started := func(effs []watch.Effect) []string {
+		var keys []string
+		for _, e := range effs {
+			if e, ok := e.(watch.StartRelay); ok {
+				keys = append(keys, e.Key)
+			}
+		}
+		return keys
+	}
+	// claiming returns a harness whose claim of the slot of b is in flight, and which has
+	// lost its source and is about to read the directory.
+	claiming := func(t *testing.T) *harness {
+		h := newWatching(t, relays...)
+		h.gone["b#1"] = true
+		h.advance(h.now.Add(3 * time.Second))
+		h.send(watch.WatchEnded{At: h.now, Reason: "silent"})
+		if effs := h.advance(h.now.Add(time.Second)); !has[watch.ClaimSlot](h.effects) || !has[watch.ReadDirectory](effs) {
+			t.Fatalf("effects: %v, want a ClaimSlot and a ReadDirectory", h.effects)
+		}
+		h.effects = nil
+		return h
+	}
+	t.Run("the directory is read before the claim is answered", func(t *testing.T) {
+		h := claiming(t)
+		h.send(watch.DirectoryRead{At: h.now, Relays: relays})
+		h.advance(h.now.Add(time.Second))
+		if has[watch.ClaimSlot](h.effects) {
+			t.Fatalf("effects while a claim is in flight: %v, want no ClaimSlot", h.effects)
+		}
+		if got := started(h.send(watch.ClaimDone{At: h.now})); len(got) != 1 || got[0] != watch.Key("z1", 1) {
+			t.Errorf("relay started in %v, want the slot that was claimed", got)
+		}
+	})
+	t.Run("the directory shows the claim before it is answered", func(t *testing.T) {
+		h := claiming(t)
+		own := watch.Relay{StartID: "n#1", Address: "n", DataCentre: "z1", Slot: 1}
+		h.send(watch.DirectoryRead{At: h.now, Relays: []watch.Relay{relays[0], own}})
+		h.send(watch.ClaimDone{At: h.now})
+		if got := started(h.effects); len(got) != 1 || got[0] != watch.Key("z1", 1) {
+			t.Errorf("relay started in %v, want the slot that was claimed, once", got)
+		}
+	})
+}
+
 // In an outage of the store, all relays report that they cannot reach it: three are
 // connected to, and one of them is watched, as it will report the end of the outage.
 func TestAllRelaysWithoutStore(t *testing.T) {
