watch: an ended watch leaves the source as it is in the property test

StartRelay "ends the current source", so that the instance still reads the store for its watchers, and the Machine ignores the outcome; the test counted it as the loss of the source.

--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -388,6 +388,7 @@
 		h.useRelays = rapid.Bool().Draw(t, "use relays")
 		var inFlight []watch.Effect // effects in flight
 		following := false          // there is a source
+		superseded := false         // the source has changed since the last OpenWatch, which it ended
 		collect := func(effs []watch.Effect) {
 			for _, e := range effs {
 				switch e.(type) {
@@ -396,9 +397,9 @@
 				case watch.CloseConnections:
 					inFlight = slices.DeleteFunc(inFlight, func(e watch.Effect) bool { _, ok := e.(watch.Connect); return ok })
 				case watch.OpenWatch:
-					inFlight, following = append(inFlight, e), false
+					inFlight, following, superseded = append(inFlight, e), false, false
 				case watch.ReadStore, watch.StartRelay:
-					following = true
+					following, superseded = true, true
 				case watch.StopRelay:
 					following = false
 				}
@@ -432,7 +433,10 @@
 					collect(h.send(watch.ClaimDone{At: h.now, Err: errUnavailable}))
 				}
 			case watch.OpenWatch:
-				if following = good; good {
+				if !superseded {
+					following = good
+				}
+				if good {
 					collect(h.send(watch.WatchOpened{At: h.now}))
 				} else {
 					collect(h.send(watch.WatchOpened{At: h.now, Err: errors.New("no")}))
