watch: a relay answers only once it has read all tables

What callers saw: a follower that changed to a relay that had just started had no source for up to 2 s, and served from outdated tables.

Cause: the search for a relay watches the directory alone, and a relay answered that watch as soon as it had read the directory.

Change: a relay answers each watch once all its tables are read.

--- a/pkg/watch/serve.go
+++ b/pkg/watch/serve.go
@@ -34,7 +34,7 @@
 	for _, t := range tables {
 		s.after[t.Table] = t.After
 	}
-	if !r.awaitLoaded(ctx, tables) || !r.awaitVersions(ctx, tables) {
+	if !r.awaitLoaded(ctx) || !r.awaitVersions(ctx, tables) {
 		return ctx.Err()
 	}
 	for messages := 0; ctx.Err() == nil; messages++ {
@@ -58,15 +58,15 @@
 	return ctx.Err()
 }
 
-// awaitLoaded waits until each of the tables has been read once. It reports false if ctx
-// ended before.
-func (r *relay) awaitLoaded(ctx context.Context, tables []peer.WatchedTable) bool {
+// awaitLoaded waits until all tables have been read once, whichever are watched: an
+// instance that looks for a relay watches Table only, and leaves its source for one that
+// answers. It reports false if ctx ended before.
+func (r *relay) awaitLoaded(ctx context.Context) bool {
 	for {
 		updates := r.updates.wait()
 		loaded := true
-		for _, t := range tables {
-			c := r.caches[t.Table]
-			loaded = loaded && (c == nil || c.State().Loaded)
+		for _, c := range r.caches {
+			loaded = loaded && c.State().Loaded
 		}
 		if loaded {
 			return true
--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -28,6 +28,7 @@
 	version     uint64
 	returned    int
 	unreachable map[string]bool // by name: instances that cannot reach the store
+	scansHang   bool            // scans of the followed table are not answered
 }
 
 func (s *store) set(f func()) {
@@ -53,9 +54,15 @@
 
 var errUnavailable = fmt.Errorf("%w: unreachable", platform.ErrUnavailable)
 
-func (s instanceStore) ScanFrom(_ context.Context, prefix, from string, limit int) (platform.Page, error) {
+func (s instanceStore) ScanFrom(ctx context.Context, prefix, from string, limit int) (platform.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.scansHang && prefix == "t//" {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return platform.Page{}, errUnavailable
+	}
 	if s.unreachable[s.instance] {
 		return platform.Page{}, errUnavailable
 	}
@@ -497,6 +504,29 @@
 	s.eventually(5*time.Second, "two relays again", func() bool { return len(s.withSource(watch.AsRelay)) == 2 })
 }
 
+// Guards against followers that leave their source for a relay that has not read the tables
+// yet, and have none until it has: they must read the store instead.
+func TestUnloadedRelayIsNotUsed(t *testing.T) {
+	s := newSettledSite(t, 6)
+	s.store.set(func() { s.store.scansHang = true }) // a new relay cannot read the table
+	relays := s.withSource(watch.AsRelay)
+	s.kill(relays[0])
+	s.eventually(8*time.Second, "its slot is taken", func() bool { return len(s.withSource(watch.AsRelay)) == 2 })
+	s.kill(relays[1])
+	s.store.put("t//3", "new")
+	// The limit is 1.7 s for two searches, and 0.3 s for a busy machine.
+	took := s.eventually(2*time.Second, "the change is known to the followers", func() bool {
+		known := 0
+		for _, in := range s.withSource(watch.FromStore) {
+			if in.knownValue("t//3") == "new" {
+				known++
+			}
+		}
+		return known >= 2
+	})
+	t.Logf("change known after %v", took)
+}
+
 // Guards against a third relay that stays: an instance that takes a relay for not live
 // claims its slot, and the old relay must hand its watchers over to it. None of them may
 // be without tables meanwhile.
