watch: order relays by their random numbers alone

What callers saw: nothing. A failure of a test with fixed random numbers, as of TestAllRelaysFail, could not be repeated.

Cause: directory.nearest drew its numbers in the order of a map, and its comparison had no answer for equal ranks.

Evidence: TestRelayOrderFollowsRandomNumbers failed before.

Change: numbers are drawn in the order of keys, and the sort is stable. The other sorts in the code compare all their fields or break ties.

Result: the test passes.

--- a/pkg/watch/directory.go
+++ b/pkg/watch/directory.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -104,14 +105,16 @@
 
 // nearest returns the relays in the order in which to try them: those of dataCentre
 // first, and within each group in random order. random returns a number in [0, 1) and is
-// called once per relay. The relay whose start ID is start is left out.
+// called once per relay, in order of key, so that equal numbers give the same order. The
+// relay whose start ID is start is left out.
 func (d *directory) nearest(dataCentre, start string, random func() float64) []Relay {
 	type ranked struct {
 		Relay
 		rank float64
 	}
 	var all []ranked
-	for _, r := range d.relays {
+	for _, key := range slices.Sorted(maps.Keys(d.relays)) {
+		r := d.relays[key]
 		if r.StartID == start {
 			continue
 		}
@@ -121,12 +124,7 @@
 		}
 		all = append(all, rr)
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 	out := make([]Relay, len(all))
 	for i, rr := range all {
 		out[i] = rr.Relay
--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -207,6 +207,29 @@
 	})
 }
 
+// Guards against an order of relays that depends on that of a map, so that a failure could
+// not be repeated with the same random numbers.
+func TestRelayOrderFollowsRandomNumbers(t *testing.T) {
+	var relays []watch.Relay
+	for i := range 8 {
+		relays = append(relays, relay(fmt.Sprintf("r%d", i), "z1", i))
+	}
+	var first []string
+	for range 50 {
+		h := newHarness("n#1")
+		h.send(watch.Started{At: h.now})
+		h.send(watch.DirectoryRead{At: h.now, Relays: relays})
+		h.advance(h.now.Add(time.Second))
+		got := connected(h.effects)
+		if first == nil {
+			first = got
+		}
+		if len(got) != len(relays) || !slices.Equal(got, first) {
+			t.Fatalf("connected to %v, then to %v with the same random numbers", first, got)
+		}
+	}
+}
+
 // In an outage of the store, all relays report that they cannot reach it: three are
 // connected to, and one of them is watched, as it will report the end of the outage.
 func TestAllRelaysWithoutStore(t *testing.T) {
