--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -103,6 +103,9 @@
 	CloudProvider CloudProvider
 	// UsageSchedule is the schedule of usage reports. Its zero value disables them.
 	UsageSchedule usage.Schedule
+	// Contended means that the capacity of all pools is contended, as in
+	// upstream.Registry.
+	Contended bool
 }
 
 const (
@@ -164,6 +167,7 @@
 	if n.cfg.StoreReachability == nil {
 		n.cfg.StoreReachability = alwaysReachable{}
 	}
+	n.registry.SetContended(cfg.Contended)
 	n.observer = newObserver(n)
 	n.quarantine = newQuarantine(n)
 	n.forwarder = forward.New(forward.Config{Transport: cfg.Upstreams, Opener: cfg.Upstreams, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, OnAttempt: n.observer.attempt})
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -38,6 +38,9 @@
 type Load struct {
 	Running, Queued int
 	Slots           int
+	// Pace is how long work takes on the upstream's machine now, relative to the usual
+	// time. It is 0 if the upstream did not tell.
+	Pace float64
 }
 
 // AttemptResult is the outcome of an attempt at an upstream.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -41,6 +41,7 @@
 	byID        map[string]*upstreamState
 	pools       map[string]*pool
 	assignments map[string]*assignment // by model
+	contended   bool                   // the capacity of all pools is contended
 }
 
 // pool holds the upstreams of one pool.
@@ -48,6 +49,7 @@
 	members     []*upstreamState // sorted by ID
 	measured    map[string]bool  // IDs of members whose time per unit has been measured
 	nonDraining *nonDraining     // nil if it must be recomputed
+	contended   bool             // an upstream has told the pace of its machine
 }
 
 // nonDraining holds the upstreams of a pool that do not drain.
@@ -119,6 +121,28 @@
 		tokenTimes: health.NewTokenTimes(0)}
 }
 
+// SetContended sets whether the capacity of all pools is contended.
+func (r *Registry) SetContended(all bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contended = all
+}
+
+// Contended reports whether the capacity of a pool is contended: its callers may ask for
+// more than it serves, or its upstreams share their machines with others, so that what
+// they serve changes from moment to moment.
+func (r *Registry) Contended(pool string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isContended(pool)
+}
+
+// isContended is Contended with r.mu held.
+func (r *Registry) isContended(pool string) bool {
+	p := r.pools[pool]
+	return r.contended || p != nil && p.contended
+}
+
 // Set replaces all upstreams by entries.
 func (r *Registry) Set(entries []Entry) {
 	c := Changes{Reset: true}
@@ -483,6 +507,9 @@
 	if result.Load != nil {
 		local.otherLoad = max(0, result.Load.Running+result.Load.Queued-local.inFlight)
 		local.otherLoadAt = result.At
+		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
+			p.contended = true
+		}
 	}
 	local.singleInFlight = false
 	if result.Busy {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -207,3 +207,27 @@
 		t.Fatalf("%d of 8 more requests sent to the idle upstream of the other data centre, want at least 3", remote)
 	}
 }
+
+// A pool is contended once one of its upstreams has told the pace of its machine, and
+// no other pool is.
+func TestPaceMarksPoolContended(t *testing.T) {
+	r := upstream.NewRegistry("z")
+	r.Set(append(entries(2), upstream.Entry{ID: "j0", Pool: "q", Address: "10.0.1.1:1", DataCentre: "z", Slots: 8}))
+	for _, pace := range []float64{0, 1.2} {
+		rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: baseTime()})
+		if !ok {
+			t.Fatal("Acquire found no usable upstream")
+		}
+		rsv.Done(upstream.AttemptResult{At: baseTime(), Load: &upstream.Load{Slots: 8, Pace: pace}})
+		if got := r.Contended("p"); got != (pace > 0) {
+			t.Errorf("pool contended = %v after a load with pace %v, want %v", got, pace, pace > 0)
+		}
+	}
+	if r.Contended("q") {
+		t.Error("a pool whose upstreams have told no pace is contended")
+	}
+	r.SetContended(true)
+	if !r.Contended("q") {
+		t.Error("pool not contended though all are")
+	}
+}
