submission: resume the texts of an earlier submission's items

A run takes the texts that the previous submission of its model and customer left like the partial texts of a previous owner. A complete text is only scored, or is a result at once without a scorer. Run.Carried tells which items the previous submission had.

A portion without events added its version to a text that had been discarded, so that a result could name a version that generated nothing of it.

--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -148,14 +148,20 @@
 	return later, nil
 }
 
-// readObjects reads the objects that the snapshot's rows refer to. It skips those not
-// found: they were deleted after the rows were read.
+// readObjects reads the objects that the snapshot's rows refer to, each once: the heads
+// of a model's submissions share one. It skips those not found: they were deleted after
+// the rows were read.
 func (s *Snapshot) readObjects(ctx context.Context, store Store) error {
+	seen := map[string]bool{}
 	for _, r := range s.Rows {
 		if !mayHaveObjects(r.Key) {
 			continue
 		}
 		for _, name := range submission.ObjectNames(r.row()) {
+			if seen[name] {
+				continue
+			}
+			seen[name] = true
 			data, err := store.GetObject(ctx, name)
 			if errors.Is(err, platform.ErrNotFound) {
 				continue
--- a/pkg/submission/append.go
+++ b/pkg/submission/append.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
@@ -65,6 +66,7 @@
 	}
 	r.batch, r.appendBackoff = nil, minAppendBackoff
 	r.run.Written(len(b.Results))
+	r.writtenAt = append(r.writtenAt, slices.Repeat([]time.Time{time.Now()}, len(b.Results))...)
 	r.mu.Lock()
 	r.results = append(r.results, b.Results...)
 	close(r.changed)
--- a/pkg/submission/keys.go
+++ b/pkg/submission/keys.go
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil // a malformed row refers to no object
 		}
-		out := []string{specName(h.ID, h.Customer), progressName(h.ID, row.Version)}
+		out := []string{specName(h.ID, h.Customer), progressName(h.ID, row.Version), h.CarryoverKey().ObjectName()}
 		if h.ProgressToken != 0 {
 			out = append(out, progressName(h.ID, h.ProgressToken))
 		}
--- a/pkg/submission/prior_work.go
+++ b/pkg/submission/prior_work.go
@@ -14,7 +14,7 @@
 // PriorWork is what previous owners have stored of a submission.
 type PriorWork struct {
 	Results  []Result      // the results that have a position
-	Partials []PartialText // texts that are not complete
+	Partials []PartialText // texts of items without a result
 	// ProgressToken is the fencing token under which Partials are stored; 0 if none
 	// are.
 	ProgressToken uint64
@@ -44,12 +44,13 @@
 	return out, g.Wait()
 }
 
-// PartialText is the text of an item that is not complete.
+// PartialText is the text of an item that has no stored result.
 type PartialText struct {
 	Item     string   `json:"item"`
 	Text     []string `json:"text"`
 	After    int      `json:"after"`
 	Versions []uint64 `json:"versions"`
+	Complete bool     `json:"complete,omitempty"` // all events are present; only the score is missing
 }
 
 func progressName(id string, fencing uint64) string {
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -53,11 +53,13 @@
 	text             []string
 	lastEvent        int // ID of the last event of the text
 	versions         []uint64
+	carried          bool // see Run.Carried
 	timing           ItemTiming
 }
 
 // NewRun returns the Run of s, whose results in written are stored already and whose
-// partial texts are continued.
+// partial texts are continued. Of several texts of an item the last one is used. A
+// complete text is only scored, or is a result at once if its item has no scorer.
 func NewRun(s Spec, written []Result, partials []PartialText) *Run {
 	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written)}
 	done := make(map[string]bool, len(written))
@@ -74,22 +76,52 @@
 			continue
 		}
 		p := texts[it.ID]
-		r.items[i].text, r.items[i].lastEvent, r.items[i].versions = p.Text, p.After, p.Versions
+		// The caller may use the same texts for another Run.
+		r.items[i].text, r.items[i].lastEvent, r.items[i].versions = slices.Clip(p.Text), p.After, slices.Clone(p.Versions)
+		switch {
+		case p.Complete && it.Scorer != nil:
+			r.items[i].phase = unscored
+		case p.Complete:
+			r.finish(i, Result{State: Done}, time.Time{})
+		}
 	}
 	return r
 }
 
-// Partials returns the texts that have events and no result.
+// Partials returns the texts that have events and no stored result. A complete text
+// whose number of events is not known is left out: instances that do not know of
+// complete texts would generate it again and append it to itself.
 func (r *Run) Partials() []PartialText {
+	results := make(map[string]Result, len(r.results))
+	for _, res := range r.results {
+		results[res.Item] = res
+	}
 	var out []PartialText
-	for i, it := range r.items {
-		if it.lastEvent > 0 && it.phase != finished && it.phase != stored {
-			out = append(out, PartialText{Item: r.spec.Items[i].ID, Text: it.text, After: it.lastEvent, Versions: slices.Clone(it.versions)})
+	for i := range r.items {
+		if p, ok := r.partial(i, results); ok && r.items[i].phase != stored && p.After > 0 {
+			out = append(out, p)
 		}
 	}
 	return out
 }
 
+// partial returns the text of item i, or false if it has none. results holds the
+// results of items by ID.
+func (r *Run) partial(i int, results map[string]Result) (PartialText, bool) {
+	it := r.items[i]
+	p := PartialText{Item: r.spec.Items[i].ID, Text: it.text, After: it.lastEvent, Versions: slices.Clone(it.versions)}
+	switch it.phase {
+	case finished, stored:
+		res := results[p.Item]
+		p.Text, p.Versions, p.Complete = []string{res.Output}, slices.Clone(res.Versions), true
+		return p, res.State == Done
+	case unscored, scoring:
+		p.Complete = true
+		return p, true
+	}
+	return p, p.After > 0
+}
+
 // Waiting returns the items to be sent to an engine at now: first those that have a
 // part of their text, then by descending estimate of the text's length. A step takes as
 // long as its longest texts, so with fewer slots at engines than items these must not
@@ -194,9 +226,11 @@
 		it.text = append(it.text, e.Data)
 		it.lastEvent = e.ID
 	}
-	for _, v := range out.Versions {
-		if !slices.Contains(it.versions, v) {
-			it.versions = append(it.versions, v)
+	if len(out.Events) > 0 { // a version without events has produced nothing of the text
+		for _, v := range out.Versions {
+			if !slices.Contains(it.versions, v) {
+				it.versions = append(it.versions, v)
+			}
 		}
 	}
 	slices.Sort(it.versions)
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -41,6 +41,9 @@
 	// quarantineRecheckDelay is the time between checks whether a quarantined item was
 	// released.
 	quarantineRecheckDelay = 500 * time.Millisecond
+	// updatesPerItem is the room in the queue of updates for each item: the last events
+	// of an attempt are posted while its earlier ones may still be queued.
+	updatesPerItem = 2
 	// refusalBackoff is how long an engine that refused a text is sent no other.
 	refusalBackoff = 100 * time.Millisecond
 )
@@ -64,6 +67,11 @@
 	// Priority returns the priority of a customer's items, if the customer has one of
 	// its own; nil for none.
 	Priority func(customer string) option.Of[int]
+	// Previous returns what the previous submission of the same model and customer left.
+	// The run starts after it has returned. Nil for none.
+	Previous func(ctx context.Context) Previous
+	// OnCarried is called when a run has a Previous; nil for none.
+	OnCarried func(CarriedUse)
 	// Rand returns a random number, uniform in [0, 1).
 	Rand func() float64
 	// OnEvent is called for each RunEvent; nil for none.
@@ -91,6 +99,7 @@
 	head    HeadRow // with a zero fencing token once the submission is lost
 	spec    Spec
 	fencing uint64 // fencing token that the submission was claimed with
+	prior   PriorWork
 	run     *Run
 	updates chan func(now time.Time)
 	group   errgroup.Group
@@ -104,6 +113,7 @@
 	batch          *Batch // batch whose write failed or has an unknown outcome; nil for none
 
 	startedAt, endedAt time.Time
+	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
 
 	mu      sync.Mutex
 	results []Result
@@ -115,6 +125,9 @@
 	if cfg.OnEvent == nil {
 		cfg.OnEvent = func(RunEvent) {}
 	}
+	if cfg.OnCarried == nil {
+		cfg.OnCarried = func(CarriedUse) {}
+	}
 	if cfg.Priority == nil {
 		cfg.Priority = func(string) option.Of[int] { return option.Of[int]{} }
 	}
@@ -122,8 +135,9 @@
 	if priorToken == head.Fencing {
 		priorToken = 0 // stored by this instance itself, before it took the submission over again
 	}
-	return &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, run: NewRun(s, prior.Results, prior.Partials), results: prior.Results,
-		updates: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
+	return &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, prior: prior, run: NewRun(s, prior.Results, prior.Partials), results: prior.Results,
+		writtenAt: make([]time.Time, len(prior.Results)),
+		updates:   make(chan func(time.Time), updatesPerItem*len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
 		priorToken: priorToken}
 }
 
@@ -144,7 +158,9 @@
 		cancel()
 		r.endedAt = time.Now()
 		_ = r.group.Wait() // the group's functions return no errors
+		r.applyQueued()    // the last events of the attempts, for a successor
 	}()
+	r.resumeCarried(ctx)
 	for !r.run.Done() {
 		now := time.Now()
 		r.startAll(ctx, now)
@@ -191,18 +207,30 @@
 	case apply := <-r.updates:
 		apply(time.Now())
 	}
+	r.applyQueued()
+	return nil
+}
+
+// applyQueued applies the updates that are due.
+func (r *Runner) applyQueued() {
 	for {
 		select {
 		case apply := <-r.updates:
 			apply(time.Now())
 		default:
-			return nil
+			return
 		}
 	}
 }
 
-// post passes f to the goroutine of Run, which calls it.
+// post passes f to the goroutine of Run, which calls it. After the end of ctx, f is
+// still called if there is room in the queue.
 func (r *Runner) post(ctx context.Context, f func(now time.Time)) {
+	select {
+	case r.updates <- f:
+		return
+	default:
+	}
 	select {
 	case r.updates <- f:
 	case <-ctx.Done():
