node: keep and read the texts of ended submissions

When a sender ends a submission, its owner keeps the texts of the incomplete groups in memory and stores them as an object. The next run of the model and customer uses the memory, or reads the object for at most 150 ms if another instance was the owner. It reads nothing if the previous submission was complete or there is none. The object is deleted with the last submission of its model and customer. Counters: carryover.texts_reused, .events_reused, .texts_stale, .objects_written, .objects_read.

The owner often learns of the end by a refused write of results. It reads the head then. Before, it only saw that it had lost the submission, and while its followed table lagged it claimed the ended submission again and ran its items a second time: with the heads read 0.8 s late, TestResubmittedItemsResume/refused_write saw all four items start again.

With the previous submission's texts not read, all four items of that test start from event 1 in each of its cases, and both of TestResubmittedItemsOnlyScored are generated again; now none.

--- /dev/null
+++ b/pkg/node/carried.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/platform"
+	"github.com/zinnialadder/zinnialadder/pkg/submission"
+)
+
+const (
+	// carryoverLimit is the memory for texts of ended submissions, in bytes. The
+	// smallest instances have 144 MB.
+	carryoverLimit = 4 << 20
+	// carryoverReadTimeout limits how much later a run may start because the texts of
+	// the previous submission are read. An object takes 25 ms plus the transfer time.
+	carryoverReadTimeout = 150 * time.Millisecond
+)
+
+// Sources of the texts that a run resumes.
+const (
+	sourceMemory = "memory"
+	sourceStore  = "store"
+)
+
+// previous returns what the previous submission of h's model and customer left.
+func (n *Node) previous(ctx context.Context, h submission.HeadRow) submission.Previous {
+	prev, ok := n.heads.previous(h)
+	if !ok || prev.Complete {
+		return submission.Previous{}
+	}
+	rec, inMemory := n.carryover.Get(h.CarryoverKey())
+	if inMemory && rec.Submission == prev.ID || !prev.Ended {
+		return submission.Previous{Record: rec, Source: sourceMemory}
+	}
+	rctx, cancel := context.WithTimeout(ctx, carryoverReadTimeout)
+	defer cancel()
+	stored, err := n.carryover.Load(rctx, h.CarryoverKey())
+	if err != nil {
+		if !errors.Is(err, platform.ErrNotFound) {
+			n.cfg.Logger.Warn("carried texts not read; starting without them", "submission", h.ID, "previous", prev.ID, "err", err)
+		}
+		return submission.Previous{Record: rec, Source: sourceMemory} // of an earlier submission, if any
+	}
+	n.observer.count("carryover.objects_read")
+	return submission.Previous{Record: stored, Source: sourceStore}
+}
+
+// keepUnfinished keeps the texts of a run that ended with err for the next submission of
+// its model and customer: in memory at once, and in the object store later.
+func (n *Node) keepUnfinished(ctx context.Context, r *submission.Runner, h submission.Head, err error) {
+	if err == nil {
+		n.carryover.Remove(h.CarryoverKey()) // every group is complete
+		return
+	}
+	if !n.endedBySender(ctx, h.ID, err) {
+		return
+	}
+	rec := r.Unfinished()
+	n.carryover.Put(rec)
+	n.group.Go(func() error {
+		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		written, err := n.carryover.Save(sctx, rec.Key)
+		if written {
+			n.observer.count("carryover.objects_written")
+		}
+		if err != nil {
+			n.cfg.Logger.Warn("texts of an ended submission not stored; keeping them in memory only", "submission", h.ID, "texts", len(rec.Texts), "err", err)
+		}
+		return nil
+	})
+}
+
+// endedBySender reports whether a run ended with err because the sender ended the
+// submission. A write of results may fail because of that before the head that says so
+// is followed.
+func (n *Node) endedBySender(ctx context.Context, id string, err error) bool {
+	h, known := n.heads.get(id)
+	if known && h.Ended || !errors.Is(err, submission.ErrNotOwner) {
+		return h.Ended
+	}
+	rctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	h, err = n.submissions.Head(rctx, id)
+	if err != nil {
+		n.cfg.Logger.Warn("head of a lost submission not read; dropping its texts", "submission", id, "err", err)
+		return false
+	}
+	n.heads.set(h)
+	return h.Ended
+}
+
+// carried records what a run uses of the texts that the previous submission left.
+func (o *observer) carried(id string, use submission.CarriedUse) {
+	o.add("carryover.texts_reused", use.Texts)
+	o.add("carryover.events_reused", use.Events)
+	o.add("carryover.texts_stale", use.Stale)
+	if use.Items == 0 {
+		if use.Source == sourceStore {
+			o.logLine(o.items, false, "carried texts ignored; the submission repeats no items", "submission", id, "previous", use.Previous)
+		}
+		return
+	}
+	o.node.cfg.Logger.Info("carried texts", "submission", id, "previous", use.Previous, "source", use.Source, "items", use.Items,
+		"texts", use.Texts, "complete", use.Complete, "events", use.Events, "stale", use.Stale)
+}
+
+// deleteCarried deletes what a submission that is to be deleted left, unless there is
+// another submission of its model and customer.
+func (n *Node) deleteCarried(ctx context.Context, h submission.Head) error {
+	if n.heads.hasOther(h) {
+		return nil
+	}
+	return n.carryover.Delete(ctx, h.CarryoverKey())
+}
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -144,7 +144,10 @@
 
 func (e startRun) execute(ctx context.Context, n *Node) {
 	rctx, cancel := context.WithCancel(ctx)
-	r := submission.NewRunner(n.runnerConfig(), e.HeadRow, e.spec, e.priorWork)
+	cfg := n.runnerConfig()
+	cfg.Previous = func(ctx context.Context) submission.Previous { return n.previous(ctx, e.HeadRow) }
+	cfg.OnCarried = func(use submission.CarriedUse) { n.observer.carried(e.ID, use) }
+	r := submission.NewRunner(cfg, e.HeadRow, e.spec, e.priorWork)
 	run := &localRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
 	n.reader.addRun(e.ID, run)
 	n.assigner.ensureCurrent()
@@ -154,10 +157,15 @@
 		err := r.Run(rctx)
 		cancel()
 		close(run.ended)
+		n.keepUnfinished(ctx, r, e.Head, err)
 		n.deleteProgress(ctx, r, e.ID, err)
 		n.reader.finishRun(e.ID, r)
 		n.observer.runEnded(e.Head, r.Summary(), err)
-		n.enqueue(ctx, runEnded{ID: e.ID, Head: r.Head(), Err: err})
+		head := r.Head()
+		if h, _ := n.heads.get(e.ID); h.Ended && h.Fencing > head.Fencing {
+			head = h // the followed table may show the end only later, and until then the submission would run again
+		}
+		n.enqueue(ctx, runEnded{ID: e.ID, Head: head, Err: err})
 		return nil
 	})
 }
@@ -178,7 +186,10 @@
 	n.group.Go(func() error {
 		sctx, cancel := context.WithTimeout(ctx, sweepTimeout)
 		defer cancel()
-		err := n.submissions.DeleteSubmission(sctx, e.HeadRow)
+		err := n.deleteCarried(sctx, e.Head)
+		if err == nil {
+			err = n.submissions.DeleteSubmission(sctx, e.HeadRow)
+		}
 		n.cfg.Logger.Info("submission sweep ended", "submission", e.ID, "err", err)
 		n.enqueue(ctx, swept{ID: e.ID, Err: err, At: time.Now()})
 		return nil
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/carryover"
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
@@ -122,6 +123,7 @@
 	cfg         Config
 	startID     string // identifies this process of the instance
 	submissions submission.Repository
+	carryover   *carryover.Store
 	registry    *upstream.Registry
 	forwarder   *forward.Forwarder
 	events      chan any
@@ -160,7 +162,8 @@
 // New returns a Node configured by cfg.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, startID: membership.StartID(cfg.Name, time.Now()), startedAt: time.Now(), registry: upstream.NewRegistry(cfg.DataCentre),
-		submissions: submission.Repository{Store: cfg.Store, MaxRowBytes: cfg.MaxRowBytes}, events: make(chan any, eventQueueSize)}
+		submissions: submission.Repository{Store: cfg.Store, MaxRowBytes: cfg.MaxRowBytes},
+		carryover:   &carryover.Store{Objects: cfg.Store, Limit: carryoverLimit}, events: make(chan any, eventQueueSize)}
 	if n.cfg.Metrics == nil {
 		n.cfg.Metrics = metrics.NewRegistry()
 	}
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -41,6 +41,10 @@
 
 func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(1) }
 
+func (o *observer) add(name string, count int) {
+	metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(int64(count))
+}
+
 func (o *observer) time(name string, d time.Duration) {
 	metrics.GetOrRegisterTimer(name, o.node.cfg.Metrics).Update(d)
 }
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -243,6 +243,35 @@
 	delete(h.heads, id)
 }
 
+// previous returns the submission with the model and customer of a given one whose head
+// changed last before that of the given one. The end of a submission is its last change.
+// Versions are compared because the clocks of instances may differ by more than the time
+// between two submissions.
+func (h *headIndex) previous(of submission.HeadRow) (prev submission.HeadRow, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := of.CarryoverKey()
+	for id, head := range h.heads {
+		if id != of.ID && head.Fencing < of.Fencing && head.Fencing > prev.Fencing && head.CarryoverKey() == key {
+			prev, ok = head, true
+		}
+	}
+	return prev, ok
+}
+
+// hasOther reports whether there is another submission with the model and customer of a
+// given one.
+func (h *headIndex) hasOther(of submission.Head) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, head := range h.heads {
+		if id != of.ID && head.CarryoverKey() == of.CarryoverKey() {
+			return true
+		}
+	}
+	return false
+}
+
 // lastOwner returns the owner of the submission with the ownerKey key whose head
 // changed last, empty for none.
 func (h *headIndex) lastOwner(key string) string {
