submission, node: log carried texts whose item has another request

A sender that repeats an item's ID with another body gets nothing of its text. The line of carried texts now counts these, so that the reason is visible. TestResubmittedItemsResume checks that all four items and texts are counted; the count itself has no test of its own.

--- a/pkg/node/carried.go
+++ b/pkg/node/carried.go
@@ -104,7 +104,7 @@
 		return
 	}
 	o.node.cfg.Logger.Info("carried texts", "submission", id, "previous", use.Previous, "source", use.Source, "items", use.Items,
-		"texts", use.Texts, "complete", use.Complete, "events", use.Events, "stale", use.Stale)
+		"texts", use.Texts, "complete", use.Complete, "events", use.Events, "stale", use.Stale, "changed", use.Changed)
 }
 
 // deleteCarried deletes what a submission that is to be deleted left, unless there is
--- a/pkg/submission/carried.go
+++ b/pkg/submission/carried.go
@@ -32,6 +32,7 @@
 	Complete int    // those of Texts that are complete
 	Events   int    // events of Texts, as far as their number is known
 	Stale    int    // texts whose versions the submission does not allow
+	Changed  int    // texts of items whose request is not the same
 }
 
 // resumeCarried adds the texts that an earlier submission left to the run. A text that
@@ -57,10 +58,18 @@
 	r.run = NewRun(r.spec, r.prior.Results, append(texts, r.prior.Partials...))
 	r.prior = PriorWork{} // frees its texts
 	r.run.MarkCarried(prev.Items)
-	for i := range r.spec.Items {
+	hasText := make(map[string]bool, len(prev.Texts))
+	for _, t := range prev.Texts {
+		hasText[t.Item] = true
+	}
+	use.Changed = -len(texts) - stale
+	for i, it := range r.spec.Items {
 		if r.run.Carried(i) {
 			use.Items++
 		}
+		if hasText[it.ID] {
+			use.Changed++
+		}
 	}
 	r.cfg.OnCarried(use)
 }
