upstream, submission: leave engines out while they load

Texts were sent every 100 ms to engines that load weights or hold an old version, and when a step began one for each slot: 7,695 of 13,747 arrivals at engines were refused.

In contended pools an engine that refuses a text with a free slot and a version below the target is now left out until its load can have ended: the load began after the latest text that the engine accepted, and takes as long as the shortest load seen (0.9 s until four were seen whole). An engine that refused a version has not begun to load, so it is tried again after the time of a load. After that one text at a time is sent every 130 ms. The engine's entry, a stream that goes on with the new version, or a restart ends the pause. An engine below the target that may have begun to load gets one text first. Streams that were sent before the first refusal no longer lift the limit of one request: they go on while the engine loads. Other pools are served as before.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -168,6 +168,7 @@
 		n.cfg.StoreReachability = alwaysReachable{}
 	}
 	n.registry.SetContended(cfg.Contended)
+	metrics.NewRegisteredFunctionalGauge("engines.loading_skipped", n.cfg.Metrics, n.registry.LoadingPauses)
 	n.observer = newObserver(n)
 	n.quarantine = newQuarantine(n)
 	n.forwarder = forward.New(forward.Config{Transport: cfg.Upstreams, Opener: cfg.Upstreams, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, OnAttempt: n.observer.attempt})
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -18,10 +18,10 @@
 	it := r.spec.Items[i]
 	after, versions := r.run.LastEvent(i)
 	expect := uint64(0)
-	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, NeedFreeSlot: true}
+	target := r.cfg.TargetVersion(r.spec.Model)
+	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Newest: target, Affinity: it.Affinity, NeedFreeSlot: true}
 	elsewhere := req // what a faster engine must offer for the text to be moved there
 	rsv, ok := r.cfg.Registry.Acquire(req)
-	target := r.cfg.TargetVersion(r.spec.Model)
 	if !ok && target >= r.spec.MinVersion && target > 0 && !r.cfg.Guard.NeedsTrial(r.generation(i, after).content(r.spec.Model), now) {
 		// An engine may hold the target version before its registry entry says so. The
 		// request names the version, and the engine refuses it if it does not hold it.
@@ -75,6 +75,9 @@
 	if err == nil {
 		defer s.Close()
 		rsv.Observe(upstream.AttemptResult{At: time.Now(), Load: load, Versions: r.observedVersions(s.Version())})
+		if rsv.Alone {
+			r.post(ctx, func(time.Time) {}) // others may be sent to the engine now
+		}
 		out, err = r.read(rsv, elsewhere, s, idleTimer, flush)
 	}
 	now := time.Now()
@@ -90,6 +93,8 @@
 	case errors.Is(err, ErrVersionMismatch):
 		res.VersionRefused = true
 	case forward.RecordRefusal(&res, err, refusalBackoff):
+		// An engine refuses with free slots while it loads weights.
+		res.Loading = res.Busy && load.FreeSlot() && rsv.Versions[r.spec.Model] < r.cfg.TargetVersion(r.spec.Model)
 	case ownerCtx.Err() != nil:
 		// Cancelled by this instance: this says nothing about the engine.
 	case ctx.Err() == nil && s != nil && s.Last() > g.After:
@@ -148,8 +153,12 @@
 			return out, err
 		}
 		idleTimer.Reset(eventTimeout)
-		if e.Version != 0 {
+		if e.Version != 0 && e.Version != version {
 			version = e.Version
+			if r.cfg.Registry.Contended(rsv.Pool) {
+				// The engine has loaded a version and accepts requests again.
+				rsv.Observe(upstream.AttemptResult{At: time.Now(), Versions: r.observedVersions(version)})
+			}
 		}
 		if version != 0 && version < r.spec.MinVersion {
 			return out, errVersionTooOld
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -28,6 +28,10 @@
 	Model      string
 	MinVersion uint64
 
+	// Newest is the newest version of Model, 0 if unknown. Engines that hold an older one
+	// may be loading it.
+	Newest uint64
+
 	// Outdated requests an upstream whose version is believed to be older than
 	// MinVersion, to check whether it still is.
 	Outdated bool
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -58,6 +58,10 @@
 	// BusyUntil.
 	Busy      bool
 	BusyUntil time.Time
+	// Loading means that the upstream refused the request, as Busy, because it was
+	// loading weights. In a contended pool it then gets no requests until the load can
+	// have ended.
+	Loading bool
 
 	// VersionRefused means that the upstream refused the request because of its weight
 	// version.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/health"
@@ -37,11 +38,14 @@
 	health     *health.Tracker
 	tokenTimes *health.TokenTimes
 
+	loadingPauses atomic.Int64 // see LoadingPauses
+
 	mu          sync.Mutex
 	byID        map[string]*upstreamState
 	pools       map[string]*pool
 	assignments map[string]*assignment // by model
 	contended   bool                   // the capacity of all pools is contended
+	loadTimes   loadTimes
 }
 
 // pool holds the upstreams of one pool.
@@ -90,6 +94,11 @@
 	singleInFlight   bool      // such a request is in flight
 	versionCheckedAt time.Time // last check whether it still holds an old version
 	addressReused    bool      // another upstream has the address
+	// oldVersionAt is when the latest request was sent that showed that it had not begun
+	// the next load of weights: it accepted the request, or refused it for its version.
+	oldVersionAt    time.Time
+	oldVersionModel string // model of that request
+	loading         loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
@@ -189,6 +198,7 @@
 			r.pools[e.Pool].nonDraining = nil
 		}
 		s.Entry = e
+		r.endLoading(s, time.Time{}) // the entry does not tell when the load ended
 		return
 	}
 	r.remove(e.ID)
@@ -356,8 +366,16 @@
 // once.
 type Reservation struct {
 	Entry
-	registry *Registry
-	state    *upstreamState
+	// Alone means that the upstream, whose pool is contended, gets no other request until
+	// it has answered this one.
+	Alone      bool
+	registry   *Registry
+	state      *upstreamState
+	acquiredAt time.Time
+	model      string // model of the request; empty for none
+	minVersion uint64 // version that the request requires
+	outdated   bool   // the upstream was believed to be older than that
+	single     bool   // this request set singleInFlight
 }
 
 // Acquire chooses an upstream for a request and counts the request there. It reports
@@ -373,12 +391,12 @@
 	s := states[i]
 	local := s.ensureLocal()
 	local.inFlight++
-	local.singleInFlight = local.singleRequest
+	local.singleInFlight = local.singleRequest || r.mayBeLoading(s, req)
 	if req.Outdated {
 		local.versionCheckedAt = req.Now
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
-	return &Reservation{Entry: s.entry(), registry: r, state: s}, true
+	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated}, true
 }
 
 // usableFor returns the upstreams that may take a request: those assigned to its model
@@ -448,7 +466,7 @@
 		return true
 	case req.Outdated:
 		v := s.version(req.Model)
-		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval
+		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval && r.mayHaveLoaded(s, req)
 	}
 	return s.version(req.Model) >= req.MinVersion
 }
@@ -468,7 +486,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rsv.state.ensureLocal().inFlight--
-	r.record(rsv.state, result)
+	r.record(rsv, result)
 }
 
 // Release ends a reservation whose request was not sent.
@@ -499,10 +517,11 @@
 func (rsv *Reservation) Observe(result AttemptResult) {
 	rsv.registry.mu.Lock()
 	defer rsv.registry.mu.Unlock()
-	rsv.registry.record(rsv.state, result)
+	rsv.registry.record(rsv, result)
 }
 
-func (r *Registry) record(s *upstreamState, result AttemptResult) {
+func (r *Registry) record(rsv *Reservation, result AttemptResult) {
+	s := rsv.state
 	local := s.ensureLocal()
 	if result.Load != nil {
 		local.otherLoad = max(0, result.Load.Running+result.Load.Queued-local.inFlight)
@@ -511,12 +530,6 @@
 			p.contended = true
 		}
 	}
-	local.singleInFlight = false
-	if result.Busy {
-		local.busyUntil, local.singleRequest = result.BusyUntil, true
-	} else if !result.VersionRefused {
-		local.singleRequest = false
-	}
 	local.addressReused = local.addressReused || result.AddressReused
 	for m, v := range result.Versions {
 		if local.observedVersions == nil {
@@ -524,6 +537,7 @@
 		}
 		local.observedVersions[m] = max(local.observedVersions[m], v)
 	}
+	r.recordAvailability(rsv, result)
 	if result.TimePerUnit > 0 {
 		r.tokenTimes.Observe(s.ID, result.TimePerUnit, result.At)
 		if p := r.pools[s.Pool]; p != nil && r.byID[s.ID] == s {
@@ -537,3 +551,32 @@
 		r.health.RecordSuccess(s.ID)
 	}
 }
+
+// recordAvailability records what a result tells about when the upstream takes requests.
+func (r *Registry) recordAvailability(rsv *Reservation, result AttemptResult) {
+	local := rsv.state.ensureLocal()
+	contended := r.isContended(rsv.Pool) && rsv.model != ""
+	if rsv.single || !contended {
+		local.singleInFlight = false
+	}
+	if contended && !local.loading.refusedAt.IsZero() && rsv.acquiredAt.Before(local.loading.refusedAt) {
+		// The request was sent before the load was noticed. While an engine loads, its
+		// streams go on, so they do not show that it accepts requests.
+		r.endLoading(rsv.state, result.At)
+		return
+	}
+	switch {
+	case contended && (result.Busy && result.Loading || result.VersionRefused && rsv.outdated):
+		r.recordLoading(rsv, result)
+		return
+	case result.Busy:
+		local.busyUntil, local.singleRequest = result.BusyUntil, true
+	case !result.VersionRefused:
+		local.singleRequest = false
+	}
+	refused := result.Busy || result.VersionRefused || result.Failed || result.Unreachable || result.AddressReused
+	responded := result.Load != nil || len(result.Versions) > 0 || result.TimePerUnit > 0 // else it was cancelled
+	if contended && !refused && responded {
+		r.recordAccepted(rsv)
+	}
+}
