weights, node: more engines for the more urgent models

Demand has the priority of the most urgent route for submissions that a known submission of the model uses. Where the settings say that capacity is contended, the work of models that are more urgent than the least urgent one of their pool counts 1.3 times. Pools that became contended by a reported pace are left alone: instances learn that at different times and would assign engines differently. A new configuration now has the demands computed again, as priorities depend on it.

Measured by TestUrgentModelsGetMoreEngines: of 100 engines for four models of equal work and priorities 0, 1, 0, 1, the models get 28, 22, 28, 22 (26 and 20 above the least two each, 1.3 to 1), before 25 each; equal or unknown priorities give 25 each, 8 engines give two each.

--- a/pkg/node/assigner.go
+++ b/pkg/node/assigner.go
@@ -56,7 +56,7 @@
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
 			ids, _ := n.registry.NonDraining(pool.Name)
-			maps.Copy(assignments, weights.AssignEngines(ids, poolDemands(pool, demands)))
+			maps.Copy(assignments, weights.AssignEngines(ids, poolDemands(pool, demands, n.cfg.Contended)))
 		}
 	}
 	n.registry.SetAssignments(assignments)
--- a/pkg/node/demand.go
+++ b/pkg/node/demand.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/zinnialadder/zinnialadder/pkg/option"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -52,10 +54,27 @@
 		models[m] = true
 	}
 	s.updateAssignedWork()
-	items := s.concurrentItems()
+	items, priorities := s.concurrentItems(), s.priorities()
 	var out []weights.Demand
 	for _, m := range slices.Sorted(maps.Keys(models)) {
-		out = append(out, weights.Demand{Model: m, TargetVersion: s.targetVersions[m], MaxLag: s.lag[m], Work: s.assignedWork[m], Busy: busy[m], MaxItems: items[m]})
+		out = append(out, weights.Demand{Model: m, TargetVersion: s.targetVersions[m], MaxLag: s.lag[m], Work: s.assignedWork[m], Busy: busy[m], MaxItems: items[m], Priority: priorities[m]})
+	}
+	return out
+}
+
+// priorities returns the priority of the most urgent route that accepts submissions, by
+// model, as the known submissions show. All instances that have read them and the same
+// configuration compute the same.
+func (s *state) priorities() map[string]option.Of[int] {
+	out := map[string]option.Of[int]{}
+	if s.table == nil {
+		return out
+	}
+	for _, head := range s.heads {
+		rt, ok := s.table.Match(head.Host, head.Path)
+		if ok && rt.Kind == routetable.Submissions {
+			out[head.Model] = option.Some(min(rt.Priority, out[head.Model].Or(rt.Priority)))
+		}
 	}
 	return out
 }
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -116,3 +117,11 @@
 func IsStandby(name string, live []*membership.Member) bool {
 	return isStandby(name, membership.NewRoster(live))
 }
+
+// SetTable puts a configuration in force.
+func (s State) SetTable(t *routetable.Table) { s.s.table = t }
+
+// PoolDemands returns the demands by which the engines of a pool are assigned.
+func (s State) PoolDemands(pool routetable.Pool, contended bool) []weights.Demand {
+	return poolDemands(pool, s.s.demands(), contended)
+}
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -32,7 +32,7 @@
 // continueRunning is the value of LoadOrder.Continue in the orders.
 func (o *orderSender) planPool(ctx context.Context, p planOrders, pool routetable.Pool, until time.Time, continueRunning bool) {
 	ids, _ := o.node.registry.NonDraining(pool.Name)
-	demands := poolDemands(pool, p.demands)
+	demands := poolDemands(pool, p.demands, o.node.cfg.Contended)
 	assignments := weights.AssignEngines(ids, demands)
 	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
 	held := func(d weights.Demand) map[string]uint64 {
@@ -66,8 +66,10 @@
 }
 
 // poolDemands returns the demands for the models of a pool. While the work of no model
-// is known, all models get equal work.
-func poolDemands(pool routetable.Pool, demands []weights.Demand) []weights.Demand {
+// is known, all models get equal work. If the capacity of all pools is contended, the work
+// of more urgent models is weighted. All instances must compute the same, so this does not
+// depend on upstream.Registry.Contended, which each instance learns at another time.
+func poolDemands(pool routetable.Pool, demands []weights.Demand, contended bool) []weights.Demand {
 	var out []weights.Demand
 	known := false
 	for _, m := range slices.Sorted(slices.Values(pool.Models)) {
@@ -87,6 +89,9 @@
 			out[i].Work = 1
 		}
 	}
+	if contended {
+		weights.WeightByUrgency(out)
+	}
 	return out
 }
 
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -188,7 +188,7 @@
 			if s.table != nil && t.Version <= s.table.Version {
 				continue // versions never decrease
 			}
-			s.assignmentsStale = true
+			s.assignmentsStale, s.demandsStale = true, true
 			s.recordChange(t, u.At)
 			effs = append(effs, setTable{t})
 		} else if model, version, ok := s.decoder.TargetVersion(ch.Row); ok && version > s.targetVersions[model] {
--- a/pkg/weights/demand.go
+++ b/pkg/weights/demand.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
@@ -55,6 +56,9 @@
 	TargetVersion uint64  // target version; 0 for none
 	MaxLag        uint64  // how many versions behind the target version requests accept
 	Work          float64 // share of the engines, relative to the other models
+	// Priority is the priority of the most urgent route that accepts submissions of the
+	// model. 0 is the most urgent. It holds nothing if no route is known.
+	Priority option.Of[int]
 	// Busy reports whether requests of the model are queued or in flight.
 	Busy bool
 	// MaxItems is the largest number of items that may be in flight at once; 0 if
@@ -65,6 +69,24 @@
 	MaxEngines int
 }
 
+// urgencyFactor weights the work of the more urgent models. It is constant, so that
+// engines do not move back and forth between models.
+const urgencyFactor = 1.3
+
+// WeightByUrgency multiplies the work of the models that are more urgent than the least
+// urgent one by urgencyFactor. Models whose priority is unknown are left alone.
+func WeightByUrgency(demands []Demand) {
+	least := 0
+	for _, d := range demands {
+		least = max(least, d.Priority.Or(0))
+	}
+	for i, d := range demands {
+		if d.Priority.Or(least) < least {
+			demands[i].Work *= urgencyFactor
+		}
+	}
+}
+
 // minEngines is the smallest number of engines that a model is assigned, if there are
 // enough engines. With two, the model is still served when one crashes.
 const minEngines = 2
--- a/pkg/weights/demand_test.go
+++ b/pkg/weights/demand_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -202,3 +203,36 @@
 		t.Fatalf("SortByUrgency: got %v, want [b a c]", got)
 	}
 }
+
+// The most urgent models fell behind because engines were shared out by work alone. They
+// must get 1.3 times the share of what is left after the least two engines of each model,
+// and models of equal or unknown priority the same as without priorities.
+func TestUrgentModelsGetMoreEngines(t *testing.T) {
+	var ids []string
+	for i := range 100 {
+		ids = append(ids, fmt.Sprintf("i%02d", i))
+	}
+	unknown := option.Of[int]{}
+	for _, c := range []struct {
+		priorities []option.Of[int]
+		engines    int
+		want       []int
+	}{
+		{[]option.Of[int]{option.Some(0), option.Some(1), option.Some(0), option.Some(1)}, 100, []int{28, 22, 28, 22}}, // 92 * 1.3/4.6 = 26
+		{[]option.Of[int]{option.Some(1), option.Some(1), option.Some(1), option.Some(1)}, 100, []int{25, 25, 25, 25}},
+		{[]option.Of[int]{unknown, unknown, option.Some(0), unknown}, 100, []int{25, 25, 25, 25}},
+		{[]option.Of[int]{option.Some(0), option.Some(1), option.Some(0), option.Some(1)}, 8, []int{2, 2, 2, 2}},
+	} {
+		var demands []weights.Demand
+		for i, p := range c.priorities {
+			demands = append(demands, weights.Demand{Model: fmt.Sprintf("m%d", i), Work: 100, Priority: p})
+		}
+		weights.WeightByUrgency(demands)
+		parts := weights.AssignEngines(ids[:c.engines], demands)
+		for i, d := range demands {
+			if got := len(parts[d.Model]); got != c.want[i] {
+				t.Errorf("priorities %v, %d engines: model %d got %d engines, want %d", c.priorities, c.engines, i, got, c.want[i])
+			}
+		}
+	}
+}
