explain: times by model and by route in the summary

The summary listed the phases of the slowest submissions only. It did not tell how long the submissions of each model took, nor anything about plain requests.

Summary has the times of submissions by model (p50, p99, worst, attempts, refusals) and of the logged requests by route, with the number of rejected ones, whose short times do not count. Log lines are limited per second, so it also tells how many the lines say were left out.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -93,3 +94,45 @@
 		t.Fatalf("Write: %v, text:\n%s", err, out.String())
 	}
 }
+
+const tablesText = `time=10:00:00.000 level=info msg="submission kept" node=a submission=l1
+time=10:00:00.000 level=info msg="submission kept" node=a submission=l2
+time=10:00:00.000 level=info msg="submission kept" node=a submission=l3
+time=10:00:02.000 level=info msg="submission runs no more" node=a submission=l1 model=m0 attempts=5 refused=2
+time=10:00:02.000 level=info msg="submission runs no more" node=a submission=l2 model=m0 attempts=7 refused=1
+time=10:00:02.000 level=info msg="submission ended" node=a submission=l1
+time=10:00:04.000 level=info msg="submission ended" node=a submission=l2
+time=10:00:04.000 level=info msg="submission ended" node=a submission=l3
+time=10:00:05.000 level=info msg=request node=a request=r1 route=look status=200 verdict=ran took=10ms err=null
+time=10:00:05.000 level=info msg=request node=a request=r2 route=look status=200 verdict=ran took=30ms err=null skipped=4
+time=10:00:05.000 level=warn msg=request node=a request=r3 route=look status=0 verdict=not_run took=2ms err=full skipped=2
+time=10:00:05.000 level=warn msg=request node=a request=r4 route=pay status=0 verdict=not_run took=2ms err=full
+time=10:00:05.000 level=info msg=generated node=a submission=l1 item=x1 skipped=3
+time=10:00:05.000 level=info msg=generated node=b submission=l1 item=x2 skipped=3
+`
+
+// Rejected requests take a few milliseconds and would hide how long served ones take, and
+// a reader who did not know of skipped lines would take the logged requests for all.
+func TestSummaryTables(t *testing.T) {
+	ls, err := explain.Read(strings.NewReader(tablesText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := explain.Summarize(ls)
+	models := []explain.ModelTiming{
+		{Submissions: 1, Took: explain.Distribution{P50: 4 * time.Second, P99: 4 * time.Second, Worst: 4 * time.Second}},
+		{Model: "m0", Submissions: 2, Attempts: 12, EmptyAttempts: 3, Took: explain.Distribution{P50: 3 * time.Second, P99: 4 * time.Second, Worst: 4 * time.Second}},
+	}
+	routes := []explain.RouteTiming{
+		{Route: "look", Requests: 3, Rejected: 1, Took: explain.Distribution{P50: 20 * time.Millisecond, P99: 30 * time.Millisecond, Worst: 30 * time.Millisecond}},
+		{Route: "pay", Requests: 1, Rejected: 1},
+	}
+	if !slices.Equal(s.Models, models) || !slices.Equal(s.Routes, routes) {
+		t.Errorf("models %+v and routes %+v, want %+v and %+v", s.Models, s.Routes, models, routes)
+	}
+	var out bytes.Buffer
+	if err := s.Write(&out, 5); err != nil || !strings.Contains(out.String(), "limits per second: failures 2, items 6, requests 4\n") {
+		t.Errorf("Write: %v, want the skipped lines in the text:\n%s", err, out.String())
+	}
+	t.Log(out.String())
+}
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -43,14 +43,17 @@
 	keptAt, endedAt time.Time
 }
 
-// Summary is the processing times of all submissions.
+// Summary is the processing times of all submissions, and the times of requests.
 type Summary struct {
 	Submissions []SubmissionTiming // those accepted and ended in the logs, slowest first
 	Rejections  int                // calls whose submission was not accepted
+	Models      []ModelTiming      // of Submissions
+	Routes      []RouteTiming
+	Skipped     map[string]int // lines that exceeded a limit per second, by kind
 }
 
-// Summarize returns the processing times of the submissions in lines. A submission
-// without a line of its acceptance or of its end is left out.
+// Summarize returns the processing times of the submissions in lines, and the times of
+// the requests. A submission without a line of its acceptance or of its end is left out.
 func Summarize(lines []Line) Summary {
 	var s Summary
 	byID := map[string]*SubmissionTiming{}
@@ -86,6 +89,7 @@
 	slices.SortFunc(s.Submissions, func(a, b SubmissionTiming) int {
 		return cmp.Or(cmp.Compare(b.Duration, a.Duration), cmp.Compare(a.ID, b.ID))
 	})
+	s.Models, s.Routes, s.Skipped = byModel(s.Submissions), byRoute(lines), skippedLines(lines)
 	return s
 }
 
@@ -124,7 +128,8 @@
 }
 
 // Write writes a table with the sums over all submissions and a row for each of the
-// slowest ones, in seconds by phase. An error is one of w.
+// slowest ones, in seconds by phase, and tables of times by model and by route. An error
+// is one of w.
 func (s Summary) Write(w io.Writer, slowest int) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(t, "submission\tmodel\tstep\ttook\truns\tattempts\trefused\t")
@@ -152,6 +157,8 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "submissions rejected: %d times\n", s.Rejections)
-	return err
+	if _, err := fmt.Fprintf(w, "submissions rejected: %d times\n", s.Rejections); err != nil {
+		return err
+	}
+	return s.writeTables(w)
 }
--- /dev/null
+++ b/internal/explain/tables.go
@@ -0,0 +1,150 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// Distribution is the distribution of durations.
+type Distribution struct{ P50, P99, Worst time.Duration }
+
+// distribution returns the distribution of ds, which it sorts.
+func distribution(ds []int64) Distribution {
+	if len(ds) == 0 {
+		return Distribution{}
+	}
+	p := metrics.SamplePercentiles(ds, []float64{0.5, 0.99})
+	return Distribution{P50: time.Duration(p[0]), P99: time.Duration(p[1]), Worst: time.Duration(ds[len(ds)-1])}
+}
+
+// ModelTiming is the processing times of the submissions of one model.
+type ModelTiming struct {
+	Model                   string // empty if no owner logged it
+	Submissions             int
+	Attempts, EmptyAttempts int // of all items, see SubmissionTiming
+	Took                    Distribution
+}
+
+// RouteTiming is the times of the requests of one route that are in the logs.
+type RouteTiming struct {
+	Route    string
+	Requests int
+	Rejected int          // that have not run and were sent back
+	Took     Distribution // of those that were not rejected
+}
+
+// byModel returns the timings of submissions by model, sorted by name.
+func byModel(submissions []SubmissionTiming) []ModelTiming {
+	timings, took := map[string]*ModelTiming{}, map[string][]int64{}
+	for _, s := range submissions {
+		t := timings[s.Model]
+		if t == nil {
+			t = &ModelTiming{Model: s.Model}
+			timings[s.Model] = t
+		}
+		t.Submissions++
+		t.Attempts += s.Attempts
+		t.EmptyAttempts += s.EmptyAttempts
+		took[s.Model] = append(took[s.Model], int64(s.Duration))
+	}
+	var out []ModelTiming
+	for _, t := range timings {
+		t.Took = distribution(took[t.Model])
+		out = append(out, *t)
+	}
+	slices.SortFunc(out, func(a, b ModelTiming) int { return cmp.Compare(a.Model, b.Model) })
+	return out
+}
+
+// byRoute returns the timings of the requests in lines by route, sorted by name.
+func byRoute(lines []Line) []RouteTiming {
+	timings, took := map[string]*RouteTiming{}, map[string][]int64{}
+	for _, l := range lines {
+		if l.Message != "request" {
+			continue
+		}
+		route := l.Get("route")
+		t := timings[route]
+		if t == nil {
+			t = &RouteTiming{Route: route}
+			timings[route] = t
+		}
+		t.Requests++
+		if l.Get("verdict") == verdict.NotRun.String() {
+			t.Rejected++
+		} else if d, err := time.ParseDuration(l.Get("took")); err == nil {
+			took[route] = append(took[route], int64(d))
+		}
+	}
+	var out []RouteTiming
+	for _, t := range timings {
+		t.Took = distribution(took[t.Route])
+		out = append(out, *t)
+	}
+	slices.SortFunc(out, func(a, b RouteTiming) int { return cmp.Compare(a.Route, b.Route) })
+	return out
+}
+
+// skippedLines returns how many lines exceeded the instances' limits per second, by what
+// the lines that tell it are about. Lines skipped after the last one written are unknown.
+func skippedLines(lines []Line) map[string]int {
+	out := map[string]int{}
+	for _, l := range lines {
+		n, err := strconv.Atoi(l.Get("skipped"))
+		if err != nil || n <= 0 {
+			continue
+		}
+		switch {
+		case l.Level == "warn":
+			out["failures"] += n
+		case l.Message == "request":
+			out["requests"] += n
+		case l.Get("item") != "":
+			out["items"] += n
+		default:
+			out["others"] += n
+		}
+	}
+	return out
+}
+
+// writeTables writes the tables by model and by route, and the numbers of skipped lines.
+func (s Summary) writeTables(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\nmodel\tsubmissions\tp50\tp99\tworst\tattempts\trefused\t")
+	for _, m := range s.Models {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%d\t\n", cmp.Or(m.Model, "unknown"), m.Submissions, m.Took, m.Attempts, m.EmptyAttempts)
+	}
+	fmt.Fprintln(t, "\nroute\trequests logged\tp50\tp99\tworst\trejected\t")
+	for _, r := range s.Routes {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t\n", r.Route, r.Requests, r.Took, r.Rejected)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	var skipped []string
+	for _, kind := range slices.Sorted(maps.Keys(s.Skipped)) {
+		skipped = append(skipped, fmt.Sprintf("%s %d", kind, s.Skipped[kind]))
+	}
+	_, err := fmt.Fprintf(w, "lines skipped by the limits per second: %s\n", cmp.Or(strings.Join(skipped, ", "), "none recorded"))
+	return err
+}
+
+// String returns the columns of a table.
+func (d Distribution) String() string {
+	if d == (Distribution{}) {
+		return "-\t-\t-"
+	}
+	return fmt.Sprintf("%.3f s\t%.3f s\t%.3f s", d.P50.Seconds(), d.P99.Seconds(), d.Worst.Seconds())
+}
