--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/carryover"
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -118,6 +120,28 @@
 	return isStandby(name, membership.NewRoster(live))
 }
 
+// SetHead publishes the head of a submission.
+func (n *Node) SetHead(h submission.HeadRow) { n.heads.set(h) }
+
+// KeepCarried keeps what a submission left, in memory and in the object store.
+func (n *Node) KeepCarried(ctx context.Context, rec carryover.Record) error {
+	n.carryover.Put(rec)
+	_, err := n.carryover.Save(ctx, rec.Key)
+	return err
+}
+
+// Previous returns what the run of h would resume.
+func (n *Node) Previous(ctx context.Context, h submission.HeadRow) submission.Previous {
+	return n.previous(ctx, h)
+}
+
+// Sweep deletes a submission as the sweep effect does.
+func (n *Node) Sweep(ctx context.Context, h submission.HeadRow) {
+	sweep{h}.execute(ctx, n)
+	_ = n.group.Wait() // the functions of the group return no errors
+	n.heads.remove(h.ID)
+}
+
 // SetTable puts a configuration in force.
 func (s State) SetTable(t *routetable.Table) { s.s.table = t }
 
