--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -352,6 +352,29 @@
 	return s.Versions
 }
 
+// Slots returns how many requests for a model the usable upstreams of a pool run at once:
+// those assigned to the model, or all of the pool if none is assigned. An upstream counts
+// if it is neither draining nor ejected and holds the required version or is about to
+// load it. One that refused its last request counts, as it is used again within moments.
+func (r *Registry) Slots(req Requirements) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	states := r.members(req.Pool)
+	if a := r.assignments[req.Model]; a != nil && len(a.ids) > 0 {
+		states = r.assigned(req.Model, req.Pool)
+	}
+	slots := 0
+	for _, s := range states {
+		if s.Draining || s.localOrZero().addressReused || !r.health.Usable(s.ID, req.Now) {
+			continue
+		}
+		if req.Model == "" || s.version(req.Model)+maxRecheckLag >= req.MinVersion {
+			slots += max(s.Slots, 1)
+		}
+	}
+	return slots
+}
+
 // Reservation is one request's place at an upstream. Its holder calls Done or Release,
 // once.
 type Reservation struct {
