submission, node: order groups by completion where capacity is contended

An owner in a contended pool whose route has a due time orders the waiting items by completion.Order once the time that texts take is known; elsewhere the order is as before. The estimator of a customer's model outlives a submission, so that only the first one at an owner starts without estimates. Run.carried, nil so far, marks items of resubmitted groups. Counters completion.steps_short and completion.groups_deferred, and a log line when a step becomes short of engines or no longer is, at most one a second.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -144,7 +144,9 @@
 
 func (e startRun) execute(ctx context.Context, n *Node) {
 	rctx, cancel := context.WithCancel(ctx)
-	r := submission.NewRunner(n.runnerConfig(), e.HeadRow, e.spec, e.priorWork)
+	cfg := n.runnerConfig()
+	cfg.Estimator = n.reader.estimator(e.Head)
+	r := submission.NewRunner(cfg, e.HeadRow, e.spec, e.priorWork)
 	run := &localRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
 	n.reader.addRun(e.ID, run)
 	n.assigner.ensureCurrent()
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -135,6 +135,16 @@
 	o.logLine(budget, e.Err != nil, e.What, fields...)
 }
 
+// outlook records that a step that runs here has become short of engines or is no longer
+// short.
+func (o *observer) outlook(e submission.OutlookEvent) {
+	if e.First {
+		o.count("completion.steps_short")
+		metrics.GetOrRegisterCounter("completion.groups_deferred", o.node.cfg.Metrics).Inc(int64(e.Outlook.Deferred))
+	}
+	o.node.cfg.Logger.Info(e.What, "submission", e.Submission, "model", e.Model, "groups_in_time", e.Outlook.InTime, "deferred", e.Outlook.Deferred, "desired", e.Desired, "slots", e.Slots)
+}
+
 // source records a change of the source through which tables are followed.
 func (o *observer) source(e watch.Event) {
 	if e.Err != nil {
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
 
@@ -20,6 +22,8 @@
 	// specification and results are cached for readers.
 	specCacheSize   = 12
 	resultCacheSize = 12
+	// estimatorCacheSize is the number of customers' models whose estimators are kept.
+	estimatorCacheSize = 32
 )
 
 // ResultPage is one page of a submission's results.
@@ -46,6 +50,8 @@
 	runs    map[string]*localRun
 	specs   *fifoCache[submission.Spec]
 	results *fifoCache[*resultCache]
+	// estimators estimate the time that texts take, by estimatorKey.
+	estimators *fifoCache[*completion.Estimator]
 }
 
 // resultCache holds the first results of a submission. It needs no invalidation,
@@ -56,7 +62,28 @@
 }
 
 func newSubmissionReader(n *Node) *submissionReader {
-	return &submissionReader{node: n, runs: map[string]*localRun{}, specs: newFIFOCache[submission.Spec](specCacheSize), results: newFIFOCache[*resultCache](resultCacheSize)}
+	return &submissionReader{node: n, runs: map[string]*localRun{}, specs: newFIFOCache[submission.Spec](specCacheSize), results: newFIFOCache[*resultCache](resultCacheSize),
+		estimators: newFIFOCache[*completion.Estimator](estimatorCacheSize)}
+}
+
+// estimator returns the estimator of the time that a submission's texts take. It learns
+// from all submissions of the same customer and model that run here.
+func (r *submissionReader) estimator(h submission.Head) *completion.Estimator {
+	key := estimatorKey(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.estimators.get(key)
+	if !ok {
+		e = &completion.Estimator{}
+		r.estimators.put(key, e)
+	}
+	return e
+}
+
+// estimatorKey returns what the lengths of a submission's texts and the meaning of its
+// hints depend on.
+func estimatorKey(h submission.Head) string {
+	return strings.Join([]string{h.Customer, h.Host, h.Path, h.Model}, "\x00")
 }
 
 func (r *submissionReader) addRun(id string, run *localRun) {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -231,7 +231,7 @@
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
 		Priority:   n.priority,
-		Repository: n.submissions, Registry: n.registry, Generator: n.cfg.Upstreams, Guard: n.quarantine.Guard, Score: n.score, Rand: randomFloat, OnEvent: n.observer.step,
+		Repository: n.submissions, Registry: n.registry, Generator: n.cfg.Upstreams, Guard: n.quarantine.Guard, Score: n.score, Rand: randomFloat, OnEvent: n.observer.step, OnOutlook: n.observer.outlook,
 		ScorerLimit: n.scorerLimit,
 		TargetVersion: func(model string) uint64 {
 			if named := n.targetVersions.Load(); named != nil {
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 )
 
 // phase is the state of an item of a Run.
@@ -43,6 +45,11 @@
 	items   []item
 	results []Result // finished and not written, in the order in which they will be written
 	stored  int
+
+	groups     [][]int // items of each group
+	meanLength float64 // mean length estimate of the items
+	carried    []bool  // by item: its group is resubmitted from the previous submission; nil for none
+	estimator  *completion.Estimator
 }
 
 type item struct {
@@ -54,12 +61,13 @@
 	lastEvent        int // ID of the last event of the text
 	versions         []uint64
 	timing           ItemTiming
+	attemptEvents    int // events of the attempt in flight that were added
 }
 
 // NewRun returns the Run of s, whose results in written are stored already and whose
 // partial texts are continued.
 func NewRun(s Spec, written []Result, partials []PartialText) *Run {
-	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written)}
+	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written), groups: groupItems(s.Items), meanLength: meanLength(s.Items), estimator: &completion.Estimator{}}
 	done := make(map[string]bool, len(written))
 	for _, w := range written {
 		done[w.Item] = true
@@ -79,6 +87,10 @@
 	return r
 }
 
+// UseEstimator has the run use and feed e, which may know earlier texts, instead of an
+// estimator of its own. It must be called before the first attempt.
+func (r *Run) UseEstimator(e *completion.Estimator) { r.estimator = e }
+
 // Partials returns the texts that have events and no result.
 func (r *Run) Partials() []PartialText {
 	var out []PartialText
@@ -127,6 +139,7 @@
 	}
 	it.phase = running
 	it.timing.attemptStarted(now)
+	it.attemptEvents = 0
 }
 
 // Postpone delays the next attempt at item i, or call of its scorer, until a time.
@@ -150,6 +163,7 @@
 func (r *Run) AddEvents(i int, out AttemptOutput, policy ItemPolicy) {
 	if it := &r.items[i]; it.phase == running {
 		it.timing.eventsReceived(len(out.Events))
+		it.attemptEvents += len(out.Events)
 		it.extend(out, r.spec.MinVersion, policy)
 	}
 }
@@ -160,6 +174,7 @@
 	it.phase = waiting
 	it.timing.eventsReceived(len(out.Events))
 	it.timing.attemptEnded(now)
+	r.estimator.ObserveAttempt(it.attemptEvents+len(out.Events), now.Sub(it.timing.attemptStartedAt))
 	switch out.Status {
 	case http.StatusUnprocessableEntity:
 		r.finish(i, Result{State: Dead}, now)
@@ -172,6 +187,9 @@
 		}
 	}
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
+	if complete {
+		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
+	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -68,6 +69,11 @@
 	Rand func() float64
 	// OnEvent is called for each RunEvent; nil for none.
 	OnEvent func(RunEvent)
+	// Estimator estimates the time that the submission's texts take; nil for one that
+	// knows no earlier texts.
+	Estimator *completion.Estimator
+	// OnOutlook is called for each OutlookEvent; nil for none.
+	OnOutlook func(OutlookEvent)
 }
 
 // RunEvent is an event of an item or a submission, for log and metrics.
@@ -103,6 +109,9 @@
 	priorToken     uint64 // fencing token under which the previous owner stored partial texts; 0 once they are deleted
 	batch          *Batch // batch whose write failed or has an unknown outcome; nil for none
 
+	short, everShort bool      // the step is, or has been, short of engines as last reported
+	nextOutlookAt    time.Time // when a change of that is reported next
+
 	startedAt, endedAt time.Time
 
 	mu      sync.Mutex
@@ -115,6 +124,9 @@
 	if cfg.OnEvent == nil {
 		cfg.OnEvent = func(RunEvent) {}
 	}
+	if cfg.OnOutlook == nil {
+		cfg.OnOutlook = func(OutlookEvent) {}
+	}
 	if cfg.Priority == nil {
 		cfg.Priority = func(string) option.Of[int] { return option.Of[int]{} }
 	}
@@ -122,7 +134,11 @@
 	if priorToken == head.Fencing {
 		priorToken = 0 // stored by this instance itself, before it took the submission over again
 	}
-	return &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, run: NewRun(s, prior.Results, prior.Partials), results: prior.Results,
+	run := NewRun(s, prior.Results, prior.Partials)
+	if cfg.Estimator != nil {
+		run.UseEstimator(cfg.Estimator)
+	}
+	return &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, run: run, results: prior.Results,
 		updates: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
 		priorToken: priorToken}
 }
@@ -229,7 +245,7 @@
 
 // startWaiting starts waiting items while engines have free slots.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
-	for _, i := range r.run.Waiting(now) {
+	for _, i := range r.waiting(rt, now) {
 		if r.cfg.Guard.Check(r.generation(i, 0).content(r.spec.Model), now) != nil {
 			r.run.Postpone(i, now.Add(quarantineRecheckDelay))
 			continue
