--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -83,10 +83,18 @@
 // is.
 const slowFactor = 4
 
+// hardGroupSizes and hardWork are the sizes of groups of experiment step --hard, and the
+// work of a step as multiples of what its engines generate until it is due.
+var (
+	hardGroupSizes = []int{8, 16}
+	hardWork       = []float64{0.5, 0.8, 1, 1.3, 2, 4}
+)
+
 // stepCompareCmd returns the command that compares policies for ordering and placing the
 // items of a step.
 func stepCompareCmd() *cobra.Command {
 	var seeds int
+	var hard bool
 	cmd := &cobra.Command{
 		Use:   "step",
 		Short: "Compare policies for ordering and placing the items of a step, in simulated time",
@@ -95,9 +103,13 @@
 			if seeds <= 0 || seeds > 10_000 {
 				return fmt.Errorf("--seeds %d: want 1 to 10000", seeds)
 			}
+			if hard {
+				return loadsim.WriteOrders(cmd.OutOrStdout(), loadsim.SweepOrders(loadsim.HardLoad, hardGroupSizes, hardWork, seeds))
+			}
 			return loadsim.WriteSteps(cmd.OutOrStdout(), loadsim.SweepSteps(loadsim.CallSummary, loadsim.StepPolicies, engineCounts, slowFactor, seeds))
 		},
 	}
+	cmd.Flags().BoolVar(&hard, "hard", false, "compare orders where the engines may not generate all of a step until it is due")
 	cmd.Flags().IntVar(&seeds, "seeds", 200, "seeds simulated for each load; 1 to 10000")
 	return cmd
 }
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -1,6 +1,7 @@
 package loadsim_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -191,3 +192,61 @@
 		t.Errorf("the slower trainer's step is complete after %v, %v with about half of the engines, want at most 0.95 of it", byWork, half)
 	}
 }
+
+// orderSeeds is the number of steps of a comparison of orders.
+const orderSeeds = 12
+
+// compareOrders returns the outcomes of load with longest texts first and in the order of
+// package completion, for each size of groups, without and with a third of the engines
+// taken away in the middle of the step.
+func compareOrders(t *testing.T, work float64, check func(load string, longest, byCompletion loadsim.OrderSummary)) {
+	t.Helper()
+	for _, size := range []int{8, 16} {
+		for _, taken := range []int{0, 1} {
+			load := loadsim.HardLoad
+			load.GroupSize = size
+			load = load.WithWork(work)
+			load.LostEngines, load.LostAt = taken*load.Engines/3, 2*time.Second
+			longest, byCompletion := loadsim.SummarizeOrder(load, loadsim.LongestFirst, orderSeeds), loadsim.SummarizeOrder(load, loadsim.ByCompletion, orderSeeds)
+			name := fmt.Sprintf("groups of %d, %d of %d engines lost", size, load.LostEngines, load.Engines)
+			t.Logf("%s: %+v, %+v", name, longest, byCompletion)
+			check(name, longest, byCompletion)
+		}
+	}
+}
+
+// A trainer with twice or four times the work that its engines generate until the step
+// is due can use the groups that are complete by then. With the longest texts of all
+// groups first hardly any is; as many must be as the engines have time for: with half or
+// a quarter of the work done, at least a third and a sixth of the 18 groups, and 1.5
+// times as many as with longest first, also where steps follow each other. The step must
+// not take longer for it.
+func TestGroupsCompleteInTimeUnderHardLoad(t *testing.T) {
+	for _, test := range []struct {
+		work float64
+		want float64 // groups
+	}{{2, 6}, {4, 3}} {
+		compareOrders(t, test.work, func(load string, longest, byCompletion loadsim.OrderSummary) {
+			if got := byCompletion; got.InTime < test.want || got.InTime < 1.5*longest.InTime || got.SequenceInTime < 1.5*longest.SequenceInTime {
+				t.Errorf("%g times the work, %s: %.1f groups in time, %.1f in sequence; %.1f and %.1f with longest first; want at least %.0f and 1.5 times as many", test.work, load,
+					got.InTime, got.SequenceInTime, longest.InTime, longest.SequenceInTime, test.want)
+			}
+			if byCompletion.DesiredTime > longest.DesiredTime*102/100 {
+				t.Errorf("%g times the work, %s: desired groups complete after %v, %v with longest first, want at most 1.02 of it", test.work, load, byCompletion.DesiredTime, longest.DesiredTime)
+			}
+		})
+	}
+}
+
+// A step that fits ends with its longest text. An order that takes it for short of
+// engines, or leaves groups for last on account of rough hints, lets one long text run
+// alone at the end: no step may take more than 2 % longer, on average, than with longest
+// first, nor steps that follow each other.
+func TestStepThatFitsIsNotDelayed(t *testing.T) {
+	compareOrders(t, 0.5, func(load string, longest, byCompletion loadsim.OrderSummary) {
+		if got := byCompletion; got.DesiredTime > longest.DesiredTime*102/100 || got.SequenceTime > longest.SequenceTime*102/100 || got.InTime < 0.98*longest.InTime {
+			t.Errorf("%s: desired groups complete after %v, in sequence %v, %.1f in time; %v, %v and %.1f with longest first; want at most 2 %% worse", load,
+				got.DesiredTime, got.SequenceTime, got.InTime, longest.DesiredTime, longest.SequenceTime, longest.InTime)
+		}
+	})
+}
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -135,3 +135,74 @@
 	}
 	return t.Flush()
 }
+
+// OrderSummary is the outcome of a step load under an order of items over many seeds.
+type OrderSummary struct {
+	Policy      string
+	GroupSize   int
+	Work        float64 // work of the step as a multiple of what its engines generate until it is due
+	Lost        int     // engines taken away in the middle
+	InTime      float64 // mean groups complete by the due time
+	WorstInTime int
+	// DesiredTime is the mean time until the groups that the trainer waits for were
+	// complete.
+	DesiredTime  time.Duration
+	WorstDesired time.Duration
+	// SequenceTime and SequenceInTime are the mean time of a step, and its groups
+	// complete by the due time, where steps follow each other.
+	SequenceTime   time.Duration
+	SequenceInTime float64
+}
+
+// sequenceSteps is the number of steps of a simulated sequence.
+const sequenceSteps = 10
+
+// SummarizeOrder simulates load under p with the seeds from 0 to seeds-1, as single steps
+// and in sequences.
+func SummarizeOrder(load StepLoad, p StepPolicy, seeds int) OrderSummary {
+	out := OrderSummary{Policy: p.Name, GroupSize: load.GroupSize, Lost: load.LostEngines, WorstInTime: load.Groups}
+	n := float64(seeds)
+	for seed := range uint64(seeds) {
+		load.Seed = seed
+		r := RunStep(load, p)
+		out.InTime += float64(r.InTime) / n
+		out.WorstInTime = min(out.WorstInTime, r.InTime)
+		out.DesiredTime += r.DesiredTime / time.Duration(seeds)
+		out.WorstDesired = max(out.WorstDesired, r.DesiredTime)
+		sequence := RunSequence(load, p, sequenceSteps)
+		out.SequenceTime += sequence.StepTime / time.Duration(seeds)
+		out.SequenceInTime += sequence.InTime / n
+	}
+	return out
+}
+
+// SweepOrders simulates load with groups of each size and with each ratio of work,
+// without and with a third of the engines taken away after 2 s, under OrderPolicies.
+func SweepOrders(load StepLoad, sizes []int, ratios []float64, seeds int) []OrderSummary {
+	var out []OrderSummary
+	for _, load.GroupSize = range sizes {
+		for _, ratio := range ratios {
+			for _, taken := range []int{0, 1} {
+				l := load.WithWork(ratio)
+				l.LostEngines, l.LostAt = taken*l.Engines/3, 2*time.Second
+				for _, p := range OrderPolicies {
+					r := SummarizeOrder(l, p, seeds)
+					r.Work = ratio
+					out = append(out, r)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// WriteOrders writes orders as a table. An error is one of w.
+func WriteOrders(w io.Writer, orders []OrderSummary) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "group\twork\tlost\tpolicy\tin time\tworst\tdesired\tworst\tin sequence: step\tin time\t")
+	for _, o := range orders {
+		fmt.Fprintf(t, "%d\t%.1f\t%d\t%s\t%.1f\t%d\t%.2f s\t%.2f s\t%.2f s\t%.1f\t\n", o.GroupSize, o.Work, o.Lost, o.Policy, o.InTime, o.WorstInTime,
+			o.DesiredTime.Seconds(), o.WorstDesired.Seconds(), o.SequenceTime.Seconds(), o.SequenceInTime)
+	}
+	return t.Flush()
+}
