--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -147,6 +147,7 @@
 	cfg := n.runnerConfig()
 	cfg.Previous = func(ctx context.Context) submission.Previous { return n.previous(ctx, e.HeadRow) }
 	cfg.OnCarried = func(use submission.CarriedUse) { n.observer.carried(e.ID, use) }
+	cfg.Estimator = n.reader.estimator(e.Head)
 	r := submission.NewRunner(cfg, e.HeadRow, e.spec, e.priorWork)
 	run := &localRun{runner: r, spec: e.spec, cancel: cancel, ended: make(chan struct{})}
 	n.reader.addRun(e.ID, run)
--- a/pkg/submission/carried.go
+++ b/pkg/submission/carried.go
@@ -55,7 +55,7 @@
 			use.Complete++
 		}
 	}
-	r.run = NewRun(r.spec, r.prior.Results, append(texts, r.prior.Partials...))
+	r.run = r.newRun(append(texts, r.prior.Partials...))
 	r.prior = PriorWork{} // frees its texts
 	r.run.MarkCarried(prev.Items)
 	hasText := make(map[string]bool, len(prev.Texts))
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 )
 
 // phase is the state of an item of a Run.
@@ -43,6 +45,10 @@
 	items   []item
 	results []Result // finished and not written, in the order in which they will be written
 	stored  int
+
+	groups     [][]int // items of each group
+	meanLength float64 // mean length estimate of the items
+	estimator  *completion.Estimator
 }
 
 type item struct {
@@ -55,13 +61,14 @@
 	versions         []uint64
 	carried          bool // see Run.Carried
 	timing           ItemTiming
+	attemptEvents    int // events of the attempt in flight that were added
 }
 
 // NewRun returns the Run of s, whose results in written are stored already and whose
 // partial texts are continued. Of several texts of an item the last one is used. A
 // complete text is only scored, or is a result at once if its item has no scorer.
 func NewRun(s Spec, written []Result, partials []PartialText) *Run {
-	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written)}
+	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written), groups: groupItems(s.Items), meanLength: meanLength(s.Items), estimator: &completion.Estimator{}}
 	done := make(map[string]bool, len(written))
 	for _, w := range written {
 		done[w.Item] = true
@@ -88,6 +95,10 @@
 	return r
 }
 
+// UseEstimator has the run use and feed e, which may know earlier texts, instead of an
+// estimator of its own. It must be called before the first attempt.
+func (r *Run) UseEstimator(e *completion.Estimator) { r.estimator = e }
+
 // Partials returns the texts that have events and no stored result. A complete text
 // whose number of events is not known is left out: instances that do not know of
 // complete texts would generate it again and append it to itself.
@@ -159,6 +170,7 @@
 	}
 	it.phase = running
 	it.timing.attemptStarted(now)
+	it.attemptEvents = 0
 }
 
 // Postpone delays the next attempt at item i, or call of its scorer, until a time.
@@ -182,6 +194,7 @@
 func (r *Run) AddEvents(i int, out AttemptOutput, policy ItemPolicy) {
 	if it := &r.items[i]; it.phase == running {
 		it.timing.eventsReceived(len(out.Events))
+		it.attemptEvents += len(out.Events)
 		it.extend(out, r.spec.MinVersion, policy)
 	}
 }
@@ -192,6 +205,7 @@
 	it.phase = waiting
 	it.timing.eventsReceived(len(out.Events))
 	it.timing.attemptEnded(now)
+	r.estimator.ObserveAttempt(it.attemptEvents+len(out.Events), now.Sub(it.timing.attemptStartedAt))
 	switch out.Status {
 	case http.StatusUnprocessableEntity:
 		r.finish(i, Result{State: Dead}, now)
@@ -204,6 +218,9 @@
 		}
 	}
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
+	if complete {
+		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
+	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
