upstream: in contended pools, choose the upstream that completes a request soonest

An upstream that takes twice as long as usual counted as slow and got only slots/slowness requests, and smaller differences in speed were not seen: long texts were placed without regard to it, and slots of slow engines stayed idle.

In contended pools the registry now keeps the pace of upstreams (pkg/pace) and chooses by expected completion: wait for a slot and the request's work at the upstream's pace. Those within 10 % count as equal and are chosen by affinity. AcquireSooner checks for and reserves a place to move to in one step. Pools that are not contended are served as before.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -27,6 +27,8 @@
 	// MinVersion of Model or a newer one. An empty Model means no restriction.
 	Model      string
 	MinVersion uint64
+	// MaxVersion is the newest version that the upstream may hold; 0 for any.
+	MaxVersion uint64
 
 	// Outdated requests an upstream whose version is believed to be older than
 	// MinVersion, to check whether it still is.
@@ -37,6 +39,12 @@
 	// NeedFreeSlot excludes upstreams whose slots are all taken by this process's own
 	// requests, so that the request waits instead.
 	NeedFreeSlot bool
+
+	// Work is the request's estimated work relative to the mean request of the pool; 0
+	// for that of the mean request. Units is the number of units, as in
+	// AttemptResult.TimePerUnit, of the mean request; 0 for 1. Both are used in contended
+	// pools only.
+	Work, Units float64
 }
 
 // Candidate is an upstream that may be chosen for a request.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/health"
+	"github.com/zinnialadder/zinnialadder/pkg/pace"
 )
 
 const (
@@ -35,19 +36,22 @@
 type Registry struct {
 	dataCentre string
 	health     *health.Tracker
-	tokenTimes *health.TokenTimes
+	tokenTimes *health.TokenTimes // for pools that are not contended
+	pace       *pace.Tracker      // for contended pools
 
 	mu          sync.Mutex
 	byID        map[string]*upstreamState
 	pools       map[string]*pool
 	assignments map[string]*assignment // by model
 	contended   bool                   // the capacity of all pools is contended
+	paceReports int64                  // reports of upstreams' pace so far
 }
 
 // pool holds the upstreams of one pool.
 type pool struct {
 	members     []*upstreamState // sorted by ID
 	measured    map[string]bool  // IDs of members whose time per unit has been measured
+	paced       []string         // IDs of members whose pace has been observed or reported
 	nonDraining *nonDraining     // nil if it must be recomputed
 	contended   bool             // an upstream has told the pace of its machine
 }
@@ -118,7 +122,7 @@
 func NewRegistry(dataCentre string) *Registry {
 	return &Registry{dataCentre: dataCentre, byID: map[string]*upstreamState{}, pools: map[string]*pool{},
 		health:     health.NewTracker(health.Config{FailureThreshold: 2, EjectionTime: firstEjection, MaxEjectionTime: maxEjection}),
-		tokenTimes: health.NewTokenTimes(0)}
+		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{})}
 }
 
 // SetContended sets whether the capacity of all pools is contended.
@@ -218,6 +222,10 @@
 	}
 	p.nonDraining = nil
 	delete(p.measured, id)
+	if i := slices.Index(p.paced, id); i >= 0 {
+		p.paced = slices.Delete(p.paced, i, i+1)
+	}
+	r.pace.Forget(id)
 	if len(p.members) == 0 {
 		delete(r.pools, s.Pool)
 	}
@@ -366,11 +374,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	states := r.usableFor(req)
-	i := Choose(r.candidates(states, req), req)
+	i := -1
+	if r.isContended(req.Pool) {
+		i = chooseSoonest(r.timedCandidates(states, req), req)
+	} else {
+		i = Choose(r.candidates(states, req), req)
+	}
 	if i < 0 {
 		return nil, false
 	}
-	s := states[i]
+	return r.reserve(states[i], req), true
+}
+
+// reserve counts a request at s.
+func (r *Registry) reserve(s *upstreamState, req Requirements) *Reservation {
 	local := s.ensureLocal()
 	local.inFlight++
 	local.singleInFlight = local.singleRequest
@@ -378,7 +395,7 @@
 		local.versionCheckedAt = req.Now
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
-	return &Reservation{Entry: s.entry(), registry: r, state: s}, true
+	return &Reservation{Entry: s.entry(), registry: r, state: s}
 }
 
 // usableFor returns the upstreams that may take a request: those assigned to its model
@@ -439,6 +456,32 @@
 	return out
 }
 
+// timedCandidates converts states, which are in req's pool, to the input of
+// chooseSoonest. All upstreams of the pool whose pace is known are compared.
+func (r *Registry) timedCandidates(states []*upstreamState, req Requirements) []timedCandidate {
+	var paced []string
+	if p := r.pools[req.Pool]; p != nil {
+		paced = p.paced
+	}
+	estimates := r.pace.Estimates(paced, req.Now)
+	usual := pace.Estimate{Lasting: 1, Passing: 1, Error: unknownPaceError}
+	if len(estimates) > 0 {
+		usual.Unit = time.Duration(float64(estimates[0].Unit) / estimates[0].Lasting)
+	}
+	out := make([]timedCandidate, 0, len(states))
+	for _, s := range states {
+		e := usual
+		if i, found := slices.BinarySearch(paced, s.ID); found {
+			e = estimates[i]
+		}
+		local := s.localOrZero()
+		out = append(out, timedCandidate{
+			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
+			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest})
+	}
+	return out
+}
+
 func (r *Registry) usable(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
 	switch {
@@ -450,7 +493,8 @@
 		v := s.version(req.Model)
 		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval
 	}
-	return s.version(req.Model) >= req.MinVersion
+	v := s.version(req.Model)
+	return v >= req.MinVersion && (req.MaxVersion == 0 || v <= req.MaxVersion)
 }
 
 // load returns the estimated number of requests at s.
@@ -495,6 +539,34 @@
 	})
 }
 
+// AcquireSooner reserves an upstream at which the rest of the reserved request, which is
+// described by req, is expected to end clearly sooner, although it first takes overhead
+// to continue there. It reports false if there is none with a free slot, or if the pool
+// is not contended. The check and the reservation are one step, so that many requests
+// that look for another upstream at once do not all take the same slot.
+func (rsv *Reservation) AcquireSooner(req Requirements, overhead time.Duration) (*Reservation, bool) {
+	r := rsv.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isContended(rsv.Pool) || r.byID[rsv.ID] != rsv.state {
+		return nil, false
+	}
+	here := r.timedCandidates([]*upstreamState{rsv.state}, req)[0]
+	states := r.usableFor(req)
+	i := chooseMove(here, r.timedCandidates(states, req), req, overhead)
+	if i < 0 {
+		return nil, false
+	}
+	return r.reserve(states[i], req), true
+}
+
+// PaceReports returns how many times upstreams have reported the pace of their machine.
+func (r *Registry) PaceReports() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paceReports
+}
+
 // Observe records an observation while the request is in flight.
 func (rsv *Reservation) Observe(result AttemptResult) {
 	rsv.registry.mu.Lock()
@@ -509,8 +581,10 @@
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
 			p.contended = true
+			r.paceReports++
 		}
 	}
+	r.recordPace(s, result)
 	local.singleInFlight = false
 	if result.Busy {
 		local.busyUntil, local.singleRequest = result.BusyUntil, true
@@ -537,3 +611,20 @@
 		r.health.RecordSuccess(s.ID)
 	}
 }
+
+// recordPace records what result tells of the pace of s, if its pool is contended. The
+// report comes first: it was made while the request ran, whose time it explains.
+func (r *Registry) recordPace(s *upstreamState, result AttemptResult) {
+	p := r.pools[s.Pool]
+	if !r.isContended(s.Pool) || p == nil || r.byID[s.ID] != s {
+		return
+	}
+	reported := result.Load != nil && result.Load.Pace > 0
+	if reported {
+		r.pace.Report(s.ID, result.Load.Pace, result.At)
+	}
+	r.pace.Observe(s.ID, result.TimePerUnit, result.At)
+	if i, found := slices.BinarySearch(p.paced, s.ID); !found && (reported || result.TimePerUnit > 0) {
+		p.paced = slices.Insert(p.paced, i, s.ID)
+	}
+}
--- /dev/null
+++ b/pkg/upstream/soonest.go
@@ -0,0 +1,110 @@
+package upstream
+
+import (
+	"math"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/pace"
+	"github.com/zinnialadder/zinnialadder/pkg/route"
+)
+
+const (
+	// soonestSlack is how much later, as a fraction of the soonest, requests may be
+	// expected to complete at upstreams that count as equal. Senders that have the same
+	// report of an upstream would otherwise all choose it.
+	soonestSlack = 0.1
+	// loadWeight is the expected delay, as a fraction of the time of a mean request, by
+	// requests that fill all slots of an upstream. Reports of other senders' requests
+	// are old, so that an upstream that seems to have a free slot may have none, and the
+	// more requests it has the more likely.
+	loadWeight = 0.5
+	// unknownPaceError is the relative error of the pace of an upstream without
+	// observations: upstreams of a pool differ by a factor of two or more.
+	unknownPaceError = 0.5
+	// minMoveGain and minMoveTime are how much sooner a request that moves must complete,
+	// as a fraction of its remaining time and as a time. A move makes an upstream read
+	// the prompt again, and may be refused.
+	minMoveGain = 0.25
+	minMoveTime = 300 * time.Millisecond
+)
+
+// timedCandidate is a candidate of a contended pool.
+type timedCandidate struct {
+	Candidate
+	pace.Estimate
+	hold    time.Duration // how long a reported pace holds
+	refused bool          // refused its last request
+}
+
+// chooseSoonest returns the index of the candidate for a request in a contended pool, or
+// -1 if there is none: one that is expected to complete it soonest, and among those about
+// equal the one that rendezvous hashing ranks first for the affinity. All slots are used,
+// whatever the pace of their upstream.
+func chooseSoonest(candidates []timedCandidate, req Requirements) int {
+	scored := make([]route.Candidate, 0, len(candidates))
+	index := make([]int, 0, len(candidates))
+	soonest := time.Duration(0)
+	for i, c := range candidates {
+		if req.NeedFreeSlot && c.InFlight >= c.Slots {
+			continue
+		}
+		d := c.completion(req)
+		if len(scored) == 0 || d < soonest {
+			soonest = d
+		}
+		scored = append(scored, route.Candidate{Key: c.ID, Load: float64(d)})
+		index = append(index, i)
+	}
+	best := route.Policy{Slack: soonestSlack * float64(soonest)}.Pick(scored, req.Affinity)
+	if best < 0 {
+		return -1
+	}
+	return index[best]
+}
+
+// chooseMove returns the index of the candidate at which the rest of a request, req, that
+// is at the upstream here is expected to complete soonest, if it has a free slot and the
+// move saves enough time, and otherwise -1.
+func chooseMove(here timedCandidate, candidates []timedCandidate, req Requirements, overhead time.Duration) int {
+	left := here.workTime(req)
+	best, bestTime := -1, left-max(minMoveTime, time.Duration(minMoveGain*float64(left)))
+	for i, c := range candidates {
+		if c.ID == here.ID || c.Load >= c.Slots || c.refused {
+			continue
+		}
+		// The move must save the time even if the pace there is worse than estimated.
+		if d := time.Duration(float64(c.workTime(req))*(1+c.Error)) + overhead; d <= bestTime {
+			best, bestTime = i, d
+		}
+	}
+	return best
+}
+
+// completion returns the expected time until a request is complete at c.
+func (c timedCandidate) completion(req Requirements) time.Duration {
+	load := float64(c.Load+1) / float64(c.Slots)
+	if !c.Local {
+		load += remotePenalty
+	}
+	mean := c.workTime(Requirements{Units: req.Units})
+	return c.workTime(req) + time.Duration(float64(mean)*(loadWeight*load+max(load-1, 0)))
+}
+
+// workTime returns how long the work of a request is expected to take at c. The passing
+// factor, which decays while it holds, changes the time of a long request only by what is
+// lost or gained in half of that time.
+func (c timedCandidate) workTime(req Requirements) time.Duration {
+	unit := c.Unit
+	if unit == 0 {
+		unit = time.Second // only ratios matter while no time is known
+	}
+	units := 1.0
+	if req.Work > 0 {
+		units = req.Work
+	}
+	if req.Units > 0 {
+		units *= req.Units
+	}
+	usual, limit := units*float64(unit), float64(c.hold)/2*math.Abs(1-1/c.Passing)
+	return time.Duration(usual + min(max(usual*(c.Passing-1), -limit), limit))
+}
