submission: in contended pools, move texts by their remaining time

A text left an engine that counted as slow whenever another had a free slot, whatever was left of the text, and then waited for any free slot.

What is left is estimated from the length hint, in events by the texts that were completed, and is at least as much as has been generated. Counters: texts.moved, pace.reports.

--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -123,6 +123,9 @@
 // step records an event of an item or submission that runs here.
 func (o *observer) step(e submission.RunEvent) {
 	o.count("items." + e.What)
+	if e.What == submission.TextMoved {
+		o.count("texts.moved")
+	}
 	budget := o.items
 	if e.Err != nil {
 		budget = o.failures
@@ -177,6 +180,8 @@
 	contents, quarantined := o.node.quarantine.Guard.Counts()
 	o.gauge("quarantine.contents", int64(contents))
 	o.gauge("quarantine.refused_contents", int64(quarantined))
+	reports := metrics.GetOrRegisterCounter("pace.reports", o.node.cfg.Metrics)
+	reports.Inc(o.node.registry.PaceReports() - reports.Count())
 	for model, v := range s.targetVersions {
 		o.gauge("weights.named."+model, int64(v))
 	}
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -18,7 +18,9 @@
 	it := r.spec.Items[i]
 	after, versions := r.run.LastEvent(i)
 	expect := uint64(0)
-	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, NeedFreeSlot: true}
+	length := r.run.Length(i)
+	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Affinity: it.Affinity, NeedFreeSlot: true,
+		Work: length.Work, Units: length.MeanEvents}
 	elsewhere := req // what a faster engine must offer for the text to be moved there
 	rsv, ok := r.cfg.Registry.Acquire(req)
 	target := r.cfg.TargetVersion(r.spec.Model)
@@ -39,28 +41,54 @@
 		g.Version = expect
 	}
 	r.run.Started(i, now)
-	r.cfg.OnEvent(RunEvent{What: "generating", Submission: r.spec.ID, Item: it.ID, Upstream: rsv.ID, Events: after})
+	m := &mover{runner: r, item: i, elsewhere: elsewhere, singleVersion: rt.SingleVersion}
 	r.group.Go(func() error {
-		result, err := r.generate(ctx, rsv, elsewhere, g, func(out AttemptOutput) {
-			r.post(ctx, func(time.Time) { r.run.AddEvents(i, out, itemPolicy(rt)) })
-		})
-		ended := RunEvent{What: "generated", Submission: r.spec.ID, Item: it.ID, Upstream: rsv.ID, Events: len(result.Events), Status: result.Status, Err: err}
-		if err != nil && !errors.Is(err, forward.ErrNotRun) {
-			ended.Content = g.content(r.spec.Model).Fingerprint()
+		for rsv != nil {
+			rsv = r.attempt(ctx, i, rt, rsv, m, &g)
 		}
-		r.cfg.OnEvent(ended)
-		r.post(ctx, func(now time.Time) { r.run.AttemptEnded(i, result, itemPolicy(rt), now) })
 		return nil
 	})
 	return true
 }
 
+// attempt makes one attempt at item i and posts what it produced. If the text moves to
+// an engine where a slot is reserved for it, attempt returns that reservation and changes
+// g to continue there; otherwise it returns nil.
+func (r *Runner) attempt(ctx context.Context, i int, rt routetable.Route, rsv *upstream.Reservation, m *mover, g *GenerateRequest) *upstream.Reservation {
+	event := RunEvent{What: "generating", Submission: r.spec.ID, Item: g.ID, Upstream: rsv.ID, Events: g.After}
+	r.cfg.OnEvent(event)
+	result, err := r.generate(ctx, rsv, m, *g, func(out AttemptOutput) {
+		r.post(ctx, func(time.Time) { r.run.AddEvents(i, out, itemPolicy(rt)) })
+	})
+	event.What, event.Events, event.Status, event.Err = "generated", len(result.Events), result.Status, err
+	if err != nil && !errors.Is(err, forward.ErrNotRun) {
+		event.Content = g.content(r.spec.Model).Fingerprint()
+	}
+	r.cfg.OnEvent(event)
+	next := m.takeReserved()
+	r.post(ctx, func(now time.Time) {
+		r.run.AttemptEnded(i, result, itemPolicy(rt), now)
+		if next != nil {
+			r.run.Started(i, now)
+		}
+	})
+	if next == nil {
+		return nil
+	}
+	g.After = result.Events[len(result.Events)-1].ID
+	if m.version != 0 || !rt.SingleVersion {
+		g.Version = m.version
+	}
+	r.cfg.OnEvent(RunEvent{What: TextMoved, Submission: r.spec.ID, Item: g.ID, Upstream: next.ID, Events: g.After})
+	return next
+}
+
 // generate makes one attempt: it reads the text, or the part that the attempt produces,
-// from the engine of reservation rsv, and releases rsv. elsewhere is what another engine
-// must offer for the text to be moved there. flush is called with events as they
-// arrive; the events not flushed are returned. The attempt is cancelled with ownerCtx,
-// and when the engine sends nothing for firstEventTimeout or eventTimeout.
-func (r *Runner) generate(ownerCtx context.Context, rsv *upstream.Reservation, elsewhere upstream.Requirements, g GenerateRequest, flush func(AttemptOutput)) (AttemptOutput, error) {
+// from the engine of reservation rsv, and releases rsv. m decides whether the text moves
+// to another engine. flush is called with events as they arrive; the events not flushed
+// are returned. The attempt is cancelled with ownerCtx, and when the engine sends nothing
+// for firstEventTimeout or eventTimeout.
+func (r *Runner) generate(ownerCtx context.Context, rsv *upstream.Reservation, m *mover, g GenerateRequest, flush func(AttemptOutput)) (AttemptOutput, error) {
 	attempt, err := r.cfg.Guard.Begin(ownerCtx, g.content(r.spec.Model), rsv.Entry)
 	if err != nil {
 		rsv.Release()
@@ -75,7 +103,7 @@
 	if err == nil {
 		defer s.Close()
 		rsv.Observe(upstream.AttemptResult{At: time.Now(), Load: load, Versions: r.observedVersions(s.Version())})
-		out, err = r.read(rsv, elsewhere, s, idleTimer, flush)
+		out, err = r.read(rsv, m, s, idleTimer, flush)
 	}
 	now := time.Now()
 	res := upstream.AttemptResult{At: now, Load: load}
@@ -133,9 +161,8 @@
 
 // read reads the events of s and passes them to flush in portions, returning those that
 // are left. It stops with errVersionTooOld at a weight version below the submission's
-// minimum, and with errSlowEngine when the engine is slow and a faster one has a free
-// slot.
-func (r *Runner) read(rsv *upstream.Reservation, elsewhere upstream.Requirements, s Stream, idleTimer *time.Timer, flush func(AttemptOutput)) (AttemptOutput, error) {
+// minimum, and with errSlowEngine when the text continues at a faster engine.
+func (r *Runner) read(rsv *upstream.Reservation, m *mover, s Stream, idleTimer *time.Timer, flush func(AttemptOutput)) (AttemptOutput, error) {
 	var out AttemptOutput
 	version := s.Version()
 	last := time.Now()
@@ -163,8 +190,7 @@
 			continue
 		}
 		rsv.Observe(upstream.AttemptResult{At: now, TimePerUnit: now.Sub(last) / time.Duration(len(out.Events))})
-		elsewhere.Now = now
-		if rsv.FasterAvailable(elsewhere, SlowEngineFactor) {
+		if m.leave(rsv, e.ID, version, now) {
 			return out, errSlowEngine
 		}
 		flush(out)
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -43,6 +43,12 @@
 	items   []item
 	results []Result // finished and not written, in the order in which they will be written
 	stored  int
+
+	meanHint float64 // mean length hint of the items that have one; 0 if none has
+
+	// Texts that were completed here: their number, their events, and of those with a
+	// length hint the events and the hints.
+	completeTexts, completeEvents, hintedEvents, hints int
 }
 
 type item struct {
@@ -76,6 +82,7 @@
 		p := texts[it.ID]
 		r.items[i].text, r.items[i].lastEvent, r.items[i].versions = p.Text, p.After, p.Versions
 	}
+	r.meanHint = meanHint(s.Items)
 	return r
 }
 
@@ -172,6 +179,9 @@
 		}
 	}
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
+	if complete {
+		r.countText(i)
+	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,7 +30,7 @@
 	// progressSavePeriod is how often partial texts are stored for a successor.
 	progressSavePeriod = 700 * time.Millisecond
 	// SlowEngineFactor is the ratio of an engine's time per event to the usual one from
-	// which on a text moves to a faster engine.
+	// which on a text moves to a faster engine, in pools that are not contended.
 	SlowEngineFactor = 2
 	// capacityPollPeriod is how often an owner looks for free slots while items wait.
 	capacityPollPeriod = 15 * time.Millisecond
@@ -70,6 +72,10 @@
 	OnEvent func(RunEvent)
 }
 
+// TextMoved is the What of the event of a text that continues at another engine, where a
+// slot has been reserved for it.
+const TextMoved = "moved"
+
 // RunEvent is an event of an item or a submission, for log and metrics.
 type RunEvent struct {
 	What       string
@@ -105,6 +111,8 @@
 
 	startedAt, endedAt time.Time
 
+	eventsPerLength atomic.Uint64 // bits of Run.EventsPerLength, for the moves of texts
+
 	mu      sync.Mutex
 	results []Result
 	changed chan struct{} // closed when results are added
@@ -147,6 +155,7 @@
 	}()
 	for !r.run.Done() {
 		now := time.Now()
+		r.eventsPerLength.Store(math.Float64bits(r.run.EventsPerLength()))
 		r.startAll(ctx, now)
 		if err := r.appendResults(ctx); err != nil {
 			return err
