--- a/pkg/submission/order.go
+++ b/pkg/submission/order.go
@@ -31,21 +31,6 @@
 	return out
 }
 
-// meanLength returns the mean of the items' length estimates, of those that have one; 1
-// if none has.
-func meanLength(items []Item) float64 {
-	sum, n := 0, 0
-	for _, it := range items {
-		if it.Length > 0 {
-			sum, n = sum+it.Length, n+1
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return float64(sum) / float64(n)
-}
-
 // StepState returns what is left of the step at now, given when it is due and how many
 // requests its engines run at once. It reports false while the time that texts take is
 // not known.
@@ -64,7 +49,7 @@
 			}
 			hint := float64(r.spec.Items[i].Length)
 			if hint == 0 {
-				hint = r.meanLength
+				hint = max(r.meanHint, 1)
 			}
 			g.Items = append(g.Items, completion.Item{Index: i, Left: rates.Left(hint, it.lastEvent), Running: it.phase == running})
 			g.Carried = g.Carried || it.carried
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -46,9 +46,13 @@
 	results []Result // finished and not written, in the order in which they will be written
 	stored  int
 
-	groups     [][]int // items of each group
-	meanLength float64 // mean length estimate of the items
-	estimator  *completion.Estimator
+	groups    [][]int // items of each group
+	estimator *completion.Estimator
+	meanHint  float64 // mean length hint of the items that have one; 0 if none has
+
+	// Texts that were completed here: their number, their events, and of those with a
+	// length hint the events and the hints.
+	completeTexts, completeEvents, hintedEvents, hints int
 }
 
 type item struct {
@@ -68,7 +72,7 @@
 // partial texts are continued. Of several texts of an item the last one is used. A
 // complete text is only scored, or is a result at once if its item has no scorer.
 func NewRun(s Spec, written []Result, partials []PartialText) *Run {
-	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written), groups: groupItems(s.Items), meanLength: meanLength(s.Items), estimator: &completion.Estimator{}}
+	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written), groups: groupItems(s.Items), meanHint: meanHint(s.Items), estimator: &completion.Estimator{}}
 	done := make(map[string]bool, len(written))
 	for _, w := range written {
 		done[w.Item] = true
@@ -220,6 +224,7 @@
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
 	if complete {
 		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
+		r.countText(i)
 	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -27,6 +27,8 @@
 	// MinVersion of Model or a newer one. An empty Model means no restriction.
 	Model      string
 	MinVersion uint64
+	// MaxVersion is the newest version that the upstream may hold; 0 for any.
+	MaxVersion uint64
 
 	// Newest is the newest version of Model, 0 if unknown. Engines that hold an older one
 	// may be loading it.
@@ -41,6 +43,12 @@
 	// NeedFreeSlot excludes upstreams whose slots are all taken by this process's own
 	// requests, so that the request waits instead.
 	NeedFreeSlot bool
+
+	// Work is the request's estimated work relative to the mean request of the pool; 0
+	// for that of the mean request. Units is the number of units, as in
+	// AttemptResult.TimePerUnit, of the mean request; 0 for 1. Both are used in contended
+	// pools only.
+	Work, Units float64
 }
 
 // Candidate is an upstream that may be chosen for a request.
