upstream, retry: attempts that are superseded, copies that find no slot

An attempt that is cancelled because another copy of its request has been answered said that its upstream is healthy: Reservation.Done without a failure readmits an upstream. AttemptResult.Superseded leaves its health as it is. Requirements.NeedIdleSlot excludes upstreams whose slots are taken by requests of any sender, and Budget.Refund returns the token of a copy that was not sent.

--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -36,3 +36,10 @@
 	b.tokens--
 	return true
 }
+
+// Refund returns the token of a retry that was not made.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	b.tokens = min(b.burst, b.tokens+1)
+	b.mu.Unlock()
+}
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -37,6 +37,9 @@
 	// NeedFreeSlot excludes upstreams whose slots are all taken by this process's own
 	// requests, so that the request waits instead.
 	NeedFreeSlot bool
+	// NeedIdleSlot excludes upstreams whose slots are all taken as far as is known, by
+	// requests of any sender.
+	NeedIdleSlot bool
 }
 
 // Candidate is an upstream that may be chosen for a request.
@@ -63,6 +66,9 @@
 		if req.NeedFreeSlot && float64(c.InFlight) >= float64(c.Slots)/max(c.Slowness, 1) {
 			continue // a slow upstream gets only as many requests as it serves in the usual time
 		}
+		if req.NeedIdleSlot && c.Load >= c.Slots {
+			continue
+		}
 		load := cost(c)
 		if !c.Local {
 			load += remotePenalty
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -48,6 +48,9 @@
 	At   time.Time
 	Load *Load // nil if the upstream sent none
 
+	// Superseded means that the attempt was cancelled because another one had answered.
+	// It says nothing about the upstream's health.
+	Superseded bool
 	// Failed means that the upstream gave no usable response.
 	Failed bool
 	// Unreachable means that the upstream accepted no connection.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -514,7 +514,7 @@
 	local.singleInFlight = false
 	if result.Busy {
 		local.busyUntil, local.singleRequest = result.BusyUntil, true
-	} else if !result.VersionRefused {
+	} else if !result.VersionRefused && !result.Superseded {
 		local.singleRequest = false
 	}
 	local.addressReused = local.addressReused || result.AddressReused
@@ -531,6 +531,7 @@
 		}
 	}
 	switch {
+	case result.Superseded:
 	case result.Failed || result.Unreachable:
 		r.health.RecordFailure(s.ID, result.At, result.Unreachable)
 	case !result.Busy && !result.AddressReused && !result.VersionRefused:
