hedge, forward: a second copy of an idempotent call that takes longer than usual

A call in a contended pool waited for one upstream up to its timeout, or three times the objective where it has a second attempt. After the 95th percentile of the route's recent calls, at least a quarter of its objective, a copy is now sent to another upstream with a free slot; the first success wins and the other attempt is cancelled. At most one call in ten has a copy, with 3 saved up. Calls of scorers are copied too, within the max_attempts of their route, and still have one outcome. Non-idempotent requests and pools that are not contended are handled as before.

With an upstream that hangs a call of 10 ms is answered after 35 ms (TestFirstUpstreamHangs, objective 100 ms). Tests of forward, hedge, upstream and node pass with -race.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -11,7 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinnialadder/zinnialadder/pkg/clock"
+	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -37,6 +41,9 @@
 	// Priority is the priority at the upstream, if the request has its own. 0 is the most
 	// urgent.
 	Priority option.Of[int]
+	// MaxRuns is the number of upstreams that may run an idempotent request, if it is more
+	// than the route's MaxAttempts. The difference may be used for hedged copies only.
+	MaxRuns int
 }
 
 // content returns what identifies r across repetitions, for its fingerprint in the
@@ -63,6 +70,9 @@
 	ErrMisdirected = fmt.Errorf("%w: another upstream listens at the address", ErrNotRun)
 	// ErrUnreachable wraps ErrNotRun. It means that the upstream refused the connection.
 	ErrUnreachable = fmt.Errorf("%w: upstream refused the connection", ErrNotRun)
+	// ErrSuperseded means that the attempt was cancelled because another copy of the
+	// request had been answered.
+	ErrSuperseded = errors.New("forward: superseded by the answer to another copy")
 )
 
 // exploreThreshold is the fraction of the route's latency objective above which a response
@@ -91,6 +101,8 @@
 	Guard *quarantine.Guard
 	// OnAttempt is called after each attempt. It may be nil.
 	OnAttempt func(Attempt)
+	// Metrics counts hedged copies. The default is a registry of its own.
+	Metrics metrics.Registry
 }
 
 // Attempt describes an attempt to run a request at an upstream.
@@ -114,7 +126,9 @@
 type Forwarder struct {
 	cfg         Config
 	retries     RetryScheduler
-	lastLatency atomic.Int64 // time.Duration of the last attempt that got a response
+	hedges      hedge.Policies
+	group       errgroup.Group // runs the attempts of hedged calls, each of which ends by the deadline of its call
+	lastLatency atomic.Int64   // time.Duration of the last attempt that got a response
 }
 
 // New returns a Forwarder with configuration cfg.
@@ -122,14 +136,20 @@
 	if cfg.OnAttempt == nil {
 		cfg.OnAttempt = func(Attempt) {}
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
 	return &Forwarder{cfg: cfg}
 }
 
+func (f *Forwarder) count(name string) { metrics.GetOrRegisterCounter(name, f.cfg.Metrics).Inc(1) }
+
 // Do forwards r according to route rt. It returns the upstream's response, or a
 // *verdict.Error that tells whether r may have run.
 func (f *Forwarder) Do(ctx context.Context, rt routetable.Route, r Request) (Response, error) {
 	start := time.Now()
 	plan := NewPlan(rt, start, r.Deadline)
+	plan.MaxRuns = max(plan.MaxRuns, r.MaxRuns)
 	r.Deadline = plan.Deadline
 	ctx, cancel := context.WithDeadline(ctx, plan.Deadline)
 	defer cancel()
@@ -138,6 +158,8 @@
 	if took := time.Duration(f.lastLatency.Load()); rt.LatencyObjective > 0 && float64(took) > exploreThreshold*float64(rt.LatencyObjective) {
 		affinity = r.ID
 	}
+	c := &call{f: f, plan: plan, route: rt, pool: pool, affinity: affinity, request: r}
+	c.startHedging(start)
 	for {
 		now := time.Now()
 		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
@@ -150,8 +172,7 @@
 		if rsv == nil {
 			return Response{}, f.finalError(plan, pool, now, errNoCapacity)
 		}
-		a, err := f.attempt(ctx, plan, rsv, rt, r)
-		done, err := plan.EndAttempt(rsv.ID, a.Status, err, time.Now())
+		a, done, err := c.run(ctx, rsv)
 		switch {
 		case done && err == nil:
 			f.retries.Served(pool, time.Now())
@@ -164,33 +185,6 @@
 
 var errNoCapacity = errors.New("no upstream has capacity for the request")
 
-// attempt sends r once to the reserved upstream.
-func (f *Forwarder) attempt(ctx context.Context, plan *Plan, rsv *upstream.Reservation, rt routetable.Route, r Request) (Response, error) {
-	guarded, err := f.cfg.Guard.Begin(ctx, r.content(), rsv.Entry)
-	if err != nil {
-		rsv.Release()
-		return Response{}, err
-	}
-	start := time.Now()
-	actx, cancel := context.WithDeadline(ctx, plan.AttemptDeadline(start))
-	defer cancel()
-	a, load, err := f.cfg.Transport.Send(actx, rsv.Entry, r)
-	rep := resultOf(ctx, actx, err, load)
-	if err == nil {
-		rep.TimePerUnit = rep.At.Sub(start)
-		f.lastLatency.Store(int64(rep.TimePerUnit))
-		rep.Failed = a.Status >= http.StatusInternalServerError
-	}
-	rsv.Done(rep)
-	seen := Attempt{Request: r.ID, Content: r.content(), Route: rt.Name, Customer: r.Customer, Upstream: rsv.ID, Number: len(plan.Tried()) + 1, Status: a.Status, Took: rep.At.Sub(start), Err: err}
-	if !errors.Is(err, ErrNotRun) && !plan.MayHaveRun() {
-		seen.StartedAt = start
-	}
-	f.cfg.OnAttempt(seen)
-	guarded.Done(ctx, outcomeOf(actx, a.Status, err))
-	return a, err
-}
-
 // outcomeOf classifies the end of an attempt from the attempt's context ctx, the response
 // status and the error.
 func outcomeOf(ctx context.Context, status int, err error) quarantine.Outcome {
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -43,7 +43,10 @@
 // from an unresponsive upstream, where they would otherwise wait until their deadline,
 // without sending a request to more upstreams than its route allows.
 type Plan struct {
-	Deadline  time.Time // when the response must be sent to the caller
+	Deadline time.Time // when the response must be sent to the caller
+	// MaxRuns is the number of attempts that may run the request, hedged copies included.
+	MaxRuns int
+
 	startedAt time.Time
 	route     routetable.Route
 	tried     []string // IDs of the upstreams tried, in order
@@ -62,7 +65,7 @@
 		by = deadline
 	}
 	margin := min(deadlineMargin, max(by.Sub(now), 0)/4)
-	return &Plan{Deadline: by.Add(-margin), startedAt: now, route: rt}
+	return &Plan{Deadline: by.Add(-margin), MaxRuns: rt.MaxAttempts, startedAt: now, route: rt}
 }
 
 // MayWait reports whether a request for which no upstream has capacity at now waits instead
@@ -111,10 +114,23 @@
 	return p.ran < p.route.MaxAttempts && p.refused < p.route.MaxAttempts+maxExtraRefusals
 }
 
+// MayCopy reports whether a copy of the attempt in flight may be sent. Only an idempotent
+// request may run twice.
+func (p *Plan) MayCopy() bool {
+	return p.route.Kind == routetable.Idempotent && p.ran+2 <= p.MaxRuns
+}
+
 // AttemptDeadline returns the deadline of an attempt started at now. The last attempt may
 // use all of the remaining time.
-func (p *Plan) AttemptDeadline(now time.Time) time.Time {
-	if p.route.Kind != routetable.Idempotent || p.ran+1 >= p.route.MaxAttempts {
+func (p *Plan) AttemptDeadline(now time.Time) time.Time { return p.deadlineOf(p.ran+1, now) }
+
+// CopyDeadline returns the deadline of a copy, started at now, of the attempt in flight.
+func (p *Plan) CopyDeadline(now time.Time) time.Time { return p.deadlineOf(p.ran+2, now) }
+
+// deadlineOf returns the deadline of attempt number n among those that may run the
+// request, started at now.
+func (p *Plan) deadlineOf(n int, now time.Time) time.Time {
+	if p.route.Kind != routetable.Idempotent || n >= p.route.MaxAttempts {
 		return p.Deadline
 	}
 	left := p.Deadline.Sub(now)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -170,7 +170,7 @@
 	n.registry.SetContended(cfg.Contended)
 	n.observer = newObserver(n)
 	n.quarantine = newQuarantine(n)
-	n.forwarder = forward.New(forward.Config{Transport: cfg.Upstreams, Opener: cfg.Upstreams, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, OnAttempt: n.observer.attempt})
+	n.forwarder = forward.New(forward.Config{Transport: cfg.Upstreams, Opener: cfg.Upstreams, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, OnAttempt: n.observer.attempt, Metrics: n.cfg.Metrics})
 	n.heads.init()
 	n.reader = newSubmissionReader(n)
 	n.member = &memberRow{node: n, wake: clock.NewWakeup()}
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -74,6 +74,9 @@
 	case a.Err == nil && a.Status < 500:
 		o.count("attempts.answered")
 		return // the log line of the request covers it
+	case errors.Is(a.Err, forward.ErrSuperseded):
+		o.count("attempts.superseded")
+		return // the request was answered
 	case errors.Is(a.Err, forward.ErrNotRun):
 		o.count("attempts.not_run")
 	default:
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -287,7 +287,7 @@
 	}
 	rt.MaxAttempts = 1 // the caller counts each failure
 	a, err := n.forwarder.Do(ctx, rt, forward.Request{ID: c.ID, Method: http.MethodPost, URI: c.Path, Host: c.Host,
-		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait)})
+		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait), MaxRuns: s.MaxAttempts})
 	if err != nil {
 		s.Quarantined = errors.Is(err, quarantine.ErrQuarantined)
 		return s
