--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -33,6 +33,8 @@
 	OutageDuration  time.Duration
 	SlowUpstreams   int // upstreams whose requests take SlowFactor times as long
 	SlowFactor      float64
+	LongShare       float64 // share of the requests that take LongFactor times as long
+	LongFactor      float64
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
 }
@@ -62,13 +64,15 @@
 	RetryAt func(r *forward.RetryScheduler, now, deadline time.Time, draw float64) time.Time
 	// WaitForSlot has requests wait for a free slot until their deadline.
 	WaitForSlot bool
+	// Hedge has a copy of a request sent if the first takes longer than usual.
+	Hedge bool
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
 const constantBackoff = 300 * time.Millisecond
 
-// The policies: the one in use, an earlier version of it, and a baseline without
-// early rejection.
+// The policies: the one in use, an earlier version of it, a baseline without early
+// rejection, and the one in use where the pool is contended.
 var (
 	SpreadRetries = Policy{Name: "spread", RetryAt: func(r *forward.RetryScheduler, now, deadline time.Time, draw float64) time.Time {
 		return r.Reject(pool, now, deadline, draw)
@@ -77,7 +81,11 @@
 		return now.Add(constantBackoff)
 	}}
 	WaitAtInstance = Policy{Name: "hold", WaitForSlot: true, RetryAt: ConstantBackoff.RetryAt}
+	Hedged         = Policy{Name: "hedged", Hedge: true, RetryAt: SpreadRetries.RetryAt}
 	Policies       = []Policy{SpreadRetries, ConstantBackoff, WaitAtInstance}
+
+	// ContendedPolicies are the policies for contended pools.
+	ContendedPolicies = []Policy{SpreadRetries, Hedged}
 )
 
 // Result is the outcome of a load under a policy.
@@ -92,6 +100,7 @@
 	Answered        float64 // share of offered requests answered within the caller's timeout
 	P50, P99        time.Duration
 	Attempts        float64       // attempts at upstreams per offered request
+	Copies          float64       // hedged copies per offered request
 	WorstSecond     float64       // lowest share answered of the requests that arrived in one second
 	MaxWait         time.Duration // longest wait of an attempt that was rejected without being sent
 }
--- a/internal/loadsim/meter.go
+++ b/internal/loadsim/meter.go
@@ -11,6 +11,7 @@
 	arrived  map[int]int     // requests by the second in which they arrived
 	served   map[int]int     // answered ones of them
 	attempts int             // attempts at upstreams
+	copies   int             // hedged copies among them
 	steady   int             // answers that count for Result.Goodput
 	answered []time.Duration // times from a caller's first attempt to its answer
 	waits    []time.Duration // waits of attempts that were rejected without being sent
@@ -24,6 +25,7 @@
 		offered := float64(m.offered)
 		r.Answered = float64(len(m.answered)) / offered
 		r.Attempts = float64(m.attempts) / offered
+		r.Copies = float64(m.copies) / offered
 		inTime := 0
 		for _, d := range m.answered {
 			if d <= load.LatencyObjective {
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
@@ -13,8 +14,24 @@
 // job is an attempt at an upstream. answer is called once: when the request has run,
 // or when it is refused or dropped from the queue, with ran false.
 type job struct {
-	until  time.Time // deadline of the attempt; a queued job is dropped after it
-	answer func(now time.Time, load upstream.Load, ran bool)
+	until   time.Time // deadline of the attempt; a queued job is dropped after it
+	running bool
+	answer  func(now time.Time, load upstream.Load, ran bool)
+}
+
+// cancel ends a job whose sender has closed the connection.
+func (s *server) cancel(now time.Time, j *job) {
+	s.queued = slices.DeleteFunc(s.queued, func(o *job) bool { return o == j })
+	if j.running {
+		s.stop(now, j)
+	}
+}
+
+// stop frees the slot of a job.
+func (s *server) stop(now time.Time, j *job) {
+	j.running = false
+	s.running--
+	s.next(now)
 }
 
 // server is an upstream: it runs requests in its slots, queues some, and refuses the
@@ -55,15 +72,23 @@
 // run runs j in a free slot.
 func (s *server) run(now time.Time, j *job) {
 	s.running++
+	j.running = true
 	work := time.Duration(s.site.rand.ExpFloat64()*float64(s.site.load.ServiceTime)) + s.pendingCost
 	if s.slow {
 		work = time.Duration(s.site.load.SlowFactor * float64(work))
 	}
+	if l := s.site.load; l.LongShare > 0 && s.site.rand.Float64() < l.LongShare {
+		work = time.Duration(l.LongFactor * float64(work))
+	}
 	s.pendingCost = 0
 	s.site.schedule(now.Add(work), func(now time.Time) {
-		s.running--
-		j.answer(now, s.load(), true)
-		s.next(now)
+		if !j.running {
+			return
+		}
+		load := s.load()
+		load.Running--
+		j.answer(now, load, true)
+		s.stop(now, j)
 	})
 }
 
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
@@ -40,6 +42,7 @@
 type instance struct {
 	registry *upstream.Registry
 	retries  forward.RetryScheduler
+	hedge    *hedge.Policy
 	name     string
 }
 
@@ -53,7 +56,7 @@
 		s.upstreams[id] = &server{site: s, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams}
 	}
 	for i := range load.Instances {
-		in := &instance{registry: upstream.NewRegistry(""), name: fmt.Sprintf("n%d", i)}
+		in := &instance{registry: upstream.NewRegistry(""), hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
 		in.registry.Set(entries)
 		s.instances = append(s.instances, in)
 	}
@@ -86,6 +89,9 @@
 	c.attempts++
 	in := c.site.instances[c.site.rand.IntN(len(c.site.instances))]
 	r := &request{caller: c, instance: in, startedAt: now, plan: forward.NewPlan(c.site.load.route(), now, c.deadline)}
+	if c.site.policy.Hedge {
+		r.copyDelay, r.mayHedge = in.hedge.Begin(now)
+	}
 	r.next(now)
 }
 
@@ -105,18 +111,35 @@
 	instance  *instance
 	startedAt time.Time
 	plan      *forward.Plan
+	mayHedge  bool
+	copyDelay time.Duration
+	running   []*attempt
+}
+
+// attempt is one sending of a request to an upstream.
+type attempt struct {
+	rsv       *upstream.Reservation
+	job       *job
+	startedAt time.Time
+	number    int
+	finished  bool
+}
+
+// requirements returns what a request requires of its upstream at now.
+func (r *request) requirements(now time.Time) upstream.Requirements {
+	return upstream.Requirements{Pool: pool, Now: now, Affinity: r.instance.name}
 }
 
 // next sends the request to an upstream, has it wait, or rejects it.
 func (r *request) next(now time.Time) {
 	s := r.caller.site
-	rsv, wait := r.plan.Next(r.instance.registry, upstream.Requirements{Pool: pool, Now: now, Affinity: r.instance.name})
+	rsv, wait := r.plan.Next(r.instance.registry, r.requirements(now))
 	if rsv == nil && wait == 0 && s.policy.WaitForSlot && now.Add(slotPollInterval).Before(r.plan.Deadline) {
 		wait = slotPollInterval
 	}
 	switch {
 	case rsv != nil:
-		r.send(now, rsv)
+		r.begin(now, rsv)
 	case wait > 0:
 		s.schedule(now.Add(wait), r.next)
 	default:
@@ -133,55 +156,83 @@
 	r.caller.retry(now, s.policy.RetryAt(&r.instance.retries, now, r.plan.Deadline, s.rand.Float64()))
 }
 
-// send sends the request to the reserved upstream.
-func (r *request) send(now time.Time, rsv *upstream.Reservation) {
+// begin sends the request to the reserved upstream and, if it takes longer than usual, a
+// copy to another one.
+func (r *request) begin(now time.Time, rsv *upstream.Reservation) {
+	first := &attempt{rsv: rsv, startedAt: now, number: 1}
+	r.send(now, first, r.plan.AttemptDeadline(now))
+	if !r.mayHedge || !r.plan.MayCopy() {
+		return
+	}
 	s := r.caller.site
-	s.meter.attempts++
-	until := r.plan.AttemptDeadline(now)
-	startedAt, finished := now, false // finished is set when the attempt has ended
-	end := func(now time.Time, load *upstream.Load, err error) {
-		if finished {
+	s.schedule(now.Add(r.copyDelay), func(now time.Time) {
+		if first.finished || !now.Before(r.plan.Deadline) || !r.instance.hedge.Copy() {
 			return
 		}
-		finished = true
-		r.ended(now, rsv, upstream.AttemptResult{At: now, Load: load, TimePerUnit: now.Sub(startedAt)}, err)
-	}
-	if s.upstreams[rsv.ID].unreachable(now) {
-		s.schedule(now.Add(2*linkDelay), func(now time.Time) { end(now, nil, forward.ErrUnreachable) })
+		req := r.requirements(now)
+		req.Exclude, req.NeedFreeSlot, req.NeedIdleSlot = append(slices.Clone(r.plan.Tried()), rsv.ID), true, true
+		other, ok := r.instance.registry.Acquire(req)
+		if !ok {
+			r.instance.hedge.Refund()
+			return
+		}
+		s.meter.copies++
+		r.send(now, &attempt{rsv: other, startedAt: now, number: 2}, r.plan.CopyDeadline(now))
+	})
+}
+
+// send sends the request to the upstream of t.
+func (r *request) send(now time.Time, t *attempt, until time.Time) {
+	s := r.caller.site
+	s.meter.attempts++
+	r.running = append(r.running, t)
+	server := s.upstreams[t.rsv.ID]
+	if server.unreachable(now) {
+		s.schedule(now.Add(2*linkDelay), func(now time.Time) { r.ended(now, t, nil, forward.ErrUnreachable) })
 		return
 	}
-	j := &job{until: until}
-	j.answer = func(now time.Time, load upstream.Load, ran bool) {
+	t.job = &job{until: until}
+	t.job.answer = func(now time.Time, load upstream.Load, ran bool) {
 		s.schedule(now.Add(linkDelay), func(now time.Time) {
 			if ran {
-				end(now, &load, nil)
+				r.ended(now, t, &load, nil)
 				return
 			}
-			end(now, &load, forward.ErrNotRun)
+			r.ended(now, t, &load, forward.ErrNotRun)
 		})
 	}
-	s.schedule(now.Add(linkDelay), func(now time.Time) { s.upstreams[rsv.ID].accept(now, j) })
-	s.schedule(until, func(now time.Time) { end(now, nil, errTimeout) })
+	s.schedule(now.Add(linkDelay), func(now time.Time) { server.accept(now, t.job) })
+	s.schedule(until, func(now time.Time) { r.ended(now, t, nil, errTimeout) })
 }
 
-// ended handles the end of an attempt: the request is done, or its next attempt is
-// decided.
-func (r *request) ended(now time.Time, rsv *upstream.Reservation, rep upstream.AttemptResult, err error) {
+// ended handles the end of an attempt: the request is done, its other attempt continues,
+// or its next attempt is decided.
+func (r *request) ended(now time.Time, t *attempt, load *upstream.Load, err error) {
+	if t.finished {
+		return
+	}
 	s := r.caller.site
+	t.finished = true
+	r.running = slices.DeleteFunc(r.running, func(o *attempt) bool { return o == t })
+	rep, status := upstream.AttemptResult{At: now, Load: load}, 0
 	if err != nil {
-		rep.TimePerUnit = 0
 		rep.Failed = !forward.RecordRefusal(&rep, err, forward.BusyBackoff)
+	} else {
+		rep.TimePerUnit, status = now.Sub(t.startedAt), http.StatusOK
 	}
-	rsv.Done(rep)
-	status := 0
-	if err == nil {
-		status = http.StatusOK
+	if err == nil || err == errTimeout {
+		r.instance.hedge.Observe(now.Sub(t.startedAt), now)
 	}
-	done, err := r.plan.EndAttempt(rsv.ID, status, err, now)
+	t.rsv.Done(rep)
+	done, err := r.plan.EndAttempt(t.rsv.ID, status, err, now)
 	switch {
 	case done && err == nil:
+		for _, o := range r.running {
+			r.supersede(now, o, t)
+		}
 		r.instance.retries.Served(pool, now)
 		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start))
+	case len(r.running) > 0:
 	case done && err != errTimeout:
 		r.reject(now)
 	case done:
@@ -191,6 +242,22 @@
 	}
 }
 
+// supersede cancels an attempt because another copy has been answered.
+func (r *request) supersede(now time.Time, t, answered *attempt) {
+	s := r.caller.site
+	t.finished = true
+	took := now.Sub(t.startedAt)
+	r.instance.hedge.Observe(took, now)
+	rep := upstream.AttemptResult{At: now, Superseded: true}
+	if t.number < answered.number {
+		rep.TimePerUnit = took
+	}
+	t.rsv.Done(rep)
+	if t.job != nil {
+		s.schedule(now.Add(linkDelay), func(now time.Time) { s.upstreams[t.rsv.ID].cancel(now, t.job) })
+	}
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
