upstream: room for requests that wait

Requirements.MaxLoad replaces NeedIdleSlot: it excludes upstreams by their requests per slot, so that a few more requests than slots can be allowed. OnRelease tells of each reservation that ends, also those of submissions, and BusyUntil of the end of the first pause, so that a queue of requests can be woken instead of polling.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -37,9 +37,9 @@
 	// NeedFreeSlot excludes upstreams whose slots are all taken by this process's own
 	// requests, so that the request waits instead.
 	NeedFreeSlot bool
-	// NeedIdleSlot excludes upstreams whose slots are all taken as far as is known, by
-	// requests of any sender.
-	NeedIdleSlot bool
+	// MaxLoad excludes upstreams that have at least MaxLoad requests per slot, by the
+	// requests of this process and the last load received. 0 means no limit.
+	MaxLoad float64
 }
 
 // Candidate is an upstream that may be chosen for a request.
@@ -66,7 +66,7 @@
 		if req.NeedFreeSlot && float64(c.InFlight) >= float64(c.Slots)/max(c.Slowness, 1) {
 			continue // a slow upstream gets only as many requests as it serves in the usual time
 		}
-		if req.NeedIdleSlot && c.Load >= c.Slots {
+		if req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
 			continue
 		}
 		load := cost(c)
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -42,6 +42,7 @@
 	pools       map[string]*pool
 	assignments map[string]*assignment // by model
 	contended   bool                   // the capacity of all pools is contended
+	onRelease   func(pool string)      // nil for none
 }
 
 // pool holds the upstreams of one pool.
@@ -128,6 +129,29 @@
 	r.contended = all
 }
 
+// OnRelease has f called, without a lock held, after each reservation that ends, with the
+// pool of its upstream.
+func (r *Registry) OnRelease(f func(pool string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onRelease = f
+}
+
+// BusyUntil returns the earliest time after now at which the pause of an upstream of the
+// pool ends that had no capacity, and whether there is one.
+func (r *Registry) BusyUntil(pool string, now time.Time) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var earliest time.Time
+	for _, s := range r.members(pool) {
+		until := s.localOrZero().busyUntil
+		if !s.Draining && until.After(now) && (earliest.IsZero() || until.Before(earliest)) {
+			earliest = until
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
 // Contended reports whether the capacity of a pool is contended: its callers may ask for
 // more than it serves, or its upstreams share their machines with others, so that what
 // they serve changes from moment to moment.
@@ -466,19 +490,27 @@
 func (rsv *Reservation) Done(result AttemptResult) {
 	r := rsv.registry
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	rsv.state.ensureLocal().inFlight--
 	r.record(rsv.state, result)
+	released := r.onRelease
+	r.mu.Unlock()
+	if released != nil {
+		released(rsv.Pool)
+	}
 }
 
 // Release ends a reservation whose request was not sent.
 func (rsv *Reservation) Release() {
 	r := rsv.registry
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	local := rsv.state.ensureLocal()
 	local.inFlight--
 	local.singleInFlight = false
+	released := r.onRelease
+	r.mu.Unlock()
+	if released != nil {
+		released(rsv.Pool)
+	}
 }
 
 // FasterAvailable reports whether the reserved upstream is at least factor times
