forward: requests wait in an ordered queue in contended pools

A request for which no upstream was usable polled every 15 ms for at most 75 ms, whatever its priority and customer. In contended pools it now joins the queue of its pool and model for at most half of its objective; the head looks for room when a request of the instance ends, when a request joins and when a pause of an upstream is over. Those that cannot be served in time, find the queue full or are displaced are refused with verdict NotRun. A waiter is sent only to an upstream with fewer than 4/3 requests per slot: without that rule the queue was sent as a whole after each pause and refused.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -22,19 +23,46 @@
 	affinity string
 	request  Request
 
-	hedge     *hedge.Policy // nil if the times of the route's calls are not recorded
+	hedge     *hedge.Policy // of the route; nil if the pool is not contended
 	mayHedge  bool
 	copyDelay time.Duration // time after the start of an attempt at which a copy is sent
 }
 
-// startHedging decides whether copies of the call may be sent. They are sent only where
-// the pool is contended: elsewhere they would cost upstreams time and gain little.
-func (c *call) startHedging(now time.Time) {
-	if c.route.Kind != routetable.Idempotent || !c.f.cfg.Registry.Contended(c.pool) {
+// start decides whether copies of the call may be sent. They are sent only where the pool
+// is contended: elsewhere they would cost upstreams time and gain little.
+func (c *call) start(now time.Time) {
+	if !c.f.cfg.Registry.Contended(c.pool) {
 		return
 	}
 	c.hedge = c.f.hedges.Of(c.route.Name, hedge.Config{Objective: c.route.LatencyObjective})
-	c.copyDelay, c.mayHedge = c.hedge.Begin(now)
+	if c.route.Kind == routetable.Idempotent {
+		c.copyDelay, c.mayHedge = c.hedge.Begin(now)
+	}
+}
+
+// reserve returns a reservation for the next attempt, for which the request may wait.
+func (c *call) reserve(ctx context.Context) (*upstream.Reservation, error) {
+	req := upstream.Requirements{Pool: c.pool, Affinity: c.affinity}
+	if c.hedge != nil {
+		return c.f.reserve(ctx, wait{pool: c.pool, plan: c.plan, priority: c.request.Priority.Or(c.route.Priority), customer: c.request.Customer,
+			work: c.hedge.Mean().Seconds(), acquire: func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
+				req.Now, req.MaxLoad = now, maxLoad
+				return c.plan.Acquire(c.f.cfg.Registry, req)
+			}})
+	}
+	for {
+		req.Now = time.Now()
+		rsv, wait := c.plan.Next(c.f.cfg.Registry, req)
+		if rsv != nil {
+			return rsv, nil
+		}
+		if wait == 0 || !clock.Sleep(ctx, wait) {
+			return nil, errNoCapacity
+		}
+		if err := c.f.cfg.Guard.Check(c.request.content(), time.Now()); err != nil {
+			return nil, err
+		}
+	}
 }
 
 // attempt is one sending of the request to an upstream.
@@ -199,7 +227,7 @@
 		return nil
 	}
 	exclude := append(slices.Clone(c.plan.Tried()), first.rsv.ID)
-	rsv, ok := c.f.cfg.Registry.Acquire(upstream.Requirements{Pool: c.pool, Now: now, Affinity: c.affinity, Exclude: exclude, NeedFreeSlot: true, NeedIdleSlot: true})
+	rsv, ok := c.f.cfg.Registry.Acquire(upstream.Requirements{Pool: c.pool, Now: now, Affinity: c.affinity, Exclude: exclude, NeedFreeSlot: true, MaxLoad: CopyMaxLoad})
 	if !ok {
 		c.hedge.Refund()
 		return nil
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -14,7 +14,6 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/zinnialadder/zinnialadder/pkg/clock"
 	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
@@ -127,6 +126,8 @@
 	cfg         Config
 	retries     RetryScheduler
 	hedges      hedge.Policies
+	queues      queues
+	waiting     atomic.Int64   // requests in queues
 	group       errgroup.Group // runs the attempts of hedged calls, each of which ends by the deadline of its call
 	lastLatency atomic.Int64   // time.Duration of the last attempt that got a response
 }
@@ -139,7 +140,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
-	return &Forwarder{cfg: cfg}
+	f := &Forwarder{cfg: cfg}
+	cfg.Registry.OnRelease(f.queues.wake)
+	return f
 }
 
 func (f *Forwarder) count(name string) { metrics.GetOrRegisterCounter(name, f.cfg.Metrics).Inc(1) }
@@ -159,18 +162,15 @@
 		affinity = r.ID
 	}
 	c := &call{f: f, plan: plan, route: rt, pool: pool, affinity: affinity, request: r}
-	c.startHedging(start)
+	c.start(start)
 	for {
 		now := time.Now()
 		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
 			return Response{}, f.finalError(plan, pool, now, err)
 		}
-		rsv, wait := plan.Next(f.cfg.Registry, upstream.Requirements{Pool: pool, Now: now, Affinity: affinity})
-		if rsv == nil && wait > 0 && clock.Sleep(ctx, wait) {
-			continue
-		}
-		if rsv == nil {
-			return Response{}, f.finalError(plan, pool, now, errNoCapacity)
+		rsv, err := c.reserve(ctx)
+		if err != nil {
+			return Response{}, f.finalError(plan, pool, time.Now(), err)
 		}
 		a, done, err := c.run(ctx, rsv)
 		switch {
--- a/pkg/forward/hedged_test.go
+++ b/pkg/forward/hedged_test.go
@@ -111,6 +111,8 @@
 	return metrics.GetOrRegisterCounter(name, s.metrics).Count()
 }
 
+func (s *site) gauge(name string) int64 { return metrics.GetOrRegisterGauge(name, s.metrics).Value() }
+
 // freeSlots returns how many requests the upstreams take now. It has each of them answer
 // a request first, as one that has refused the last request takes a single one.
 func (s *site) freeSlots() int {
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -37,6 +37,13 @@
 	// maxExtraRefusals is how many upstreams beyond the route's MaxAttempts may refuse a
 	// request. Refused attempts cost the upstreams nothing.
 	maxExtraRefusals = 3
+	// CopyMaxLoad is the load per slot of an upstream at which no copy is sent to it: the
+	// copy would wait for a slot.
+	CopyMaxLoad = 1.0
+	// WaiterMaxLoad is the load per slot of an upstream at which it has no room for a request
+	// that waits. With a few requests more than slots, a slot is used again as soon as its
+	// request ends; with many, upstreams refuse them or serve them in no order.
+	WaiterMaxLoad = 4.0 / 3
 )
 
 // Plan decides how often and for how long a request is attempted. It moves requests away
@@ -81,25 +88,45 @@
 	return after.Sub(p.startedAt) <= limit && after.Before(p.Deadline)
 }
 
+// WaitDeadline returns when a request in a contended pool stops waiting for capacity: after
+// half of the latency objective of its route, so that the other half is left to serve it.
+func (p *Plan) WaitDeadline() time.Time {
+	limit := BusyBackoff + pollInterval
+	if p.route.LatencyObjective > 0 {
+		limit = p.route.LatencyObjective / 2
+	}
+	if at := p.startedAt.Add(limit); at.Before(p.Deadline) {
+		return at
+	}
+	return p.Deadline
+}
+
 // Next reserves the upstream for the next attempt, or returns how long to wait before
 // calling Next again. If it returns nil and 0, the request must be rejected.
 func (p *Plan) Next(r *upstream.Registry, req upstream.Requirements) (*upstream.Reservation, time.Duration) {
-	req.Exclude = p.tried
-	if rsv, ok := r.Acquire(req); ok {
+	if rsv, ok := p.Acquire(r, req); ok {
 		return rsv, 0
 	}
-	if len(p.tried) > 0 && p.MayRetry() {
-		// Every upstream has been tried. One that was busy may have capacity now.
-		if rsv, ok := r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now}); ok {
-			return rsv, 0
-		}
-	}
 	if p.MayWait(req.Now) {
 		return nil, pollInterval
 	}
 	return nil, 0
 }
 
+// Acquire reserves the upstream for the next attempt. It reports false if none is usable
+// now.
+func (p *Plan) Acquire(r *upstream.Registry, req upstream.Requirements) (*upstream.Reservation, bool) {
+	req.Exclude = p.tried
+	if rsv, ok := r.Acquire(req); ok {
+		return rsv, true
+	}
+	if len(p.tried) > 0 && p.MayRetry() {
+		// Every upstream has been tried. One that was busy may have capacity now.
+		return r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now, MaxLoad: req.MaxLoad})
+	}
+	return nil, false
+}
+
 // Tried returns the IDs of the upstreams to which the request was sent.
 func (p *Plan) Tried() []string { return p.tried }
 
--- a/pkg/forward/plan_test.go
+++ b/pkg/forward/plan_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
 	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
@@ -14,7 +15,10 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 )
 
-func TestMain(m *testing.M) { rapidseed.Main(m, 500) }
+func TestMain(m *testing.M) {
+	metrics.NewMeter() // starts the library's goroutine, which must not be part of a synctest bubble
+	rapidseed.Main(m, 500)
+}
 
 // Whatever the results of its attempts, a non-idempotent request may run at most once, no
 // request may run at more upstreams than its route allows, no attempt's deadline is later
--- /dev/null
+++ b/pkg/forward/queue_test.go
@@ -0,0 +1,230 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+
+	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+)
+
+// queueRoute is a route whose requests wait for at most waitLimit.
+var queueRoute = routetable.Route{Name: "q", Kind: routetable.NonIdempotent, MaxAttempts: 1, LatencyObjective: 2 * waitLimit, Timeout: 2 * time.Second, Priority: 2,
+	Shares: []routetable.Share{{Pool: "pool", Weight: 1}}}
+
+const waitLimit = 200 * time.Millisecond
+
+// pause has all upstreams refuse a request, so that they are not used for d.
+func (s *site) pause(d time.Duration) {
+	for {
+		rsv, ok := s.registry.Acquire(upstream.Requirements{Pool: "pool", Now: time.Now()})
+		if !ok {
+			return
+		}
+		rsv.Done(upstream.AttemptResult{At: time.Now(), Busy: true, BusyUntil: time.Now().Add(d)})
+	}
+}
+
+// call forwards a request and returns how long that took.
+func (s *site) call(ctx context.Context, r forward.Request) (time.Duration, error) {
+	start := time.Now()
+	_, err := s.Do(ctx, queueRoute, r)
+	return time.Since(start), err
+}
+
+func isRefusal(err error) bool {
+	var e *verdict.Error
+	return errors.As(err, &e) && e.Verdict == verdict.NotRun && e.Status == http.StatusServiceUnavailable && e.RetryAt.After(time.Now())
+}
+
+// Guards against a waiter that is not woken when an upstream's pause ends, at once and not
+// at the next poll, and against one that waits past its limit.
+func TestWaitsForEndOfPause(t *testing.T) {
+	for _, test := range []struct {
+		pause, want time.Duration
+		served      bool
+	}{{37 * time.Millisecond, 37*time.Millisecond + usualTime, true}, {waitLimit - 1, waitLimit - 1 + usualTime, true}, {time.Hour, waitLimit, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(true, "a", "b")
+			s.pause(test.pause)
+			took, err := s.call(t.Context(), forward.Request{ID: "x"})
+			if took != test.want || (err == nil) != test.served || err != nil && !isRefusal(err) {
+				t.Errorf("pause of %v: got %v after %v, want success %v after %v", test.pause, err, took, test.served, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a change for pools that are not contended: requests there poll for at
+// most 75 ms.
+func TestDoesNotQueueWherePoolIsNotContended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(false, "a")
+		s.pause(time.Hour)
+		if took, err := s.call(t.Context(), forward.Request{ID: "x"}); took != 75*time.Millisecond || !isRefusal(err) || s.counted("waitqueue.joined") != 0 {
+			t.Errorf("got %v after %v with %d in the queue, want a refusal after 75ms without", err, took, s.counted("waitqueue.joined"))
+		}
+	})
+}
+
+// Guards against waiters that are served in another order than by priority and then by
+// turns of the customers, and against a caller that has left and still takes a turn.
+func TestWaitersAreServedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.pause(50 * time.Millisecond)
+		ctx, leave := context.WithCancel(t.Context())
+		var g errgroup.Group
+		for _, r := range []forward.Request{{ID: "a1", Customer: "a"}, {ID: "a2", Customer: "a"}, {ID: "a3", Customer: "a"}, {ID: "left", Customer: "c"}, {ID: "b1", Customer: "b"},
+			{ID: "urgent", Customer: "a", Priority: option.Some(0)}} {
+			g.Go(func() error {
+				c := t.Context()
+				if r.ID == "left" {
+					c = ctx
+				}
+				_, err := s.call(c, r)
+				if r.ID == "left" && !isRefusal(err) {
+					t.Errorf("the caller that left got %v", err)
+				}
+				return nil
+			})
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+		_ = g.Wait()
+		var order []string
+		for _, r := range s.sent {
+			order = append(order, r.ID)
+		}
+		if want := []string{"urgent", "a1", "b1", "a2", "a3"}; !slices.Equal(order, want) {
+			t.Errorf("served in the order %v, want %v", order, want)
+		}
+	})
+}
+
+// Guards against a request's end that wakes nobody: an upstream that has refused a request
+// takes one at a time until it has answered.
+func TestEndOfRequestWakesWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.pause(time.Millisecond)
+		time.Sleep(time.Millisecond)
+		var g errgroup.Group
+		for range 3 {
+			g.Go(func() error {
+				_, err := s.call(t.Context(), forward.Request{ID: "x"})
+				return err
+			})
+		}
+		start := time.Now()
+		if err, took := g.Wait(), time.Since(start); err != nil || took != 2*usualTime {
+			t.Errorf("three requests: got %v after %v, want success after %v", err, took, 2*usualTime)
+		}
+	})
+}
+
+// Guards against a displaced request that waits on, and against one whose caller is told
+// that it may have run.
+func TestDisplacedRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.pause(time.Hour)
+		var g errgroup.Group
+		var refused atomic.Int64
+		for i := range forward.QueueLimit(slotsOfEach) {
+			g.Go(func() error {
+				took, err := s.call(t.Context(), forward.Request{ID: fmt.Sprint(i)})
+				if !isRefusal(err) {
+					t.Errorf("got %v", err)
+				}
+				if took == 10*time.Millisecond {
+					refused.Add(1)
+				}
+				return nil
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		if took, err := s.call(t.Context(), forward.Request{ID: "same"}); took != 0 || !isRefusal(err) {
+			t.Errorf("a request for a full queue: got %v after %v, want a refusal at once", err, took)
+		}
+		_, err := s.call(t.Context(), forward.Request{ID: "urgent", Priority: option.Some(0)})
+		_ = g.Wait()
+		if refused.Load() != 1 || s.counted("waitqueue.displaced") != 1 || !isRefusal(err) {
+			t.Errorf("%d refused when the urgent request arrived, %d displaced; want 1, 1", refused.Load(), s.counted("waitqueue.displaced"))
+		}
+	})
+}
+
+// Guards, for any times of arrival, answers and refusals, against a request that is
+// neither answered nor refused in time, one that runs twice, and a queue that does not
+// become empty.
+func TestQueuedCalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type arrival struct {
+			gap, leaves time.Duration
+			answer      answer
+		}
+		var arrivals []arrival
+		for range rapid.IntRange(1, 40).Draw(rt, "arrivals") {
+			a := arrival{gap: time.Duration(rapid.IntRange(0, 20).Draw(rt, "gap_ms")) * time.Millisecond, leaves: time.Hour,
+				answer: answer{after: time.Duration(rapid.IntRange(1, 100).Draw(rt, "after_ms")) * time.Millisecond, status: 200,
+					err: rapid.SampledFrom([]error{nil, forward.ErrNotRun, forward.ErrUnreachable}).Draw(rt, "err")}}
+			if rapid.IntRange(0, 5).Draw(rt, "leaves") == 0 {
+				a.leaves = time.Duration(rapid.IntRange(1, 100).Draw(rt, "leaves_ms")) * time.Millisecond
+			}
+			arrivals = append(arrivals, a)
+		}
+		var failure string
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(true, "a", "b")
+			var g errgroup.Group
+			for _, a := range arrivals {
+				s.next = append(s.next, a.answer)
+			}
+			for i, a := range arrivals {
+				g.Go(func() error {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					defer time.AfterFunc(a.leaves, cancel).Stop()
+					took, err := s.call(ctx, forward.Request{ID: fmt.Sprint(i), Customer: fmt.Sprint(i % 3)})
+					if took > waitLimit+time.Second || err != nil && !isRefusal(err) && a.leaves == time.Hour {
+						return fmt.Errorf("request %d: %v after %v", i, err, took)
+					}
+					return nil
+				})
+				time.Sleep(a.gap)
+			}
+			if err := g.Wait(); err != nil {
+				failure = err.Error()
+			}
+			ran := map[string]int{}
+			for _, a := range s.attempts {
+				if !errors.Is(a.Err, forward.ErrNotRun) {
+					ran[a.Request]++
+				}
+				if ran[a.Request] > 1 {
+					failure = "request " + a.Request + " ran twice"
+				}
+			}
+			if n := s.gauge("waitqueue.length"); n != 0 {
+				failure = fmt.Sprintf("%d requests in the queue after all have ended", n)
+			}
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -78,12 +78,9 @@
 		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
 			return s.finalError(now, err)
 		}
-		rsv, ok := f.cfg.Registry.Acquire(upstream.Requirements{Pool: pool, Now: now, Exclude: plan.Tried(), Model: r.Model, Affinity: prompt})
-		if !ok && plan.MayWait(now) && clock.Sleep(ctx, pollInterval) {
-			continue
-		}
-		if !ok {
-			return s.finalError(now, errNoCapacity)
+		rsv, err := s.reserve(ctx, prompt)
+		if err != nil {
+			return s.finalError(time.Now(), err)
 		}
 		status, err := s.attempt(ctx, rsv)
 		if err == nil && s.complete {
@@ -111,6 +108,31 @@
 	complete      bool // the complete response has been sent to the caller
 }
 
+// reserve returns a reservation for the next attempt, for which the request may wait.
+func (s *streamRequest) reserve(ctx context.Context, prompt string) (*upstream.Reservation, error) {
+	acquire := func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
+		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad})
+	}
+	// A stream that is resumed does not return to the upstreams that it has tried. At the
+	// head of the queue it would keep the others from these.
+	if s.f.cfg.Registry.Contended(s.pool) && len(s.plan.Tried()) == 0 {
+		return s.f.reserve(ctx, wait{pool: s.pool, model: s.request.Model, plan: s.plan, priority: s.request.Priority.Or(s.route.Priority),
+			customer: s.request.Customer, work: s.route.LatencyObjective.Seconds(), acquire: acquire})
+	}
+	for {
+		now := time.Now()
+		if rsv, ok := acquire(now, 0); ok {
+			return rsv, nil
+		}
+		if !s.plan.MayWait(now) || !clock.Sleep(ctx, pollInterval) {
+			return nil, errNoCapacity
+		}
+		if err := s.f.cfg.Guard.Check(s.request.content(), time.Now()); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // finalError returns the error of a request that cannot be completed.
 func (s *streamRequest) finalError(now time.Time, err error) error {
 	if s.headerSent {
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -57,7 +57,8 @@
 	times     *hdrhistogram.WindowedHistogram // in units of resolution
 	rotatedAt time.Time
 	unmerged  int           // calls recorded since delay was computed
-	known     int64         // calls from which delay was computed
+	known     int64         // calls from which delay and mean were computed
+	mean      time.Duration // valid if known is at least minCalls
 	delay     time.Duration // valid if known is at least minCalls
 }
 
@@ -80,6 +81,17 @@
 	return p.delay, p.known >= minCalls
 }
 
+// Mean returns the mean time of recent calls, the latency objective if too few are known
+// and 0 if there is none either.
+func (p *Policy) Mean() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known < minCalls {
+		return p.cfg.Objective
+	}
+	return p.mean
+}
+
 // Copy takes the budget of one copy. It reports false if the budget is spent.
 func (p *Policy) Copy() bool { return p.budget.Withdraw() }
 
@@ -122,6 +134,7 @@
 	}
 	merged := p.times.Merge()
 	p.known, p.unmerged = merged.TotalCount(), 0
+	p.mean = time.Duration(merged.Mean() * float64(resolution))
 	p.delay = max(time.Duration(merged.ValueAtQuantile(percentile))*resolution, time.Duration(minObjectiveShare*float64(p.cfg.Objective)))
 }
 
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
@@ -111,6 +112,10 @@
 		return "quarantined"
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
+	case errors.Is(err, waitqueue.ErrFull), errors.Is(err, forward.ErrDisplaced):
+		return "queue_full"
+	case errors.Is(err, waitqueue.ErrTooLate):
+		return "queue_too_slow"
 	case errors.Is(err, forward.ErrStreamInterrupted):
 		return "stream_broken"
 	}
