--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -35,6 +35,8 @@
 	SlowFactor      float64
 	LongShare       float64 // share of the requests that take LongFactor times as long
 	LongFactor      float64
+	Customers       int           // that share the requests; 0 for one
+	HeavyFactor     float64       // requests of the first customer relative to those of each other one; 0 for the same
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
 }
@@ -66,13 +68,15 @@
 	WaitForSlot bool
 	// Hedge has a copy of a request sent if the first takes longer than usual.
 	Hedge bool
+	// Queue has requests wait in an ordered queue instead of polling.
+	Queue bool
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
 const constantBackoff = 300 * time.Millisecond
 
 // The policies: the one in use, an earlier version of it, a baseline without early
-// rejection, and the one in use where the pool is contended.
+// rejection, and those in use where the pool is contended, one by one and together.
 var (
 	SpreadRetries = Policy{Name: "spread", RetryAt: func(r *forward.RetryScheduler, now, deadline time.Time, draw float64) time.Time {
 		return r.Reject(pool, now, deadline, draw)
@@ -82,10 +86,12 @@
 	}}
 	WaitAtInstance = Policy{Name: "hold", WaitForSlot: true, RetryAt: ConstantBackoff.RetryAt}
 	Hedged         = Policy{Name: "hedged", Hedge: true, RetryAt: SpreadRetries.RetryAt}
+	Queued         = Policy{Name: "queued", Queue: true, RetryAt: SpreadRetries.RetryAt}
+	HedgedQueued   = Policy{Name: "both", Hedge: true, Queue: true, RetryAt: SpreadRetries.RetryAt}
 	Policies       = []Policy{SpreadRetries, ConstantBackoff, WaitAtInstance}
 
 	// ContendedPolicies are the policies for contended pools.
-	ContendedPolicies = []Policy{SpreadRetries, Hedged}
+	ContendedPolicies = []Policy{SpreadRetries, Hedged, Queued, HedgedQueued}
 )
 
 // Result is the outcome of a load under a policy.
@@ -99,10 +105,13 @@
 	WithinObjective float64 // share of offered requests answered within the latency objective
 	Answered        float64 // share of offered requests answered within the caller's timeout
 	P50, P99        time.Duration
-	Attempts        float64       // attempts at upstreams per offered request
-	Copies          float64       // hedged copies per offered request
-	WorstSecond     float64       // lowest share answered of the requests that arrived in one second
-	MaxWait         time.Duration // longest wait of an attempt that was rejected without being sent
+	Attempts        float64 // attempts at upstreams per offered request
+	Copies          float64 // hedged copies per offered request
+	// Fairness is Jain's index of what each customer was served, relative to its max-min
+	// fair share of the capacity. It is 1 if all got their share.
+	Fairness    float64
+	WorstSecond float64       // lowest share answered of the requests that arrived in one second
+	MaxWait     time.Duration // longest wait of an attempt that was rejected without being sent
 }
 
 // Run simulates load under policy p.
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -25,6 +25,7 @@
 		out.Attempts += r.Attempts / n
 		out.Copies += r.Copies / n
 		out.WorstSecond += r.WorstSecond / n
+		out.Fairness += r.Fairness / n
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -10,6 +10,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 )
 
 const (
@@ -43,6 +44,8 @@
 	registry *upstream.Registry
 	retries  forward.RetryScheduler
 	hedge    *hedge.Policy
+	queue    *waitqueue.Queue[int]
+	wakeups  int // scheduled ones
 	name     string
 }
 
@@ -58,6 +61,8 @@
 	for i := range load.Instances {
 		in := &instance{registry: upstream.NewRegistry(""), hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
 		in.registry.Set(entries)
+		in.queue = waitqueue.New[int](waitqueue.Config{Limit: forward.QueueLimit(load.Upstreams * load.Slots), CustomerShare: 0.5})
+		in.registry.OnRelease(func(string) { in.queue.Wake() })
 		s.instances = append(s.instances, in)
 	}
 	return s
@@ -69,16 +74,26 @@
 	if after >= s.load.Duration {
 		return
 	}
-	c := &caller{site: s, startedAt: now, deadline: now.Add(s.load.Timeout)}
-	s.meter.offer(after)
+	c := &caller{site: s, customer: s.customer(), startedAt: now, deadline: now.Add(s.load.Timeout)}
+	s.meter.offer(after, c.customer)
 	c.try(now)
 	gap := s.rand.ExpFloat64() / s.load.rate(after)
 	s.schedule(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
 }
 
+// customer draws the customer of a request.
+func (s *site) customer() int {
+	if s.load.Customers < 2 {
+		return 0
+	}
+	heavy := max(s.load.HeavyFactor, 1)
+	return int(max(0, s.rand.Float64()*(heavy+float64(s.load.Customers-1))-heavy+1))
+}
+
 // caller is one request of a caller with all its attempts.
 type caller struct {
 	site      *site
+	customer  int
 	startedAt time.Time
 	deadline  time.Time
 	attempts  int
@@ -114,6 +129,7 @@
 	mayHedge  bool
 	copyDelay time.Duration
 	running   []*attempt
+	ticket    *waitqueue.Ticket[int] // nil if it does not wait in the queue
 }
 
 // attempt is one sending of a request to an upstream.
@@ -133,6 +149,10 @@
 // next sends the request to an upstream, has it wait, or rejects it.
 func (r *request) next(now time.Time) {
 	s := r.caller.site
+	if s.policy.Queue {
+		r.nextInQueue(now)
+		return
+	}
 	rsv, wait := r.plan.Next(r.instance.registry, r.requirements(now))
 	if rsv == nil && wait == 0 && s.policy.WaitForSlot && now.Add(slotPollInterval).Before(r.plan.Deadline) {
 		wait = slotPollInterval
@@ -147,6 +167,66 @@
 	}
 }
 
+// nextInQueue sends the request to an upstream, has it wait in the queue, or rejects it.
+func (r *request) nextInQueue(now time.Time) {
+	s, q, limit := r.caller.site, r.instance.queue, r.plan.WaitDeadline()
+	if q.Len() == 0 || !now.Before(limit) {
+		if rsv, ok := r.plan.Acquire(r.instance.registry, r.requirements(now)); ok {
+			r.begin(now, rsv)
+			return
+		}
+	}
+	if !now.Before(limit) {
+		r.reject(now)
+		return
+	}
+	t, err := q.Join(waitqueue.Waiter[int]{Customer: r.caller.customer, Deadline: limit, Notify: func(sig waitqueue.Signal) {
+		s.schedule(s.now, func(now time.Time) { r.signal(now, sig) })
+	}}, now)
+	if err != nil {
+		r.reject(now)
+		return
+	}
+	r.ticket = t
+	q.Wake()
+	s.schedule(limit, func(now time.Time) {
+		if r.ticket == t {
+			r.ticket = nil
+			t.Leave()
+			r.reject(now)
+		}
+	})
+}
+
+// signal handles a signal of the queue.
+func (r *request) signal(now time.Time, sig waitqueue.Signal) {
+	t, in := r.ticket, r.instance
+	if t == nil {
+		return
+	}
+	if sig == waitqueue.Displaced {
+		r.ticket = nil
+		r.reject(now)
+		return
+	}
+	req := r.requirements(now)
+	req.MaxLoad = forward.WaiterMaxLoad
+	if rsv, ok := r.plan.Acquire(in.registry, req); ok {
+		r.ticket = nil
+		t.Take(now)
+		r.begin(now, rsv)
+		return
+	}
+	in.wakeups++
+	wakeup := in.wakeups
+	r.caller.site.schedule(forward.RoomAt(in.registry, pool, now), func(time.Time) {
+		if wakeup == in.wakeups {
+			in.queue.Wake()
+		}
+	})
+	t.NoRoom()
+}
+
 // reject rejects the request; its caller retries as the policy says.
 func (r *request) reject(now time.Time) {
 	s := r.caller.site
@@ -170,7 +250,7 @@
 			return
 		}
 		req := r.requirements(now)
-		req.Exclude, req.NeedFreeSlot, req.NeedIdleSlot = append(slices.Clone(r.plan.Tried()), rsv.ID), true, true
+		req.Exclude, req.NeedFreeSlot, req.MaxLoad = append(slices.Clone(r.plan.Tried()), rsv.ID), true, forward.CopyMaxLoad
 		other, ok := r.instance.registry.Acquire(req)
 		if !ok {
 			r.instance.hedge.Refund()
@@ -231,7 +311,7 @@
 			r.supersede(now, o, t)
 		}
 		r.instance.retries.Served(pool, now)
-		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start))
+		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start), r.caller.customer)
 	case len(r.running) > 0:
 	case done && err != errTimeout:
 		r.reject(now)
