--- a/pkg/forward/hedged_test.go
+++ b/pkg/forward/hedged_test.go
@@ -62,7 +62,7 @@
 		entries = append(entries, upstream.Entry{ID: id, Pool: "pool", Address: id, Slots: slotsOfEach})
 	}
 	s.registry.Set(entries)
-	s.Forwarder = forward.New(forward.Config{Transport: s, Registry: s.registry, Metrics: s.metrics, OnAttempt: func(a forward.Attempt) {
+	s.Forwarder = forward.New(forward.Config{Transport: s, Opener: s, Registry: s.registry, Metrics: s.metrics, OnAttempt: func(a forward.Attempt) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.attempts = append(s.attempts, a)
@@ -95,6 +95,11 @@
 	return forward.Response{Status: a.status}, nil, nil
 }
 
+func (s *site) Open(ctx context.Context, to upstream.Entry, r forward.Request, _ int) (forward.StreamResponse, *upstream.Load, error) {
+	resp, load, err := s.Send(ctx, to, r)
+	return forward.StreamResponse{Response: resp}, load, err
+}
+
 // learn forwards calls of the usual time until copies may be sent, then forgets them and
 // sets the next answers.
 func (s *site) learn(t *testing.T, next ...answer) {
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// sink is the Sink of a caller that discards the response.
+type sink struct{}
+
+func (sink) Begin(forward.Response)   {}
+func (sink) Event([]byte) error       { return nil }
+func (sink) Respond(forward.Response) {}
+
+// Guards against requests for streams that poll in contended pools.
+func TestStreamsWaitInQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.pause(37 * time.Millisecond)
+		start := time.Now()
+		err := s.Stream(t.Context(), queueRoute, forward.Request{ID: "x", Model: "m"}, "", sink{})
+		if took, want := time.Since(start), 37*time.Millisecond+usualTime; err != nil || took != want || s.counted("waitqueue.joined") != 1 {
+			t.Errorf("got %v after %v with %d in queues, want success after %v with 1", err, took, s.counted("waitqueue.joined"), want)
+		}
+		s.pause(time.Hour)
+		if err := s.Stream(t.Context(), queueRoute, forward.Request{ID: "y", Model: "m"}, "", sink{}); !isRefusal(err) {
+			t.Errorf("without room: got %v, want a refusal", err)
+		}
+	})
+}
+
 // Guards against a change for pools that are not contended: requests there poll for at
 // most 75 ms.
 func TestDoesNotQueueWherePoolIsNotContended(t *testing.T) {
