forward: tests of copies allowed by a Plan, and of the longest wait

TestPlan passed without the check of the route's kind in Plan.MayCopy, because the caller checks it too; it now fails without it. TestQueuedCalls checks that a request that was not sent is refused within the limit.

--- a/pkg/forward/plan_test.go
+++ b/pkg/forward/plan_test.go
@@ -21,8 +21,8 @@
 }
 
 // Whatever the results of its attempts, a non-idempotent request may run at most once, no
-// request may run at more upstreams than its route allows, no attempt's deadline is later
-// than the caller's, and the request ends.
+// request may run at more upstreams than its route allows, also with copies, no attempt's
+// deadline is later than the caller's, and the request ends.
 func TestPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_800_000_000, 0)
@@ -39,6 +39,12 @@
 			if i > 20 {
 				t.Fatal("request not finished after 20 attempts")
 			}
+			if p.MayCopy() && (rt.Kind != routetable.Idempotent || mayHaveRun+2 > rt.MaxAttempts) {
+				t.Fatalf("a copy is allowed after %d attempts that may have run, of %d", mayHaveRun, rt.MaxAttempts)
+			}
+			if c := p.CopyDeadline(now); c.After(p.Deadline) {
+				t.Fatal("deadline of a copy is after the plan's deadline")
+			}
 			until := p.AttemptDeadline(now)
 			if until.After(p.Deadline) || !until.After(now) && now.Before(p.Deadline) {
 				t.Fatalf("attempt at %[2]v has deadline %[1]v; want after the start and at most %[3]v", until, now, p.Deadline)
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -218,12 +218,14 @@
 			for _, a := range arrivals {
 				s.next = append(s.next, a.answer)
 			}
+			tooks := make([]time.Duration, len(arrivals))
 			for i, a := range arrivals {
 				g.Go(func() error {
 					ctx, cancel := context.WithCancel(t.Context())
 					defer cancel()
 					defer time.AfterFunc(a.leaves, cancel).Stop()
 					took, err := s.call(ctx, forward.Request{ID: fmt.Sprint(i), Customer: fmt.Sprint(i % 3)})
+					tooks[i] = took
 					if took > waitLimit+time.Second || err != nil && !isRefusal(err) && a.leaves == time.Hour {
 						return fmt.Errorf("request %d: %v after %v", i, err, took)
 					}
@@ -234,8 +236,9 @@
 			if err := g.Wait(); err != nil {
 				failure = err.Error()
 			}
-			ran := map[string]int{}
+			ran, sent := map[string]int{}, map[string]bool{}
 			for _, a := range s.attempts {
+				sent[a.Request] = true
 				if !errors.Is(a.Err, forward.ErrNotRun) {
 					ran[a.Request]++
 				}
@@ -243,6 +246,11 @@
 					failure = "request " + a.Request + " ran twice"
 				}
 			}
+			for i, took := range tooks {
+				if !sent[fmt.Sprint(i)] && took > waitLimit {
+					failure = fmt.Sprintf("request %d was refused without an attempt after %v", i, took)
+				}
+			}
 			if n := s.gauge("waitqueue.length"); n != 0 {
 				failure = fmt.Sprintf("%d requests in the queue after all have ended", n)
 			}
