--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
@@ -78,6 +79,9 @@
 	case a.Err == nil && a.Status < 500:
 		o.count("attempts.answered")
 		return // the log line of the request covers it
+	case errors.Is(a.Err, forward.ErrSuperseded):
+		o.count("attempts.superseded")
+		return // the request was answered
 	case errors.Is(a.Err, forward.ErrNotRun):
 		o.count("attempts.not_run")
 	default:
@@ -112,6 +116,10 @@
 		return "quarantined"
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
+	case errors.Is(err, waitqueue.ErrFull), errors.Is(err, forward.ErrDisplaced):
+		return "queue_full"
+	case errors.Is(err, waitqueue.ErrTooLate):
+		return "queue_too_slow"
 	case errors.Is(err, forward.ErrStreamInterrupted):
 		return "stream_broken"
 	}
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -13,10 +13,10 @@
 	// expected to complete at upstreams that count as equal. Senders that have the same
 	// report of an upstream would otherwise all choose it.
 	soonestSlack = 0.1
-	// loadWeight is the expected delay, as a fraction of the time of a mean request, by
-	// requests that fill all slots of an upstream. Reports of other senders' requests
-	// are old, so that an upstream that seems to have a free slot may have none, and the
-	// more requests it has the more likely.
+	// loadWeight is the expected delay, as a fraction of a request's own time or that of a
+	// mean request if that is longer, by requests that fill all slots of an upstream. The
+	// more requests a batch has, the longer each of them takes. Reports of other senders'
+	// requests are old, so that an upstream that seems to have a free slot may have none.
 	loadWeight = 0.5
 	// unknownPaceError is the relative error of the pace of an upstream without
 	// observations: upstreams of a pool differ by a factor of two or more.
@@ -45,7 +45,7 @@
 	index := make([]int, 0, len(candidates))
 	soonest := time.Duration(0)
 	for i, c := range candidates {
-		if req.NeedFreeSlot && c.InFlight >= c.Slots {
+		if req.NeedFreeSlot && c.InFlight >= c.Slots || req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
 			continue
 		}
 		d := c.completion(req)
@@ -86,8 +86,8 @@
 	if !c.Local {
 		load += remotePenalty
 	}
-	mean := c.workTime(Requirements{Units: req.Units})
-	return c.workTime(req) + time.Duration(float64(mean)*(loadWeight*load+max(load-1, 0)))
+	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
+	return own + time.Duration(loadWeight*load*float64(max(own, mean))+max(load-1, 0)*float64(mean))
 }
 
 // workTime returns how long the work of a request is expected to take at c. The passing
