upstream: a report in a stream's header is not new at the stream's end

The load in the header of a stream was recorded again when the stream ended, seconds later, so that a slow pace that had passed was taken for the present one. AttemptResult.LoadAt tells when the load was sent, and a report that is not newer than the last is not used or counted.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -145,6 +145,7 @@
 
 func (s *streamRequest) openAndRelay(ctx, actx context.Context, rsv *upstream.Reservation, startedAt time.Time, onEvent func(time.Duration)) (int, error) {
 	resp, load, err := s.f.cfg.Opener.Open(actx, rsv.Entry, s.request, s.lastEventID)
+	headerAt := time.Now()
 	events := 0
 	var firstAt time.Time // when the upstream was first known to work on the request
 	switch {
@@ -169,6 +170,7 @@
 		resp.Events.Close()
 	}
 	rep := resultOf(ctx, actx, err, load)
+	rep.LoadAt = headerAt
 	if events > 0 {
 		rep.TimePerUnit = time.Since(startedAt) / time.Duration(events)
 	}
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -118,16 +118,20 @@
 }
 
 // Report records that an upstream reported that work takes pace times the usual time on
-// its machine. Reports outside of [1/100, 100] are ignored.
-func (t *Tracker) Report(id string, pace float64, at time.Time) {
+// its machine, and tells whether the report is used. Reports outside of [1/100, 100], and
+// those that are not newer than the last, are not.
+func (t *Tracker) Report(id string, pace float64, at time.Time) bool {
 	if !(pace >= 1.0/maxReport && pace <= maxReport) {
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if u := t.ensure(id); !at.Before(u.reportedAt) {
-		u.report, u.reportedAt = pace, at
+	u := t.ensure(id)
+	if !at.After(u.reportedAt) {
+		return false
 	}
+	u.report, u.reportedAt = pace, at
+	return true
 }
 
 // Forget discards what is known of an upstream.
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -100,13 +100,14 @@
 	defer idleTimer.Stop()
 	var out AttemptOutput
 	s, load, err := r.cfg.Generator.Generate(ctx, rsv.Entry, g)
+	headerAt := time.Now()
 	if err == nil {
 		defer s.Close()
-		rsv.Observe(upstream.AttemptResult{At: time.Now(), Load: load, Versions: r.observedVersions(s.Version())})
+		rsv.Observe(upstream.AttemptResult{At: headerAt, Load: load, Versions: r.observedVersions(s.Version())})
 		out, err = r.read(rsv, m, s, idleTimer, flush)
 	}
 	now := time.Now()
-	res := upstream.AttemptResult{At: now, Load: load}
+	res := upstream.AttemptResult{At: now, Load: load, LoadAt: headerAt}
 	var se *StatusError
 	switch {
 	case err == nil:
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -47,6 +47,9 @@
 type AttemptResult struct {
 	At   time.Time
 	Load *Load // nil if the upstream sent none
+	// LoadAt is when the upstream sent Load; zero for At. The header of a stream comes
+	// long before its end, and the pace in it holds for a short time.
+	LoadAt time.Time
 
 	// Failed means that the upstream gave no usable response.
 	Failed bool
--- a/pkg/upstream/pace_test.go
+++ b/pkg/upstream/pace_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// Guards against a report that is taken for a new one at the end of the stream in whose
+// header it came.
+func TestReportOfStreamHeader(t *testing.T) {
+	r := newContended(2, nil)
+	rsv := acquireAt(r, "i0")
+	result := upstream.AttemptResult{At: baseTime(), Load: &upstream.Load{Slots: 8, Pace: 5}}
+	rsv.Observe(result)
+	result.At, result.LoadAt = baseTime().Add(2*time.Second), baseTime()
+	rsv.Done(result)
+	if n := r.PaceReports(); n != 1 {
+		t.Errorf("%d reports, want the one in the header", n)
+	}
+	if rsv, _ := r.Acquire(upstream.Requirements{Pool: "p", Now: result.At, Affinity: "i"}); rsv.ID != "i0" {
+		t.Errorf("%s chosen 2 s after a slow pace of i0, want i0, which ranks first for the affinity", rsv.ID)
+	}
+}
+
 // acquireAt reserves a slot of the upstream with the ID.
 func acquireAt(r *upstream.Registry, id string) *upstream.Reservation {
 	var others []string
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -560,7 +560,7 @@
 	return r.reserve(states[i], req), true
 }
 
-// PaceReports returns how many times upstreams have reported the pace of their machine.
+// PaceReports returns how many reports of the pace of upstreams' machines were used.
 func (r *Registry) PaceReports() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -581,7 +581,6 @@
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
 			p.contended = true
-			r.paceReports++
 		}
 	}
 	r.recordPace(s, result)
@@ -621,7 +620,13 @@
 	}
 	reported := result.Load != nil && result.Load.Pace > 0
 	if reported {
-		r.pace.Report(s.ID, result.Load.Pace, result.At)
+		at := result.LoadAt
+		if at.IsZero() {
+			at = result.At
+		}
+		if r.pace.Report(s.ID, result.Load.Pace, at) {
+			r.paceReports++
+		}
 	}
 	r.pace.Observe(s.ID, result.TimePerUnit, result.At)
 	if i, found := slices.BinarySearch(p.paced, s.ID); !found && (reported || result.TimePerUnit > 0) {
