--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -650,7 +650,9 @@
 func (r *Registry) record(rsv *Reservation, result AttemptResult) {
 	s := rsv.state
 	local := s.ensureLocal()
-	if result.Load != nil {
+	// The load in a stream's header has been recorded when the stream began.
+	old := r.isContended(s.Pool) && !result.LoadAt.IsZero() && result.LoadAt.Before(result.At)
+	if result.Load != nil && !old {
 		local.otherLoad = max(0, result.Load.Running+result.Load.Queued-local.inFlight)
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
