loadsim: replays of the placement by pace and of orders in one simulator

Both kinds of replay use one simulated step: texts begin, are read again after a move and move in the same way, and the owner's estimator spans the two steps of a replay by pace. Upstream IDs are made in one place.

--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -37,7 +37,7 @@
 			return nil
 		},
 	}
-	cmd.AddCommand(loadCompareCmd(), stepCompareCmd())
+	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
@@ -114,6 +114,25 @@
 	return cmd
 }
 
+// paceCompareCmd returns the command that compares placement with and without regard to
+// the pace of upstreams.
+func paceCompareCmd() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "pace",
+		Short: "Compare placement with and without regard to the pace of upstreams, in simulated time",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds <= 0 || seeds > 1000 {
+				return fmt.Errorf("--seeds %d: want 1 to 1000", seeds)
+			}
+			return loadsim.WritePace(cmd.OutOrStdout(), seeds)
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "seeds simulated for each load; 1 to 1000")
+	return cmd
+}
+
 // writeFile creates the file at path and calls write with it.
 func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -20,6 +20,7 @@
 	Slots            int           // requests that an upstream runs at once
 	QueueLimit       int           // requests that an upstream queues; it refuses further ones
 	ServiceTime      time.Duration // mean service time of a request, exponentially distributed
+	LongCalls        bool          // service times are log-normally distributed, 3 in 100 are seven times as long
 	LatencyObjective time.Duration
 	Timeout          time.Duration // time that a caller waits for its answer
 	MaxAttempts      int           // attempts of a caller, including the first
@@ -33,6 +34,8 @@
 	OutageDuration  time.Duration
 	SlowUpstreams   int // upstreams whose requests take SlowFactor times as long
 	SlowFactor      float64
+	Machines        Machines
+	ReportDelay     time.Duration // age of upstreams' reports of their load
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
 }
@@ -62,6 +65,7 @@
 	RetryAt func(r *forward.RetryScheduler, now, deadline time.Time, draw float64) time.Time
 	// WaitForSlot has requests wait for a free slot until their deadline.
 	WaitForSlot bool
+	Contended   bool // the pool is contended; upstreams report the pace of their machine
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
@@ -78,6 +82,8 @@
 	}}
 	WaitAtInstance = Policy{Name: "hold", WaitForSlot: true, RetryAt: ConstantBackoff.RetryAt}
 	Policies       = []Policy{SpreadRetries, ConstantBackoff, WaitAtInstance}
+	// BySoonest is SpreadRetries with the placement of contended pools.
+	BySoonest = Policy{Name: "by pace", RetryAt: SpreadRetries.RetryAt, Contended: true}
 )
 
 // Result is the outcome of a load under a policy.
@@ -94,6 +100,7 @@
 	Attempts        float64       // attempts at upstreams per offered request
 	WorstSecond     float64       // lowest share answered of the requests that arrived in one second
 	MaxWait         time.Duration // longest wait of an attempt that was rejected without being sent
+	BusiestShare    float64       // work of the upstream with the most, relative to the mean
 }
 
 // Run simulates load under policy p.
@@ -101,7 +108,9 @@
 	s := newSite(load, p)
 	s.arrive(s.start)
 	s.runEvents()
-	return s.meter.result(load, p)
+	r := s.meter.result(load, p)
+	r.BusiestShare = s.busiestShare()
+	return r
 }
 
 const pool = "pool"
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -250,3 +251,38 @@
 		}
 	})
 }
+
+// Guards against a placement by pace that serves trainers worse than the one by slowness:
+// in no scenario does a step take more than 3 % longer, the most that a deployment may
+// lose. Where a third of the engines is 2.4 times faster and there are three times as
+// many items as slots, the capacity of the others is used in full, so that the step is at
+// least 5 % shorter.
+func TestStepsByPace(t *testing.T) {
+	for _, s := range loadsim.StepScenarios() {
+		before, byPace := loadsim.RunStepSeeds(s.Load, loadsim.LongestFirst, seeds), loadsim.RunStepSeeds(s.Load, loadsim.SoonestFirst, seeds)
+		most := 1.03
+		if s.Load.Groups > loadsim.LongTexts.Groups && slices.Equal(s.Load.Machines.Speeds, loadsim.OneFastThird.Speeds) {
+			most = 0.95
+		}
+		t.Logf("%s: %v, %v before", s.Name, byPace.DesiredTime, before.DesiredTime)
+		if float64(byPace.DesiredTime) > most*float64(before.DesiredTime) {
+			t.Errorf("%s: desired groups complete after %v, %v before, want at most %v of it", s.Name, byPace.DesiredTime, before.DesiredTime, most)
+		}
+	}
+}
+
+// Guards against slower plain calls and against herds: of 100 instances' calls at 0.6 of
+// the capacity, as many are answered as before, the slowest in a hundred are not slower,
+// and with equal services none gets so large a share that it is overloaded.
+func TestCallsByPace(t *testing.T) {
+	for _, s := range loadsim.CallScenarios() {
+		before, byPace := mean(s.Load, loadsim.SpreadRetries), mean(s.Load, loadsim.BySoonest)
+		t.Logf("%s: p50 %v, %v before; p99 %v, %v before; busiest share %.2f, %.2f before", s.Name, byPace.P50, before.P50, byPace.P99, before.P99, byPace.BusiestShare, before.BusiestShare)
+		if byPace.Answered < before.Answered-0.001 || byPace.P50 > before.P50*103/100 || byPace.P99 > before.P99*103/100 {
+			t.Errorf("%s: answered %.3f, p50 %v, p99 %v, want no worse than %.3f, %v, %v before", s.Name, byPace.Answered, byPace.P50, byPace.P99, before.Answered, before.P50, before.P99)
+		}
+		if len(s.Load.Machines.Speeds) == 0 && byPace.BusiestShare*s.Load.Rate > 0.95 {
+			t.Errorf("%s: the busiest service gets %.2f times the mean share of a load of %.2f, want it not overloaded", s.Name, byPace.BusiestShare, s.Load.Rate)
+		}
+	}
+}
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -27,6 +27,7 @@
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
+		out.BusiestShare += r.BusiestShare / n
 	}
 	return out
 }
@@ -92,7 +93,10 @@
 	SlowEngines int           // number of slow engines
 	DesiredTime time.Duration // mean time until the groups that the trainer waits for were complete
 	DesiredP90  time.Duration // 90th percentile of that time
-	AllTime     time.Duration // mean time until all groups were complete
+	// DesiredWorst is the longest of that time.
+	DesiredWorst time.Duration
+	AllTime      time.Duration // mean time until all groups were complete
+	Moves        float64       // mean number of moves of texts
 }
 
 // SweepSteps simulates load with each number of engines, without and with an engine
@@ -103,15 +107,15 @@
 	for _, load.SlowEngines = range []int{0, 1} {
 		for _, load.Engines = range engines {
 			for _, p := range policies {
-				out = append(out, runStepSeeds(load, p, seeds))
+				out = append(out, RunStepSeeds(load, p, seeds))
 			}
 		}
 	}
 	return out
 }
 
-// runStepSeeds simulates load under p with the seeds from 0 to seeds-1.
-func runStepSeeds(load StepLoad, p StepPolicy, seeds int) StepSummary {
+// RunStepSeeds simulates load under p with the seeds from 0 to seeds-1.
+func RunStepSeeds(load StepLoad, p StepPolicy, seeds int) StepSummary {
 	out := StepSummary{Policy: p.Name, Engines: load.Engines, SlowEngines: load.SlowEngines}
 	var desired []time.Duration
 	for seed := range uint64(seeds) {
@@ -120,9 +124,10 @@
 		desired = append(desired, r.DesiredTime)
 		out.DesiredTime += r.DesiredTime / time.Duration(seeds)
 		out.AllTime += r.AllTime / time.Duration(seeds)
+		out.Moves += float64(r.Moves) / float64(seeds)
 	}
 	slices.Sort(desired)
-	out.DesiredP90 = quantile(desired, 0.9)
+	out.DesiredP90, out.DesiredWorst = quantile(desired, 0.9), desired[len(desired)-1]
 	return out
 }
 
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -2,11 +2,20 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
+// Distribution of the service times of a Load with LongCalls: the standard deviation of
+// the logarithm, and the share of long calls and how much longer these are.
+const (
+	callSigma      = 0.6
+	longCallShare  = 0.03
+	longCallFactor = 7
+)
+
 // errTimeout is the error of an attempt without an answer by its deadline.
 var errTimeout = errors.New("loadsim: no answer by the deadline of the attempt")
 
@@ -21,11 +30,13 @@
 // rest.
 type server struct {
 	site        *site
+	id          string
 	hasOutage   bool // accepts no connection during the load's outage
 	slow        bool
 	running     int
 	queued      []*job
 	pendingCost time.Duration // cost of attempts, to be added to the next job's time
+	work        time.Duration // usual time of the jobs run so far
 }
 
 // unreachable reports whether the upstream accepts no connection at now.
@@ -35,8 +46,12 @@
 }
 
 // load returns the load that the upstream reports with an answer.
-func (s *server) load() upstream.Load {
-	return upstream.Load{Running: s.running, Queued: len(s.queued), Slots: s.site.load.Slots}
+func (s *server) load(now time.Time) upstream.Load {
+	l := upstream.Load{Running: s.running, Queued: len(s.queued), Slots: s.site.load.Slots}
+	if s.site.policy.Contended {
+		l.Pace = s.site.machines.passing(s.id, now)
+	}
+	return l
 }
 
 // accept runs, queues or refuses an attempt that arrives at now.
@@ -48,25 +63,40 @@
 	case len(s.queued) < l.QueueLimit:
 		s.queued = append(s.queued, j)
 	default:
-		j.answer(now, s.load(), false)
+		j.answer(now, s.load(now), false)
 	}
 }
 
 // run runs j in a free slot.
 func (s *server) run(now time.Time, j *job) {
 	s.running++
-	work := time.Duration(s.site.rand.ExpFloat64()*float64(s.site.load.ServiceTime)) + s.pendingCost
+	work := s.serviceTime() + s.pendingCost
+	s.work += work
+	work = time.Duration(s.site.machines.pace(s.id, now) * float64(work))
 	if s.slow {
 		work = time.Duration(s.site.load.SlowFactor * float64(work))
 	}
 	s.pendingCost = 0
 	s.site.schedule(now.Add(work), func(now time.Time) {
 		s.running--
-		j.answer(now, s.load(), true)
+		j.answer(now, s.load(now), true)
 		s.next(now)
 	})
 }
 
+// serviceTime returns the usual time of a job.
+func (s *server) serviceTime() time.Duration {
+	l := s.site.load
+	if !l.LongCalls {
+		return time.Duration(s.site.rand.ExpFloat64() * float64(l.ServiceTime))
+	}
+	factor := math.Exp(callSigma*s.site.rand.NormFloat64() - callSigma*callSigma/2)
+	if s.site.rand.Float64() < longCallShare {
+		factor *= longCallFactor
+	}
+	return time.Duration(factor / (1 + longCallShare*(longCallFactor-1)) * float64(l.ServiceTime))
+}
+
 // next runs the first queued job whose deadline has not passed, and drops those
 // before it.
 func (s *server) next(now time.Time) {
@@ -77,6 +107,6 @@
 			s.run(now, j)
 			return
 		}
-		j.answer(now, s.load(), false)
+		j.answer(now, s.load(now), false)
 	}
 }
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -33,6 +33,7 @@
 	rand      *rand.Rand
 	instances []*instance
 	upstreams map[string]*server
+	machines  machines
 	meter     meter
 }
 
@@ -46,20 +47,32 @@
 // newSite returns a site at its start, without events.
 func newSite(load Load, p Policy) *site {
 	s := &site{load: load, policy: p, start: time.Unix(1_800_000_000, 0), rand: newRand(load.Seed), upstreams: map[string]*server{}}
+	s.machines = machines{Machines: load.Machines, seed: load.Seed, start: s.start}
 	var entries []upstream.Entry
 	for i := range load.Upstreams {
-		id := fmt.Sprintf("i-%02d", i)
+		id := upstreamID(i)
 		entries = append(entries, upstream.Entry{ID: id, Pool: pool, Address: id, Slots: load.Slots})
-		s.upstreams[id] = &server{site: s, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams}
+		s.upstreams[id] = &server{site: s, id: id, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams}
 	}
 	for i := range load.Instances {
 		in := &instance{registry: upstream.NewRegistry(""), name: fmt.Sprintf("n%d", i)}
+		in.registry.SetContended(p.Contended)
 		in.registry.Set(entries)
 		s.instances = append(s.instances, in)
 	}
 	return s
 }
 
+// busiestShare returns the work of the upstream with the most, relative to the mean.
+func (s *site) busiestShare() float64 {
+	most, sum := time.Duration(0), time.Duration(0)
+	for _, u := range s.upstreams {
+		most = max(most, u.work)
+		sum += u.work
+	}
+	return float64(most) * float64(len(s.upstreams)) / float64(max(sum, 1))
+}
+
 // arrive starts a caller at now and schedules the arrival of the next one.
 func (s *site) arrive(now time.Time) {
 	after := now.Sub(s.start)
@@ -144,6 +157,11 @@
 			return
 		}
 		finished = true
+		if s.load.ReportDelay > 0 && load != nil {
+			report := load
+			load = nil
+			s.schedule(now.Add(s.load.ReportDelay), func(now time.Time) { rsv.Observe(upstream.AttemptResult{At: now, Load: report}) })
+		}
 		r.ended(now, rsv, upstream.AttemptResult{At: now, Load: load, TimePerUnit: now.Sub(startedAt)}, err)
 	}
 	if s.upstreams[rsv.ID].unreachable(now) {
--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -40,6 +40,8 @@
 
 	SlowEngines int
 	SlowFactor  float64 // factor on EventInterval at slow engines
+	Machines    Machines
+	Second      bool // the step follows another of the same load, in which the engines were observed
 	Seed        uint64
 }
 
@@ -85,7 +87,8 @@
 	MoveTexts bool // a text continues at a faster engine when its own is slow
 	// Order orders the items of a step with a due time; nil for the order of
 	// submission.Run.Waiting.
-	Order func(completion.State) []int
+	Order     func(completion.State) []int
+	Contended bool // the engines' pool is contended, so that texts are placed and moved by the engines' pace
 }
 
 // The step policies: the one in use, one with items in the order in which they are
@@ -104,6 +107,9 @@
 	}}
 	ShortestGroupFirst = StepPolicy{Name: "shortest group first", UseHints: true, MoveTexts: true, Order: shortestGroupFirst}
 	OrderPolicies      = []StepPolicy{LongestFirst, ShortestGroupFirst, ByCompletion}
+
+	// SoonestFirst places texts by the pace of engines.
+	SoonestFirst = StepPolicy{Name: "by pace", UseHints: true, MoveTexts: true, Contended: true}
 )
 
 func shortestGroupFirst(s completion.State) []int {
@@ -143,12 +149,30 @@
 	var e completion.Estimator
 	e.ObserveAttempt(1, load.EventInterval)
 	e.ObserveText(1, 1)
-	rnd := rand.New(rand.NewPCG(load.Seed, 2))
-	s := newStep(load, p, newGroups(load, rnd, 0, load.Groups), &e)
+	s := newSingleStep(load, p, &e)
+	if load.Second {
+		first := load
+		first.Seed += firstStepSeed
+		before := newSingleStep(first, p, &e)
+		before.simulate()
+		s.registry, s.start = before.registry, before.start.Add(before.completeAfter(load.Groups)+trainingTime)
+	}
 	s.simulate()
 	return StepResult{Policy: p.Name, DesiredTime: s.completeAfter(load.desired()), AllTime: s.completeAfter(load.Groups), InTime: s.completeBy(load.Due), Moves: s.moves}
 }
 
+// firstStepSeed is added to the seed of a step for the step before it, and trainingTime
+// is the time between the two.
+const (
+	firstStepSeed = 1 << 32
+	trainingTime  = time.Second
+)
+
+// newSingleStep returns a step of new groups at its start, without events.
+func newSingleStep(load StepLoad, p StepPolicy, e *completion.Estimator) *step {
+	return newStep(load, p, newGroups(load, rand.New(rand.NewPCG(load.Seed, 2)), 0, load.Groups), e)
+}
+
 // stepGroup is a group of a step.
 type stepGroup struct {
 	id      int
@@ -184,10 +208,13 @@
 	groups     []stepGroup
 	group      []int                   // group of each item
 	events     []int                   // number of events of each item's text
+	hints      []int                   // length hint of each item, 0 for none
 	generated  []int                   // events generated so far, by item
 	attempts   []int                   // attempts ended, by item
 	inFlight   []*upstream.Reservation // by item; nil for none
+	movedAt    []time.Time             // last move by pace, by item; zero for none
 	registry   *upstream.Registry
+	machines   machines
 	remaining  []int           // items not yet complete, by group
 	completeAt []time.Duration // times after the start at which groups were complete, in order
 	moves      int
@@ -208,7 +235,7 @@
 func (s *step) loseEngines(now time.Time) {
 	var ids []string
 	for i := range s.load.LostEngines {
-		ids = append(ids, engineID(i))
+		ids = append(ids, upstreamID(i))
 	}
 	s.registry.Apply(upstream.Changes{Removed: ids})
 	for i, rsv := range s.inFlight {
@@ -231,14 +258,14 @@
 	s.run.AttemptEnded(i, out, submission.ItemPolicy{MaxAttempts: 1}, now)
 }
 
-func engineID(i int) string { return fmt.Sprintf("i-%02d", i) }
-
 // stepModel is the model of the step.
 const stepModel = "model"
 
 // newStep returns a step of groups at its start, without events.
 func newStep(load StepLoad, p StepPolicy, groups []stepGroup, e *completion.Estimator) *step {
 	s := &step{load: load, policy: p, start: time.Unix(1_800_000_000, 0), registry: upstream.NewRegistry(""), groups: groups}
+	s.machines = machines{Machines: load.Machines, seed: load.Seed, start: s.start}
+	s.registry.SetContended(p.Contended)
 	spec := submission.Spec{ID: "step", Model: stepModel, MinVersion: 1, Desired: load.desired()}
 	var partials []submission.PartialText
 	for g, group := range groups {
@@ -249,6 +276,7 @@
 			if p.UseHints {
 				it.Length = t.hint
 			}
+			s.hints = append(s.hints, it.Length)
 			spec.Items = append(spec.Items, it)
 			s.group, s.events, s.generated = append(s.group, g), append(s.events, t.events), append(s.generated, t.generated)
 			if t.generated > 0 {
@@ -256,11 +284,12 @@
 			}
 		}
 	}
-	s.run, s.attempts, s.inFlight = submission.NewRun(spec, nil, partials), make([]int, len(spec.Items)), make([]*upstream.Reservation, len(spec.Items))
+	s.run = submission.NewRun(spec, nil, partials)
 	s.run.UseEstimator(e)
+	s.attempts, s.inFlight, s.movedAt = make([]int, len(spec.Items)), make([]*upstream.Reservation, len(spec.Items)), make([]time.Time, len(spec.Items))
 	var entries []upstream.Entry
 	for i := range load.Engines {
-		entries = append(entries, upstream.Entry{ID: engineID(i), Pool: pool, Address: "10.0.0.1:1", Slots: load.Slots, Versions: map[string]uint64{stepModel: 1}})
+		entries = append(entries, upstream.Entry{ID: upstreamID(i), Pool: pool, Address: "10.0.0.1:1", Slots: load.Slots, Versions: map[string]uint64{stepModel: 1}})
 	}
 	s.registry.Set(entries)
 	return s
@@ -291,29 +320,54 @@
 		if !ok {
 			return
 		}
-		s.run.Started(i, now)
-		interval := s.load.EventInterval
-		for slow := range s.load.SlowEngines {
-			if rsv.ID == engineID(slow) {
-				interval = time.Duration(s.load.SlowFactor * float64(interval))
-			}
+		s.begin(now, i, rsv)
+	}
+}
+
+// begin begins an attempt at item i at the reserved engine. The header of its response
+// tells the pace of the engine's machine. The engine reads a part of the text first.
+func (s *step) begin(now time.Time, i int, rsv *upstream.Reservation) {
+	s.run.Started(i, now)
+	s.inFlight[i] = rsv
+	if s.policy.Contended {
+		rsv.Observe(upstream.AttemptResult{At: now, Load: &upstream.Load{Slots: s.load.Slots, Pace: s.machines.passing(rsv.ID, now)}})
+	}
+	delay := time.Duration(0)
+	if s.generated[i] > 0 {
+		delay = submission.RereadTime
+	}
+	s.next(now.Add(delay), i)
+}
+
+// interval returns how long the next event takes at an engine.
+func (s *step) interval(id string, now time.Time) time.Duration {
+	interval := float64(s.load.EventInterval) * s.machines.pace(id, now)
+	for slow := range s.load.SlowEngines {
+		if id == upstreamID(slow) {
+			interval *= s.load.SlowFactor
 		}
-		s.inFlight[i] = rsv
-		s.next(now, i, interval)
 	}
+	return time.Duration(interval)
 }
 
 // requirements returns what item i requires of an engine.
 func (s *step) requirements(i int, now time.Time) upstream.Requirements {
-	return upstream.Requirements{Pool: pool, Now: now, Model: stepModel, MinVersion: 1, Affinity: fmt.Sprint(s.groups[s.group[i]].id), NeedFreeSlot: true}
+	length := s.run.Length(i)
+	return upstream.Requirements{Pool: pool, Now: now, Model: stepModel, MinVersion: 1, Affinity: fmt.Sprint(s.groups[s.group[i]].id), NeedFreeSlot: true,
+		Work: length.Work, Units: length.MeanEvents}
 }
 
-// next schedules the next events of item i at its engine. After them it ends the item,
-// moves it if a faster engine is available, or goes on here.
-func (s *step) next(now time.Time, i int, interval time.Duration) {
+// next schedules the next events of item i at its engine, which begins them at a time.
+// After them it ends the item, moves it if another engine is faster, or goes on here.
+func (s *step) next(begin time.Time, i int) {
 	n := min(submission.FlushEvents, s.events[i]-s.generated[i])
+	at := begin
+	for range n {
+		at = at.Add(s.interval(s.inFlight[i].ID, at))
+	}
+	interval := at.Sub(begin) / time.Duration(n)
 	attempt := s.attempts[i]
-	s.schedule(now.Add(time.Duration(n)*interval), func(now time.Time) {
+	s.schedule(at, func(now time.Time) {
 		if s.attempts[i] != attempt || s.endedAfter > 0 {
 			return
 		}
@@ -322,24 +376,46 @@
 			s.generated[i]++
 			out.Events = append(out.Events, submission.Event{ID: s.generated[i], Version: 1})
 		}
-		rsv := s.inFlight[i]
-		rsv.Observe(upstream.AttemptResult{At: now, TimePerUnit: interval})
-		switch {
-		case s.generated[i] == s.events[i]:
+		s.inFlight[i].Observe(upstream.AttemptResult{At: now, TimePerUnit: interval})
+		if s.generated[i] == s.events[i] {
 			out.Complete = true
 			s.endAttempt(now, i, out)
 			s.finished(now, s.group[i])
-		case s.policy.MoveTexts && rsv.FasterAvailable(s.requirements(i, now), submission.SlowEngineFactor):
-			s.moves++
-			s.endAttempt(now, i, out)
-			s.place(now)
-		default:
+			return
+		}
+		leaves, reserved := s.leaves(now, i)
+		if !leaves {
 			s.run.AddEvents(i, out, submission.ItemPolicy{MaxAttempts: 1})
-			s.next(now, i, interval)
+			s.next(now, i)
+			return
+		}
+		s.moves++
+		s.endAttempt(now, i, out)
+		if reserved != nil {
+			s.movedAt[i] = now
+			s.begin(now, i, reserved)
 		}
+		s.place(now)
 	})
 }
 
+// leaves reports whether item i leaves its engine for a faster one. In a contended pool a
+// slot is reserved for it there.
+func (s *step) leaves(now time.Time, i int) (bool, *upstream.Reservation) {
+	rsv, req := s.inFlight[i], s.requirements(i, now)
+	switch {
+	case !s.policy.MoveTexts:
+		return false, nil
+	case !s.policy.Contended:
+		return rsv.FasterAvailable(req, submission.SlowEngineFactor), nil
+	case now.Sub(s.movedAt[i]) < submission.MoveInterval:
+		return false, nil
+	}
+	req.Work, req.Units = 0, submission.EventsLeft(float64(s.hints[i])*s.run.EventsPerLength(), s.generated[i])
+	reserved, ok := rsv.AcquireSooner(req, submission.RereadTime)
+	return ok, reserved
+}
+
 // finished records that an item of a group is complete.
 func (s *step) finished(now time.Time, group int) {
 	if s.remaining[group]--; s.remaining[group] == 0 {
