submission: one estimate of the events for a unit of length hint

Package completion's estimator and Run.countText both estimated it, the latter from the texts of the current submission only, so that the first texts of a step were placed and moved as if nothing were known of the model's texts.

Run.Length and the movers use Estimator.EventsPerUnit. The movers still get it through an atomic value that the goroutine of Run stores. The mean number of events of texts without hints stays with the run.

--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -204,6 +204,7 @@
 	load       StepLoad
 	start      time.Time
 	run        *submission.Run
+	estimator  *completion.Estimator
 	policy     StepPolicy
 	groups     []stepGroup
 	group      []int                   // group of each item
@@ -263,7 +264,7 @@
 
 // newStep returns a step of groups at its start, without events.
 func newStep(load StepLoad, p StepPolicy, groups []stepGroup, e *completion.Estimator) *step {
-	s := &step{load: load, policy: p, start: time.Unix(1_800_000_000, 0), registry: upstream.NewRegistry(""), groups: groups}
+	s := &step{load: load, policy: p, start: time.Unix(1_800_000_000, 0), registry: upstream.NewRegistry(""), groups: groups, estimator: e}
 	s.machines = machines{Machines: load.Machines, seed: load.Seed, start: s.start}
 	s.registry.SetContended(p.Contended)
 	spec := submission.Spec{ID: "step", Model: stepModel, MinVersion: 1, Desired: load.desired()}
@@ -411,7 +412,7 @@
 	case now.Sub(s.movedAt[i]) < submission.MoveInterval:
 		return false, nil
 	}
-	req.Work, req.Units = 0, submission.EventsLeft(float64(s.hints[i])*s.run.EventsPerLength(), s.generated[i])
+	req.Work, req.Units = 0, submission.EventsLeft(float64(s.hints[i])*s.estimator.EventsPerUnit(), s.generated[i])
 	reserved, ok := rsv.AcquireSooner(req, submission.RereadTime)
 	return ok, reserved
 }
--- a/pkg/completion/estimator.go
+++ b/pkg/completion/estimator.go
@@ -51,7 +51,23 @@
 	if e.hints == 0 || e.events == 0 {
 		return Rates{}, false
 	}
-	return Rates{EventsPerUnit: e.lengths / e.hints, EventTime: e.seconds / e.events}, true
+	return Rates{EventsPerUnit: e.eventsPerUnit(), EventTime: e.seconds / e.events}, true
+}
+
+// EventsPerUnit returns the number of events of a text for each unit of its length hint,
+// or 0 while no text is known.
+func (e *Estimator) EventsPerUnit() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.eventsPerUnit()
+}
+
+// eventsPerUnit is EventsPerUnit with e.mu held.
+func (e *Estimator) eventsPerUnit() float64 {
+	if e.hints == 0 {
+		return 0
+	}
+	return e.lengths / e.hints
 }
 
 // Rates convert length hints to times.
--- a/pkg/submission/move.go
+++ b/pkg/submission/move.go
@@ -42,8 +42,8 @@
 	if r.completeTexts > 0 {
 		l.MeanEvents = float64(r.completeEvents) / float64(r.completeTexts)
 	}
-	if perLength := r.EventsPerLength(); perLength > 0 && r.meanHint > 0 {
-		l.MeanEvents = r.meanHint * perLength // complete texts are the shorter ones at first
+	if perUnit := r.estimator.EventsPerUnit(); perUnit > 0 && r.meanHint > 0 {
+		l.MeanEvents = r.meanHint * perUnit // complete texts are the shorter ones at first
 	}
 	if hint := r.spec.Items[i].Length; hint > 0 {
 		l.Work = float64(hint) / r.meanHint
@@ -54,26 +54,6 @@
 	return l
 }
 
-// EventsPerLength returns the events of the complete texts by unit of their length hints,
-// or 0 if none with a hint is complete.
-func (r *Run) EventsPerLength() float64 {
-	if r.hints == 0 {
-		return 0
-	}
-	return float64(r.hintedEvents) / float64(r.hints)
-}
-
-// countText counts the complete text of item i.
-func (r *Run) countText(i int) {
-	events := r.items[i].lastEvent
-	r.completeTexts++
-	r.completeEvents += events
-	if hint := r.spec.Items[i].Length; hint > 0 {
-		r.hintedEvents += events
-		r.hints += hint
-	}
-}
-
 // meanHint returns the mean length hint of the items that have one, or 0 if none has.
 func meanHint(items []Item) float64 {
 	sum, n := 0, 0
@@ -114,7 +94,7 @@
 		req.MinVersion, req.MaxVersion = version, version
 		m.version = version
 	}
-	expected := float64(r.spec.Items[m.item].Length) * math.Float64frombits(r.eventsPerLength.Load())
+	expected := float64(r.spec.Items[m.item].Length) * math.Float64frombits(r.eventsPerUnit.Load())
 	req.Work, req.Units = 0, EventsLeft(expected, generated)
 	next, ok := rsv.AcquireSooner(req, RereadTime)
 	if ok {
--- a/pkg/submission/move_test.go
+++ b/pkg/submission/move_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
@@ -36,6 +37,19 @@
 	}
 }
 
+// Guards against a step whose first texts are placed as if nothing were known of the
+// model's texts, although an earlier step of it ran at this owner.
+func TestLengthByEarlierStep(t *testing.T) {
+	spec := submission.Spec{Items: []submission.Item{{ID: "a", Length: 100}, {ID: "b", Length: 300}}}
+	var e completion.Estimator
+	e.ObserveText(100, 4)
+	r := submission.NewRun(spec, nil, nil)
+	r.UseEstimator(&e)
+	if got := r.Length(0); got.MeanEvents != 8 || got.Work != 0.5 {
+		t.Errorf("length %+v, want half of a mean text of 8 events by an earlier text with 4 for a hint of 100", got)
+	}
+}
+
 // memoryStore accepts all writes of a run and forgets them.
 type memoryStore struct{ submission.Store }
 
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -50,9 +50,7 @@
 	estimator *completion.Estimator
 	meanHint  float64 // mean length hint of the items that have one; 0 if none has
 
-	// Texts that were completed here: their number, their events, and of those with a
-	// length hint the events and the hints.
-	completeTexts, completeEvents, hintedEvents, hints int
+	completeTexts, completeEvents int // texts that were completed here, and their events
 }
 
 type item struct {
@@ -224,7 +222,8 @@
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
 	if complete {
 		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
-		r.countText(i)
+		r.completeTexts++
+		r.completeEvents += it.lastEvent
 	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -131,7 +131,7 @@
 	startedAt, endedAt time.Time
 	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
 
-	eventsPerLength atomic.Uint64 // bits of Run.EventsPerLength, for the moves of texts
+	eventsPerUnit atomic.Uint64 // bits of the estimator's EventsPerUnit, for the moves of texts
 
 	mu      sync.Mutex
 	results []Result
@@ -196,7 +196,7 @@
 	r.resumeCarried(ctx)
 	for !r.run.Done() {
 		now := time.Now()
-		r.eventsPerLength.Store(math.Float64bits(r.run.EventsPerLength()))
+		r.eventsPerUnit.Store(math.Float64bits(r.run.estimator.EventsPerUnit()))
 		r.startAll(ctx, now)
 		if err := r.appendResults(ctx); err != nil {
 			return err
