upstream: an engine that may be loading waits for one answer, once

In contended pools an engine that may have begun to load gets one text until it has accepted that. Two faults in this: events, the end or the release of another text that had once been sent alone ended the wait, so that further texts were sent to an engine that might refuse them all; and the time since the engine was last heard of counted from when the accepted text was sent, so that an engine that took longer than 130 ms to answer got each of its texts alone, one answer after the other.

Only the text that is awaited ends the wait, and the time counts from its answer.

TestStreamDoesNotEndWaitForAnswer and TestSlowAnswerFreesAllSlots failed before.

--- a/pkg/upstream/loading.go
+++ b/pkg/upstream/loading.go
@@ -71,7 +71,7 @@
 func (r *Registry) recordLoading(rsv *Reservation, result AttemptResult) {
 	local := rsv.state.ensureLocal()
 	if result.VersionRefused {
-		local.oldVersionAt, local.oldVersionModel = rsv.acquiredAt, rsv.model
+		local.oldVersionAt, local.oldVersionModel, local.heardAt = rsv.acquiredAt, rsv.model, result.At
 		r.loadingPauses.Add(1)
 		return
 	}
@@ -88,11 +88,15 @@
 }
 
 // recordAccepted records that the engine accepted rsv's request, so that it was not
-// loading weights when the request was sent.
-func (r *Registry) recordAccepted(rsv *Reservation) {
+// loading weights when the request was sent. at is the time of its answer, or of a later
+// event of its stream.
+func (r *Registry) recordAccepted(rsv *Reservation, at time.Time) {
 	r.endLoading(rsv.state, rsv.acquiredAt)
 	local := rsv.state.ensureLocal()
 	local.loading = loading{}
+	if !rsv.answered {
+		rsv.answered, local.heardAt = true, at
+	}
 	if rsv.acquiredAt.After(local.oldVersionAt) {
 		local.oldVersionAt, local.oldVersionModel = rsv.acquiredAt, rsv.model
 	}
@@ -116,7 +120,7 @@
 // mayBeLoading reports whether an engine may have begun to load a newer version, unnoticed,
 // since this instance last heard of it. It is sent one request until it has accepted that.
 func (r *Registry) mayBeLoading(s *upstreamState, req Requirements) bool {
-	return s.version(req.Model) < req.Newest && r.isContended(s.Pool) && req.Now.Sub(s.localOrZero().oldVersionAt) >= loadRetryInterval
+	return s.version(req.Model) < req.Newest && r.isContended(s.Pool) && req.Now.Sub(s.localOrZero().heardAt) >= loadRetryInterval
 }
 
 // mayHaveLoaded reports whether an engine that held an old version of the requested model
--- a/pkg/upstream/loading_test.go
+++ b/pkg/upstream/loading_test.go
@@ -254,3 +254,61 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 }
+
+// A text that was answered long ago must not end the wait for another text's answer: the
+// engine would be sent the rest of the texts although it may be loading. Streams go on
+// during a load, so their events show nothing.
+func TestStreamDoesNotEndWaitForAnswer(t *testing.T) {
+	for name, event := range map[string]func(*upstream.Reservation, time.Time){
+		"events": func(rsv *upstream.Reservation, now time.Time) {
+			rsv.Observe(upstream.AttemptResult{At: now, TimePerUnit: time.Millisecond})
+		},
+		"end":      func(rsv *upstream.Reservation, now time.Time) { rsv.Done(upstream.AttemptResult{At: now}) },
+		"not sent": func(rsv *upstream.Reservation, _ time.Time) { rsv.Release() },
+	} {
+		r := upstream.NewRegistry("z")
+		r.SetContended(true)
+		r.Set(entries(1))
+		now := baseTime()
+		acquire := func() (*upstream.Reservation, bool) {
+			return r.Acquire(upstream.Requirements{Pool: "p", Now: now, Model: "m", MinVersion: 1, Newest: 2, NeedFreeSlot: true})
+		}
+		first, _ := acquire()
+		first.Observe(upstream.AttemptResult{At: now, Load: &upstream.Load{Running: 1, Slots: 8}})
+		now = now.Add(time.Second)
+		if second, ok := acquire(); !ok || !second.Alone {
+			t.Fatalf("%s: no text sent alone after a second without an answer", name)
+		}
+		event(first, now)
+		if _, ok := acquire(); ok {
+			t.Errorf("%s: a third text sent while the answer to the second was awaited", name)
+		}
+	}
+}
+
+// An engine that takes longer to answer than the time after which it may have begun to
+// load must get its other texts when it has accepted one. It used to get each of them
+// alone, so that its slots were filled one answer after the other.
+func TestSlowAnswerFreesAllSlots(t *testing.T) {
+	r := upstream.NewRegistry("z")
+	r.SetContended(true)
+	r.Set(entries(1))
+	now := baseTime()
+	acquire := func() (*upstream.Reservation, bool) {
+		return r.Acquire(upstream.Requirements{Pool: "p", Now: now, Model: "m", MinVersion: 1, Newest: 2, NeedFreeSlot: true})
+	}
+	first, _ := acquire()
+	now = now.Add(400 * time.Millisecond)
+	first.Observe(upstream.AttemptResult{At: now, Load: &upstream.Load{Running: 1, Slots: 8}})
+	for i := 1; i < 8; i++ {
+		if rsv, ok := acquire(); !ok || rsv.Alone {
+			t.Fatalf("text %d: sent = %v, not with the others after the first was accepted", i, ok)
+		}
+	}
+	now = now.Add(400 * time.Millisecond)
+	first.Observe(upstream.AttemptResult{At: now, TimePerUnit: 10 * time.Millisecond})
+	first.Done(upstream.AttemptResult{At: now})
+	if rsv, ok := acquire(); !ok || !rsv.Alone {
+		t.Errorf("no text sent alone after 400 ms in which only events of a stream came")
+	}
+}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -102,7 +102,10 @@
 	// the next load of weights: it accepted the request, or refused it for its version.
 	oldVersionAt    time.Time
 	oldVersionModel string // model of that request
-	loading         loading
+	// heardAt is when the latest answer came that showed that. The events of a stream are
+	// no answers, since streams go on during a load.
+	heardAt time.Time
+	loading loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
@@ -406,7 +409,8 @@
 	model      string // model of the request; empty for none
 	minVersion uint64 // version that the request requires
 	outdated   bool   // the upstream was believed to be older than that
-	single     bool   // this request set singleInFlight
+	single     bool   // this request set singleInFlight and has not been answered
+	answered   bool   // the upstream has accepted the request
 }
 
 // Acquire chooses an upstream for a request and counts the request there. It reports
@@ -561,9 +565,18 @@
 	r := rsv.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	local := rsv.state.ensureLocal()
-	local.inFlight--
-	local.singleInFlight = false
+	rsv.state.ensureLocal().inFlight--
+	r.endSingle(rsv)
+}
+
+// endSingle records that rsv's request has been answered or has ended. Until the one that
+// may be the only one at its upstream has, events and ends of earlier ones show nothing
+// where engines that load go on with their streams.
+func (r *Registry) endSingle(rsv *Reservation) {
+	if rsv.single || !r.isContended(rsv.Pool) || rsv.model == "" {
+		rsv.state.ensureLocal().singleInFlight = false
+	}
+	rsv.single = false
 }
 
 // FasterAvailable reports whether the reserved upstream is at least factor times
@@ -653,9 +666,7 @@
 func (r *Registry) recordAvailability(rsv *Reservation, result AttemptResult) {
 	local := rsv.state.ensureLocal()
 	contended := r.isContended(rsv.Pool) && rsv.model != ""
-	if rsv.single || !contended {
-		local.singleInFlight = false
-	}
+	r.endSingle(rsv)
 	if contended && !local.loading.refusedAt.IsZero() && rsv.acquiredAt.Before(local.loading.refusedAt) {
 		// The request was sent before the load was noticed. While an engine loads, its
 		// streams go on, so they do not show that it accepts requests.
@@ -674,7 +685,7 @@
 	refused := result.Busy || result.VersionRefused || result.Failed || result.Unreachable || result.AddressReused
 	responded := result.Load != nil || len(result.Versions) > 0 || result.TimePerUnit > 0 // else it was cancelled
 	if contended && !refused && responded {
-		r.recordAccepted(rsv)
+		r.recordAccepted(rsv, result.At)
 	}
 }
 
