upstream: a model's texts wait for its engines while these are to answer one

In contended pools each engine below the target gets one text until it has answered.

The texts wait for an assigned engine that was sent its only text less than 130 ms ago. After that time the others are used as before, so that an engine that does not answer holds no text up for longer.

TestAwaitedEngineKeepsItsModel failed before: the second of 12 texts went to the other model's engine.

--- a/pkg/upstream/loading_test.go
+++ b/pkg/upstream/loading_test.go
@@ -312,3 +312,31 @@
 		t.Errorf("no text sent alone after 400 ms in which only events of a stream came")
 	}
 }
+
+// While the only engine assigned to a model is to answer the text that it got alone, the
+// others must wait for it. They used to go to engines assigned to other models, whose
+// slots these models lost. An engine that does
+// not answer must not hold them up for longer than loads are noticed.
+func TestAwaitedEngineKeepsItsModel(t *testing.T) {
+	r := upstream.NewRegistry("z")
+	r.SetContended(true)
+	es := entries(2)
+	r.Set(es)
+	r.SetAssignments(map[string][]string{"m": {es[0].ID}, "other": {es[1].ID}})
+	now := baseTime()
+	acquire := func() (*upstream.Reservation, bool) {
+		return r.Acquire(upstream.Requirements{Pool: "p", Now: now, Model: "m", MinVersion: 1, Newest: 2, NeedFreeSlot: true})
+	}
+	first, ok := acquire()
+	if !ok || first.ID != es[0].ID {
+		t.Fatalf("first text sent = %v, want it at the assigned engine", ok)
+	}
+	now = now.Add(50 * time.Millisecond)
+	if rsv, ok := acquire(); ok {
+		t.Errorf("second text sent to %s before the assigned engine has answered the first", rsv.ID)
+	}
+	now = now.Add(80 * time.Millisecond)
+	if rsv, ok := acquire(); !ok || rsv.ID != es[1].ID {
+		t.Errorf("second text sent = %v after 130 ms without an answer, want it at the other engine", ok)
+	}
+}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -96,6 +96,7 @@
 	busyUntil        time.Time
 	singleRequest    bool      // had no free slot at the last attempt, so gets one request at a time
 	singleInFlight   bool      // such a request is in flight
+	singleAt         time.Time // when that was sent
 	versionCheckedAt time.Time // last check whether it still holds an old version
 	addressReused    bool      // another upstream has the address
 	// oldVersionAt is when the latest request was sent that showed that it had not begun
@@ -436,6 +437,9 @@
 	local := s.ensureLocal()
 	local.inFlight++
 	local.singleInFlight = local.singleRequest || r.mayBeLoading(s, req)
+	if local.singleInFlight {
+		local.singleAt = req.Now
+	}
 	if req.Outdated {
 		local.versionCheckedAt = req.Now
 	}
@@ -454,6 +458,10 @@
 	if len(usable) > 0 || req.Outdated {
 		return usable // upstreams of other models do not load this model's versions
 	}
+	awaited := func(s *upstreamState) bool { return r.awaited(s, req) }
+	if r.isContended(req.Pool) && slices.ContainsFunc(r.assigned(req.Model, req.Pool), awaited) {
+		return nil
+	}
 	return r.filterUsable(req, r.members(req.Pool))
 }
 
@@ -527,10 +535,23 @@
 	return out
 }
 
+// usable reports whether s may take a request.
 func (r *Registry) usable(s *upstreamState, req Requirements) bool {
+	return !s.localOrZero().singleInFlight && r.eligible(s, req)
+}
+
+// awaited reports whether s may take a request as soon as it has answered the only one
+// that it may have, which it was sent moments ago.
+func (r *Registry) awaited(s *upstreamState, req Requirements) bool {
+	local := s.localOrZero()
+	return local.singleInFlight && req.Now.Sub(local.singleAt) < loadRetryInterval && r.eligible(s, req)
+}
+
+// eligible reports whether s may take a request unless another must be answered first.
+func (r *Registry) eligible(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
 	switch {
-	case s.Draining, local.addressReused, local.singleInFlight, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
+	case s.Draining, local.addressReused, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
 		return false
 	case req.Model == "":
 		return true
