loadsim: replay the order by completion together with placement by pace

In contended pools both are in use, but each was replayed without the other.

TestOrderByPace compares the order alone with both, for half, all and twice the work of the engines, with unequal engines and slow moments.

--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -271,6 +271,27 @@
 	}
 }
 
+// Guards against a placement by pace that works against the order by completion, as both
+// are in use where capacity is contended: whether a step fits, hardly fits or has twice the
+// work, it takes at most 3 % longer than with that order alone, the most that a deployment
+// may lose, and as many groups are in time but for 2 %.
+func TestOrderByPace(t *testing.T) {
+	for name, machines := range map[string]loadsim.Machines{"a third slow": loadsim.UnequalSpeeds, "a third fast": loadsim.OneFastThird, "a third slow and slow moments": loadsim.UnequalAndSlow} {
+		for _, work := range []float64{0.5, 1, 2} {
+			load := loadsim.HardLoad
+			load.Slots, load.GroupSize = 3, 8
+			load = load.WithWork(work)
+			load.Machines = machines
+			order, both := loadsim.SummarizeOrder(load, loadsim.ByCompletion, orderSeeds), loadsim.SummarizeOrder(load, loadsim.ByCompletionAndPace, orderSeeds)
+			t.Logf("%s, %g times the work, %d engines: %+v, %+v", name, work, load.Engines, order, both)
+			if both.DesiredTime > order.DesiredTime*103/100 || both.SequenceTime > order.SequenceTime*103/100 || both.InTime < 0.98*order.InTime || both.SequenceInTime < 0.98*order.SequenceInTime {
+				t.Errorf("%s, %g times the work: desired groups complete after %v, in sequence %v, %.1f and %.1f in time; %v, %v, %.1f and %.1f by the order alone; want at most 3 %% longer and 2 %% fewer", name, work,
+					both.DesiredTime, both.SequenceTime, both.InTime, both.SequenceInTime, order.DesiredTime, order.SequenceTime, order.InTime, order.SequenceInTime)
+			}
+		}
+	}
+}
+
 // Guards against slower plain calls and against herds: of 100 instances' calls at 0.6 of
 // the capacity, as many are answered as before, the slowest in a hundred are not slower,
 // and with equal services none gets so large a share that it is overloaded.
--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -108,8 +108,10 @@
 	ShortestGroupFirst = StepPolicy{Name: "shortest group first", UseHints: true, MoveTexts: true, Order: shortestGroupFirst}
 	OrderPolicies      = []StepPolicy{LongestFirst, ShortestGroupFirst, ByCompletion}
 
-	// SoonestFirst places texts by the pace of engines.
-	SoonestFirst = StepPolicy{Name: "by pace", UseHints: true, MoveTexts: true, Contended: true}
+	// SoonestFirst places texts by the pace of engines. ByCompletionAndPace also orders them
+	// as where capacity is contended.
+	SoonestFirst        = StepPolicy{Name: "by pace", UseHints: true, MoveTexts: true, Contended: true}
+	ByCompletionAndPace = StepPolicy{Name: "by completion and pace", UseHints: true, MoveTexts: true, Order: ByCompletion.Order, Contended: true}
 )
 
 func shortestGroupFirst(s completion.State) []int {
