submission: a text whose single version no engine holds starts again

On a route with single_version the rest of a text is requested with the version that generated its beginning. After its engine was lost while the others loaded a newer version, the engines refused it every 50 ms, and the item never ended.

Before such a text is sent, the registry is asked whether an engine still holds its version. If none does and some hold newer ones, the text starts again.

TestTextOfLostVersionStartsAgain failed before (no result within 3 s). go test -race passes for pkg/submission.

--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -34,6 +34,10 @@
 	if !ok {
 		return false
 	}
+	if rt.SingleVersion && len(versions) > 0 && r.versionLost(rt, versions[0]) {
+		r.run.Restart(i)
+		after, versions = r.run.LastEvent(i)
+	}
 	g := r.generation(i, after)
 	if rt.SingleVersion && len(versions) > 0 {
 		g.Version = versions[0]
@@ -52,6 +56,23 @@
 	return true
 }
 
+// versionLost reports whether engines hold newer versions than the given one and none
+// holds that.
+func (r *Runner) versionLost(rt routetable.Route, version uint64) bool {
+	newer := false
+	for _, s := range rt.Shares {
+		for _, e := range r.cfg.Registry.Entries(s.Pool) {
+			switch v := e.Versions[r.spec.Model]; {
+			case v == version:
+				return false
+			case v > version:
+				newer = true
+			}
+		}
+	}
+	return newer
+}
+
 // attempt makes one attempt at item i and posts what it produced. If the text moves to
 // an engine where a slot is reserved for it, attempt returns that reservation and changes
 // g to continue there; otherwise it returns nil.
--- a/pkg/submission/move_test.go
+++ b/pkg/submission/move_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -163,3 +164,50 @@
 		acquire("fast")
 	}
 }
+
+// versionedEngines generates texts with one weight version, and refuses others.
+type versionedEngines struct {
+	pacedEngines
+	version uint64
+}
+
+func (v versionedEngines) Generate(ctx context.Context, to upstream.Entry, g submission.GenerateRequest) (submission.Stream, *upstream.Load, error) {
+	if g.Version != 0 && g.Version != v.version {
+		return nil, nil, submission.ErrVersionMismatch
+	}
+	s, load, err := v.pacedEngines.Generate(ctx, to, g)
+	return versionedStream{s, v.version}, load, err
+}
+
+type versionedStream struct {
+	submission.Stream
+	version uint64
+}
+
+func (s versionedStream) Version() uint64 { return s.version }
+
+// A text that must have a single weight version used to be refused every 50 ms without
+// end once no engine held its version any more, for example after its engine was taken
+// away while the others loaded. It must start again.
+func TestTextOfLostVersionStartsAgain(t *testing.T) {
+	registry := upstream.NewRegistry("")
+	registry.Set([]upstream.Entry{{ID: "fast", Pool: "p", Address: "f", Slots: 2, Versions: map[string]uint64{"m": 2}}})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	r := submission.NewRunner(submission.Config{Repository: submission.Repository{Store: memoryStore{}, MaxRowBytes: 1 << 20}, Registry: registry,
+		Generator: versionedEngines{pacedEngines{onEvent: func(int) {}}, 2},
+		Route: func(string, string) (routetable.Route, bool, bool) {
+			return routetable.Route{MaxAttempts: 2, SingleVersion: true, Shares: []routetable.Share{{Pool: "p", Weight: 1}}}, true, true
+		},
+		TargetVersion: func(string) uint64 { return 2 },
+		Rand:          func() float64 { return 0 },
+	}, submission.HeadRow{Head: submission.Head{ID: "s", AcceptedAt: time.Now()}, Fencing: 1}, submission.Spec{ID: "s", Model: "m", MinVersion: 1, Items: []submission.Item{{ID: "a"}}},
+		submission.PriorWork{Partials: []submission.PartialText{{Item: "a", Text: []string{"old"}, After: 1, Versions: []uint64{1}}}})
+	if err := r.Run(ctx); err != nil {
+		t.Fatalf("run: %v, want the text to start again with version 2", err)
+	}
+	results, _ := r.Results(0)
+	if len(results) != 1 || !strings.HasPrefix(results[0].Output, "1\n2\n") || !slices.Equal(results[0].Versions, []uint64{2}) {
+		t.Errorf("results %+v, want a whole text of version 2", results)
+	}
+}
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -184,6 +184,14 @@
 	return r.items[i].lastEvent, r.items[i].versions
 }
 
+// Restart has the text of item i, which is waiting, start again.
+func (r *Run) Restart(i int) {
+	r.items[i].discard()
+}
+
+// discard discards the text, which then starts again.
+func (it *item) discard() { it.text, it.versions, it.lastEvent = nil, nil, 0 }
+
 // AttemptOutput is what an attempt at an item's text produced, or a part of it.
 type AttemptOutput struct {
 	Events   []Event
@@ -257,7 +265,7 @@
 	slices.Sort(it.versions)
 	tooOld := len(it.versions) > 0 && it.versions[0] < minVersion
 	if tooOld || policy.SingleVersion && len(it.versions) > 1 {
-		it.text, it.versions, it.lastEvent = nil, nil, 0
+		it.discard()
 		return false
 	}
 	return true
