--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -50,9 +50,7 @@
 	estimator *completion.Estimator
 	meanHint  float64 // mean length hint of the items that have one; 0 if none has
 
-	// Texts that were completed here: their number, their events, and of those with a
-	// length hint the events and the hints.
-	completeTexts, completeEvents, hintedEvents, hints int
+	completeTexts, completeEvents int // texts that were completed here, and their events
 }
 
 type item struct {
@@ -186,6 +184,14 @@
 	return r.items[i].lastEvent, r.items[i].versions
 }
 
+// Restart has the text of item i, which is waiting, start again.
+func (r *Run) Restart(i int) {
+	r.items[i].discard()
+}
+
+// discard discards the text, which then starts again.
+func (it *item) discard() { it.text, it.versions, it.lastEvent = nil, nil, 0 }
+
 // AttemptOutput is what an attempt at an item's text produced, or a part of it.
 type AttemptOutput struct {
 	Events   []Event
@@ -224,7 +230,8 @@
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
 	if complete {
 		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
-		r.countText(i)
+		r.completeTexts++
+		r.completeEvents += it.lastEvent
 	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
@@ -258,7 +265,7 @@
 	slices.Sort(it.versions)
 	tooOld := len(it.versions) > 0 && it.versions[0] < minVersion
 	if tooOld || policy.SingleVersion && len(it.versions) > 1 {
-		it.text, it.versions, it.lastEvent = nil, nil, 0
+		it.discard()
 		return false
 	}
 	return true
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -97,13 +97,17 @@
 	busyUntil        time.Time
 	singleRequest    bool      // had no free slot at the last attempt, so gets one request at a time
 	singleInFlight   bool      // such a request is in flight
+	singleAt         time.Time // when that was sent
 	versionCheckedAt time.Time // last check whether it still holds an old version
 	addressReused    bool      // another upstream has the address
 	// oldVersionAt is when the latest request was sent that showed that it had not begun
 	// the next load of weights: it accepted the request, or refused it for its version.
 	oldVersionAt    time.Time
 	oldVersionModel string // model of that request
-	loading         loading
+	// heardAt is when the latest answer came that showed that. The events of a stream are
+	// no answers, since streams go on during a load.
+	heardAt time.Time
+	loading loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
@@ -430,7 +434,8 @@
 	model      string // model of the request; empty for none
 	minVersion uint64 // version that the request requires
 	outdated   bool   // the upstream was believed to be older than that
-	single     bool   // this request set singleInFlight
+	single     bool   // this request set singleInFlight and has not been answered
+	answered   bool   // the upstream has accepted the request
 }
 
 // Acquire chooses an upstream for a request and counts the request there. It reports
@@ -456,6 +461,9 @@
 	local := s.ensureLocal()
 	local.inFlight++
 	local.singleInFlight = local.singleRequest || r.mayBeLoading(s, req)
+	if local.singleInFlight {
+		local.singleAt = req.Now
+	}
 	if req.Outdated {
 		local.versionCheckedAt = req.Now
 	}
@@ -474,6 +482,10 @@
 	if len(usable) > 0 || req.Outdated {
 		return usable // upstreams of other models do not load this model's versions
 	}
+	awaited := func(s *upstreamState) bool { return r.awaited(s, req) }
+	if r.isContended(req.Pool) && slices.ContainsFunc(r.assigned(req.Model, req.Pool), awaited) {
+		return nil
+	}
 	return r.filterUsable(req, r.members(req.Pool))
 }
 
@@ -547,10 +559,23 @@
 	return out
 }
 
+// usable reports whether s may take a request.
 func (r *Registry) usable(s *upstreamState, req Requirements) bool {
+	return !s.localOrZero().singleInFlight && r.eligible(s, req)
+}
+
+// awaited reports whether s may take a request as soon as it has answered the only one
+// that it may have, which it was sent moments ago.
+func (r *Registry) awaited(s *upstreamState, req Requirements) bool {
+	local := s.localOrZero()
+	return local.singleInFlight && req.Now.Sub(local.singleAt) < loadRetryInterval && r.eligible(s, req)
+}
+
+// eligible reports whether s may take a request unless another must be answered first.
+func (r *Registry) eligible(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
 	switch {
-	case s.Draining, local.addressReused, local.singleInFlight, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
+	case s.Draining, local.addressReused, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
 		return false
 	case req.Model == "":
 		return true
@@ -588,9 +613,8 @@
 func (rsv *Reservation) Release() {
 	r := rsv.registry
 	r.mu.Lock()
-	local := rsv.state.ensureLocal()
-	local.inFlight--
-	local.singleInFlight = false
+	rsv.state.ensureLocal().inFlight--
+	r.endSingle(rsv)
 	released := r.onRelease
 	r.mu.Unlock()
 	if released != nil {
@@ -598,6 +622,16 @@
 	}
 }
 
+// endSingle records that rsv's request has been answered or has ended. Until the one that
+// may be the only one at its upstream has, events and ends of earlier ones show nothing
+// where engines that load go on with their streams.
+func (r *Registry) endSingle(rsv *Reservation) {
+	if rsv.single || !r.isContended(rsv.Pool) || rsv.model == "" {
+		rsv.state.ensureLocal().singleInFlight = false
+	}
+	rsv.single = false
+}
+
 // FasterAvailable reports whether the reserved upstream is at least factor times
 // slower than usual, while another that may take its request, req, is not and has a free slot.
 func (rsv *Reservation) FasterAvailable(req Requirements, factor float64) bool {
@@ -687,9 +721,7 @@
 func (r *Registry) recordAvailability(rsv *Reservation, result AttemptResult) {
 	local := rsv.state.ensureLocal()
 	contended := r.isContended(rsv.Pool) && rsv.model != ""
-	if rsv.single || !contended {
-		local.singleInFlight = false
-	}
+	r.endSingle(rsv)
 	if contended && !local.loading.refusedAt.IsZero() && rsv.acquiredAt.Before(local.loading.refusedAt) {
 		// The request was sent before the load was noticed. While an engine loads, its
 		// streams go on, so they do not show that it accepts requests.
@@ -708,7 +740,7 @@
 	refused := result.Busy || result.VersionRefused || result.Failed || result.Unreachable || result.AddressReused
 	responded := result.Load != nil || len(result.Versions) > 0 || result.TimePerUnit > 0 // else it was cancelled
 	if contended && !refused && responded {
-		r.recordAccepted(rsv)
+		r.recordAccepted(rsv, result.At)
 	}
 }
 
