--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -116,3 +116,6 @@
 func IsStandby(name string, live []*membership.Member) bool {
 	return isStandby(name, membership.NewRoster(live))
 }
+
+// ObserveOutlook records an event of a run here in the metrics and log of cfg.
+func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
