--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -329,7 +329,7 @@
 			out.Complete = true
 			s.endAttempt(now, i, out)
 			s.finished(now, s.group[i])
-		case s.policy.MoveTexts && rsv.FasterAvailable(s.requirements(i, now), submission.SlowEngineFactor):
+		case s.policy.MoveTexts && s.load.SlowEngines > 0 && rsv.FasterAvailable(s.requirements(i, now), submission.SlowEngineFactor):
 			s.moves++
 			s.endAttempt(now, i, out)
 			s.place(now)
