--- a/pkg/completion/completion.go
+++ b/pkg/completion/completion.go
@@ -153,10 +153,15 @@
 // does not wait for their group.
 func sorted(s State, ranks []rank, critical float64) []int {
 	type entry struct {
-		rank rank
-		Item
+		left  float64
+		rank  rank
+		index int
 	}
-	var waiting []entry
+	items := 0
+	for _, g := range s.Groups {
+		items += len(g.Items)
+	}
+	waiting := make([]entry, 0, items)
 	for i, g := range s.Groups {
 		for _, it := range g.Items {
 			if it.Running {
@@ -166,21 +171,23 @@
 			if r < last && it.Left >= critical {
 				r = first
 			}
-			waiting = append(waiting, entry{r, it})
+			waiting = append(waiting, entry{it.Left, r, it.Index})
 		}
 	}
 	slices.SortFunc(waiting, func(a, b entry) int {
-		if a.rank != b.rank {
-			return cmp.Compare(a.rank, b.rank)
-		}
-		if a.Left != b.Left {
-			return cmp.Compare(b.Left, a.Left)
+		switch {
+		case a.rank != b.rank:
+			return int(a.rank - b.rank)
+		case a.left > b.left:
+			return -1
+		case a.left < b.left:
+			return 1
 		}
-		return cmp.Compare(a.Index, b.Index)
+		return a.index - b.index
 	})
 	out := make([]int, len(waiting))
 	for i, e := range waiting {
-		out[i] = e.Index
+		out[i] = e.index
 	}
 	return out
 }
