--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -149,3 +149,6 @@
 func (s State) PoolDemands(pool routetable.Pool, contended bool) []weights.Demand {
 	return poolDemands(pool, s.s.demands(), contended)
 }
+
+// ObserveOutlook records an event of a run here in the metrics and log of cfg.
+func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
