--- /dev/null
+++ b/cmd/zinnialadder/export_test.go
@@ -0,0 +1,4 @@
+package main
+
+// RootCmd is exported for tests of the names of commands and flags.
+var RootCmd = rootCmd
--- a/cmd/zinnialadder/main.go
+++ b/cmd/zinnialadder/main.go
@@ -23,6 +23,14 @@
 )
 
 func main() {
+	if err := rootCmd().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
+		os.Exit(1)
+	}
+}
+
+// rootCmd returns the command of the program with all its subcommands.
+func rootCmd() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "zinnialadder",
 		Short:         "A rollout service for reinforcement learning",
@@ -31,10 +39,7 @@
 		Version:       version(),
 	}
 	root.AddCommand(entryCmd(), nodeCmd(), checkCmd(), explainCmd(), soakCmd(), platformCmd(), engineCmd(), trainerCmd(), serviceCmd(), ctlCmd(), experimentCmd(), demoCmd(), loadCmd())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "zinnialadder:", err)
-		os.Exit(1)
-	}
+	return root
 }
 
 // version returns the commit that the binary was built from, or the version of the
