carryover, node: find the texts of a step while the next one is open or complete

A sender may submit step k+1 while step k is open, and resubmits what is left of step k in step k+2. Only the last submission by head change was looked at, and only the last record was kept: a step k+1 that was open hid the object of step k from an owner without it in memory, and one that was complete also removed the texts of step k from memory.

The last submission that was ended, and is not complete, counts now. Two records are kept of each model and customer and are used as one; a later record, or a complete submission, supersedes only the texts of its own items.

Texts below the minimum of the latest submission are dropped when a run ends, before their requests are hashed. Texts below the minimum that the next submission will have, if it rises by as much per step as it last did, stay in memory but are not written to the object store.

TestPreviousOfOverlapping fails on the previous code in three of four cases (no texts for an open or complete step k+1, from the store and from memory). Tests of the three packages pass with -race, and the carried tests of package platform pass.

--- a/pkg/carryover/carryover_test.go
+++ b/pkg/carryover/carryover_test.go
@@ -77,7 +77,7 @@
 	lost, next := carryover.Store{Objects: stored, Limit: 1 << 20}, carryover.Store{Objects: stored, Limit: 1 << 20}
 	rec := record("m", text("i", "a", "b"))
 	lost.Put(rec)
-	if ok, err := lost.Save(ctx, rec.Key); !ok || err != nil {
+	if ok, err := lost.Save(ctx, rec.Key, 2); !ok || err != nil {
 		t.Fatalf("Save = %v, %v, want true", ok, err)
 	}
 	if _, ok := next.Get(rec.Key); ok {
@@ -108,14 +108,14 @@
 	unavailable := errors.New("unavailable")
 	s := carryover.Store{Objects: objects{err: unavailable}, Limit: 1 << 20}
 	s.Put(record("m", text("i", "a")))
-	if ok, err := s.Save(context.Background(), record("m").Key); ok || !errors.Is(err, unavailable) {
+	if ok, err := s.Save(context.Background(), record("m").Key, 0); ok || !errors.Is(err, unavailable) {
 		t.Fatalf("Save = %v, %v, want false and the store's error", ok, err)
 	}
 	if got, ok := s.Get(record("m").Key); !ok || len(got.Texts) != 1 {
 		t.Fatalf("Get = %+v, %v, want the record", got, ok)
 	}
 	s.Put(record("n"))
-	if ok, err := s.Save(context.Background(), record("n").Key); ok || err != nil {
+	if ok, err := s.Save(context.Background(), record("n").Key, 0); ok || err != nil {
 		t.Fatalf("Save without texts = %v, %v, want false", ok, err)
 	}
 }
@@ -138,3 +138,58 @@
 		t.Errorf("got %d texts of a record that exceeds the limit, want 2", len(got.Texts))
 	}
 }
+
+// A sender may submit a step while the one before is open. The texts of a step must then
+// outlast the next one, complete or not, but no longer, and the newest text of an item
+// must be used.
+func TestOverlappingSubmissions(t *testing.T) {
+	step := func(id, item, event string) carryover.Record {
+		rec := record("m", text(item, event))
+		rec.Submission, rec.Items = id, []string{item}
+		return rec
+	}
+	s := carryover.Store{Limit: 1 << 20}
+	check := func(items string, texts ...string) {
+		t.Helper()
+		rec, _ := s.Get(record("m").Key)
+		var got []string
+		for _, c := range rec.Texts {
+			got = append(got, c.Item+c.Text[0])
+		}
+		if fmt.Sprint(got) != fmt.Sprint(texts) || strings.Join(rec.Items, "") != items {
+			t.Errorf("got texts %v of items %v, want %v of %s", got, rec.Items, texts, items)
+		}
+	}
+	s.Put(step("l1", "i", "1"))
+	s.Complete(record("m").Key, []string{"j"})
+	check("i", "i1")
+	s.Put(step("l2", "j", "2"))
+	check("ij", "i1", "j2")
+	s.Put(step("l3", "i", "3"))
+	check("ji", "j2", "i3")
+	s.Complete(record("m").Key, []string{"i"})
+	check("ji", "j2")
+	s.Put(step("l4", "k", "4"))
+	check("ik", "k4")
+}
+
+// Texts that no later submission can use must not be written to the store at each step.
+func TestSaveStale(t *testing.T) {
+	stored := objects{data: map[string][]byte{}}
+	s := carryover.Store{Objects: stored, Limit: 1 << 20}
+	newer := text("j", "b")
+	newer.Versions = []uint64{3}
+	s.Put(record("m", text("i", "a"), newer))
+	if ok, err := s.Save(context.Background(), record("m").Key, 4); ok || err != nil || len(stored.data) > 0 {
+		t.Fatalf("Save without usable texts = %v, %v, with %d objects, want false and none", ok, err, len(stored.data))
+	}
+	if ok, err := s.Save(context.Background(), record("m").Key, 3); !ok || err != nil {
+		t.Fatalf("Save = %v, %v, want true", ok, err)
+	}
+	if got, err := s.Load(context.Background(), record("m").Key); err != nil || len(got.Texts) != 1 || got.Texts[0].Item != "j" {
+		t.Errorf("Load = %+v, %v, want the text of j only", got, err)
+	}
+	if got, _ := s.Get(record("m").Key); len(got.Texts) != 2 {
+		t.Errorf("got %d texts in memory, want both", len(got.Texts))
+	}
+}
--- a/pkg/carryover/store.go
+++ b/pkg/carryover/store.go
@@ -11,8 +11,8 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
-// Store keeps the last Record of each Key: in memory, and in the object store for the
-// next owner of the key's submissions. It is safe for concurrent use.
+// Store keeps the last recordsPerKey Records of each Key: in memory, and in the object
+// store for the next owner of the key's submissions. It is safe for concurrent use.
 type Store struct {
 	// Objects is the object store.
 	Objects platform.Objects
@@ -28,53 +28,104 @@
 // ErrMalformed is returned for an object that does not hold the Record of its Key.
 var ErrMalformed = errors.New("carryover: malformed object")
 
-// Put replaces the record of rec.Key in memory. A record that exceeds the limit loses
-// its last texts.
+// recordsPerKey is how many records are kept of each Key. A sender may submit a step
+// while the one before is open, and then submits what is left of a step again two steps
+// later.
+const recordsPerKey = 2
+
+// Put adds a record in memory. It supersedes the texts of its items in earlier records. A
+// record that exceeds the limit loses its last texts.
 func (s *Store) Put(rec Record) {
 	rec = rec.truncated(s.Limit)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(rec.Key)
+	s.prune(rec.Key, rec.Items, func(r Record) bool { return r.Submission == rec.Submission })
 	s.records = append(s.records, rec)
 	s.size += rec.size()
+	if s.count(rec.Key) > recordsPerKey {
+		s.remove(s.index(rec.Key))
+	}
 	for s.size > s.Limit && len(s.records) > 1 {
-		s.remove(s.records[0].Key)
+		s.remove(0)
 	}
 }
 
-// Get returns the record of k that is in memory.
+// Complete removes the texts of items from the records of k in memory, because a
+// submission with these items is complete.
+func (s *Store) Complete(k Key, items []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune(k, items, func(Record) bool { return false })
+}
+
+// prune removes the texts of items from the records of k, and the records that match
+// removed.
+func (s *Store) prune(k Key, items []string, removed func(Record) bool) {
+	isItem := make(map[string]bool, len(items))
+	for _, id := range items {
+		isItem[id] = true
+	}
+	s.records = slices.DeleteFunc(s.records, func(r Record) bool { return r.Key == k && removed(r) })
+	for i, r := range s.records {
+		if r.Key == k {
+			// Records that Get has returned share the texts.
+			s.records[i].Texts = slices.DeleteFunc(slices.Clone(r.Texts), func(t Text) bool { return isItem[t.Item] })
+		}
+	}
+	s.size = 0
+	for _, r := range s.records {
+		s.size += r.size()
+	}
+}
+
+// Get returns the records of k that are in memory as one, of the submission that ended
+// last.
 func (s *Store) Get(k Key) (Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i := s.index(k); i >= 0 {
-		return s.records[i], true
+	var out Record
+	for _, r := range s.records {
+		if r.Key == k {
+			r.Items, r.Texts = slices.Concat(out.Items, r.Items), slices.Concat(out.Texts, r.Texts)
+			out = r
+		}
 	}
-	return Record{}, false
+	return out, out.Submission != ""
 }
 
-// Remove removes the record of k from memory.
+// Remove removes the records of k from memory.
 func (s *Store) Remove(k Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(k)
+	for i := s.index(k); i >= 0; i = s.index(k) {
+		s.remove(i)
+	}
+}
+
+func (s *Store) remove(i int) {
+	s.size -= s.records[i].size()
+	s.records = slices.Delete(s.records, i, i+1)
 }
 
-func (s *Store) remove(k Key) {
-	if i := s.index(k); i >= 0 {
-		s.size -= s.records[i].size()
-		s.records = slices.Delete(s.records, i, i+1)
+func (s *Store) count(k Key) int {
+	n := 0
+	for _, r := range s.records {
+		if r.Key == k {
+			n++
+		}
 	}
+	return n
 }
 
 func (s *Store) index(k Key) int {
 	return slices.IndexFunc(s.records, func(r Record) bool { return r.Key == k })
 }
 
-// Save writes the record of k that is in memory to the object store. It reports false
-// if there is none or it has no texts.
-func (s *Store) Save(ctx context.Context, k Key) (bool, error) {
-	rec, ok := s.Get(k)
-	if !ok || len(rec.Texts) == 0 {
+// Save writes the records of k that are in memory to the object store, as one and without
+// the texts that have a version below minVersion. It reports false if no text is left.
+func (s *Store) Save(ctx context.Context, k Key, minVersion uint64) (bool, error) {
+	rec, _ := s.Get(k)
+	if rec.Texts = Usable(rec.Texts, minVersion, false); len(rec.Texts) == 0 {
 		return false, nil
 	}
 	data, err := json.Marshal(rec)
@@ -87,7 +138,7 @@
 	return true, nil
 }
 
-// Load reads the record of k from the object store. It returns platform.ErrNotFound if
+// Load reads what Save has written of k from the object store. It returns platform.ErrNotFound if
 // there is none, and ErrMalformed if the object does not hold a valid record of k.
 func (s *Store) Load(ctx context.Context, k Key) (Record, error) {
 	data, err := s.Objects.GetObject(ctx, k.ObjectName())
@@ -109,7 +160,7 @@
 	return rec, nil
 }
 
-// Delete deletes the record of k from memory and from the object store.
+// Delete deletes the records of k from memory and from the object store.
 func (s *Store) Delete(ctx context.Context, k Key) error {
 	s.Remove(k)
 	return s.Objects.DeleteObject(ctx, k.ObjectName())
--- a/pkg/node/carried.go
+++ b/pkg/node/carried.go
@@ -24,14 +24,14 @@
 	sourceStore  = "store"
 )
 
-// previous returns what the previous submission of h's model and customer left.
+// previous returns what the previous submissions of h's model and customer left.
 func (n *Node) previous(ctx context.Context, h submission.HeadRow) submission.Previous {
 	prev, ok := n.heads.previous(h)
-	if !ok || prev.Complete {
+	if !ok {
 		return submission.Previous{}
 	}
-	rec, inMemory := n.carryover.Get(h.CarryoverKey())
-	if inMemory && rec.Submission == prev.ID || !prev.Ended {
+	rec, _ := n.carryover.Get(h.CarryoverKey())
+	if rec.Submission == prev.ID {
 		return submission.Previous{Record: rec, Source: sourceMemory}
 	}
 	rctx, cancel := context.WithTimeout(ctx, carryoverReadTimeout)
@@ -47,22 +47,24 @@
 	return submission.Previous{Record: stored, Source: sourceStore}
 }
 
-// keepUnfinished keeps the texts of a run that ended with err for the next submission of
-// its model and customer: in memory at once, and in the object store later.
+// keepUnfinished keeps the texts of a run that ended with err for the next submissions of
+// its model and customer: in memory at once, and in the object store later. Texts that
+// are expected to be too old for these are kept in memory only.
 func (n *Node) keepUnfinished(ctx context.Context, r *submission.Runner, h submission.Head, err error) {
 	if err == nil {
-		n.carryover.Remove(h.CarryoverKey()) // every group is complete
+		n.carryover.Complete(h.CarryoverKey(), r.Items()) // every group is complete
 		return
 	}
 	if !n.endedBySender(ctx, h.ID, err) {
 		return
 	}
-	rec := r.Unfinished()
+	latest, next := n.heads.minVersions(h)
+	rec := r.Unfinished(latest)
 	n.carryover.Put(rec)
 	n.group.Go(func() error {
 		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		written, err := n.carryover.Save(sctx, rec.Key)
+		written, err := n.carryover.Save(sctx, rec.Key, next)
 		if written {
 			n.observer.count("carryover.objects_written")
 		}
--- a/pkg/node/carried_test.go
+++ b/pkg/node/carried_test.go
@@ -83,3 +83,56 @@
 		t.Fatalf("got %d objects after the last submission of the model, want 0", n)
 	}
 }
+
+// A sender may submit a step while the one before is open. The texts of a step that has
+// ended must be found even if the next one is open or complete by then, also by an
+// instance that has nothing in memory.
+func TestPreviousOfOverlapping(t *testing.T) {
+	ctx := context.Background()
+	store := sitetest.NewStore()
+	l1, l3 := endedHead("l1", "c", 5), endedHead("l3", "c", 9)
+	opened, complete := endedHead("l2", "c", 7), endedHead("l2", "c", 7)
+	opened.Ended, complete.Ended, complete.Complete = false, false, true
+	for name, l2 := range map[string]submission.HeadRow{"open": opened, "complete": complete} {
+		a, b := newCarryNode(t, store, "a-"+name), newCarryNode(t, store, "b-"+name)
+		for _, h := range []submission.HeadRow{l1, l2} {
+			a.SetHead(h)
+			b.SetHead(h)
+		}
+		if err := a.KeepCarried(ctx, leftBy(l1)); err != nil {
+			t.Fatal(err)
+		}
+		for n, want := range map[*node.Node]string{a: "memory", b: "store"} {
+			if got := n.Previous(ctx, l3); got.Submission != "l1" || got.Source != want {
+				t.Errorf("next one %s: got submission %q from %s, want l1 from %s", name, got.Submission, got.Source, want)
+			}
+		}
+	}
+}
+
+// Texts are written to the store if the next submission is expected to allow their
+// versions: one for which the same minimum holds on needs those of the minimum, and one
+// whose minimum rises at each step does not.
+func TestMinVersions(t *testing.T) {
+	n := newCarryNode(t, sitetest.NewStore(), "a")
+	for _, c := range []struct {
+		step         int
+		min          uint64
+		latest, next uint64
+	}{{1, 4, 4, 4}, {2, 5, 5, 6}, {3, 5, 5, 5}, {5, 7, 7, 8}, {6, 6, 6, 6}} {
+		h := endedHead(string(rune('a'+c.step)), "c", uint64(c.step))
+		h.Step, h.MinVersion = c.step, c.min
+		n.SetHead(h)
+		other := endedHead("o", "other", uint64(c.step))
+		other.Step, other.MinVersion = 9, 99
+		n.SetHead(other)
+		if latest, next := n.MinVersions(h.Head); latest != c.latest || next != c.next {
+			t.Errorf("step %d: got %d and %d, want %d and %d", c.step, latest, next, c.latest, c.next)
+		}
+	}
+	overlapping := endedHead("b", "c", 9) // ends after later ones were submitted
+	overlapping.Step, overlapping.MinVersion = 5, 7
+	if latest, _ := n.MinVersions(overlapping.Head); latest != 6 {
+		t.Errorf("got %d, want the minimum of the latest submission", latest)
+	}
+}
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -126,7 +126,7 @@
 // KeepCarried keeps what a submission left, in memory and in the object store.
 func (n *Node) KeepCarried(ctx context.Context, rec carryover.Record) error {
 	n.carryover.Put(rec)
-	_, err := n.carryover.Save(ctx, rec.Key)
+	_, err := n.carryover.Save(ctx, rec.Key, 0)
 	return err
 }
 
@@ -149,3 +149,6 @@
 func (s State) PoolDemands(pool routetable.Pool, contended bool) []weights.Demand {
 	return poolDemands(pool, s.s.demands(), contended)
 }
+
+// MinVersions returns the least versions of the latest and of the next submission.
+func (n *Node) MinVersions(of submission.Head) (latest, next uint64) { return n.heads.minVersions(of) }
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -270,22 +270,47 @@
 	delete(h.heads, id)
 }
 
-// previous returns the submission with the model and customer of a given one whose head
-// changed last before that of the given one. The end of a submission is its last change.
-// Versions are compared because the clocks of instances may differ by more than the time
-// between two submissions.
+// previous returns the submission with the model and customer of a given one that its
+// sender ended last before the given one. Submissions that are open or complete left
+// nothing. The end of a submission is the last change of its head. Versions are compared
+// because the clocks of instances may differ by more than the time between two
+// submissions.
 func (h *headIndex) previous(of submission.HeadRow) (prev submission.HeadRow, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	key := of.CarryoverKey()
 	for id, head := range h.heads {
-		if id != of.ID && head.Fencing < of.Fencing && head.Fencing > prev.Fencing && head.CarryoverKey() == key {
+		if head.Ended && !head.Complete && id != of.ID && head.Fencing < of.Fencing && head.Fencing > prev.Fencing && head.CarryoverKey() == key {
 			prev, ok = head, true
 		}
 	}
 	return prev, ok
 }
 
+// minVersions returns the oldest weight versions that the latest of the submissions with
+// the model and customer of a given one allows, and that the next one will allow if the
+// minimum rises by as much per step as it last did.
+func (h *headIndex) minVersions(of submission.Head) (latest, next uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key, last := of.CarryoverKey(), of
+	for _, head := range h.heads {
+		if head.Step > last.Step && head.CarryoverKey() == key {
+			last = head.Head
+		}
+	}
+	before, ok := submission.Head{}, false
+	for _, head := range h.heads {
+		if head.Step < last.Step && (!ok || head.Step > before.Step) && head.CarryoverKey() == key {
+			before, ok = head.Head, true
+		}
+	}
+	if !ok || before.MinVersion > last.MinVersion {
+		return last.MinVersion, last.MinVersion
+	}
+	return last.MinVersion, last.MinVersion + (last.MinVersion-before.MinVersion)/uint64(last.Step-before.Step)
+}
+
 // hasOther reports whether there is another submission with the model and customer of a
 // given one.
 func (h *headIndex) hasOther(of submission.Head) bool {
--- a/pkg/submission/carried.go
+++ b/pkg/submission/carried.go
@@ -112,23 +112,28 @@
 const readDelay = 500 * time.Millisecond
 
 // Unfinished returns what a later submission with the same items may resume: the texts
-// of the groups that the sender may not know to be complete. It must not be called
-// before Run has returned.
-func (r *Runner) Unfinished() carryover.Record {
+// of the groups that the sender may not know to be complete, without those that have a
+// version below minVersion. It must not be called before Run has returned.
+func (r *Runner) Unfinished(minVersion uint64) carryover.Record {
 	readBy := r.endedAt.Add(-readDelay)
 	read, _ := slices.BinarySearchFunc(r.writtenAt, readBy, time.Time.Compare)
-	rec := carryover.Record{Key: r.head.CarryoverKey(), Submission: r.spec.ID, Texts: r.run.Unfinished(r.results, read)}
-	for _, it := range r.spec.Items {
-		rec.Items = append(rec.Items, it.ID)
+	return carryover.Record{Key: r.head.CarryoverKey(), Submission: r.spec.ID, Items: r.Items(), Texts: r.run.Unfinished(r.results, read, minVersion)}
+}
+
+// Items returns the IDs of the submission's items.
+func (r *Runner) Items() []string {
+	out := make([]string, len(r.spec.Items))
+	for i, it := range r.spec.Items {
+		out[i] = it.ID
 	}
-	return rec
+	return out
 }
 
 // Unfinished returns the texts of the groups that are not complete, where written holds
 // the results that are stored, and the sender has read at least the first read of them.
 // Later ones do not count: the sender submits their groups again. An item without a
-// group is a group of its own.
-func (r *Run) Unfinished(written []Result, read int) []carryover.Text {
+// group is a group of its own. Texts with a version below minVersion are left out.
+func (r *Run) Unfinished(written []Result, read int, minVersion uint64) []carryover.Text {
 	results := make(map[string]Result, len(written)+len(r.results))
 	for _, res := range r.results {
 		results[res.Item] = res
@@ -156,7 +161,7 @@
 			continue
 		}
 		p, ok := r.partial(i, results)
-		if ok {
+		if ok && (len(p.Versions) == 0 || p.Versions[0] >= minVersion) {
 			out = append(out, carryover.Text{Item: it.ID, Request: r.spec.requestID(i), Text: p.Text, After: p.After, Versions: p.Versions, Complete: p.Complete})
 		}
 	}
--- a/pkg/submission/carried_test.go
+++ b/pkg/submission/carried_test.go
@@ -53,8 +53,8 @@
 				checkCarried(t, spec, r, policy, producers[r.Item])
 			}
 			written := results[:rapid.IntRange(0, len(results)).Draw(t, "written")]
-			left = run.Unfinished(written, len(written))
-			if all := run.Unfinished(written, 0); len(all) < len(results) { // the sender has read none
+			left = run.Unfinished(written, len(written), 0)
+			if all := run.Unfinished(written, 0, 0); len(all) < len(results) { // the sender has read none
 				t.Fatalf("got %d texts of unread results, want at least %d", len(all), len(results))
 			}
 			for _, r := range written { // a text of a complete group is not kept
@@ -121,7 +121,7 @@
 	run := submission.NewRun(spec, nil, []submission.PartialText{
 		{Item: "a", Text: []string{"x"}, After: 1, Versions: []uint64{3}},
 		{Item: "b", Text: []string{"x"}, After: 1, Versions: []uint64{3}, Complete: true}})
-	left := run.Unfinished(nil, 0)
+	left := run.Unfinished(nil, 0, 0)
 	if got, stale := spec.Resumable(left, true, 3); len(got) != 2 || stale != 0 {
 		t.Errorf("target version 3: got %+v, %d stale, want both texts", got, stale)
 	}
@@ -131,6 +131,9 @@
 	if got, _ := spec.Resumable(left, false, 4); len(got) != 2 {
 		t.Errorf("not single-version: got %+v, want both texts", got)
 	}
+	if got := run.Unfinished(nil, 0, 4); len(got) != 0 { // no later submission may use them
+		t.Errorf("got %+v, want no texts below version 4", got)
+	}
 }
 
 // The texts that a submission left may be resumed by two runs. An event that one of them
