storepath: end lost calls for changes soon after the store's return

When the store answered again, calls that were older than 0.25 s were cancelled. One that had been sent in the last 0.25 s before, and was lost, had another path than the one in use from then on, so that no later check cancelled it either. It waited for its timeout, 1.9 s for the operator's table and 2.2 s for those of upstreams and members, and the feed then for its longest back-off of 0.6 s.

Calls that the store may hold are cancelled 0.25 s after its return. Reads and writes that are not held still end by their own timeout, as a slow store may answer them.

TestLostCallForChanges: 4.9 to 5 s (its own limit) before, within 0.8 s of the store's return now. Trial with 16 sites of 8 instances in one process, store silent for 7 s, configuration written at its return: the last instance of a site had it after 0.35 to 2.46 s before (3 sites above 2.3 s, the others at most 0.66 s), and after 0.31 to 0.82 s now.

--- a/pkg/storepath/check.go
+++ b/pkg/storepath/check.go
@@ -102,7 +102,7 @@
 	changed := s.selector.Path() == from && s.selector.Checked(ap, now)
 	if changed {
 		s.updateUnreachable(from)
-		s.cancelCalls(from, now)
+		s.cancelCalls(from, now, false)
 	}
 	s.mu.Unlock()
 	if changed {
--- a/pkg/storepath/store.go
+++ b/pkg/storepath/store.go
@@ -56,6 +56,7 @@
 type call struct {
 	path      AccessPath
 	startedAt time.Time
+	held      bool // the store may hold the call before it answers
 	cancel    context.CancelFunc
 }
 
@@ -113,7 +114,7 @@
 // store may hold the call; AnswerTimeout begins after it.
 func (s *Store) startCall(ctx context.Context, wait time.Duration) (context.Context, *call, platform.Store, func() bool) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &call{startedAt: time.Now(), cancel: cancel}
+	c := &call{startedAt: time.Now(), held: wait > 0, cancel: cancel}
 	s.mu.Lock()
 	c.path = s.selector.Path()
 	s.calls[c] = true
@@ -155,14 +156,22 @@
 	}
 }
 
-// answered records that a call or ping on path ap was answered.
+// answered records that a call or ping on path ap was answered. If that changes the path,
+// the calls on ap are cancelled that are older than AnswerTimeout. Calls that the store may
+// hold, and that began later, are cancelled AnswerTimeout from now: the store may have lost
+// them, and they would time out only a second or two later.
 func (s *Store) answered(ap AccessPath, reason string) {
 	now := time.Now()
 	s.mu.Lock()
 	changed := s.selector.Answered(ap, now)
 	if changed {
 		s.updateUnreachable(ap)
-		s.cancelCalls(ap, now.Add(-AnswerTimeout))
+		s.cancelCalls(ap, now.Add(-AnswerTimeout), false)
+		time.AfterFunc(AnswerTimeout, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.cancelCalls(ap, now, true)
+		})
 	}
 	s.mu.Unlock()
 	if changed {
@@ -171,10 +180,11 @@
 }
 
 // cancelCalls cancels the calls on path ap that started before the given time, as they
-// would wait for an answer that does not come. s.mu is held.
-func (s *Store) cancelCalls(ap AccessPath, before time.Time) {
+// would wait for an answer that does not come. With heldOnly, only those are cancelled
+// that the store may hold. s.mu is held.
+func (s *Store) cancelCalls(ap AccessPath, before time.Time, heldOnly bool) {
 	for c := range s.calls {
-		if c.path == ap && c.startedAt.Before(before) {
+		if c.path == ap && c.startedAt.Before(before) && (c.held || !heldOnly) {
 			c.cancel()
 		}
 	}
--- a/pkg/storepath/store_test.go
+++ b/pkg/storepath/store_test.go
@@ -34,6 +34,16 @@
 	return platform.Row{Key: key, Version: 1}, nil
 }
 
+// Changes answers after wait.
+func (s *silentStore) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Changes, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	time.Sleep(wait)
+	return platform.Changes{Version: after}, nil
+}
+
 func newStore(t *testing.T, direct *silentStore, peers map[string]*silentStore) *storepath.Store {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -126,3 +136,40 @@
 		t.Errorf("store used again after %v, want at most 350 ms", took)
 	}
 }
+
+// A call for changes that is sent just before the store's return, and lost, must not wait
+// for its whole timeout: a configuration written meanwhile would be in force 2.5 s later.
+func TestLostCallForChanges(t *testing.T) {
+	for _, before := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(before.String(), func(t *testing.T) {
+			t.Parallel()
+			direct := &silentStore{}
+			s := newStore(t, direct, nil)
+			direct.silent.Store(true)
+			var get errgroup.Group
+			get.Go(func() error {
+				_, err := s.Get(context.Background(), "k")
+				return err
+			})
+			within(t, 2*time.Second, "the store is found unreachable", s.Unreachable)
+			_ = get.Wait() // it is cancelled
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			var g errgroup.Group
+			g.Go(func() error {
+				_, err := s.Changes(ctx, "t", 1, 700*time.Millisecond)
+				return err
+			})
+			time.Sleep(before + 5*time.Millisecond) // until the call is sent
+			direct.silent.Store(false)
+			start := time.Now()
+			if err := g.Wait(); err == nil {
+				t.Fatal("got an answer to a lost call")
+			}
+			if took := time.Since(start); took > 800*time.Millisecond {
+				t.Errorf("lost call ended %v after the store's return, want at most 800 ms", took)
+			}
+		})
+	}
+}
