watch: test the longest wait for another relay

A watcher whose relay falls silent, and whose next relay answers the search but then sends no tables, waits 0.6 s for the first, searchTimeout (2 s) for the second, and then reads the store. The test holds this to the bound of 3 s for changes.

--- a/pkg/watch/watch_test.go
+++ b/pkg/watch/watch_test.go
@@ -125,6 +125,7 @@
 	mu        sync.Mutex
 	instances map[string]*instance // by address
 	silent    map[string]bool      // by address: instances that are suspended, as others see them
+	mute      map[string]bool      // by address: relays that answer a search, but no watch of other tables
 	doubted   map[string]string    // by name: another instance that this one takes for not live
 }
 
@@ -140,7 +141,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: &store{rows: map[string]platform.Row{}, unreachable: map[string]bool{}}, instances: map[string]*instance{}, silent: map[string]bool{}, doubted: map[string]string{}}
+	s := &site{t: t, store: &store{rows: map[string]platform.Row{}, unreachable: map[string]bool{}}, instances: map[string]*instance{}, silent: map[string]bool{}, mute: map[string]bool{}, doubted: map[string]string{}}
 	for i := range 10 {
 		s.store.put(fmt.Sprintf("t//%d", i), "old")
 	}
@@ -198,6 +199,12 @@
 	s.silent[name] = silent
 }
 
+func (s *site) isMute(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mute[name]
+}
+
 // apply applies an update to the rows that the instance knows.
 func (in *instance) apply(u feed.Update) {
 	in.mu.Lock()
@@ -255,6 +262,7 @@
 
 func (l *link) Watch(tables []peer.WatchedTable) (watch.Stream, error) {
 	ctx, cancel := context.WithCancel(l.ctx)
+	mute := len(tables) > 1 && l.site.isMute(l.to.name)
 	w := &stream{link: l, cancel: cancel, updates: make(chan peer.WatchUpdate, 100)}
 	go func() { // ends when the watch or the link is closed
 		defer close(w.updates)
@@ -262,7 +270,7 @@
 			if !l.site.isRunning(l.to.name) {
 				return errRefused
 			}
-			if !l.site.isSilent(l.to.name) {
+			if !mute && !l.site.isSilent(l.to.name) {
 				w.updates <- u
 			}
 			return ctx.Err()
@@ -566,3 +574,22 @@
 		t.Errorf("%d relays for %d instances, want 3 to 8", n, instances)
 	}
 }
+
+// An instance whose relay falls silent must know a change within 3 s, also if the relay
+// that it turns to answers its search and falls silent before it sends the tables.
+func TestRelaySilentAfterSearch(t *testing.T) {
+	s := newSettledSite(t, 4)
+	in := s.withSource(watch.FromRelay)[0]
+	relay := in.Source().Relay
+	for _, r := range s.withSource(watch.AsRelay) {
+		s.mu.Lock()
+		s.mute[r.name], s.silent[r.name] = r.name != relay, r.name == relay
+		s.mu.Unlock()
+	}
+	s.store.put("t//3", "new")
+	took := s.eventually(6*time.Second, "the change is known", func() bool { return in.knownValue("t//3") == "new" })
+	t.Logf("known after %v", took)
+	if took > 3*time.Second {
+		t.Errorf("change known after %v, want at most 3 s", took)
+	}
+}
