carryover: do not store texts that a single-version route cannot finish

An incomplete text of one version can only be finished by an engine that holds that version, and engines leave those below the target. Save now takes the requirements that the next submission is expected to have, and applies the same rule as Resumable: the minimum rises as it last did, and the target version with it.

--- a/pkg/carryover/carryover.go
+++ b/pkg/carryover/carryover.go
@@ -43,6 +43,23 @@
 	return out
 }
 
+// Requirements are what a submission asks of the texts that it may resume.
+type Requirements struct {
+	MinVersion    uint64
+	SingleVersion bool
+	// Target is the target version of the model, 0 if it has none. An incomplete text of
+	// one version can only be finished by an engine that holds that version, and engines
+	// leave those below the target.
+	Target uint64
+}
+
+// Allowed returns the texts that a submission with requirements r may resume.
+func (r Requirements) Allowed(texts []Text) []Text {
+	return slices.DeleteFunc(Usable(texts, r.MinVersion, r.SingleVersion), func(t Text) bool {
+		return r.SingleVersion && !t.Complete && t.Versions[0] < r.Target
+	})
+}
+
 // valid reports whether t can be resumed or, if it is complete, delivered.
 func (t Text) valid() bool {
 	for i, v := range t.Versions {
--- a/pkg/carryover/carryover_test.go
+++ b/pkg/carryover/carryover_test.go
@@ -77,7 +77,7 @@
 	lost, next := carryover.Store{Objects: stored, Limit: 1 << 20}, carryover.Store{Objects: stored, Limit: 1 << 20}
 	rec := record("m", text("i", "a", "b"))
 	lost.Put(rec)
-	if ok, err := lost.Save(ctx, rec.Key, 2); !ok || err != nil {
+	if ok, err := lost.Save(ctx, rec.Key, carryover.Requirements{MinVersion: 2}); !ok || err != nil {
 		t.Fatalf("Save = %v, %v, want true", ok, err)
 	}
 	if _, ok := next.Get(rec.Key); ok {
@@ -108,14 +108,14 @@
 	unavailable := errors.New("unavailable")
 	s := carryover.Store{Objects: objects{err: unavailable}, Limit: 1 << 20}
 	s.Put(record("m", text("i", "a")))
-	if ok, err := s.Save(context.Background(), record("m").Key, 0); ok || !errors.Is(err, unavailable) {
+	if ok, err := s.Save(context.Background(), record("m").Key, carryover.Requirements{}); ok || !errors.Is(err, unavailable) {
 		t.Fatalf("Save = %v, %v, want false and the store's error", ok, err)
 	}
 	if got, ok := s.Get(record("m").Key); !ok || len(got.Texts) != 1 {
 		t.Fatalf("Get = %+v, %v, want the record", got, ok)
 	}
 	s.Put(record("n"))
-	if ok, err := s.Save(context.Background(), record("n").Key, 0); ok || err != nil {
+	if ok, err := s.Save(context.Background(), record("n").Key, carryover.Requirements{}); ok || err != nil {
 		t.Fatalf("Save without texts = %v, %v, want false", ok, err)
 	}
 }
@@ -180,10 +180,12 @@
 	newer := text("j", "b")
 	newer.Versions = []uint64{3}
 	s.Put(record("m", text("i", "a"), newer))
-	if ok, err := s.Save(context.Background(), record("m").Key, 4); ok || err != nil || len(stored.data) > 0 {
-		t.Fatalf("Save without usable texts = %v, %v, with %d objects, want false and none", ok, err, len(stored.data))
+	for _, next := range []carryover.Requirements{{MinVersion: 4}, {MinVersion: 3, SingleVersion: true, Target: 4}} {
+		if ok, err := s.Save(context.Background(), record("m").Key, next); ok || err != nil || len(stored.data) > 0 {
+			t.Fatalf("Save without texts for %+v = %v, %v, with %d objects, want false and none", next, ok, err, len(stored.data))
+		}
 	}
-	if ok, err := s.Save(context.Background(), record("m").Key, 3); !ok || err != nil {
+	if ok, err := s.Save(context.Background(), record("m").Key, carryover.Requirements{MinVersion: 3, SingleVersion: true, Target: 3}); !ok || err != nil {
 		t.Fatalf("Save = %v, %v, want true", ok, err)
 	}
 	if got, err := s.Load(context.Background(), record("m").Key); err != nil || len(got.Texts) != 1 || got.Texts[0].Item != "j" {
--- a/pkg/carryover/store.go
+++ b/pkg/carryover/store.go
@@ -122,10 +122,10 @@
 }
 
 // Save writes the records of k that are in memory to the object store, as one and without
-// the texts that have a version below minVersion. It reports false if no text is left.
-func (s *Store) Save(ctx context.Context, k Key, minVersion uint64) (bool, error) {
+// the texts that next does not allow. It reports false if no text is left.
+func (s *Store) Save(ctx context.Context, k Key, next Requirements) (bool, error) {
 	rec, _ := s.Get(k)
-	if rec.Texts = Usable(rec.Texts, minVersion, false); len(rec.Texts) == 0 {
+	if rec.Texts = next.Allowed(rec.Texts); len(rec.Texts) == 0 {
 		return false, nil
 	}
 	data, err := json.Marshal(rec)
--- a/pkg/node/carried.go
+++ b/pkg/node/carried.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/carryover"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
@@ -58,7 +59,7 @@
 	if !n.endedBySender(ctx, h.ID, err) {
 		return
 	}
-	latest, next := n.heads.minVersions(h)
+	latest, next := n.nextRequirements(h)
 	rec := r.Unfinished(latest)
 	n.carryover.Put(rec)
 	n.group.Go(func() error {
@@ -75,6 +76,21 @@
 	})
 }
 
+// nextRequirements returns the oldest weight version that the latest submission with the
+// model and customer of h allows, and what the next one is expected to require: that the
+// minimum rises by as much as it last did, and the target version with it.
+func (n *Node) nextRequirements(h submission.Head) (latest uint64, next carryover.Requirements) {
+	latest, minVersion := n.heads.minVersions(h)
+	next.MinVersion = minVersion
+	if rt, err := n.Route(h.Host, h.Path); err == nil {
+		next.SingleVersion = rt.SingleVersion
+	}
+	if target := n.targetVersion(h.Model); target > 0 {
+		next.Target = target + minVersion - latest
+	}
+	return latest, next
+}
+
 // endedBySender reports whether a run ended with err because the sender ended the
 // submission. A write of results may fail because of that before the head that says so
 // is followed.
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -126,7 +126,7 @@
 // KeepCarried keeps what a submission left, in memory and in the object store.
 func (n *Node) KeepCarried(ctx context.Context, rec carryover.Record) error {
 	n.carryover.Put(rec)
-	_, err := n.carryover.Save(ctx, rec.Key, 0)
+	_, err := n.carryover.Save(ctx, rec.Key, carryover.Requirements{})
 	return err
 }
 
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -227,18 +227,21 @@
 	return nil
 }
 
+// targetVersion returns the newest target version of a model, 0 if it has none.
+func (n *Node) targetVersion(model string) uint64 {
+	if named := n.targetVersions.Load(); named != nil {
+		return (*named)[model]
+	}
+	return 0
+}
+
 // runnerConfig returns the configuration of the runners of this instance.
 func (n *Node) runnerConfig() submission.Config {
 	return submission.Config{
 		Priority:   n.priority,
 		Repository: n.submissions, Registry: n.registry, Generator: n.cfg.Upstreams, Guard: n.quarantine.Guard, Score: n.score, Rand: randomFloat, OnEvent: n.observer.step, OnOutlook: n.observer.outlook,
-		ScorerLimit: n.scorerLimit,
-		TargetVersion: func(model string) uint64 {
-			if named := n.targetVersions.Load(); named != nil {
-				return (*named)[model]
-			}
-			return 0
-		},
+		ScorerLimit:   n.scorerLimit,
+		TargetVersion: n.targetVersion,
 		Route: func(host, path string) (routetable.Route, bool, bool) {
 			t := n.table.Load()
 			if t == nil {
--- a/pkg/submission/carried.go
+++ b/pkg/submission/carried.go
@@ -88,12 +88,7 @@
 			own = append(own, t)
 		}
 	}
-	for _, t := range carryover.Usable(own, s.MinVersion, singleVersion) {
-		// To finish a text of one version, an engine has to hold that version, and
-		// engines leave those below the target.
-		if singleVersion && !t.Complete && t.Versions[0] < target {
-			continue
-		}
+	for _, t := range (carryover.Requirements{MinVersion: s.MinVersion, SingleVersion: singleVersion, Target: target}).Allowed(own) {
 		resumable = append(resumable, PartialText{Item: t.Item, Text: t.Text, After: t.After, Versions: t.Versions, Complete: t.Complete})
 	}
 	return resumable, len(own) - len(resumable)
