node: keep the record of a submission that is ended as its run completes

If the sender ended a submission between the write of its last result and that of its head, the run ended without an error and the owner kept no record. The head was that of an ended submission, so the owner's next run of the model read the object store before it started (25 ms, at most 150 ms), and the texts of groups whose results the sender had not read were lost.

TestEndedAtLastResult fails before (no record, no texts) and passes now.

--- a/pkg/node/carried.go
+++ b/pkg/node/carried.go
@@ -52,11 +52,13 @@
 // its model and customer: in memory at once, and in the object store later. Texts that
 // are expected to be too old for these are kept in memory only.
 func (n *Node) keepUnfinished(ctx context.Context, r *submission.Runner, h submission.Head, err error) {
-	if err == nil {
-		n.carryover.Complete(h.CarryoverKey(), r.Items()) // every group is complete
+	// The sender may have ended it just before the last write, that of the head.
+	ended := r.Head().Ended
+	if err == nil && !ended {
+		n.carryover.Complete(h.CarryoverKey(), r.Items())
 		return
 	}
-	if !n.endedBySender(ctx, h.ID, err) {
+	if !ended && !n.endedBySender(ctx, h.ID, err) {
 		return
 	}
 	latest, next := n.nextRequirements(h)
--- a/pkg/node/carried_test.go
+++ b/pkg/node/carried_test.go
@@ -136,3 +136,19 @@
 		t.Errorf("got %d, want the minimum of the latest submission", latest)
 	}
 }
+
+// The sender may end a submission between the write of its last result and that of the
+// head as complete. The groups whose results it has not read come again, and the next run
+// must not wait for the store because its owner has no record of the submission.
+func TestEndedAtLastResult(t *testing.T) {
+	ctx := context.Background()
+	a := newCarryNode(t, sitetest.NewStore(), "a")
+	l1 := endedHead("l1", "c", 5)
+	a.SetHead(l1)
+	r := submission.NewRunner(submission.Config{}, l1, submission.Spec{ID: "l1", Items: []submission.Item{{ID: "i"}}},
+		submission.PriorWork{Results: []submission.Result{{Item: "i", State: submission.Done, Output: "x", Versions: []uint64{1}}}})
+	a.KeepUnfinished(ctx, r, l1, nil)
+	if got := a.Previous(ctx, endedHead("l2", "c", 9)); got.Submission != "l1" || got.Source != "memory" || len(got.Texts) != 1 {
+		t.Errorf("got submission %q from %q with %d texts, want the text of l1 from memory", got.Submission, got.Source, len(got.Texts))
+	}
+}
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -130,6 +130,12 @@
 	return err
 }
 
+// KeepUnfinished keeps what a run that ended with err left.
+func (n *Node) KeepUnfinished(ctx context.Context, r *submission.Runner, h submission.HeadRow, err error) {
+	n.keepUnfinished(ctx, r, h.Head, err)
+	_ = n.group.Wait() // the functions of the group return no errors
+}
+
 // Previous returns what the run of h would resume.
 func (n *Node) Previous(ctx context.Context, h submission.HeadRow) submission.Previous {
 	return n.previous(ctx, h)
