--- a/pkg/node/carried.go
+++ b/pkg/node/carried.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/carryover"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
@@ -24,14 +25,14 @@
 	sourceStore  = "store"
 )
 
-// previous returns what the previous submission of h's model and customer left.
+// previous returns what the previous submissions of h's model and customer left.
 func (n *Node) previous(ctx context.Context, h submission.HeadRow) submission.Previous {
 	prev, ok := n.heads.previous(h)
-	if !ok || prev.Complete {
+	if !ok {
 		return submission.Previous{}
 	}
-	rec, inMemory := n.carryover.Get(h.CarryoverKey())
-	if inMemory && rec.Submission == prev.ID || !prev.Ended {
+	rec, _ := n.carryover.Get(h.CarryoverKey())
+	if rec.Submission == prev.ID {
 		return submission.Previous{Record: rec, Source: sourceMemory}
 	}
 	rctx, cancel := context.WithTimeout(ctx, carryoverReadTimeout)
@@ -47,22 +48,26 @@
 	return submission.Previous{Record: stored, Source: sourceStore}
 }
 
-// keepUnfinished keeps the texts of a run that ended with err for the next submission of
-// its model and customer: in memory at once, and in the object store later.
+// keepUnfinished keeps the texts of a run that ended with err for the next submissions of
+// its model and customer: in memory at once, and in the object store later. Texts that
+// are expected to be too old for these are kept in memory only.
 func (n *Node) keepUnfinished(ctx context.Context, r *submission.Runner, h submission.Head, err error) {
-	if err == nil {
-		n.carryover.Remove(h.CarryoverKey()) // every group is complete
+	// The sender may have ended it just before the last write, that of the head.
+	ended := r.Head().Ended
+	if err == nil && !ended {
+		n.carryover.Complete(h.CarryoverKey(), r.Items())
 		return
 	}
-	if !n.endedBySender(ctx, h.ID, err) {
+	if !ended && !n.endedBySender(ctx, h.ID, err) {
 		return
 	}
-	rec := r.Unfinished()
+	latest, next := n.nextRequirements(h)
+	rec := r.Unfinished(latest)
 	n.carryover.Put(rec)
 	n.group.Go(func() error {
 		sctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		written, err := n.carryover.Save(sctx, rec.Key)
+		written, err := n.carryover.Save(sctx, rec.Key, next)
 		if written {
 			n.observer.count("carryover.objects_written")
 		}
@@ -73,6 +78,21 @@
 	})
 }
 
+// nextRequirements returns the oldest weight version that the latest submission with the
+// model and customer of h allows, and what the next one is expected to require: that the
+// minimum rises by as much as it last did, and the target version with it.
+func (n *Node) nextRequirements(h submission.Head) (latest uint64, next carryover.Requirements) {
+	latest, minVersion := n.heads.minVersions(h)
+	next.MinVersion = minVersion
+	if rt, err := n.Route(h.Host, h.Path); err == nil {
+		next.SingleVersion = rt.SingleVersion
+	}
+	if target := n.targetVersion(h.Model); target > 0 {
+		next.Target = target + minVersion - latest
+	}
+	return latest, next
+}
+
 // endedBySender reports whether a run ended with err because the sender ended the
 // submission. A write of results may fail because of that before the head that says so
 // is followed.
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -126,10 +126,16 @@
 // KeepCarried keeps what a submission left, in memory and in the object store.
 func (n *Node) KeepCarried(ctx context.Context, rec carryover.Record) error {
 	n.carryover.Put(rec)
-	_, err := n.carryover.Save(ctx, rec.Key)
+	_, err := n.carryover.Save(ctx, rec.Key, carryover.Requirements{})
 	return err
 }
 
+// KeepUnfinished keeps what a run that ended with err left.
+func (n *Node) KeepUnfinished(ctx context.Context, r *submission.Runner, h submission.HeadRow, err error) {
+	n.keepUnfinished(ctx, r, h.Head, err)
+	_ = n.group.Wait() // the functions of the group return no errors
+}
+
 // Previous returns what the run of h would resume.
 func (n *Node) Previous(ctx context.Context, h submission.HeadRow) submission.Previous {
 	return n.previous(ctx, h)
@@ -152,3 +158,6 @@
 
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
+
+// MinVersions returns the least versions of the latest and of the next submission.
+func (n *Node) MinVersions(of submission.Head) (latest, next uint64) { return n.heads.minVersions(of) }
