submission: begin groups that the trainer does not wait for at any engine again

Beginning them at engines of the target version left slots idle for up to 2 s, and did not help where steps overlap: what is left of a step comes again two steps later, which accepts only the version after this step's target.

--- a/pkg/completion/completion.go
+++ b/pkg/completion/completion.go
@@ -137,23 +137,6 @@
 	return out
 }
 
-// Spare returns the indexes of the waiting items of groups that the trainer does not wait
-// for, as Order chooses them.
-func Spare(s State) map[int]bool {
-	out := map[int]bool{}
-	for _, g := range byWork(s) {
-		if g.waitedFor {
-			continue
-		}
-		for _, it := range s.Groups[g.index].Items {
-			if !it.Running {
-				out[it.Index] = true
-			}
-		}
-	}
-	return out
-}
-
 // running returns the work of g's items that are running.
 func running(g Group) float64 {
 	work := 0.0
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -13,15 +13,14 @@
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
-// startItem starts an attempt at item i, at an engine that holds minVersion or a newer
-// one, and reports whether such an engine had a free slot.
-func (r *Runner) startItem(ctx context.Context, i int, rt routetable.Route, minVersion uint64, now time.Time) bool {
+// startItem starts an attempt at item i and reports whether an engine had a free slot.
+func (r *Runner) startItem(ctx context.Context, i int, rt routetable.Route, now time.Time) bool {
 	it := r.spec.Items[i]
 	after, versions := r.run.LastEvent(i)
 	expect := uint64(0)
 	target := r.cfg.TargetVersion(r.spec.Model)
 	length := r.run.Length(i)
-	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: minVersion, Newest: target, Affinity: it.Affinity, NeedFreeSlot: true,
+	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Newest: target, Affinity: it.Affinity, NeedFreeSlot: true,
 		Work: length.Work, Units: length.MeanEvents}
 	elsewhere := req // what a faster engine must offer for the text to be moved there
 	rsv, ok := r.cfg.Registry.Acquire(req)
--- a/pkg/submission/order.go
+++ b/pkg/submission/order.go
@@ -69,7 +69,6 @@
 // waiting returns the items to be sent to an engine at now, those to be sent first in
 // front.
 func (r *Runner) waiting(rt routetable.Route, now time.Time) []int {
-	r.spare = nil
 	contended := func(s routetable.Share) bool { return r.cfg.Registry.Contended(s.Pool) }
 	if rt.Due <= 0 || !slices.ContainsFunc(rt.Shares, contended) {
 		return r.run.Waiting(now)
@@ -83,29 +82,10 @@
 		return r.run.Waiting(now)
 	}
 	order, outlook := completion.Order(state)
-	r.spare = completion.Spare(state)
 	r.reportOutlook(outlook, slots, now)
 	return slices.DeleteFunc(order, func(i int) bool { return !r.run.Ready(i, now) })
 }
 
-// targetWait is how long after the start of a run an item that the trainer does not wait
-// for is sent only to engines that hold the target version. An engine that is told to
-// load it takes about a second.
-const targetWait = 2 * time.Second
-
-// minVersion returns the oldest weight version that may generate item i now. A group that
-// the trainer does not wait for is most likely resubmitted with the next step, which
-// accepts only texts of this step's target version or a newer one.
-func (r *Runner) minVersion(i int, now time.Time) uint64 {
-	target := r.cfg.TargetVersion(r.spec.Model)
-	after, versions := r.run.LastEvent(i)
-	fits := after == 0 || len(versions) > 0 && versions[0] >= target
-	if r.spare[i] && fits && now.Sub(r.startedAt) < targetWait {
-		return max(target, r.spec.MinVersion)
-	}
-	return r.spec.MinVersion
-}
-
 // reportOutlook reports that the step has become short of engines or is no longer short.
 func (r *Runner) reportOutlook(o completion.Outlook, slots int, now time.Time) {
 	if o.Short == r.short || now.Before(r.nextOutlookAt) {
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -124,9 +124,8 @@
 	priorToken     uint64 // fencing token under which the previous owner stored partial texts; 0 once they are deleted
 	batch          *Batch // batch whose write failed or has an unknown outcome; nil for none
 
-	short, everShort bool         // the step is, or has been, short of engines as last reported
-	nextOutlookAt    time.Time    // when a change of that is reported next
-	spare            map[int]bool // waiting items of groups that the trainer does not wait for, if known
+	short, everShort bool      // the step is, or has been, short of engines as last reported
+	nextOutlookAt    time.Time // when a change of that is reported next
 
 	startedAt, endedAt time.Time
 	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
@@ -296,9 +295,8 @@
 			r.run.Postpone(i, now.Add(quarantineRecheckDelay))
 			continue
 		}
-		minVersion := r.minVersion(i, now)
-		if !r.startItem(ctx, i, rt, minVersion, now) && minVersion == r.spec.MinVersion {
-			return // no engine has a free slot
+		if !r.startItem(ctx, i, rt, now) {
+			return
 		}
 	}
 }
