--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -13,11 +13,15 @@
 	// expected to complete at upstreams that count as equal. Senders that have the same
 	// report of an upstream would otherwise all choose it.
 	soonestSlack = 0.1
-	// loadWeight is the expected delay, as a fraction of a request's own time or that of a
-	// mean request if that is longer, by requests that fill all slots of an upstream. The
-	// more requests a batch has, the longer each of them takes. Reports of other senders'
-	// requests are old, so that an upstream that seems to have a free slot may have none.
+	// loadWeight is the expected delay, as a fraction of the time of a mean request, by
+	// requests that fill all slots of an upstream. Reports of other senders' requests
+	// are old, so that an upstream that seems to have a free slot may have none, and the
+	// more requests it has the more likely.
 	loadWeight = 0.5
+	// batchSlowdown is how much longer, as a fraction of its own time, a request is
+	// expected to take when requests fill all slots of its upstream. Engines take up to a
+	// quarter longer for a token of a full batch.
+	batchSlowdown = 0.25
 	// unknownPaceError is the relative error of the pace of an upstream without
 	// observations: upstreams of a pool differ by a factor of two or more.
 	unknownPaceError = 0.5
@@ -87,7 +91,7 @@
 		load += remotePenalty
 	}
 	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
-	return own + time.Duration(loadWeight*load*float64(max(own, mean))+max(load-1, 0)*float64(mean))
+	return own + time.Duration(batchSlowdown*load*float64(own)+(loadWeight*load+max(load-1, 0))*float64(mean))
 }
 
 // workTime returns how long the work of a request is expected to take at c. The passing
