--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -37,7 +37,7 @@
 			return nil
 		},
 	}
-	cmd.AddCommand(loadCompareCmd(), stepCompareCmd())
+	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
@@ -83,10 +83,18 @@
 // is.
 const slowFactor = 4
 
+// hardGroupSizes and hardWork are the sizes of groups of experiment step --hard, and the
+// work of a step as multiples of what its engines generate until it is due.
+var (
+	hardGroupSizes = []int{8, 16}
+	hardWork       = []float64{0.5, 0.8, 1, 1.3, 2, 4}
+)
+
 // stepCompareCmd returns the command that compares policies for ordering and placing the
 // items of a step.
 func stepCompareCmd() *cobra.Command {
 	var seeds int
+	var hard bool
 	cmd := &cobra.Command{
 		Use:   "step",
 		Short: "Compare policies for ordering and placing the items of a step, in simulated time",
@@ -95,13 +103,36 @@
 			if seeds <= 0 || seeds > 10_000 {
 				return fmt.Errorf("--seeds %d: want 1 to 10000", seeds)
 			}
+			if hard {
+				return loadsim.WriteOrders(cmd.OutOrStdout(), loadsim.SweepOrders(loadsim.HardLoad, hardGroupSizes, hardWork, seeds))
+			}
 			return loadsim.WriteSteps(cmd.OutOrStdout(), loadsim.SweepSteps(loadsim.CallSummary, loadsim.StepPolicies, engineCounts, slowFactor, seeds))
 		},
 	}
+	cmd.Flags().BoolVar(&hard, "hard", false, "compare orders where the engines may not generate all of a step until it is due")
 	cmd.Flags().IntVar(&seeds, "seeds", 200, "seeds simulated for each load; 1 to 10000")
 	return cmd
 }
 
+// paceCompareCmd returns the command that compares placement with and without regard to
+// the pace of upstreams.
+func paceCompareCmd() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "pace",
+		Short: "Compare placement with and without regard to the pace of upstreams, in simulated time",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds <= 0 || seeds > 1000 {
+				return fmt.Errorf("--seeds %d: want 1 to 1000", seeds)
+			}
+			return loadsim.WritePace(cmd.OutOrStdout(), seeds)
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "seeds simulated for each load; 1 to 1000")
+	return cmd
+}
+
 // writeFile creates the file at path and calls write with it.
 func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -1,6 +1,8 @@
 package loadsim_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -191,3 +193,117 @@
 		t.Errorf("the slower trainer's step is complete after %v, %v with about half of the engines, want at most 0.95 of it", byWork, half)
 	}
 }
+
+// orderSeeds is the number of steps of a comparison of orders.
+const orderSeeds = 12
+
+// compareOrders returns the outcomes of load with longest texts first and in the order of
+// package completion, for each size of groups, without and with a third of the engines
+// taken away in the middle of the step.
+func compareOrders(t *testing.T, work float64, check func(load string, longest, byCompletion loadsim.OrderSummary)) {
+	t.Helper()
+	for _, size := range []int{8, 16} {
+		for _, taken := range []int{0, 1} {
+			load := loadsim.HardLoad
+			load.GroupSize = size
+			load = load.WithWork(work)
+			load.LostEngines, load.LostAt = taken*load.Engines/3, 2*time.Second
+			longest, byCompletion := loadsim.SummarizeOrder(load, loadsim.LongestFirst, orderSeeds), loadsim.SummarizeOrder(load, loadsim.ByCompletion, orderSeeds)
+			name := fmt.Sprintf("groups of %d, %d of %d engines lost", size, load.LostEngines, load.Engines)
+			t.Logf("%s: %+v, %+v", name, longest, byCompletion)
+			check(name, longest, byCompletion)
+		}
+	}
+}
+
+// A trainer with twice or four times the work that its engines generate until the step
+// is due can use the groups that are complete by then. With the longest texts of all
+// groups first hardly any is; as many must be as the engines have time for: with half or
+// a quarter of the work done, at least a third and a sixth of the 18 groups, and 1.5
+// times as many as with longest first, also where steps follow each other. The step must
+// not take longer for it.
+func TestGroupsCompleteInTimeUnderHardLoad(t *testing.T) {
+	for _, test := range []struct {
+		work float64
+		want float64 // groups
+	}{{2, 6}, {4, 3}} {
+		compareOrders(t, test.work, func(load string, longest, byCompletion loadsim.OrderSummary) {
+			if got := byCompletion; got.InTime < test.want || got.InTime < 1.5*longest.InTime || got.SequenceInTime < 1.5*longest.SequenceInTime {
+				t.Errorf("%g times the work, %s: %.1f groups in time, %.1f in sequence; %.1f and %.1f with longest first; want at least %.0f and 1.5 times as many", test.work, load,
+					got.InTime, got.SequenceInTime, longest.InTime, longest.SequenceInTime, test.want)
+			}
+			if byCompletion.DesiredTime > longest.DesiredTime*102/100 {
+				t.Errorf("%g times the work, %s: desired groups complete after %v, %v with longest first, want at most 1.02 of it", test.work, load, byCompletion.DesiredTime, longest.DesiredTime)
+			}
+		})
+	}
+}
+
+// A step that fits ends with its longest text. An order that takes it for short of
+// engines, or leaves groups for last on account of rough hints, lets one long text run
+// alone at the end: no step may take more than 2 % longer, on average, than with longest
+// first, nor steps that follow each other.
+func TestStepThatFitsIsNotDelayed(t *testing.T) {
+	compareOrders(t, 0.5, func(load string, longest, byCompletion loadsim.OrderSummary) {
+		if got := byCompletion; got.DesiredTime > longest.DesiredTime*102/100 || got.SequenceTime > longest.SequenceTime*102/100 || got.InTime < 0.98*longest.InTime {
+			t.Errorf("%s: desired groups complete after %v, in sequence %v, %.1f in time; %v, %v and %.1f with longest first; want at most 2 %% worse", load,
+				got.DesiredTime, got.SequenceTime, got.InTime, longest.DesiredTime, longest.SequenceTime, longest.InTime)
+		}
+	})
+}
+
+// Guards against a placement by pace that serves trainers worse than the one by slowness:
+// in no scenario does a step take more than 3 % longer, the most that a deployment may
+// lose. Where a third of the engines is 2.4 times faster and there are three times as
+// many items as slots, the capacity of the others is used in full, so that the step is at
+// least 5 % shorter.
+func TestStepsByPace(t *testing.T) {
+	for _, s := range loadsim.StepScenarios() {
+		before, byPace := loadsim.RunStepSeeds(s.Load, loadsim.LongestFirst, seeds), loadsim.RunStepSeeds(s.Load, loadsim.SoonestFirst, seeds)
+		most := 1.03
+		if s.Load.Groups > loadsim.LongTexts.Groups && slices.Equal(s.Load.Machines.Speeds, loadsim.OneFastThird.Speeds) {
+			most = 0.95
+		}
+		t.Logf("%s: %v, %v before", s.Name, byPace.DesiredTime, before.DesiredTime)
+		if float64(byPace.DesiredTime) > most*float64(before.DesiredTime) {
+			t.Errorf("%s: desired groups complete after %v, %v before, want at most %v of it", s.Name, byPace.DesiredTime, before.DesiredTime, most)
+		}
+	}
+}
+
+// Guards against a placement by pace that works against the order by completion, as both
+// are in use where capacity is contended: whether a step fits, hardly fits or has twice the
+// work, it takes at most 3 % longer than with that order alone, the most that a deployment
+// may lose, and as many groups are in time but for 2 %.
+func TestOrderByPace(t *testing.T) {
+	for name, machines := range map[string]loadsim.Machines{"a third slow": loadsim.UnequalSpeeds, "a third fast": loadsim.OneFastThird, "a third slow and slow moments": loadsim.UnequalAndSlow} {
+		for _, work := range []float64{0.5, 1, 2} {
+			load := loadsim.HardLoad
+			load.Slots, load.GroupSize = 3, 8
+			load = load.WithWork(work)
+			load.Machines = machines
+			order, both := loadsim.SummarizeOrder(load, loadsim.ByCompletion, orderSeeds), loadsim.SummarizeOrder(load, loadsim.ByCompletionAndPace, orderSeeds)
+			t.Logf("%s, %g times the work, %d engines: %+v, %+v", name, work, load.Engines, order, both)
+			if both.DesiredTime > order.DesiredTime*103/100 || both.SequenceTime > order.SequenceTime*103/100 || both.InTime < 0.98*order.InTime || both.SequenceInTime < 0.98*order.SequenceInTime {
+				t.Errorf("%s, %g times the work: desired groups complete after %v, in sequence %v, %.1f and %.1f in time; %v, %v, %.1f and %.1f by the order alone; want at most 3 %% longer and 2 %% fewer", name, work,
+					both.DesiredTime, both.SequenceTime, both.InTime, both.SequenceInTime, order.DesiredTime, order.SequenceTime, order.InTime, order.SequenceInTime)
+			}
+		}
+	}
+}
+
+// Guards against slower plain calls and against herds: of 100 instances' calls at 0.6 of
+// the capacity, as many are answered as before, the slowest in a hundred are not slower,
+// and with equal services none gets so large a share that it is overloaded.
+func TestCallsByPace(t *testing.T) {
+	for _, s := range loadsim.CallScenarios() {
+		before, byPace := mean(s.Load, loadsim.SpreadRetries), mean(s.Load, loadsim.BySoonest)
+		t.Logf("%s: p50 %v, %v before; p99 %v, %v before; busiest share %.2f, %.2f before", s.Name, byPace.P50, before.P50, byPace.P99, before.P99, byPace.BusiestShare, before.BusiestShare)
+		if byPace.Answered < before.Answered-0.001 || byPace.P50 > before.P50*103/100 || byPace.P99 > before.P99*103/100 {
+			t.Errorf("%s: answered %.3f, p50 %v, p99 %v, want no worse than %.3f, %v, %v before", s.Name, byPace.Answered, byPace.P50, byPace.P99, before.Answered, before.P50, before.P99)
+		}
+		if len(s.Load.Machines.Speeds) == 0 && byPace.BusiestShare*s.Load.Rate > 0.95 {
+			t.Errorf("%s: the busiest service gets %.2f times the mean share of a load of %.2f, want it not overloaded", s.Name, byPace.BusiestShare, s.Load.Rate)
+		}
+	}
+}
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -27,6 +27,7 @@
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
+		out.BusiestShare += r.BusiestShare / n
 	}
 	return out
 }
@@ -92,7 +93,10 @@
 	SlowEngines int           // number of slow engines
 	DesiredTime time.Duration // mean time until the groups that the trainer waits for were complete
 	DesiredP90  time.Duration // 90th percentile of that time
-	AllTime     time.Duration // mean time until all groups were complete
+	// DesiredWorst is the longest of that time.
+	DesiredWorst time.Duration
+	AllTime      time.Duration // mean time until all groups were complete
+	Moves        float64       // mean number of moves of texts
 }
 
 // SweepSteps simulates load with each number of engines, without and with an engine
@@ -103,15 +107,15 @@
 	for _, load.SlowEngines = range []int{0, 1} {
 		for _, load.Engines = range engines {
 			for _, p := range policies {
-				out = append(out, runStepSeeds(load, p, seeds))
+				out = append(out, RunStepSeeds(load, p, seeds))
 			}
 		}
 	}
 	return out
 }
 
-// runStepSeeds simulates load under p with the seeds from 0 to seeds-1.
-func runStepSeeds(load StepLoad, p StepPolicy, seeds int) StepSummary {
+// RunStepSeeds simulates load under p with the seeds from 0 to seeds-1.
+func RunStepSeeds(load StepLoad, p StepPolicy, seeds int) StepSummary {
 	out := StepSummary{Policy: p.Name, Engines: load.Engines, SlowEngines: load.SlowEngines}
 	var desired []time.Duration
 	for seed := range uint64(seeds) {
@@ -120,9 +124,10 @@
 		desired = append(desired, r.DesiredTime)
 		out.DesiredTime += r.DesiredTime / time.Duration(seeds)
 		out.AllTime += r.AllTime / time.Duration(seeds)
+		out.Moves += float64(r.Moves) / float64(seeds)
 	}
 	slices.Sort(desired)
-	out.DesiredP90 = quantile(desired, 0.9)
+	out.DesiredP90, out.DesiredWorst = quantile(desired, 0.9), desired[len(desired)-1]
 	return out
 }
 
@@ -135,3 +140,74 @@
 	}
 	return t.Flush()
 }
+
+// OrderSummary is the outcome of a step load under an order of items over many seeds.
+type OrderSummary struct {
+	Policy      string
+	GroupSize   int
+	Work        float64 // work of the step as a multiple of what its engines generate until it is due
+	Lost        int     // engines taken away in the middle
+	InTime      float64 // mean groups complete by the due time
+	WorstInTime int
+	// DesiredTime is the mean time until the groups that the trainer waits for were
+	// complete.
+	DesiredTime  time.Duration
+	WorstDesired time.Duration
+	// SequenceTime and SequenceInTime are the mean time of a step, and its groups
+	// complete by the due time, where steps follow each other.
+	SequenceTime   time.Duration
+	SequenceInTime float64
+}
+
+// sequenceSteps is the number of steps of a simulated sequence.
+const sequenceSteps = 10
+
+// SummarizeOrder simulates load under p with the seeds from 0 to seeds-1, as single steps
+// and in sequences.
+func SummarizeOrder(load StepLoad, p StepPolicy, seeds int) OrderSummary {
+	out := OrderSummary{Policy: p.Name, GroupSize: load.GroupSize, Lost: load.LostEngines, WorstInTime: load.Groups}
+	n := float64(seeds)
+	for seed := range uint64(seeds) {
+		load.Seed = seed
+		r := RunStep(load, p)
+		out.InTime += float64(r.InTime) / n
+		out.WorstInTime = min(out.WorstInTime, r.InTime)
+		out.DesiredTime += r.DesiredTime / time.Duration(seeds)
+		out.WorstDesired = max(out.WorstDesired, r.DesiredTime)
+		sequence := RunSequence(load, p, sequenceSteps)
+		out.SequenceTime += sequence.StepTime / time.Duration(seeds)
+		out.SequenceInTime += sequence.InTime / n
+	}
+	return out
+}
+
+// SweepOrders simulates load with groups of each size and with each ratio of work,
+// without and with a third of the engines taken away after 2 s, under OrderPolicies.
+func SweepOrders(load StepLoad, sizes []int, ratios []float64, seeds int) []OrderSummary {
+	var out []OrderSummary
+	for _, load.GroupSize = range sizes {
+		for _, ratio := range ratios {
+			for _, taken := range []int{0, 1} {
+				l := load.WithWork(ratio)
+				l.LostEngines, l.LostAt = taken*l.Engines/3, 2*time.Second
+				for _, p := range OrderPolicies {
+					r := SummarizeOrder(l, p, seeds)
+					r.Work = ratio
+					out = append(out, r)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// WriteOrders writes orders as a table. An error is one of w.
+func WriteOrders(w io.Writer, orders []OrderSummary) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "group\twork\tlost\tpolicy\tin time\tworst\tdesired\tworst\tin sequence: step\tin time\t")
+	for _, o := range orders {
+		fmt.Fprintf(t, "%d\t%.1f\t%d\t%s\t%.1f\t%d\t%.2f s\t%.2f s\t%.2f s\t%.1f\t\n", o.GroupSize, o.Work, o.Lost, o.Policy, o.InTime, o.WorstInTime,
+			o.DesiredTime.Seconds(), o.WorstDesired.Seconds(), o.SequenceTime.Seconds(), o.SequenceInTime)
+	}
+	return t.Flush()
+}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -37,13 +37,23 @@
 	// maxExtraRefusals is how many upstreams beyond the route's MaxAttempts may refuse a
 	// request. Refused attempts cost the upstreams nothing.
 	maxExtraRefusals = 3
+	// CopyMaxLoad is the load per slot of an upstream at which no copy is sent to it: the
+	// copy would wait for a slot.
+	CopyMaxLoad = 1.0
+	// WaiterMaxLoad is the load per slot of an upstream at which it has no room for a request
+	// that waits. With a few requests more than slots, a slot is used again as soon as its
+	// request ends; with many, upstreams refuse them or serve them in no order.
+	WaiterMaxLoad = 4.0 / 3
 )
 
 // Plan decides how often and for how long a request is attempted. It moves requests away
 // from an unresponsive upstream, where they would otherwise wait until their deadline,
 // without sending a request to more upstreams than its route allows.
 type Plan struct {
-	Deadline  time.Time // when the response must be sent to the caller
+	Deadline time.Time // when the response must be sent to the caller
+	// MaxRuns is the number of attempts that may run the request, hedged copies included.
+	MaxRuns int
+
 	startedAt time.Time
 	route     routetable.Route
 	tried     []string // IDs of the upstreams tried, in order
@@ -62,7 +72,7 @@
 		by = deadline
 	}
 	margin := min(deadlineMargin, max(by.Sub(now), 0)/4)
-	return &Plan{Deadline: by.Add(-margin), startedAt: now, route: rt}
+	return &Plan{Deadline: by.Add(-margin), MaxRuns: rt.MaxAttempts, startedAt: now, route: rt}
 }
 
 // MayWait reports whether a request for which no upstream has capacity at now waits instead
@@ -78,25 +88,45 @@
 	return after.Sub(p.startedAt) <= limit && after.Before(p.Deadline)
 }
 
+// WaitDeadline returns when a request in a contended pool stops waiting for capacity: after
+// half of the latency objective of its route, so that the other half is left to serve it.
+func (p *Plan) WaitDeadline() time.Time {
+	limit := BusyBackoff + pollInterval
+	if p.route.LatencyObjective > 0 {
+		limit = p.route.LatencyObjective / 2
+	}
+	if at := p.startedAt.Add(limit); at.Before(p.Deadline) {
+		return at
+	}
+	return p.Deadline
+}
+
 // Next reserves the upstream for the next attempt, or returns how long to wait before
 // calling Next again. If it returns nil and 0, the request must be rejected.
 func (p *Plan) Next(r *upstream.Registry, req upstream.Requirements) (*upstream.Reservation, time.Duration) {
-	req.Exclude = p.tried
-	if rsv, ok := r.Acquire(req); ok {
+	if rsv, ok := p.Acquire(r, req); ok {
 		return rsv, 0
 	}
-	if len(p.tried) > 0 && p.MayRetry() {
-		// Every upstream has been tried. One that was busy may have capacity now.
-		if rsv, ok := r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now}); ok {
-			return rsv, 0
-		}
-	}
 	if p.MayWait(req.Now) {
 		return nil, pollInterval
 	}
 	return nil, 0
 }
 
+// Acquire reserves the upstream for the next attempt. It reports false if none is usable
+// now.
+func (p *Plan) Acquire(r *upstream.Registry, req upstream.Requirements) (*upstream.Reservation, bool) {
+	req.Exclude = p.tried
+	if rsv, ok := r.Acquire(req); ok {
+		return rsv, true
+	}
+	if len(p.tried) > 0 && p.MayRetry() {
+		// Every upstream has been tried. One that was busy may have capacity now.
+		return r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now, MaxLoad: req.MaxLoad})
+	}
+	return nil, false
+}
+
 // Tried returns the IDs of the upstreams to which the request was sent.
 func (p *Plan) Tried() []string { return p.tried }
 
@@ -111,10 +141,23 @@
 	return p.ran < p.route.MaxAttempts && p.refused < p.route.MaxAttempts+maxExtraRefusals
 }
 
+// MayCopy reports whether a copy of the attempt in flight may be sent. Only an idempotent
+// request may run twice.
+func (p *Plan) MayCopy() bool {
+	return p.route.Kind == routetable.Idempotent && p.ran+2 <= p.MaxRuns
+}
+
 // AttemptDeadline returns the deadline of an attempt started at now. The last attempt may
 // use all of the remaining time.
-func (p *Plan) AttemptDeadline(now time.Time) time.Time {
-	if p.route.Kind != routetable.Idempotent || p.ran+1 >= p.route.MaxAttempts {
+func (p *Plan) AttemptDeadline(now time.Time) time.Time { return p.deadlineOf(p.ran+1, now) }
+
+// CopyDeadline returns the deadline of a copy, started at now, of the attempt in flight.
+func (p *Plan) CopyDeadline(now time.Time) time.Time { return p.deadlineOf(p.ran+2, now) }
+
+// deadlineOf returns the deadline of attempt number n among those that may run the
+// request, started at now.
+func (p *Plan) deadlineOf(n int, now time.Time) time.Time {
+	if p.route.Kind != routetable.Idempotent || n >= p.route.MaxAttempts {
 		return p.Deadline
 	}
 	left := p.Deadline.Sub(now)
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/carryover"
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -116,3 +119,45 @@
 func IsStandby(name string, live []*membership.Member) bool {
 	return isStandby(name, membership.NewRoster(live))
 }
+
+// SetHead publishes the head of a submission.
+func (n *Node) SetHead(h submission.HeadRow) { n.heads.set(h) }
+
+// KeepCarried keeps what a submission left, in memory and in the object store.
+func (n *Node) KeepCarried(ctx context.Context, rec carryover.Record) error {
+	n.carryover.Put(rec)
+	_, err := n.carryover.Save(ctx, rec.Key, carryover.Requirements{})
+	return err
+}
+
+// KeepUnfinished keeps what a run that ended with err left.
+func (n *Node) KeepUnfinished(ctx context.Context, r *submission.Runner, h submission.HeadRow, err error) {
+	n.keepUnfinished(ctx, r, h.Head, err)
+	_ = n.group.Wait() // the functions of the group return no errors
+}
+
+// Previous returns what the run of h would resume.
+func (n *Node) Previous(ctx context.Context, h submission.HeadRow) submission.Previous {
+	return n.previous(ctx, h)
+}
+
+// Sweep deletes a submission as the sweep effect does.
+func (n *Node) Sweep(ctx context.Context, h submission.HeadRow) {
+	sweep{h}.execute(ctx, n)
+	_ = n.group.Wait() // the functions of the group return no errors
+	n.heads.remove(h.ID)
+}
+
+// SetTable puts a configuration in force.
+func (s State) SetTable(t *routetable.Table) { s.s.table = t }
+
+// PoolDemands returns the demands by which the engines of a pool are assigned.
+func (s State) PoolDemands(pool routetable.Pool, contended bool) []weights.Demand {
+	return poolDemands(pool, s.s.demands(), contended)
+}
+
+// ObserveOutlook records an event of a run here in the metrics and log of cfg.
+func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
+
+// MinVersions returns the least versions of the latest and of the next submission.
+func (n *Node) MinVersions(of submission.Head) (latest, next uint64) { return n.heads.minVersions(of) }
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
+	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 	"github.com/zinnialadder/zinnialadder/pkg/watch"
 )
 
@@ -41,6 +42,10 @@
 
 func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(1) }
 
+func (o *observer) add(name string, count int) {
+	metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(int64(count))
+}
+
 func (o *observer) time(name string, d time.Duration) {
 	metrics.GetOrRegisterTimer(name, o.node.cfg.Metrics).Update(d)
 }
@@ -74,6 +79,9 @@
 	case a.Err == nil && a.Status < 500:
 		o.count("attempts.answered")
 		return // the log line of the request covers it
+	case errors.Is(a.Err, forward.ErrSuperseded):
+		o.count("attempts.superseded")
+		return // the request was answered
 	case errors.Is(a.Err, forward.ErrNotRun):
 		o.count("attempts.not_run")
 	default:
@@ -108,6 +116,10 @@
 		return "quarantined"
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
+	case errors.Is(err, waitqueue.ErrFull), errors.Is(err, forward.ErrDisplaced):
+		return "queue_full"
+	case errors.Is(err, waitqueue.ErrTooLate):
+		return "queue_too_slow"
 	case errors.Is(err, forward.ErrStreamInterrupted):
 		return "stream_broken"
 	}
@@ -123,6 +135,9 @@
 // step records an event of an item or submission that runs here.
 func (o *observer) step(e submission.RunEvent) {
 	o.count("items." + e.What)
+	if e.What == submission.TextMoved {
+		o.count("texts.moved")
+	}
 	budget := o.items
 	if e.Err != nil {
 		budget = o.failures
@@ -135,6 +150,16 @@
 	o.logLine(budget, e.Err != nil, e.What, fields...)
 }
 
+// outlook records that a step that runs here has become short of engines or is no longer
+// short.
+func (o *observer) outlook(e submission.OutlookEvent) {
+	if e.First {
+		o.count("completion.steps_short")
+		metrics.GetOrRegisterCounter("completion.groups_deferred", o.node.cfg.Metrics).Inc(int64(e.Outlook.Deferred))
+	}
+	o.node.cfg.Logger.Info(e.What, "submission", e.Submission, "model", e.Model, "groups_in_time", e.Outlook.InTime, "deferred", e.Outlook.Deferred, "desired", e.Desired, "slots", e.Slots)
+}
+
 // source records a change of the source through which tables are followed.
 func (o *observer) source(e watch.Event) {
 	if e.Err != nil {
@@ -177,6 +202,8 @@
 	contents, quarantined := o.node.quarantine.Guard.Counts()
 	o.gauge("quarantine.contents", int64(contents))
 	o.gauge("quarantine.refused_contents", int64(quarantined))
+	reports := metrics.GetOrRegisterCounter("pace.reports", o.node.cfg.Metrics)
+	reports.Inc(o.node.registry.PaceReports() - reports.Count())
 	for model, v := range s.targetVersions {
 		o.gauge("weights.named."+model, int64(v))
 	}
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
 
@@ -20,6 +22,8 @@
 	// specification and results are cached for readers.
 	specCacheSize   = 12
 	resultCacheSize = 12
+	// estimatorCacheSize is the number of customers' models whose estimators are kept.
+	estimatorCacheSize = 32
 )
 
 // ResultPage is one page of a submission's results.
@@ -46,6 +50,8 @@
 	runs    map[string]*localRun
 	specs   *fifoCache[submission.Spec]
 	results *fifoCache[*resultCache]
+	// estimators estimate the time that texts take, by estimatorKey.
+	estimators *fifoCache[*completion.Estimator]
 }
 
 // resultCache holds the first results of a submission. It needs no invalidation,
@@ -56,7 +62,28 @@
 }
 
 func newSubmissionReader(n *Node) *submissionReader {
-	return &submissionReader{node: n, runs: map[string]*localRun{}, specs: newFIFOCache[submission.Spec](specCacheSize), results: newFIFOCache[*resultCache](resultCacheSize)}
+	return &submissionReader{node: n, runs: map[string]*localRun{}, specs: newFIFOCache[submission.Spec](specCacheSize), results: newFIFOCache[*resultCache](resultCacheSize),
+		estimators: newFIFOCache[*completion.Estimator](estimatorCacheSize)}
+}
+
+// estimator returns the estimator of the time that a submission's texts take. It learns
+// from all submissions of the same customer and model that run here.
+func (r *submissionReader) estimator(h submission.Head) *completion.Estimator {
+	key := estimatorKey(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.estimators.get(key)
+	if !ok {
+		e = &completion.Estimator{}
+		r.estimators.put(key, e)
+	}
+	return e
+}
+
+// estimatorKey returns what the lengths of a submission's texts and the meaning of its
+// hints depend on.
+func estimatorKey(h submission.Head) string {
+	return strings.Join([]string{h.Customer, h.Host, h.Path, h.Model}, "\x00")
 }
 
 func (r *submissionReader) addRun(id string, run *localRun) {
@@ -243,6 +270,60 @@
 	delete(h.heads, id)
 }
 
+// previous returns the submission with the model and customer of a given one that its
+// sender ended last before the given one. Submissions that are open or complete left
+// nothing. The end of a submission is the last change of its head. Versions are compared
+// because the clocks of instances may differ by more than the time between two
+// submissions.
+func (h *headIndex) previous(of submission.HeadRow) (prev submission.HeadRow, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := of.CarryoverKey()
+	for id, head := range h.heads {
+		if head.Ended && !head.Complete && id != of.ID && head.Fencing < of.Fencing && head.Fencing > prev.Fencing && head.CarryoverKey() == key {
+			prev, ok = head, true
+		}
+	}
+	return prev, ok
+}
+
+// minVersions returns the oldest weight versions that the latest of the submissions with
+// the model and customer of a given one allows, and that the next one will allow if the
+// minimum rises by as much per step as it last did.
+func (h *headIndex) minVersions(of submission.Head) (latest, next uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key, last := of.CarryoverKey(), of
+	for _, head := range h.heads {
+		if head.Step > last.Step && head.CarryoverKey() == key {
+			last = head.Head
+		}
+	}
+	before, ok := submission.Head{}, false
+	for _, head := range h.heads {
+		if head.Step < last.Step && (!ok || head.Step > before.Step) && head.CarryoverKey() == key {
+			before, ok = head.Head, true
+		}
+	}
+	if !ok || before.MinVersion > last.MinVersion {
+		return last.MinVersion, last.MinVersion
+	}
+	return last.MinVersion, last.MinVersion + (last.MinVersion-before.MinVersion)/uint64(last.Step-before.Step)
+}
+
+// hasOther reports whether there is another submission with the model and customer of a
+// given one.
+func (h *headIndex) hasOther(of submission.Head) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, head := range h.heads {
+		if id != of.ID && head.CarryoverKey() == of.CarryoverKey() {
+			return true
+		}
+	}
+	return false
+}
+
 // lastOwner returns the owner of the submission with the ownerKey key whose head
 // changed last, empty for none.
 func (h *headIndex) lastOwner(key string) string {
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 )
 
 // phase is the state of an item of a Run.
@@ -43,6 +45,12 @@
 	items   []item
 	results []Result // finished and not written, in the order in which they will be written
 	stored  int
+
+	groups    [][]int // items of each group
+	estimator *completion.Estimator
+	meanHint  float64 // mean length hint of the items that have one; 0 if none has
+
+	completeTexts, completeEvents int // texts that were completed here, and their events
 }
 
 type item struct {
@@ -53,13 +61,16 @@
 	text             []string
 	lastEvent        int // ID of the last event of the text
 	versions         []uint64
+	carried          bool // see Run.Carried
 	timing           ItemTiming
+	attemptEvents    int // events of the attempt in flight that were added
 }
 
 // NewRun returns the Run of s, whose results in written are stored already and whose
-// partial texts are continued.
+// partial texts are continued. Of several texts of an item the last one is used. A
+// complete text is only scored, or is a result at once if its item has no scorer.
 func NewRun(s Spec, written []Result, partials []PartialText) *Run {
-	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written)}
+	r := &Run{spec: s, items: make([]item, len(s.Items)), stored: len(written), groups: groupItems(s.Items), meanHint: meanHint(s.Items), estimator: &completion.Estimator{}}
 	done := make(map[string]bool, len(written))
 	for _, w := range written {
 		done[w.Item] = true
@@ -74,22 +85,56 @@
 			continue
 		}
 		p := texts[it.ID]
-		r.items[i].text, r.items[i].lastEvent, r.items[i].versions = p.Text, p.After, p.Versions
+		// The caller may use the same texts for another Run.
+		r.items[i].text, r.items[i].lastEvent, r.items[i].versions = slices.Clip(p.Text), p.After, slices.Clone(p.Versions)
+		switch {
+		case p.Complete && it.Scorer != nil:
+			r.items[i].phase = unscored
+		case p.Complete:
+			r.finish(i, Result{State: Done}, time.Time{})
+		}
 	}
 	return r
 }
 
-// Partials returns the texts that have events and no result.
+// UseEstimator has the run use and feed e, which may know earlier texts, instead of an
+// estimator of its own. It must be called before the first attempt.
+func (r *Run) UseEstimator(e *completion.Estimator) { r.estimator = e }
+
+// Partials returns the texts that have events and no stored result. A complete text
+// whose number of events is not known is left out: instances that do not know of
+// complete texts would generate it again and append it to itself.
 func (r *Run) Partials() []PartialText {
+	results := make(map[string]Result, len(r.results))
+	for _, res := range r.results {
+		results[res.Item] = res
+	}
 	var out []PartialText
-	for i, it := range r.items {
-		if it.lastEvent > 0 && it.phase != finished && it.phase != stored {
-			out = append(out, PartialText{Item: r.spec.Items[i].ID, Text: it.text, After: it.lastEvent, Versions: slices.Clone(it.versions)})
+	for i := range r.items {
+		if p, ok := r.partial(i, results); ok && r.items[i].phase != stored && p.After > 0 {
+			out = append(out, p)
 		}
 	}
 	return out
 }
 
+// partial returns the text of item i, or false if it has none. results holds the
+// results of items by ID.
+func (r *Run) partial(i int, results map[string]Result) (PartialText, bool) {
+	it := r.items[i]
+	p := PartialText{Item: r.spec.Items[i].ID, Text: it.text, After: it.lastEvent, Versions: slices.Clone(it.versions)}
+	switch it.phase {
+	case finished, stored:
+		res := results[p.Item]
+		p.Text, p.Versions, p.Complete = []string{res.Output}, slices.Clone(res.Versions), true
+		return p, res.State == Done
+	case unscored, scoring:
+		p.Complete = true
+		return p, true
+	}
+	return p, p.After > 0
+}
+
 // Waiting returns the items to be sent to an engine at now: first those that have a
 // part of their text, then by descending estimate of the text's length. A step takes as
 // long as its longest texts, so with fewer slots at engines than items these must not
@@ -127,6 +172,7 @@
 	}
 	it.phase = running
 	it.timing.attemptStarted(now)
+	it.attemptEvents = 0
 }
 
 // Postpone delays the next attempt at item i, or call of its scorer, until a time.
@@ -138,6 +184,14 @@
 	return r.items[i].lastEvent, r.items[i].versions
 }
 
+// Restart has the text of item i, which is waiting, start again.
+func (r *Run) Restart(i int) {
+	r.items[i].discard()
+}
+
+// discard discards the text, which then starts again.
+func (it *item) discard() { it.text, it.versions, it.lastEvent = nil, nil, 0 }
+
 // AttemptOutput is what an attempt at an item's text produced, or a part of it.
 type AttemptOutput struct {
 	Events   []Event
@@ -150,6 +204,7 @@
 func (r *Run) AddEvents(i int, out AttemptOutput, policy ItemPolicy) {
 	if it := &r.items[i]; it.phase == running {
 		it.timing.eventsReceived(len(out.Events))
+		it.attemptEvents += len(out.Events)
 		it.extend(out, r.spec.MinVersion, policy)
 	}
 }
@@ -160,6 +215,7 @@
 	it.phase = waiting
 	it.timing.eventsReceived(len(out.Events))
 	it.timing.attemptEnded(now)
+	r.estimator.ObserveAttempt(it.attemptEvents+len(out.Events), now.Sub(it.timing.attemptStartedAt))
 	switch out.Status {
 	case http.StatusUnprocessableEntity:
 		r.finish(i, Result{State: Dead}, now)
@@ -172,6 +228,11 @@
 		}
 	}
 	complete := it.extend(out, r.spec.MinVersion, policy) && out.Complete && it.lastEvent > 0
+	if complete {
+		r.estimator.ObserveText(r.spec.Items[i].Length, it.lastEvent)
+		r.completeTexts++
+		r.completeEvents += it.lastEvent
+	}
 	switch {
 	case complete && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
@@ -194,15 +255,17 @@
 		it.text = append(it.text, e.Data)
 		it.lastEvent = e.ID
 	}
-	for _, v := range out.Versions {
-		if !slices.Contains(it.versions, v) {
-			it.versions = append(it.versions, v)
+	if len(out.Events) > 0 { // a version without events has produced nothing of the text
+		for _, v := range out.Versions {
+			if !slices.Contains(it.versions, v) {
+				it.versions = append(it.versions, v)
+			}
 		}
 	}
 	slices.Sort(it.versions)
 	tooOld := len(it.versions) > 0 && it.versions[0] < minVersion
 	if tooOld || policy.SingleVersion && len(it.versions) > 1 {
-		it.text, it.versions, it.lastEvent = nil, nil, 0
+		it.discard()
 		return false
 	}
 	return true
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
@@ -28,7 +31,7 @@
 	// progressSavePeriod is how often partial texts are stored for a successor.
 	progressSavePeriod = 700 * time.Millisecond
 	// SlowEngineFactor is the ratio of an engine's time per event to the usual one from
-	// which on a text moves to a faster engine.
+	// which on a text moves to a faster engine, in pools that are not contended.
 	SlowEngineFactor = 2
 	// capacityPollPeriod is how often an owner looks for free slots while items wait.
 	capacityPollPeriod = 15 * time.Millisecond
@@ -41,6 +44,9 @@
 	// quarantineRecheckDelay is the time between checks whether a quarantined item was
 	// released.
 	quarantineRecheckDelay = 500 * time.Millisecond
+	// updatesPerItem is the room in the queue of updates for each item: the last events
+	// of an attempt are posted while its earlier ones may still be queued.
+	updatesPerItem = 2
 	// refusalBackoff is how long an engine that refused a text is sent no other.
 	refusalBackoff = 100 * time.Millisecond
 )
@@ -64,12 +70,26 @@
 	// Priority returns the priority of a customer's items, if the customer has one of
 	// its own; nil for none.
 	Priority func(customer string) option.Of[int]
+	// Previous returns what the previous submission of the same model and customer left.
+	// The run starts after it has returned. Nil for none.
+	Previous func(ctx context.Context) Previous
+	// OnCarried is called when a run has a Previous; nil for none.
+	OnCarried func(CarriedUse)
 	// Rand returns a random number, uniform in [0, 1).
 	Rand func() float64
 	// OnEvent is called for each RunEvent; nil for none.
 	OnEvent func(RunEvent)
+	// Estimator estimates the time that the submission's texts take; nil for one that
+	// knows no earlier texts.
+	Estimator *completion.Estimator
+	// OnOutlook is called for each OutlookEvent; nil for none.
+	OnOutlook func(OutlookEvent)
 }
 
+// TextMoved is the What of the event of a text that continues at another engine, where a
+// slot has been reserved for it.
+const TextMoved = "moved"
+
 // RunEvent is an event of an item or a submission, for log and metrics.
 type RunEvent struct {
 	What       string
@@ -91,6 +111,7 @@
 	head    HeadRow // with a zero fencing token once the submission is lost
 	spec    Spec
 	fencing uint64 // fencing token that the submission was claimed with
+	prior   PriorWork
 	run     *Run
 	updates chan func(now time.Time)
 	group   errgroup.Group
@@ -103,7 +124,13 @@
 	priorToken     uint64 // fencing token under which the previous owner stored partial texts; 0 once they are deleted
 	batch          *Batch // batch whose write failed or has an unknown outcome; nil for none
 
+	short, everShort bool      // the step is, or has been, short of engines as last reported
+	nextOutlookAt    time.Time // when a change of that is reported next
+
 	startedAt, endedAt time.Time
+	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
+
+	eventsPerUnit atomic.Uint64 // bits of the estimator's EventsPerUnit, for the moves of texts
 
 	mu      sync.Mutex
 	results []Result
@@ -115,6 +142,12 @@
 	if cfg.OnEvent == nil {
 		cfg.OnEvent = func(RunEvent) {}
 	}
+	if cfg.OnCarried == nil {
+		cfg.OnCarried = func(CarriedUse) {}
+	}
+	if cfg.OnOutlook == nil {
+		cfg.OnOutlook = func(OutlookEvent) {}
+	}
 	if cfg.Priority == nil {
 		cfg.Priority = func(string) option.Of[int] { return option.Of[int]{} }
 	}
@@ -122,9 +155,22 @@
 	if priorToken == head.Fencing {
 		priorToken = 0 // stored by this instance itself, before it took the submission over again
 	}
-	return &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, run: NewRun(s, prior.Results, prior.Partials), results: prior.Results,
-		updates: make(chan func(time.Time), len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
+	r := &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, prior: prior, results: prior.Results,
+		writtenAt: make([]time.Time, len(prior.Results)),
+		updates:   make(chan func(time.Time), updatesPerItem*len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
 		priorToken: priorToken}
+	r.run = r.newRun(prior.Partials)
+	return r
+}
+
+// newRun returns the Run of the submission, with the results and texts that it starts
+// from.
+func (r *Runner) newRun(partials []PartialText) *Run {
+	run := NewRun(r.spec, r.prior.Results, partials)
+	if r.cfg.Estimator != nil {
+		run.UseEstimator(r.cfg.Estimator)
+	}
+	return run
 }
 
 // Results returns the written results from position on, and a channel that is closed
@@ -144,9 +190,12 @@
 		cancel()
 		r.endedAt = time.Now()
 		_ = r.group.Wait() // the group's functions return no errors
+		r.applyQueued()    // the last events of the attempts, for a successor
 	}()
+	r.resumeCarried(ctx)
 	for !r.run.Done() {
 		now := time.Now()
+		r.eventsPerUnit.Store(math.Float64bits(r.run.estimator.EventsPerUnit()))
 		r.startAll(ctx, now)
 		if err := r.appendResults(ctx); err != nil {
 			return err
@@ -191,18 +240,30 @@
 	case apply := <-r.updates:
 		apply(time.Now())
 	}
+	r.applyQueued()
+	return nil
+}
+
+// applyQueued applies the updates that are due.
+func (r *Runner) applyQueued() {
 	for {
 		select {
 		case apply := <-r.updates:
 			apply(time.Now())
 		default:
-			return nil
+			return
 		}
 	}
 }
 
-// post passes f to the goroutine of Run, which calls it.
+// post passes f to the goroutine of Run, which calls it. After the end of ctx, f is
+// still called if there is room in the queue.
 func (r *Runner) post(ctx context.Context, f func(now time.Time)) {
+	select {
+	case r.updates <- f:
+		return
+	default:
+	}
 	select {
 	case r.updates <- f:
 	case <-ctx.Done():
@@ -229,7 +290,7 @@
 
 // startWaiting starts waiting items while engines have free slots.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
-	for _, i := range r.run.Waiting(now) {
+	for _, i := range r.waiting(rt, now) {
 		if r.cfg.Guard.Check(r.generation(i, 0).content(r.spec.Model), now) != nil {
 			r.run.Postpone(i, now.Add(quarantineRecheckDelay))
 			continue
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -27,6 +27,12 @@
 	// MinVersion of Model or a newer one. An empty Model means no restriction.
 	Model      string
 	MinVersion uint64
+	// MaxVersion is the newest version that the upstream may hold; 0 for any.
+	MaxVersion uint64
+
+	// Newest is the newest version of Model, 0 if unknown. Engines that hold an older one
+	// may be loading it.
+	Newest uint64
 
 	// Outdated requests an upstream whose version is believed to be older than
 	// MinVersion, to check whether it still is.
@@ -37,6 +43,15 @@
 	// NeedFreeSlot excludes upstreams whose slots are all taken by this process's own
 	// requests, so that the request waits instead.
 	NeedFreeSlot bool
+	// MaxLoad excludes upstreams that have at least MaxLoad requests per slot, by the
+	// requests of this process and the last load received. 0 means no limit.
+	MaxLoad float64
+
+	// Work is the request's estimated work relative to the mean request of the pool; 0
+	// for that of the mean request. Units is the number of units, as in
+	// AttemptResult.TimePerUnit, of the mean request; 0 for 1. Both are used in contended
+	// pools only.
+	Work, Units float64
 }
 
 // Candidate is an upstream that may be chosen for a request.
@@ -63,6 +78,9 @@
 		if req.NeedFreeSlot && float64(c.InFlight) >= float64(c.Slots)/max(c.Slowness, 1) {
 			continue // a slow upstream gets only as many requests as it serves in the usual time
 		}
+		if req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
+			continue
+		}
 		load := cost(c)
 		if !c.Local {
 			load += remotePenalty
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -47,7 +47,13 @@
 type AttemptResult struct {
 	At   time.Time
 	Load *Load // nil if the upstream sent none
+	// LoadAt is when the upstream sent Load; zero for At. The header of a stream comes
+	// long before its end, and the pace in it holds for a short time.
+	LoadAt time.Time
 
+	// Superseded means that the attempt was cancelled because another one had answered.
+	// It says nothing about the upstream's health.
+	Superseded bool
 	// Failed means that the upstream gave no usable response.
 	Failed bool
 	// Unreachable means that the upstream accepted no connection.
@@ -58,6 +64,10 @@
 	// BusyUntil.
 	Busy      bool
 	BusyUntil time.Time
+	// Loading means that the upstream refused the request, as Busy, because it was
+	// loading weights. In a contended pool it then gets no requests until the load can
+	// have ended.
+	Loading bool
 
 	// VersionRefused means that the upstream refused the request because of its weight
 	// version.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -5,9 +5,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/health"
+	"github.com/zinnialadder/zinnialadder/pkg/pace"
 )
 
 const (
@@ -35,19 +37,26 @@
 type Registry struct {
 	dataCentre string
 	health     *health.Tracker
-	tokenTimes *health.TokenTimes
+	tokenTimes *health.TokenTimes // for pools that are not contended
+	pace       *pace.Tracker      // for contended pools
+
+	loadingPauses atomic.Int64 // see LoadingPauses
 
 	mu          sync.Mutex
 	byID        map[string]*upstreamState
 	pools       map[string]*pool
 	assignments map[string]*assignment // by model
 	contended   bool                   // the capacity of all pools is contended
+	loadTimes   loadTimes
+	paceReports int64             // reports of upstreams' pace so far
+	onRelease   func(pool string) // nil for none
 }
 
 // pool holds the upstreams of one pool.
 type pool struct {
 	members     []*upstreamState // sorted by ID
 	measured    map[string]bool  // IDs of members whose time per unit has been measured
+	paced       []string         // IDs of members whose pace has been observed or reported
 	nonDraining *nonDraining     // nil if it must be recomputed
 	contended   bool             // an upstream has told the pace of its machine
 }
@@ -88,8 +97,17 @@
 	busyUntil        time.Time
 	singleRequest    bool      // had no free slot at the last attempt, so gets one request at a time
 	singleInFlight   bool      // such a request is in flight
+	singleAt         time.Time // when that was sent
 	versionCheckedAt time.Time // last check whether it still holds an old version
 	addressReused    bool      // another upstream has the address
+	// oldVersionAt is when the latest request was sent that showed that it had not begun
+	// the next load of weights: it accepted the request, or refused it for its version.
+	oldVersionAt    time.Time
+	oldVersionModel string // model of that request
+	// heardAt is when the latest answer came that showed that. The events of a stream are
+	// no answers, since streams go on during a load.
+	heardAt time.Time
+	loading loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
@@ -118,7 +136,7 @@
 func NewRegistry(dataCentre string) *Registry {
 	return &Registry{dataCentre: dataCentre, byID: map[string]*upstreamState{}, pools: map[string]*pool{},
 		health:     health.NewTracker(health.Config{FailureThreshold: 2, EjectionTime: firstEjection, MaxEjectionTime: maxEjection}),
-		tokenTimes: health.NewTokenTimes(0)}
+		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{})}
 }
 
 // SetContended sets whether the capacity of all pools is contended.
@@ -128,6 +146,29 @@
 	r.contended = all
 }
 
+// OnRelease has f called, without a lock held, after each reservation that ends, with the
+// pool of its upstream.
+func (r *Registry) OnRelease(f func(pool string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onRelease = f
+}
+
+// BusyUntil returns the earliest time after now at which the pause of an upstream of the
+// pool ends that had no capacity, and whether there is one.
+func (r *Registry) BusyUntil(pool string, now time.Time) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var earliest time.Time
+	for _, s := range r.members(pool) {
+		until := s.localOrZero().busyUntil
+		if !s.Draining && until.After(now) && (earliest.IsZero() || until.Before(earliest)) {
+			earliest = until
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
 // Contended reports whether the capacity of a pool is contended: its callers may ask for
 // more than it serves, or its upstreams share their machines with others, so that what
 // they serve changes from moment to moment.
@@ -189,6 +230,7 @@
 			r.pools[e.Pool].nonDraining = nil
 		}
 		s.Entry = e
+		r.endLoading(s, time.Time{}) // the entry does not tell when the load ended
 		return
 	}
 	r.remove(e.ID)
@@ -218,6 +260,10 @@
 	}
 	p.nonDraining = nil
 	delete(p.measured, id)
+	if i := slices.Index(p.paced, id); i >= 0 {
+		p.paced = slices.Delete(p.paced, i, i+1)
+	}
+	r.pace.Forget(id)
 	if len(p.members) == 0 {
 		delete(r.pools, s.Pool)
 	}
@@ -352,12 +398,44 @@
 	return s.Versions
 }
 
+// Slots returns how many requests for a model the usable upstreams of a pool run at once:
+// those assigned to the model, or all of the pool if none is assigned. An upstream counts
+// if it is neither draining nor ejected and holds the required version or is about to
+// load it. One that refused its last request counts, as it is used again within moments.
+func (r *Registry) Slots(req Requirements) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	states := r.members(req.Pool)
+	if a := r.assignments[req.Model]; a != nil && len(a.ids) > 0 {
+		states = r.assigned(req.Model, req.Pool)
+	}
+	slots := 0
+	for _, s := range states {
+		if s.Draining || s.localOrZero().addressReused || !r.health.Usable(s.ID, req.Now) {
+			continue
+		}
+		if req.Model == "" || s.version(req.Model)+maxRecheckLag >= req.MinVersion {
+			slots += max(s.Slots, 1)
+		}
+	}
+	return slots
+}
+
 // Reservation is one request's place at an upstream. Its holder calls Done or Release,
 // once.
 type Reservation struct {
 	Entry
-	registry *Registry
-	state    *upstreamState
+	// Alone means that the upstream, whose pool is contended, gets no other request until
+	// it has answered this one.
+	Alone      bool
+	registry   *Registry
+	state      *upstreamState
+	acquiredAt time.Time
+	model      string // model of the request; empty for none
+	minVersion uint64 // version that the request requires
+	outdated   bool   // the upstream was believed to be older than that
+	single     bool   // this request set singleInFlight and has not been answered
+	answered   bool   // the upstream has accepted the request
 }
 
 // Acquire chooses an upstream for a request and counts the request there. It reports
@@ -366,19 +444,31 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	states := r.usableFor(req)
-	i := Choose(r.candidates(states, req), req)
+	i := -1
+	if r.isContended(req.Pool) {
+		i = chooseSoonest(r.timedCandidates(states, req), req)
+	} else {
+		i = Choose(r.candidates(states, req), req)
+	}
 	if i < 0 {
 		return nil, false
 	}
-	s := states[i]
+	return r.reserve(states[i], req), true
+}
+
+// reserve counts a request at s.
+func (r *Registry) reserve(s *upstreamState, req Requirements) *Reservation {
 	local := s.ensureLocal()
 	local.inFlight++
-	local.singleInFlight = local.singleRequest
+	local.singleInFlight = local.singleRequest || r.mayBeLoading(s, req)
+	if local.singleInFlight {
+		local.singleAt = req.Now
+	}
 	if req.Outdated {
 		local.versionCheckedAt = req.Now
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
-	return &Reservation{Entry: s.entry(), registry: r, state: s}, true
+	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated}
 }
 
 // usableFor returns the upstreams that may take a request: those assigned to its model
@@ -392,6 +482,10 @@
 	if len(usable) > 0 || req.Outdated {
 		return usable // upstreams of other models do not load this model's versions
 	}
+	awaited := func(s *upstreamState) bool { return r.awaited(s, req) }
+	if r.isContended(req.Pool) && slices.ContainsFunc(r.assigned(req.Model, req.Pool), awaited) {
+		return nil
+	}
 	return r.filterUsable(req, r.members(req.Pool))
 }
 
@@ -439,18 +533,58 @@
 	return out
 }
 
+// timedCandidates converts states, which are in req's pool, to the input of
+// chooseSoonest. All upstreams of the pool whose pace is known are compared.
+func (r *Registry) timedCandidates(states []*upstreamState, req Requirements) []timedCandidate {
+	var paced []string
+	if p := r.pools[req.Pool]; p != nil {
+		paced = p.paced
+	}
+	estimates := r.pace.Estimates(paced, req.Now)
+	usual := pace.Estimate{Lasting: 1, Passing: 1, Error: unknownPaceError}
+	if len(estimates) > 0 {
+		usual.Unit = time.Duration(float64(estimates[0].Unit) / estimates[0].Lasting)
+	}
+	out := make([]timedCandidate, 0, len(states))
+	for _, s := range states {
+		e := usual
+		if i, found := slices.BinarySearch(paced, s.ID); found {
+			e = estimates[i]
+		}
+		local := s.localOrZero()
+		out = append(out, timedCandidate{
+			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
+			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest})
+	}
+	return out
+}
+
+// usable reports whether s may take a request.
 func (r *Registry) usable(s *upstreamState, req Requirements) bool {
+	return !s.localOrZero().singleInFlight && r.eligible(s, req)
+}
+
+// awaited reports whether s may take a request as soon as it has answered the only one
+// that it may have, which it was sent moments ago.
+func (r *Registry) awaited(s *upstreamState, req Requirements) bool {
+	local := s.localOrZero()
+	return local.singleInFlight && req.Now.Sub(local.singleAt) < loadRetryInterval && r.eligible(s, req)
+}
+
+// eligible reports whether s may take a request unless another must be answered first.
+func (r *Registry) eligible(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
 	switch {
-	case s.Draining, local.addressReused, local.singleInFlight, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
+	case s.Draining, local.addressReused, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
 		return false
 	case req.Model == "":
 		return true
 	case req.Outdated:
 		v := s.version(req.Model)
-		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval
+		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval && r.mayHaveLoaded(s, req)
 	}
-	return s.version(req.Model) >= req.MinVersion
+	v := s.version(req.Model)
+	return v >= req.MinVersion && (req.MaxVersion == 0 || v <= req.MaxVersion)
 }
 
 // load returns the estimated number of requests at s.
@@ -466,19 +600,36 @@
 func (rsv *Reservation) Done(result AttemptResult) {
 	r := rsv.registry
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	rsv.state.ensureLocal().inFlight--
-	r.record(rsv.state, result)
+	r.record(rsv, result)
+	released := r.onRelease
+	r.mu.Unlock()
+	if released != nil {
+		released(rsv.Pool)
+	}
 }
 
 // Release ends a reservation whose request was not sent.
 func (rsv *Reservation) Release() {
 	r := rsv.registry
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	local := rsv.state.ensureLocal()
-	local.inFlight--
-	local.singleInFlight = false
+	rsv.state.ensureLocal().inFlight--
+	r.endSingle(rsv)
+	released := r.onRelease
+	r.mu.Unlock()
+	if released != nil {
+		released(rsv.Pool)
+	}
+}
+
+// endSingle records that rsv's request has been answered or has ended. Until the one that
+// may be the only one at its upstream has, events and ends of earlier ones show nothing
+// where engines that load go on with their streams.
+func (r *Registry) endSingle(rsv *Reservation) {
+	if rsv.single || !r.isContended(rsv.Pool) || rsv.model == "" {
+		rsv.state.ensureLocal().singleInFlight = false
+	}
+	rsv.single = false
 }
 
 // FasterAvailable reports whether the reserved upstream is at least factor times
@@ -495,28 +646,54 @@
 	})
 }
 
+// AcquireSooner reserves an upstream at which the rest of the reserved request, which is
+// described by req, is expected to end clearly sooner, although it first takes overhead
+// to continue there. It reports false if there is none with a free slot, or if the pool
+// is not contended. The check and the reservation are one step, so that many requests
+// that look for another upstream at once do not all take the same slot.
+func (rsv *Reservation) AcquireSooner(req Requirements, overhead time.Duration) (*Reservation, bool) {
+	r := rsv.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isContended(rsv.Pool) || r.byID[rsv.ID] != rsv.state {
+		return nil, false
+	}
+	here := r.timedCandidates([]*upstreamState{rsv.state}, req)[0]
+	states := r.usableFor(req)
+	i := chooseMove(here, r.timedCandidates(states, req), req, overhead)
+	if i < 0 {
+		return nil, false
+	}
+	return r.reserve(states[i], req), true
+}
+
+// PaceReports returns how many reports of the pace of upstreams' machines were used.
+func (r *Registry) PaceReports() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.paceReports
+}
+
 // Observe records an observation while the request is in flight.
 func (rsv *Reservation) Observe(result AttemptResult) {
 	rsv.registry.mu.Lock()
 	defer rsv.registry.mu.Unlock()
-	rsv.registry.record(rsv.state, result)
+	rsv.registry.record(rsv, result)
 }
 
-func (r *Registry) record(s *upstreamState, result AttemptResult) {
+func (r *Registry) record(rsv *Reservation, result AttemptResult) {
+	s := rsv.state
 	local := s.ensureLocal()
-	if result.Load != nil {
+	// The load in a stream's header has been recorded when the stream began.
+	old := r.isContended(s.Pool) && !result.LoadAt.IsZero() && result.LoadAt.Before(result.At)
+	if result.Load != nil && !old {
 		local.otherLoad = max(0, result.Load.Running+result.Load.Queued-local.inFlight)
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
 			p.contended = true
 		}
 	}
-	local.singleInFlight = false
-	if result.Busy {
-		local.busyUntil, local.singleRequest = result.BusyUntil, true
-	} else if !result.VersionRefused {
-		local.singleRequest = false
-	}
+	r.recordPace(s, result)
 	local.addressReused = local.addressReused || result.AddressReused
 	for m, v := range result.Versions {
 		if local.observedVersions == nil {
@@ -524,6 +701,7 @@
 		}
 		local.observedVersions[m] = max(local.observedVersions[m], v)
 	}
+	r.recordAvailability(rsv, result)
 	if result.TimePerUnit > 0 {
 		r.tokenTimes.Observe(s.ID, result.TimePerUnit, result.At)
 		if p := r.pools[s.Pool]; p != nil && r.byID[s.ID] == s {
@@ -531,9 +709,60 @@
 		}
 	}
 	switch {
+	case result.Superseded:
 	case result.Failed || result.Unreachable:
 		r.health.RecordFailure(s.ID, result.At, result.Unreachable)
 	case !result.Busy && !result.AddressReused && !result.VersionRefused:
 		r.health.RecordSuccess(s.ID)
 	}
 }
+
+// recordAvailability records what a result tells about when the upstream takes requests.
+func (r *Registry) recordAvailability(rsv *Reservation, result AttemptResult) {
+	local := rsv.state.ensureLocal()
+	contended := r.isContended(rsv.Pool) && rsv.model != ""
+	r.endSingle(rsv)
+	if contended && !local.loading.refusedAt.IsZero() && rsv.acquiredAt.Before(local.loading.refusedAt) {
+		// The request was sent before the load was noticed. While an engine loads, its
+		// streams go on, so they do not show that it accepts requests.
+		r.endLoading(rsv.state, result.At)
+		return
+	}
+	switch {
+	case contended && (result.Busy && result.Loading || result.VersionRefused && rsv.outdated):
+		r.recordLoading(rsv, result)
+		return
+	case result.Busy:
+		local.busyUntil, local.singleRequest = result.BusyUntil, true
+	case !result.VersionRefused && !result.Superseded:
+		local.singleRequest = false
+	}
+	refused := result.Busy || result.VersionRefused || result.Failed || result.Unreachable || result.AddressReused
+	responded := result.Load != nil || len(result.Versions) > 0 || result.TimePerUnit > 0 // else it was cancelled
+	if contended && !refused && responded {
+		r.recordAccepted(rsv, result.At)
+	}
+}
+
+// recordPace records what result tells of the pace of s, if its pool is contended. The
+// report comes first: it was made while the request ran, whose time it explains.
+func (r *Registry) recordPace(s *upstreamState, result AttemptResult) {
+	p := r.pools[s.Pool]
+	if !r.isContended(s.Pool) || p == nil || r.byID[s.ID] != s {
+		return
+	}
+	reported := result.Load != nil && result.Load.Pace > 0
+	if reported {
+		at := result.LoadAt
+		if at.IsZero() {
+			at = result.At
+		}
+		if r.pace.Report(s.ID, result.Load.Pace, at) {
+			r.paceReports++
+		}
+	}
+	r.pace.Observe(s.ID, result.TimePerUnit, result.At)
+	if i, found := slices.BinarySearch(p.paced, s.ID); !found && (reported || result.TimePerUnit > 0) {
+		p.paced = slices.Insert(p.paced, i, s.ID)
+	}
+}
