--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -13,6 +13,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -37,7 +38,8 @@
 
 // Call calls method with body under key and returns the response's body. Errors carry a
 // verdict (see verdict.Of): the call was not run if the service was not reached or says
-// so; it ran if the status is not 2xx; after any other error it may have run.
+// so; it ran if the status is not 2xx or the body exceeds httpjson.MaxBody bytes; after any
+// other error it may have run.
 //
 // A call that is not idempotent is sent at most once: net/http would otherwise resend a
 // request with an Idempotency-Key header on its own when a reused connection breaks
@@ -60,10 +62,14 @@
 		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxBody))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxBody+1))
 	if err != nil {
 		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, err)
 	}
+	tooLarge := len(b) > httpjson.MaxBody
+	if tooLarge {
+		b = b[:httpjson.MaxBody]
+	}
 	if resp.StatusCode/100 != 2 {
 		ran := verdict.Ran
 		if resp.Header.Get(verdict.Header) == verdict.NotRun.String() {
@@ -71,5 +77,8 @@
 		}
 		return nil, verdict.New(ran, http.StatusBadGateway, &httpjson.StatusError{Status: resp.StatusCode, Body: string(b)})
 	}
+	if tooLarge {
+		return nil, verdict.New(verdict.Ran, http.StatusBadGateway, fmt.Errorf("service: response body exceeds %d bytes", httpjson.MaxBody))
+	}
 	return b, nil
 }
