node: end the holder's duties when an engine refuses the fencing token

Cause: orderSender.finish cleared the held lease without replaceHeldLocked, so that the time of acquisition remained and neither waiting orders nor the duties were woken.

Change: finish drops the lease as all other losses do, and logs it.

--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/carryover"
+	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/feed"
+	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
@@ -149,3 +151,26 @@
 func (s State) PoolDemands(pool routetable.Pool, contended bool) []weights.Demand {
 	return poolDemands(pool, s.s.demands(), contended)
 }
+
+// HoldOrders makes n believe that it holds the orders lease with a fencing token. The row
+// of the lease holds no engines.
+func (n *Node) HoldOrders(fencing uint64) {
+	n.orders.replaceHeld(lease.Held{Lease: lease.Lease{Fencing: fencing}, ValidUntil: time.Now().Add(time.Minute)})
+}
+
+// RefuseOrder ends an order as an engine that knows a newer holder does.
+func (n *Node) RefuseOrder(id string) { n.orders.finish("p/m", id, 2, engine.ErrStaleFencing) }
+
+// WaitToOrder waits until the engine may be ordered.
+func (n *Node) WaitToOrder(ctx context.Context, id string) error {
+	_, err := n.orders.waitPersisted(ctx, id)
+	return err
+}
+
+// OrdersHeld returns the fencing token of the orders lease and since when it is held.
+func (n *Node) OrdersHeld() (fencing uint64, since time.Time) {
+	return n.orders.current().Fencing, n.orders.heldSince()
+}
+
+// ErrLeaseEnded is errLeaseEnded.
+var ErrLeaseEnded = errLeaseEnded
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -239,7 +239,8 @@
 	defer o.mu.Unlock()
 	r, _ := o.rollouts[key].Reduce(weights.OrderEnded{Address: id, Version: version, Err: err, At: time.Now()})
 	o.rollouts[key] = r
-	if errors.Is(err, engine.ErrStaleFencing) {
-		o.held = lease.Held{}
+	if errors.Is(err, engine.ErrStaleFencing) && o.held.Fencing != 0 {
+		o.replaceHeldLocked(lease.Held{})
+		o.node.cfg.Logger.Info("lease lost", "lease", ordersLease, "refused_by", id)
 	}
 }
