node, lease: order no engine while the ledger of earlier holders is unreadable

Cause: a malformed ledger was taken for an empty one, and a lease row that could not be decoded was an error before its expiry was considered.

Change: a malformed ledger blocks all engines for MinHolderInterval, and is kept in the row for that time so that the next holder waits too. The orders lease takes a row that holds no lease for the lease of another holder, which expires.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -21,11 +21,23 @@
 	Name   string
 	Holder string
 	TTL    time.Duration
+	// TakeUnreadable takes a row that holds no lease for the lease of another holder, with
+	// the data "unreadable". Such a row is an error otherwise, and the lease cannot be
+	// acquired.
+	TakeUnreadable bool
 
 	seenVersion uint64    // version of the other holder's row when last read
 	seenAt      time.Time // when that version was first read
 }
 
+// unreadableHolder stands for the holder of a lease whose row cannot be decoded. Its lease
+// expires as any other does.
+const unreadableHolder = "(unreadable)"
+
+// unreadableData is the data of a lease whose row cannot be decoded. It is not null, so
+// that a holder whose data matter finds out that they are lost.
+var unreadableData = json.RawMessage(`"unreadable"`)
+
 // Held is a lease held by a Manager's holder.
 type Held struct {
 	Lease
@@ -58,7 +70,9 @@
 	}
 	if err == nil {
 		cur, err := Decode(row)
-		if err != nil {
+		if unreadable := err != nil || cur.ExpiresAt.IsZero(); unreadable && m.TakeUnreadable { // holders always write an expiry
+			cur = Lease{Name: m.Name, Holder: unreadableHolder, Data: unreadableData, Fencing: row.Version}
+		} else if err != nil {
 			return Held{}, err
 		}
 		if !allowed(cur) {
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -174,3 +174,9 @@
 
 // ErrLeaseEnded is errLeaseEnded.
 var ErrLeaseEnded = errLeaseEnded
+
+// Encode returns the ledger as it is stored at now.
+func (l OrderLedger) Encode(now time.Time) (json.RawMessage, error) {
+	_, data, err := l.l.encode(now)
+	return data, err
+}
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -14,7 +14,7 @@
 // ctx is done.
 func (o *orderSender) run(ctx context.Context) error {
 	n := o.node
-	manager := &lease.Manager{Table: n.cfg.Store, Clock: clock.System{}, Name: ordersLease, Holder: n.cfg.Name, TTL: orderWindow + takeoverDelay}
+	manager := &lease.Manager{Table: n.cfg.Store, Clock: clock.System{}, Name: ordersLease, Holder: n.cfg.Name, TTL: orderWindow + takeoverDelay, TakeUnreadable: true}
 	for ctx.Err() == nil {
 		if n.draining.Load() && o.current().Fencing != 0 {
 			o.release(ctx, manager)
@@ -74,17 +74,16 @@
 func (o *orderSender) encodeLedger(now time.Time) ([]string, json.RawMessage, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ids := o.ledger.entries(now)
-	data, err := json.Marshal(ids)
-	return ids, data, err
+	return o.ledger.encode(now)
 }
 
 // acquired starts holding a lease that another instance, or none, held before.
 func (o *orderSender) acquired(h lease.Held) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if err := o.ledger.inherit(h.Data, time.Now().Add(o.node.cfg.MinHolderInterval)); err != nil {
-		o.node.cfg.Logger.Error("malformed ledger of orders; continuing without it", "err", err)
+	until := time.Now().Add(o.node.cfg.MinHolderInterval)
+	if err := o.ledger.inherit(h.Data, until); err != nil {
+		o.node.cfg.Logger.Error("malformed ledger of orders; no engine is ordered for a time", "until", until, "err", err)
 	}
 	o.replaceHeldLocked(h)
 }
--- a/pkg/node/orderledger.go
+++ b/pkg/node/orderledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,6 +17,11 @@
 	pending       map[string]int       // orders about to be sent, by engine ID
 	excludedUntil map[string]time.Time // time until which other holders must not order an engine
 	blockedUntil  map[string]time.Time // time until which this instance must not, because earlier holders ordered it
+
+	// malformed is the ledger of earlier holders if it could not be decoded. They may
+	// have ordered any engine, so that none is ordered until allBlockedUntil.
+	malformed       json.RawMessage
+	allBlockedUntil time.Time
 }
 
 func newOrderLedger() *orderLedger {
@@ -23,13 +29,20 @@
 }
 
 // inherit adds the ledger that earlier holders stored as data. The engines in it are
-// not ordered until the given time.
+// not ordered until the given time, nor is any engine if data is malformed, which is an
+// error. Holders write the ledger before they order an engine: without data, none was
+// ordered.
 func (l *orderLedger) inherit(data json.RawMessage, until time.Time) error {
 	if len(data) == 0 {
 		return nil
 	}
 	var ids []string
-	if err := json.Unmarshal(data, &ids); err != nil {
+	err := json.Unmarshal(data, &ids)
+	if err == nil && slices.Contains(ids, "") {
+		err = errors.New("engine without an ID")
+	}
+	if err != nil {
+		l.malformed, l.allBlockedUntil = data, until
 		return fmt.Errorf("node: decoding the ledger of orders: %w", err)
 	}
 	for _, id := range ids {
@@ -47,7 +60,9 @@
 }
 
 // mayOrder reports whether this instance may order an engine at now.
-func (l *orderLedger) mayOrder(id string, now time.Time) bool { return !now.Before(l.blockedUntil[id]) }
+func (l *orderLedger) mayOrder(id string, now time.Time) bool {
+	return !now.Before(l.blockedUntil[id]) && !now.Before(l.allBlockedUntil)
+}
 
 // begin enters an engine that is about to be ordered.
 func (l *orderLedger) begin(id string) { l.pending[id]++ }
@@ -78,3 +93,15 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// encode returns the engines that are in the ledger at now, and its encoding. While no
+// engine may be ordered because the ledger of earlier holders is malformed, that ledger is
+// kept, so that the next holder orders none either.
+func (l *orderLedger) encode(now time.Time) ([]string, json.RawMessage, error) {
+	if now.Before(l.allBlockedUntil) {
+		return nil, l.malformed, nil
+	}
+	ids := l.entries(now)
+	data, err := json.Marshal(ids)
+	return ids, data, err
+}
--- a/pkg/node/orderledger_test.go
+++ b/pkg/node/orderledger_test.go
@@ -113,3 +113,40 @@
 		t.Error("Inherit of malformed data = nil, want an error")
 	}
 }
+
+// Guards against engines that are ordered twice because the ledger of their last holder
+// cannot be read: until its time has passed, neither the next holder nor the one after it
+// may order any engine, and afterwards all may be ordered.
+func TestMalformedLedgerBlocksAllEngines(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	const interval = 3 * time.Second
+	for _, c := range []struct {
+		data   string
+		blocks bool
+	}{
+		{`{`, true}, {`["e1"`, true}, {`{}`, true}, {`{"e1":1}`, true}, {`"unreadable"`, true}, {`[1]`, true}, {`["e1",null]`, true}, {`7`, true},
+		{``, false}, {`null`, false}, {`[]`, false},
+	} {
+		first := node.NewOrderLedger()
+		if err := first.Inherit(json.RawMessage(c.data), now.Add(interval)); (err != nil) != c.blocks {
+			t.Errorf("Inherit(%q) = %v, want an error: %v", c.data, err, c.blocks)
+		}
+		if first.MayOrder("e2", now.Add(interval-1)) == c.blocks || !first.MayOrder("e2", now.Add(interval)) {
+			t.Errorf("ledger %q: MayOrder is wrong: want %v before the time has passed and true afterwards", c.data, !c.blocks)
+		}
+		row, err := first.Encode(now.Add(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second := node.NewOrderLedger()
+		if err := second.Inherit(row, now.Add(time.Second+interval)); (err != nil) != c.blocks {
+			t.Errorf("ledger %q: second holder inherits %q with error %v, want an error: %v", c.data, row, err, c.blocks)
+		}
+		if second.MayOrder("e2", now.Add(time.Second+interval-1)) == c.blocks {
+			t.Errorf("ledger %q: second holder may order: %v, want %v", c.data, c.blocks, !c.blocks)
+		}
+		if row, err := first.Encode(now.Add(interval)); err != nil || node.NewOrderLedger().Inherit(row, now) != nil {
+			t.Errorf("ledger %q: encoded as %q, %v after the time has passed, want a ledger", c.data, row, err)
+		}
+	}
+}
