platform: limit the TTL of addresses by bounds.ttl_max_s

Cause: Settings.MaxAddressTTL was parsed and not used; the TTL was always 2 s.

Change: NewCallerAPI takes a CallerConfig with the limit.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -24,6 +24,7 @@
 	"github.com/zinnialadder/zinnialadder/internal/exposition"
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/pkg/option"
 	pkgplatform "github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/usage"
 	"github.com/zinnialadder/zinnialadder/pkg/watch"
@@ -120,7 +121,7 @@
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
 		CloudProvider: cloud, UsageSchedule: usage.Schedule{Length: s.UsageWindow, ReportDelay: s.UsageReportDelay}, Contended: s.Contended,
 	})
-	callers := platform.NewCallerAPI(n)
+	callers := platform.NewCallerAPI(platform.CallerConfig{Instance: n, MaxAddressTTL: option.Some(s.MaxAddressTTL)})
 	var servers []*http.Server
 	for _, endpoint := range []struct {
 		address string
