node: wait for loads by the heartbeat interval of the settings

Cause: Settings.HeartbeatInterval was parsed and not used. The time after which a load's outcome is unknown included 1.2 s for the heartbeat as a constant.

Change: node.Config.HeartbeatInterval replaces that part. With the default of 1.2 s the timeout is 4 s as before.

Result: with the constant, TestOrderTimeoutFollowsHeartbeats fails for 5 s (4 s instead of 7.8 s); it passes now, as does ./pkg/node.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -118,7 +118,7 @@
 	}
 	n := node.New(node.Config{
 		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, StoreReachability: links, Dial: watch.DialPeer, Upstreams: platform.NewUpstreamClient(),
-		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
+		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, HeartbeatInterval: s.HeartbeatInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
 		CloudProvider: cloud, UsageSchedule: usage.Schedule{Length: s.UsageWindow, ReportDelay: s.UsageReportDelay}, Contended: s.Contended,
 	})
 	callers := platform.NewCallerAPI(platform.CallerConfig{Instance: n, MaxAddressTTL: option.Some(s.MaxAddressTTL)})
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -180,3 +180,6 @@
 	_, data, err := l.l.encode(now)
 	return data, err
 }
+
+// OrderTimeout is orderTimeout.
+func (n *Node) OrderTimeout() time.Duration { return n.orderTimeout() }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -97,6 +97,7 @@
 	Metrics             metrics.Registry // counters and timers; nil for a registry of its own
 	MaxRowBytes         int              // largest value of a row of the store
 	MinHolderInterval   time.Duration    // least time between orders of two different lease holders
+	HeartbeatInterval   time.Duration    // interval at which engines write their entries; default 1.2 s
 	SubmissionRetention time.Duration    // time from acceptance until a submission is deleted; 0 for no deletion
 	ShutdownGrace       time.Duration    // time from the request to stop until the process is killed
 	// CloudProvider accepts the site's usage reports and orders of engines. It is nil
@@ -167,6 +168,9 @@
 	if n.cfg.Metrics == nil {
 		n.cfg.Metrics = metrics.NewRegistry()
 	}
+	if n.cfg.HeartbeatInterval <= 0 {
+		n.cfg.HeartbeatInterval = defaultHeartbeatInterval
+	}
 	if n.cfg.StoreReachability == nil {
 		n.cfg.StoreReachability = alwaysReachable{}
 	}
--- a/pkg/node/orderlease_test.go
+++ b/pkg/node/orderlease_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/pkg/node"
+	"github.com/zinnialadder/zinnialadder/platform"
 	"github.com/zinnialadder/zinnialadder/platform/sitetest"
 )
 
@@ -35,3 +38,15 @@
 		t.Errorf("after another acquisition: fencing token %d held since %v, want 9 since now", fencing, since)
 	}
 }
+
+// Guards against loads that are taken for failed, and ordered again, because engines write
+// their entries less often than by default.
+func TestOrderTimeoutFollowsHeartbeats(t *testing.T) {
+	for interval, want := range map[time.Duration]time.Duration{0: 4 * time.Second, 1200 * time.Millisecond: 4 * time.Second, 5 * time.Second: 7800 * time.Millisecond} {
+		n := node.New(node.Config{Name: "a", Store: platform.NewStore("127.0.0.1:1"), Upstreams: platform.NewUpstreamClient(), Decoder: platform.Decoder(),
+			Logger: log.New(io.Discard), HeartbeatInterval: interval})
+		if got := n.OrderTimeout(); got != want {
+			t.Errorf("heartbeats every %v: timeout of orders %v, want %v", interval, got, want)
+		}
+	}
+}
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -41,10 +41,12 @@
 	leaseCandidates = 3
 	// orderMargin is the time before the end of orderWindow in which no order is sent.
 	orderMargin = 150 * time.Millisecond
-	// orderTimeout is the time after which the outcome of a load is considered unknown.
-	// A load takes about a second, and the entry of the engine shows it up to 1.2 s
-	// later.
-	orderTimeout = 4 * time.Second
+	// loadTimeout is the time that a load may take until its outcome is considered
+	// unknown, without the time until the entry of the engine shows it. A load takes
+	// about a second.
+	loadTimeout = 2800 * time.Millisecond
+	// defaultHeartbeatInterval is the default of Config.HeartbeatInterval.
+	defaultHeartbeatInterval = 1200 * time.Millisecond
 	// orderCallTimeout is the timeout of one call to an engine.
 	orderCallTimeout = 800 * time.Millisecond
 	// orderRetryDelay is the delay before an engine that did not accept an order is
@@ -159,11 +161,11 @@
 	switch outcome {
 	case weights.OrderAccepted:
 		o.setAcceptedCount(to, mo.AfterOrders+1)
-		err = o.confirm(ctx, to, mo, started.Add(orderTimeout))
+		err = o.confirm(ctx, to, mo, started.Add(o.node.orderTimeout()))
 		n.cfg.Logger.Info("load", "upstream", to.ID, "model", mo.Model, "version", mo.Version, "took", time.Since(started), "err", err)
 	case weights.OrderUnknown:
 		o.forgetAcceptedCount(to)
-		err = o.confirm(ctx, to, mo, started.Add(orderTimeout))
+		err = o.confirm(ctx, to, mo, started.Add(o.node.orderTimeout()))
 	case weights.OrderFenced:
 		err = engine.ErrStaleFencing
 	case weights.OrderRefused:
@@ -172,6 +174,10 @@
 	o.finish(key, to.ID, mo.Version, err)
 }
 
+// orderTimeout returns the time after an order at which its outcome is considered
+// unknown: the entry of an engine shows a load up to one heartbeat later.
+func (n *Node) orderTimeout() time.Duration { return loadTimeout + n.cfg.HeartbeatInterval }
+
 var (
 	errLeaseEnded  = errors.New("node: lease ended before the order was sent")
 	errLoadTimeout = errors.New("node: engine did not load the version before the timeout")
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -116,7 +116,7 @@
 func (o *orderSender) reduce(key string, d weights.Demand, held map[string]uint64, budget, free int, at, until time.Time) []weights.Order {
 	r, ok := o.rollouts[key]
 	if !ok {
-		r = weights.Rollout{Config: weights.Config{SendMargin: orderMargin, OrderTimeout: orderTimeout, RetryDelay: orderRetryDelay}}
+		r = weights.Rollout{Config: weights.Config{SendMargin: orderMargin, OrderTimeout: o.node.orderTimeout(), RetryDelay: orderRetryDelay}}
 	}
 	r.Config.MaxLoading = budget
 	if o.orderCounts[key].version != d.TargetVersion {
