explain, enginetest: remove fields that nothing reads

Cause: Line.order was set and never read, since lines are sorted stably, and enginetest.Config.Name was set by internal/site and the engine command but never used.

Change: both are removed. Nothing else changes.

Result: go vet ./... is clean; ./internal/explain, ./pkg/engine/enginetest and ./cmd/zinnialadder pass.

--- a/cmd/zinnialadder/roles.go
+++ b/cmd/zinnialadder/roles.go
@@ -114,7 +114,7 @@
 func engineCmd() *cobra.Command {
 	return fakeCmd("engine", "Run the fake model engine", func(s settings.Engine) settings.Common { return s.Common },
 		func(s settings.Engine) http.Handler {
-			return enginetest.New(enginetest.Config{Name: s.Name, Slots: s.Slots, TokenInterval: time.Duration(s.TokenInterval),
+			return enginetest.New(enginetest.Config{Slots: s.Slots, TokenInterval: time.Duration(s.TokenInterval),
 				WeightVersion: s.WeightVersion, ChecksFencing: s.ChecksFencing}).Handler()
 		})
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -24,8 +24,7 @@
 	Node    string
 	Fields  []Field // all other keys, in the order of the line
 
-	at    time.Time // zero if the line has no valid time
-	order int       // index among the lines of its file
+	at time.Time // zero if the line has no valid time
 }
 
 // Field is a key of a line and its value.
@@ -60,7 +59,6 @@
 		text := sc.Text()
 		if i := strings.Index(text, "time="); i >= 0 {
 			if l, ok := parse(text[i:]); ok {
-				l.order = len(out)
 				out = append(out, l)
 			}
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -93,7 +93,6 @@
 	}
 	for i := 0; i < cfg.Engines; i++ {
 		ec := cfg.Engine
-		ec.Name = fmt.Sprintf("engine-%d", i)
 		eng := enginetest.New(ec)
 		up, err := s.serveUpstream(gctx, eng.Handler())
 		if err != nil {
--- a/pkg/engine/enginetest/server.go
+++ b/pkg/engine/enginetest/server.go
@@ -20,7 +20,6 @@
 
 // Config configures a Server.
 type Config struct {
-	Name          string        // not used by the fake itself
 	Slots         int           // streams generated at once; others are queued
 	TokenInterval time.Duration // time between tokens of one stream
 	WeightVersion uint64        // version loaded at start
