node: TestHoldersDoNotAlternate asks which engines a holder waits for

Cause: the check that a holder waits for no engine without reason was made only while the row was empty, when nothing can block an engine. It could not fail.

Change: MayOrder must be exactly what the holder inherited, and the ledger must hold only engines whose order is about to be sent, or which were ordered or inherited within the interval.

--- a/pkg/node/orderledger_test.go
+++ b/pkg/node/orderledger_test.go
@@ -31,8 +31,16 @@
 		row := json.RawMessage(nil) // data of the row of the lease
 		entered := map[string]bool{}
 		last := map[string]order{}
+		pending := map[string]bool{}
+		recentUntil := map[string]time.Time{}    // until when an engine may be in the ledger without an order that is about to be sent
+		inheritedUntil := map[string]time.Time{} // until when the holder must wait for an engine; zero for those not inherited
 		write := func() {
 			ids := ledger.Entries(now)
+			for _, id := range ids {
+				if !pending[id] && !now.Before(recentUntil[id]) {
+					t.Fatalf("ledger holds %s, which nobody has ordered or inherited recently", id)
+				}
+			}
 			data, err := json.Marshal(ids)
 			if err != nil {
 				t.Fatal(err)
@@ -43,7 +51,6 @@
 				entered[id] = true
 			}
 		}
-		pending := map[string]bool{}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond)
@@ -66,6 +73,7 @@
 				}
 				last[id] = order{holder, now}
 				ledger.End(id, now.Add(minHolderInterval))
+				recentUntil[id] = now.Add(minHolderInterval)
 				delete(pending, id)
 			},
 			"lost": func(t *rapid.T) {
@@ -74,13 +82,17 @@
 				if err := ledger.Inherit(row, now.Add(minHolderInterval)); err != nil {
 					t.Fatal(err)
 				}
-				clear(entered)
+				clear(inheritedUntil)
+				for id := range entered { // the engines in the row
+					inheritedUntil[id] = now.Add(minHolderInterval)
+					recentUntil[id] = inheritedUntil[id]
+				}
 				clear(pending)
 			},
 			"": func(t *rapid.T) {
 				for _, id := range engines {
-					if o, ok := last[id]; (!ok || now.Sub(o.at) > 4*minHolderInterval) && !pending[id] && !ledger.MayOrder(id, now) && len(row) == 0 {
-						t.Fatalf("MayOrder(%s) = false though nobody has ordered it recently", id)
+					if got, want := ledger.MayOrder(id, now), !now.Before(inheritedUntil[id]); got != want {
+						t.Fatalf("MayOrder(%s) = %v, want %v: the holder inherited it until %v, now %v", id, got, want, inheritedUntil[id], now)
 					}
 				}
 			},
