peer: TestHintReachesTargets has a target that comes back

Cause: the only unreachable target of the test stayed unreachable.

Change: a third target is away at first, comes back, goes and comes back again, and must get hints each time while the steady target gets all of them.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -12,32 +12,44 @@
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
 )
 
-// Hints reach the reachable target; a target that cannot be reached does not delay them.
+// Hints reach the reachable target; a target that cannot be reached does not delay them, and
+// gets hints too once it has come back, also if it was reached before.
 func TestHintReachesTargets(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	defer func() { cancel(); _ = g.Wait() }()
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listen := func(addr string) net.Listener {
+		t.Helper()
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return ln
 	}
-	got := make(chan *peerpb.Hint, 8)
-	receiver := listen()
-	links := func(ln net.Listener, targets ...string) *peer.Hints {
-		l := peer.NewHints(peer.HintsConfig{Listener: ln, KeepAlive: time.Second, Go: func(f func() error) { g.Go(f) },
+	// start serves a peer until the returned function is called.
+	start := func(ln net.Listener, got chan *peerpb.Hint, targets ...string) (*peer.Hints, func()) {
+		served, stop := context.WithCancel(ctx)
+		var own errgroup.Group
+		l := peer.NewHints(peer.HintsConfig{Listener: ln, KeepAlive: time.Second, Go: func(f func() error) { own.Go(f) },
 			Targets: func() []string { return targets }, Receive: func(_ context.Context, h *peerpb.Hint) { got <- h }})
-		g.Go(func() error { return l.Serve(ctx) })
-		return l
+		own.Go(func() error { return l.Serve(served) })
+		g.Go(own.Wait)
+		return l, func() { stop(); _ = own.Wait() }
 	}
-	links(receiver)
-	sender := links(listen(), "127.0.0.1:1", receiver.Addr().String())
-	for revision := uint64(1); revision < 4; revision++ {
+	steady, returning := make(chan *peerpb.Hint, 64), make(chan *peerpb.Hint, 64)
+	receiver, away := listen("127.0.0.1:0"), listen("127.0.0.1:0")
+	awayAddress := away.Addr().String()
+	away.Close()
+	start(receiver, steady)
+	sender, _ := start(listen("127.0.0.1:0"), make(chan *peerpb.Hint), "127.0.0.1:1", awayAddress, receiver.Addr().String())
+	revision := uint64(0)
+	// broadcast sends a hint, which must reach the target that is always there.
+	broadcast := func() {
+		t.Helper()
+		revision++
 		sender.Broadcast(&peerpb.Hint{From: "a", CatalogueRevision: revision})
 		select {
-		case h := <-got:
+		case h := <-steady:
 			if h.CatalogueRevision != revision {
 				t.Fatalf("catalogue revision %d, want %d", h.CatalogueRevision, revision)
 			}
@@ -45,6 +57,25 @@
 			t.Fatal("no hint received within 5 s")
 		}
 	}
+	for range 3 {
+		broadcast()
+	}
+	for round := range 2 { // the second time the sender has a session with the target
+		_, stop := start(listen(awayAddress), returning)
+		for deadline := time.Now().Add(10 * time.Second); len(returning) == 0; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("return %d: no hint received by the target that has come back within 10 s", round+1)
+			}
+			broadcast()
+		}
+		stop()
+		for range 3 {
+			broadcast()
+		}
+		for len(returning) > 0 {
+			<-returning
+		}
+	}
 }
 
 // A hint reaches every member in at most 10 steps, enough for log2(n) steps with 370
