entry: TestSilentIdleConnections allows one failure

Cause: the text says that only the first request is delayed, but two failures passed.

Change: the limit is 1.

--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -57,8 +57,8 @@
 			t.Fatal(err)
 		}
 	}
-	if n := s.Entries[0].Counter("upstream_errors") - before; n > 2 {
-		t.Fatalf("got %d failures on silent connections, want at most 2", n)
+	if n := s.Entries[0].Counter("upstream_errors") - before; n > 1 {
+		t.Fatalf("got %d failures on silent connections, want at most 1", n)
 	}
 }
 
