watch: TestSlotClaims covers instances of several sizes

Cause: one size of instance and one number of full relays were tested, with bounds that hold for a claim that does not depend on the size.

Change: six sizes with bounds for each, and 2, 3 and 6 full relays for three sizes. For the size tested before, the bounds are 0.375 s to 0.85 s instead of 0.3 s to 1 s.

--- a/pkg/watch/machine_test.go
+++ b/pkg/watch/machine_test.go
@@ -27,9 +27,12 @@
 	effects   []watch.Effect
 }
 
-func newHarness(start string) *harness {
+func newHarness(start string) *harness { return newSizedHarness(start, 0.8) }
+
+// newSizedHarness is newHarness for an instance with the given number of cores.
+func newSizedHarness(start string, cores float64) *harness {
 	h := &harness{now: epoch, useRelays: true, gone: map[string]bool{}}
-	h.Machine = watch.NewMachine(watch.MachineConfig{StartID: start, DataCentre: "z1", Cores: 0.8, CanRelay: true,
+	h.Machine = watch.NewMachine(watch.MachineConfig{StartID: start, DataCentre: "z1", Cores: cores, CanRelay: true,
 		UseRelays: func() bool { return h.useRelays }, Live: func(s string) (bool, bool) { return !h.gone[s], true },
 		Watchers: func() int { return h.watchers }, Rand: func() float64 { return 0.5 }})
 	return h
@@ -273,11 +276,12 @@
 	}
 }
 
-// An instance claims a slot of an empty directory after a delay, and one where all relays
-// are full or a relay is gone. It claims none while two relays have room.
+// An instance claims a slot of an empty directory after a delay, which is shorter the larger
+// the instance is, and one where all relays, however many, are full or a relay is gone. It
+// claims none while two relays have room.
 func TestSlotClaims(t *testing.T) {
-	claims := func(relays ...watch.Relay) time.Duration {
-		h := newHarness("n#1")
+	claims := func(cores float64, relays ...watch.Relay) time.Duration {
+		h := newSizedHarness("n#1", cores)
 		h.send(watch.Started{At: h.now})
 		h.send(watch.DirectoryRead{At: h.now})
 		for after := time.Duration(0); after < 4*time.Second; after += 10 * time.Millisecond {
@@ -300,11 +304,34 @@
 		}
 		return 0
 	}
-	if after := claims(); after < 300*time.Millisecond || after > time.Second {
-		t.Errorf("slot of an empty directory claimed after %v, want 0.3 s to 1 s", after)
+	last := 4 * time.Second
+	for _, c := range []struct {
+		cores            float64
+		earliest, latest time.Duration // 0.3 s to 0.6 s on one core, and 0.1 s until the next check
+	}{
+		{0.25, 1200 * time.Millisecond, 2500 * time.Millisecond},
+		{0.5, 600 * time.Millisecond, 1300 * time.Millisecond},
+		{0.8, 375 * time.Millisecond, 850 * time.Millisecond},
+		{1, 300 * time.Millisecond, 700 * time.Millisecond},
+		{4, 75 * time.Millisecond, 250 * time.Millisecond},
+		{16, 18 * time.Millisecond, 138 * time.Millisecond},
+	} {
+		after := claims(c.cores)
+		if after < c.earliest || after > c.latest || after >= last {
+			t.Errorf("%v cores: slot of an empty directory claimed after %v, want %v to %v and less than %v, that of a smaller instance", c.cores, after, c.earliest, c.latest, last)
+		}
+		last = after
 	}
-	if after := claims(relay("a", "z1", 0), relay("b", "z1", 1)); after == 0 {
-		t.Error("no slot claimed while both relays are full, want one")
+	for _, cores := range []float64{0.25, 0.8, 4} {
+		for _, full := range []int{2, 3, 6} {
+			var relays []watch.Relay
+			for i := range full {
+				relays = append(relays, relay(string(rune('a'+i)), "z1", i))
+			}
+			if after := claims(cores, relays...); after == 0 {
+				t.Errorf("%v cores: no slot claimed within 4 s while %d relays are full, want one", cores, full)
+			}
+		}
 	}
 	h := newWatching(t, relay("a", "z1", 0), relay("b", "z1", 1))
 	h.advance(h.now.Add(time.Minute))
