--- a/internal/snapshot/duties.go
+++ b/internal/snapshot/duties.go
@@ -41,9 +41,9 @@
 	Draining   int    `json:"draining"`
 }
 
-// Duties returns the state of the duties. It sorts st.Reports by window.
+// Duties returns the state of the duties.
 func (st State) Duties() Duties {
-	d := Duties{TakenAt: st.TakenAt, Holders: st.Leases, Reports: st.Reports}
+	d := Duties{TakenAt: st.TakenAt, Holders: st.Leases, Reports: slices.Clone(st.Reports)}
 	slices.SortFunc(d.Reports, func(a, b usage.Report) int { return cmp.Compare(a.Window, b.Window) })
 	for i := 1; i < len(d.Reports); i++ {
 		for w := d.Reports[i-1].Window + 1; w < d.Reports[i].Window; w++ {
