--- a/scripts/paired/main.go
+++ b/scripts/paired/main.go
@@ -161,6 +161,8 @@
 	return g.Wait()
 }
 
+var errNoReport = errors.New("bench program succeeded, but there is no report")
+
 // run runs the day and sets the result in r.
 func (r *dayRun) run(o options) error {
 	dir, err := os.MkdirTemp("", "paired")
@@ -183,6 +185,9 @@
 	text, runErr := cmd.CombinedOutput() // fails also if the day breaks a rule, which is in the report
 	data, err := os.ReadFile(file)
 	if err != nil {
+		if runErr == nil {
+			runErr = errNoReport
+		}
 		return fmt.Errorf("%s seed %d in %s: %w: %w\n%s", r.Day, r.Seed, r.Dir, runErr, err, text)
 	}
 	var rep struct {
