--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -183,7 +183,7 @@
 	}
 }
 
-var errNoCapacity = errors.New("no upstream has capacity for the request")
+var errNoCapacity = fmt.Errorf("%w: no upstream has capacity for the request", ErrNotRun)
 
 // outcomeOf classifies the end of an attempt from the attempt's context ctx, the response
 // status and the error.
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -260,3 +260,14 @@
 		}
 	})
 }
+
+// A request that finds no room counts as one that did not run. Operators saw it among
+// the requests whose upstream gave no answer, which may have run.
+func TestNoRoomIsNotRun(t *testing.T) {
+	f := forward.New(forward.Config{Registry: upstream.NewRegistry("")})
+	route := queueRoute
+	route.LatencyObjective = time.Millisecond
+	if _, err := f.Do(t.Context(), route, forward.Request{ID: "r"}); !errors.Is(err, forward.ErrNotRun) || !isRefusal(err) {
+		t.Errorf("error %v, want a refusal that wraps ErrNotRun", err)
+	}
+}
