--- a/internal/loadsim/step.go
+++ b/internal/loadsim/step.go
@@ -410,7 +410,7 @@
 	case !s.policy.MoveTexts:
 		return false, nil
 	case !s.policy.Contended:
-		return rsv.FasterAvailable(req, submission.SlowEngineFactor), nil
+		return s.load.enginesDiffer() && rsv.FasterAvailable(req, submission.SlowEngineFactor), nil
 	case now.Sub(s.movedAt[i]) < submission.MoveInterval:
 		return false, nil
 	}
@@ -419,6 +419,11 @@
 	return ok, reserved
 }
 
+// enginesDiffer reports whether some engines are slower than others.
+func (l StepLoad) enginesDiffer() bool {
+	return l.SlowEngines > 0 || len(l.Machines.Speeds) > 0 || l.Machines.SlowShare > 0
+}
+
 // finished records that an item of a group is complete.
 func (s *step) finished(now time.Time, group int) {
 	if s.remaining[group]--; s.remaining[group] == 0 {
