--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -51,6 +51,7 @@
 func loadCompareCmd() *cobra.Command {
 	var seeds int
 	var svg string
+	var contended bool
 	cmd := &cobra.Command{
 		Use:   "load",
 		Short: "Compare policies for rejecting requests, in simulated time",
@@ -61,6 +62,9 @@
 			if seeds <= 0 || seeds > 1000 {
 				return fmt.Errorf("--seeds %d: want 1 to 1000", seeds)
 			}
+			if contended {
+				return loadsim.WriteScenarios(cmd.OutOrStdout(), loadsim.Scenarios(), loadsim.ContendedPolicies, seeds)
+			}
 			results := loadsim.Sweep(loadsim.Minho, loadsim.Policies, offeredLoads, seeds)
 			if svg != "" {
 				if err := writeFile(svg, func(w io.Writer) error { return loadsim.WriteChart(w, results) }); err != nil {
@@ -71,6 +75,7 @@
 		},
 	}
 	cmd.Flags().IntVar(&seeds, "seeds", 5, "seeds simulated for each load; 1 to 1000")
+	cmd.Flags().BoolVar(&contended, "contended", false, "compare the policies for contended pools instead")
 	cmd.Flags().StringVar(&svg, "svg", "", "SVG file to write with a chart of goodput against load")
 	return cmd
 }
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -20,7 +20,7 @@
 	Slots            int           // requests that an upstream runs at once
 	QueueLimit       int           // requests that an upstream queues; it refuses further ones
 	ServiceTime      time.Duration // mean service time of a request, exponentially distributed
-	LongCalls        bool          // service times are log-normally distributed, 3 in 100 are seven times as long
+	LogNormal        bool          // service times are log-normally distributed, with a mean of ServiceTime including long ones
 	LatencyObjective time.Duration
 	Timeout          time.Duration // time that a caller waits for its answer
 	MaxAttempts      int           // attempts of a caller, including the first
@@ -36,6 +36,10 @@
 	SlowFactor      float64
 	Machines        Machines
 	ReportDelay     time.Duration // age of upstreams' reports of their load
+	LongShare       float64       // share of the requests that take LongFactor times as long
+	LongFactor      float64
+	Customers       int           // that share the requests; 0 for one
+	HeavyFactor     float64       // requests of the first customer relative to those of each other one; 0 for the same
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
 }
@@ -66,13 +70,18 @@
 	// WaitForSlot has requests wait for a free slot until their deadline.
 	WaitForSlot bool
 	Contended   bool // the pool is contended; upstreams report the pace of their machine
+	// Hedge has a copy of a request sent if the first takes longer than usual.
+	Hedge bool
+	// Queue has requests wait in an ordered queue instead of polling.
+	Queue bool
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
 const constantBackoff = 300 * time.Millisecond
 
-// The policies: the one in use, an earlier version of it, and a baseline without
-// early rejection.
+// The policies: the one in use, an earlier version of it, a baseline without early
+// rejection, and what is in use where the pool is contended: the copies and the queue, one
+// by one and together.
 var (
 	SpreadRetries = Policy{Name: "spread", RetryAt: func(r *forward.RetryScheduler, now, deadline time.Time, draw float64) time.Time {
 		return r.Reject(pool, now, deadline, draw)
@@ -81,9 +90,15 @@
 		return now.Add(constantBackoff)
 	}}
 	WaitAtInstance = Policy{Name: "hold", WaitForSlot: true, RetryAt: ConstantBackoff.RetryAt}
+	Hedged         = Policy{Name: "hedged", Contended: true, Hedge: true, RetryAt: SpreadRetries.RetryAt}
+	Queued         = Policy{Name: "queued", Contended: true, Queue: true, RetryAt: SpreadRetries.RetryAt}
+	HedgedQueued   = Policy{Name: "both", Contended: true, Hedge: true, Queue: true, RetryAt: SpreadRetries.RetryAt}
 	Policies       = []Policy{SpreadRetries, ConstantBackoff, WaitAtInstance}
 	// BySoonest is SpreadRetries with the placement of contended pools.
 	BySoonest = Policy{Name: "by pace", RetryAt: SpreadRetries.RetryAt, Contended: true}
+
+	// ContendedPolicies are the policies for contended pools, and the one of other pools.
+	ContendedPolicies = []Policy{SpreadRetries, BySoonest, Hedged, Queued, HedgedQueued}
 )
 
 // Result is the outcome of a load under a policy.
@@ -97,10 +112,14 @@
 	WithinObjective float64 // share of offered requests answered within the latency objective
 	Answered        float64 // share of offered requests answered within the caller's timeout
 	P50, P99        time.Duration
-	Attempts        float64       // attempts at upstreams per offered request
-	WorstSecond     float64       // lowest share answered of the requests that arrived in one second
-	MaxWait         time.Duration // longest wait of an attempt that was rejected without being sent
-	BusiestShare    float64       // work of the upstream with the most, relative to the mean
+	Attempts        float64 // attempts at upstreams per offered request
+	Copies          float64 // hedged copies per offered request
+	// Fairness is Jain's index of what each customer was served, relative to its max-min
+	// fair share of the capacity. It is 1 if all got their share.
+	Fairness     float64
+	WorstSecond  float64       // lowest share answered of the requests that arrived in one second
+	MaxWait      time.Duration // longest wait of an attempt that was rejected without being sent
+	BusiestShare float64       // work of the upstream with the most, relative to the mean
 }
 
 // Run simulates load under policy p.
--- a/internal/loadsim/meter.go
+++ b/internal/loadsim/meter.go
@@ -1,19 +1,23 @@
 package loadsim
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
 // meter counts the requests of callers and their attempts at upstreams.
 type meter struct {
-	offered  int
-	arrived  map[int]int     // requests by the second in which they arrived
-	served   map[int]int     // answered ones of them
-	attempts int             // attempts at upstreams
-	steady   int             // answers that count for Result.Goodput
-	answered []time.Duration // times from a caller's first attempt to its answer
-	waits    []time.Duration // waits of attempts that were rejected without being sent
+	offered               int
+	arrived               map[int]int     // requests by the second in which they arrived
+	served                map[int]int     // answered ones of them
+	attempts              int             // attempts at upstreams
+	copies                int             // hedged copies among them
+	offeredBy, answeredBy map[int]int     // by customer
+	steady                int             // answers that count for Result.Goodput
+	answered              []time.Duration // times from a caller's first attempt to its answer
+	waits                 []time.Duration // waits of attempts that were rejected without being sent
 }
 
 // result returns the outcome of the requests counted. It sorts m.answered.
@@ -24,6 +28,7 @@
 		offered := float64(m.offered)
 		r.Answered = float64(len(m.answered)) / offered
 		r.Attempts = float64(m.attempts) / offered
+		r.Copies = float64(m.copies) / offered
 		inTime := 0
 		for _, d := range m.answered {
 			if d <= load.LatencyObjective {
@@ -32,6 +37,7 @@
 		}
 		r.WithinObjective = float64(inTime) / offered
 	}
+	r.Fairness = m.fairness(load)
 	r.WorstSecond = 1
 	for second, n := range m.arrived {
 		r.WorstSecond = min(r.WorstSecond, float64(m.served[second])/float64(n))
@@ -42,17 +48,20 @@
 }
 
 // offer counts a request that arrived at a time after the start.
-func (m *meter) offer(after time.Duration) {
+func (m *meter) offer(after time.Duration, customer int) {
 	if m.arrived == nil {
 		m.arrived, m.served = map[int]int{}, map[int]int{}
+		m.offeredBy, m.answeredBy = map[int]int{}, map[int]int{}
 	}
 	m.offered++
+	m.offeredBy[customer]++
 	m.arrived[int(after/time.Second)]++
 }
 
 // answer counts an answer at a time after the start. took is the time from the
 // caller's first attempt, and arrivedAt is the request's arrival after the start.
-func (m *meter) answer(load Load, after, took, arrivedAt time.Duration) {
+func (m *meter) answer(load Load, after, took, arrivedAt time.Duration, customer int) {
+	m.answeredBy[customer]++
 	m.answered = append(m.answered, took)
 	m.served[int(arrivedAt/time.Second)]++
 	if after >= load.Timeout && after < load.Duration {
@@ -70,3 +79,18 @@
 	}
 	return sorted[int(q*float64(len(sorted)-1))]
 }
+
+// fairness returns Result.Fairness.
+func (m *meter) fairness(load Load) float64 {
+	left := load.capacity() * load.Duration.Seconds()
+	customers := slices.SortedFunc(maps.Keys(m.offeredBy), func(a, b int) int { return cmp.Or(cmp.Compare(m.offeredBy[a], m.offeredBy[b]), cmp.Compare(a, b)) })
+	var sum, squares float64
+	for i, c := range customers {
+		fair := min(float64(m.offeredBy[c]), left/float64(len(customers)-i))
+		left -= fair
+		x := float64(m.answeredBy[c]) / fair
+		sum += x
+		squares += x * x
+	}
+	return sum * sum / (float64(len(customers)) * squares)
+}
--- a/internal/loadsim/pace.go
+++ b/internal/loadsim/pace.go
@@ -23,7 +23,7 @@
 	MaxEvents: 120, HintSigma: 0.5, SlowFactor: 1, Second: true}
 
 // PlainCalls is a load of calls to a plain service from many instances.
-var PlainCalls = Load{Instances: 100, Upstreams: 21, Slots: 6, QueueLimit: 18, ServiceTime: 80 * time.Millisecond, LongCalls: true,
+var PlainCalls = Load{Instances: 100, Upstreams: 21, Slots: 6, QueueLimit: 18, ServiceTime: 80 * time.Millisecond, LogNormal: true, LongShare: 0.03, LongFactor: 7,
 	LatencyObjective: 400 * time.Millisecond, Timeout: 2 * time.Second, MaxAttempts: 4, Rate: 0.6, Duration: 6 * time.Second, SlowFactor: 1}
 
 // StepScenario is a named step load.
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -23,7 +23,9 @@
 		out.WithinObjective += r.WithinObjective / n
 		out.Answered += r.Answered / n
 		out.Attempts += r.Attempts / n
+		out.Copies += r.Copies / n
 		out.WorstSecond += r.WorstSecond / n
+		out.Fairness += r.Fairness / n
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -3,18 +3,15 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
-// Distribution of the service times of a Load with LongCalls: the standard deviation of
-// the logarithm, and the share of long calls and how much longer these are.
-const (
-	callSigma      = 0.6
-	longCallShare  = 0.03
-	longCallFactor = 7
-)
+// callSigma is the standard deviation of the logarithm of the service times of a Load with
+// LogNormal.
+const callSigma = 0.6
 
 // errTimeout is the error of an attempt without an answer by its deadline.
 var errTimeout = errors.New("loadsim: no answer by the deadline of the attempt")
@@ -22,8 +19,24 @@
 // job is an attempt at an upstream. answer is called once: when the request has run,
 // or when it is refused or dropped from the queue, with ran false.
 type job struct {
-	until  time.Time // deadline of the attempt; a queued job is dropped after it
-	answer func(now time.Time, load upstream.Load, ran bool)
+	until   time.Time // deadline of the attempt; a queued job is dropped after it
+	running bool
+	answer  func(now time.Time, load upstream.Load, ran bool)
+}
+
+// cancel ends a job whose sender has closed the connection.
+func (s *server) cancel(now time.Time, j *job) {
+	s.queued = slices.DeleteFunc(s.queued, func(o *job) bool { return o == j })
+	if j.running {
+		s.stop(now, j)
+	}
+}
+
+// stop frees the slot of a job.
+func (s *server) stop(now time.Time, j *job) {
+	j.running = false
+	s.running--
+	s.next(now)
 }
 
 // server is an upstream: it runs requests in its slots, queues some, and refuses the
@@ -70,6 +83,7 @@
 // run runs j in a free slot.
 func (s *server) run(now time.Time, j *job) {
 	s.running++
+	j.running = true
 	work := s.serviceTime() + s.pendingCost
 	s.work += work
 	work = time.Duration(s.site.machines.pace(s.id, now) * float64(work))
@@ -78,23 +92,29 @@
 	}
 	s.pendingCost = 0
 	s.site.schedule(now.Add(work), func(now time.Time) {
-		s.running--
-		j.answer(now, s.load(now), true)
-		s.next(now)
+		if !j.running {
+			return
+		}
+		load := s.load(now)
+		load.Running--
+		j.answer(now, load, true)
+		s.stop(now, j)
 	})
 }
 
 // serviceTime returns the usual time of a job.
 func (s *server) serviceTime() time.Duration {
 	l := s.site.load
-	if !l.LongCalls {
-		return time.Duration(s.site.rand.ExpFloat64() * float64(l.ServiceTime))
+	var factor float64
+	if l.LogNormal {
+		factor = math.Exp(callSigma*s.site.rand.NormFloat64()-callSigma*callSigma/2) / (1 + l.LongShare*(l.LongFactor-1))
+	} else {
+		factor = s.site.rand.ExpFloat64()
 	}
-	factor := math.Exp(callSigma*s.site.rand.NormFloat64() - callSigma*callSigma/2)
-	if s.site.rand.Float64() < longCallShare {
-		factor *= longCallFactor
+	if l.LongShare > 0 && s.site.rand.Float64() < l.LongShare {
+		factor *= l.LongFactor
 	}
-	return time.Duration(factor / (1 + longCallShare*(longCallFactor-1)) * float64(l.ServiceTime))
+	return time.Duration(factor * float64(l.ServiceTime))
 }
 
 // next runs the first queued job whose deadline has not passed, and drops those
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
+	"github.com/zinnialadder/zinnialadder/pkg/hedge"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 )
 
 const (
@@ -41,6 +44,9 @@
 type instance struct {
 	registry *upstream.Registry
 	retries  forward.RetryScheduler
+	hedge    *hedge.Policy
+	queue    *waitqueue.Queue[int]
+	wakeups  int // scheduled ones
 	name     string
 }
 
@@ -55,9 +61,11 @@
 		s.upstreams[id] = &server{site: s, id: id, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams}
 	}
 	for i := range load.Instances {
-		in := &instance{registry: upstream.NewRegistry(""), name: fmt.Sprintf("n%d", i)}
+		in := &instance{registry: upstream.NewRegistry(""), hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
 		in.registry.SetContended(p.Contended)
 		in.registry.Set(entries)
+		in.queue = waitqueue.New[int](waitqueue.Config{Limit: forward.QueueLimit(load.Upstreams * load.Slots), CustomerShare: 0.5})
+		in.registry.OnRelease(func(string) { in.queue.Wake() })
 		s.instances = append(s.instances, in)
 	}
 	return s
@@ -79,16 +87,26 @@
 	if after >= s.load.Duration {
 		return
 	}
-	c := &caller{site: s, startedAt: now, deadline: now.Add(s.load.Timeout)}
-	s.meter.offer(after)
+	c := &caller{site: s, customer: s.customer(), startedAt: now, deadline: now.Add(s.load.Timeout)}
+	s.meter.offer(after, c.customer)
 	c.try(now)
 	gap := s.rand.ExpFloat64() / s.load.rate(after)
 	s.schedule(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
 }
 
+// customer draws the customer of a request.
+func (s *site) customer() int {
+	if s.load.Customers < 2 {
+		return 0
+	}
+	heavy := max(s.load.HeavyFactor, 1)
+	return int(max(0, s.rand.Float64()*(heavy+float64(s.load.Customers-1))-heavy+1))
+}
+
 // caller is one request of a caller with all its attempts.
 type caller struct {
 	site      *site
+	customer  int
 	startedAt time.Time
 	deadline  time.Time
 	attempts  int
@@ -99,6 +117,9 @@
 	c.attempts++
 	in := c.site.instances[c.site.rand.IntN(len(c.site.instances))]
 	r := &request{caller: c, instance: in, startedAt: now, plan: forward.NewPlan(c.site.load.route(), now, c.deadline)}
+	if c.site.policy.Hedge {
+		r.copyDelay, r.mayHedge = in.hedge.Begin(now)
+	}
 	r.next(now)
 }
 
@@ -118,18 +139,40 @@
 	instance  *instance
 	startedAt time.Time
 	plan      *forward.Plan
+	mayHedge  bool
+	copyDelay time.Duration
+	running   []*attempt
+	ticket    *waitqueue.Ticket[int] // nil if it does not wait in the queue
+}
+
+// attempt is one sending of a request to an upstream.
+type attempt struct {
+	rsv       *upstream.Reservation
+	job       *job
+	startedAt time.Time
+	number    int
+	finished  bool
+}
+
+// requirements returns what a request requires of its upstream at now.
+func (r *request) requirements(now time.Time) upstream.Requirements {
+	return upstream.Requirements{Pool: pool, Now: now, Affinity: r.instance.name}
 }
 
 // next sends the request to an upstream, has it wait, or rejects it.
 func (r *request) next(now time.Time) {
 	s := r.caller.site
-	rsv, wait := r.plan.Next(r.instance.registry, upstream.Requirements{Pool: pool, Now: now, Affinity: r.instance.name})
+	if s.policy.Queue {
+		r.nextInQueue(now)
+		return
+	}
+	rsv, wait := r.plan.Next(r.instance.registry, r.requirements(now))
 	if rsv == nil && wait == 0 && s.policy.WaitForSlot && now.Add(slotPollInterval).Before(r.plan.Deadline) {
 		wait = slotPollInterval
 	}
 	switch {
 	case rsv != nil:
-		r.send(now, rsv)
+		r.begin(now, rsv)
 	case wait > 0:
 		s.schedule(now.Add(wait), r.next)
 	default:
@@ -137,6 +180,66 @@
 	}
 }
 
+// nextInQueue sends the request to an upstream, has it wait in the queue, or rejects it.
+func (r *request) nextInQueue(now time.Time) {
+	s, q, limit := r.caller.site, r.instance.queue, r.plan.WaitDeadline()
+	if q.Len() == 0 || !now.Before(limit) {
+		if rsv, ok := r.plan.Acquire(r.instance.registry, r.requirements(now)); ok {
+			r.begin(now, rsv)
+			return
+		}
+	}
+	if !now.Before(limit) {
+		r.reject(now)
+		return
+	}
+	t, err := q.Join(waitqueue.Waiter[int]{Customer: r.caller.customer, Deadline: limit, Notify: func(sig waitqueue.Signal) {
+		s.schedule(s.now, func(now time.Time) { r.signal(now, sig) })
+	}}, now)
+	if err != nil {
+		r.reject(now)
+		return
+	}
+	r.ticket = t
+	q.Wake()
+	s.schedule(limit, func(now time.Time) {
+		if r.ticket == t {
+			r.ticket = nil
+			t.Leave()
+			r.reject(now)
+		}
+	})
+}
+
+// signal handles a signal of the queue.
+func (r *request) signal(now time.Time, sig waitqueue.Signal) {
+	t, in := r.ticket, r.instance
+	if t == nil {
+		return
+	}
+	if sig == waitqueue.Displaced {
+		r.ticket = nil
+		r.reject(now)
+		return
+	}
+	req := r.requirements(now)
+	req.MaxLoad = forward.WaiterMaxLoad
+	if rsv, ok := r.plan.Acquire(in.registry, req); ok {
+		r.ticket = nil
+		t.Take(now)
+		r.begin(now, rsv)
+		return
+	}
+	in.wakeups++
+	wakeup := in.wakeups
+	r.caller.site.schedule(forward.RoomAt(in.registry, pool, now), func(time.Time) {
+		if wakeup == in.wakeups {
+			in.queue.Wake()
+		}
+	})
+	t.NoRoom()
+}
+
 // reject rejects the request; its caller retries as the policy says.
 func (r *request) reject(now time.Time) {
 	s := r.caller.site
@@ -146,60 +249,88 @@
 	r.caller.retry(now, s.policy.RetryAt(&r.instance.retries, now, r.plan.Deadline, s.rand.Float64()))
 }
 
-// send sends the request to the reserved upstream.
-func (r *request) send(now time.Time, rsv *upstream.Reservation) {
+// begin sends the request to the reserved upstream and, if it takes longer than usual, a
+// copy to another one.
+func (r *request) begin(now time.Time, rsv *upstream.Reservation) {
+	first := &attempt{rsv: rsv, startedAt: now, number: 1}
+	r.send(now, first, r.plan.AttemptDeadline(now))
+	if !r.mayHedge || !r.plan.MayCopy() {
+		return
+	}
 	s := r.caller.site
-	s.meter.attempts++
-	until := r.plan.AttemptDeadline(now)
-	startedAt, finished := now, false // finished is set when the attempt has ended
-	end := func(now time.Time, load *upstream.Load, err error) {
-		if finished {
+	s.schedule(now.Add(r.copyDelay), func(now time.Time) {
+		if first.finished || !now.Before(r.plan.Deadline) || !r.instance.hedge.Copy() {
 			return
 		}
-		finished = true
-		if s.load.ReportDelay > 0 && load != nil {
-			report := load
-			load = nil
-			s.schedule(now.Add(s.load.ReportDelay), func(now time.Time) { rsv.Observe(upstream.AttemptResult{At: now, Load: report}) })
+		req := r.requirements(now)
+		req.Exclude, req.NeedFreeSlot, req.MaxLoad = append(slices.Clone(r.plan.Tried()), rsv.ID), true, forward.CopyMaxLoad
+		other, ok := r.instance.registry.Acquire(req)
+		if !ok {
+			r.instance.hedge.Refund()
+			return
 		}
-		r.ended(now, rsv, upstream.AttemptResult{At: now, Load: load, TimePerUnit: now.Sub(startedAt)}, err)
-	}
-	if s.upstreams[rsv.ID].unreachable(now) {
-		s.schedule(now.Add(2*linkDelay), func(now time.Time) { end(now, nil, forward.ErrUnreachable) })
+		s.meter.copies++
+		r.send(now, &attempt{rsv: other, startedAt: now, number: 2}, r.plan.CopyDeadline(now))
+	})
+}
+
+// send sends the request to the upstream of t.
+func (r *request) send(now time.Time, t *attempt, until time.Time) {
+	s := r.caller.site
+	s.meter.attempts++
+	r.running = append(r.running, t)
+	server := s.upstreams[t.rsv.ID]
+	if server.unreachable(now) {
+		s.schedule(now.Add(2*linkDelay), func(now time.Time) { r.ended(now, t, nil, forward.ErrUnreachable) })
 		return
 	}
-	j := &job{until: until}
-	j.answer = func(now time.Time, load upstream.Load, ran bool) {
+	t.job = &job{until: until}
+	t.job.answer = func(now time.Time, load upstream.Load, ran bool) {
 		s.schedule(now.Add(linkDelay), func(now time.Time) {
 			if ran {
-				end(now, &load, nil)
+				r.ended(now, t, &load, nil)
 				return
 			}
-			end(now, &load, forward.ErrNotRun)
+			r.ended(now, t, &load, forward.ErrNotRun)
 		})
 	}
-	s.schedule(now.Add(linkDelay), func(now time.Time) { s.upstreams[rsv.ID].accept(now, j) })
-	s.schedule(until, func(now time.Time) { end(now, nil, errTimeout) })
+	s.schedule(now.Add(linkDelay), func(now time.Time) { server.accept(now, t.job) })
+	s.schedule(until, func(now time.Time) { r.ended(now, t, nil, errTimeout) })
 }
 
-// ended handles the end of an attempt: the request is done, or its next attempt is
-// decided.
-func (r *request) ended(now time.Time, rsv *upstream.Reservation, rep upstream.AttemptResult, err error) {
+// ended handles the end of an attempt: the request is done, its other attempt continues,
+// or its next attempt is decided.
+func (r *request) ended(now time.Time, t *attempt, load *upstream.Load, err error) {
+	if t.finished {
+		return
+	}
 	s := r.caller.site
+	t.finished = true
+	r.running = slices.DeleteFunc(r.running, func(o *attempt) bool { return o == t })
+	if s.load.ReportDelay > 0 && load != nil {
+		report := load
+		load = nil
+		s.schedule(now.Add(s.load.ReportDelay), func(now time.Time) { t.rsv.Observe(upstream.AttemptResult{At: now, Load: report}) })
+	}
+	rep, status := upstream.AttemptResult{At: now, Load: load}, 0
 	if err != nil {
-		rep.TimePerUnit = 0
 		rep.Failed = !forward.RecordRefusal(&rep, err, forward.BusyBackoff)
+	} else {
+		rep.TimePerUnit, status = now.Sub(t.startedAt), http.StatusOK
 	}
-	rsv.Done(rep)
-	status := 0
-	if err == nil {
-		status = http.StatusOK
+	if err == nil || err == errTimeout {
+		r.instance.hedge.Observe(now.Sub(t.startedAt), now)
 	}
-	done, err := r.plan.EndAttempt(rsv.ID, status, err, now)
+	t.rsv.Done(rep)
+	done, err := r.plan.EndAttempt(t.rsv.ID, status, err, now)
 	switch {
 	case done && err == nil:
+		for _, o := range r.running {
+			r.supersede(now, o, t)
+		}
 		r.instance.retries.Served(pool, now)
-		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start))
+		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start), r.caller.customer)
+	case len(r.running) > 0:
 	case done && err != errTimeout:
 		r.reject(now)
 	case done:
@@ -209,6 +340,22 @@
 	}
 }
 
+// supersede cancels an attempt because another copy has been answered.
+func (r *request) supersede(now time.Time, t, answered *attempt) {
+	s := r.caller.site
+	t.finished = true
+	took := now.Sub(t.startedAt)
+	r.instance.hedge.Observe(took, now)
+	rep := upstream.AttemptResult{At: now, Superseded: true}
+	if t.number < answered.number {
+		rep.TimePerUnit = took
+	}
+	t.rsv.Done(rep)
+	if t.job != nil {
+		s.schedule(now.Add(linkDelay), func(now time.Time) { s.upstreams[t.rsv.ID].cancel(now, t.job) })
+	}
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
--- a/internal/loadsim/timeline.go
+++ b/internal/loadsim/timeline.go
@@ -8,7 +8,8 @@
 // timeline runs events in the order of their simulated times. Its zero value is empty.
 type timeline struct {
 	events queue
-	order  int // order of the last event added
+	order  int       // order of the last event added
+	now    time.Time // time of the current event
 }
 
 // schedule schedules do at t.
@@ -21,6 +22,7 @@
 func (tl *timeline) runEvents() {
 	for len(tl.events) > 0 {
 		e := heap.Pop(&tl.events).(event)
+		tl.now = e.at
 		e.do(e.at)
 	}
 }
