upstream: what other requests cost a text depends on its own length, calls keep their rule

A full batch costs a text a quarter of its own time; for calls, of which nothing is known, the delay by load is that of the mean call as before.

--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -18,9 +18,9 @@
 	// are old, so that an upstream that seems to have a free slot may have none, and the
 	// more requests it has the more likely.
 	loadWeight = 0.5
-	// batchSlowdown is how much longer, as a fraction of its own time, a request is
-	// expected to take when requests fill all slots of its upstream. Engines take up to a
-	// quarter longer for a token of a full batch.
+	// batchSlowdown is how much longer, as a fraction of its own time, a text is expected to
+	// take when requests fill all slots of its engine. Engines take up to a quarter longer
+	// for a token of a full batch.
 	batchSlowdown = 0.25
 	// unknownPaceError is the relative error of the pace of an upstream without
 	// observations: upstreams of a pool differ by a factor of two or more.
@@ -91,7 +91,11 @@
 		load += remotePenalty
 	}
 	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
-	return own + time.Duration(batchSlowdown*load*float64(own)+(loadWeight*load+max(load-1, 0))*float64(mean))
+	d := own + time.Duration((loadWeight*load+max(load-1, 0))*float64(mean))
+	if req.Work > 0 { // the length of the request is known, as that of a text is
+		d += time.Duration(batchSlowdown * load * float64(own))
+	}
+	return d
 }
 
 // workTime returns how long the work of a request is expected to take at c. The passing
