--- a/pkg/upstream/loading.go
+++ b/pkg/upstream/loading.go
@@ -71,7 +71,7 @@
 func (r *Registry) recordLoading(rsv *Reservation, result AttemptResult) {
 	local := rsv.state.ensureLocal()
 	if result.VersionRefused {
-		local.oldVersionAt, local.oldVersionModel, local.heardAt = rsv.acquiredAt, rsv.model, result.At
+		local.oldVersionAt, local.oldVersionModel, local.answeredAt = rsv.acquiredAt, rsv.model, result.At
 		r.loadingPauses.Add(1)
 		return
 	}
@@ -95,7 +95,7 @@
 	local := rsv.state.ensureLocal()
 	local.loading = loading{}
 	if !rsv.answered {
-		rsv.answered, local.heardAt = true, at
+		rsv.answered, local.answeredAt = true, at
 	}
 	if rsv.acquiredAt.After(local.oldVersionAt) {
 		local.oldVersionAt, local.oldVersionModel = rsv.acquiredAt, rsv.model
@@ -118,13 +118,13 @@
 }
 
 // mayBeLoading reports whether an engine may have begun to load a newer version, unnoticed,
-// since this instance last heard of it. It is sent one request until it has accepted that.
+// since it last answered this instance. It is sent one request until it has accepted that.
 func (r *Registry) mayBeLoading(s *upstreamState, req Requirements) bool {
-	return s.version(req.Model) < req.Newest && r.isContended(s.Pool) && req.Now.Sub(s.localOrZero().heardAt) >= loadRetryInterval
+	return s.version(req.Model) < req.Newest && r.isContended(s.Pool) && req.Now.Sub(s.localOrZero().answeredAt) >= loadRetryInterval
 }
 
 // mayHaveLoaded reports whether an engine that held an old version of the requested model
-// when this instance last heard of it can have loaded a newer one since.
+// when it last answered this instance can have loaded a newer one since.
 func (r *Registry) mayHaveLoaded(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
 	return local.oldVersionModel != req.Model || !r.isContended(s.Pool) || !req.Now.Before(local.oldVersionAt.Add(r.loadTimes.atLeast()))
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -104,9 +104,9 @@
 	// the next load of weights: it accepted the request, or refused it for its version.
 	oldVersionAt    time.Time
 	oldVersionModel string // model of that request
-	// heardAt is when the latest answer came that showed that. The events of a stream are
+	// answeredAt is when the latest answer came that showed that. The events of a stream are
 	// no answers, since streams go on during a load.
-	heardAt time.Time
+	answeredAt time.Time
 	loading loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
