--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -107,7 +107,7 @@
 	// answeredAt is when the latest answer came that showed that. The events of a stream are
 	// no answers, since streams go on during a load.
 	answeredAt time.Time
-	loading loading
+	loading    loading
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -192,10 +192,15 @@
 	es := entries(2)
 	es[0].DataCentre = "far"
 	r.Set(es)
-	for range 1 {
-		if res, _ := r.Acquire(upstream.Requirements{Pool: "p", Now: baseTime()}); res.ID != "i1" {
-			t.Fatal("the upstream of the other data centre was chosen, want i1")
+	for i := range 20 { // while both are idle
+		res, _ := r.Acquire(upstream.Requirements{Pool: "p", Now: baseTime()})
+		if res.ID != "i1" {
+			t.Fatalf("request %d: the upstream of the other data centre was chosen, want i1", i)
 		}
+		res.Release()
+	}
+	if res, _ := r.Acquire(upstream.Requirements{Pool: "p", Now: baseTime()}); res.ID != "i1" {
+		t.Fatal("the upstream of the other data centre was chosen, want i1")
 	}
 	remote := 0
 	for range 8 {
