explain: how long the requests of each customer took

A customer who complains is looked up by name; the lines of requests did not say whose they were. They do where customers have keys, and the summary has a table by customer.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -103,10 +103,10 @@
 time=10:00:02.000 level=info msg="submission ended" node=a submission=l1
 time=10:00:04.000 level=info msg="submission ended" node=a submission=l2
 time=10:00:04.000 level=info msg="submission ended" node=a submission=l3
-time=10:00:05.000 level=info msg=request node=a request=r1 route=look status=200 verdict=ran took=10ms err=null
+time=10:00:05.000 level=info msg=request node=a request=r1 route=look customer=c1 status=200 verdict=ran took=10ms err=null
 time=10:00:05.000 level=info msg=request node=a request=r2 route=look status=200 verdict=ran took=30ms err=null skipped=4
 time=10:00:05.000 level=warn msg=request node=a request=r3 route=look status=0 verdict=not_run took=2ms err=full skipped=2
-time=10:00:05.000 level=warn msg=request node=a request=r4 route=pay status=0 verdict=not_run took=2ms err=full
+time=10:00:05.000 level=warn msg=request node=a request=r4 route=pay customer=c1 status=0 verdict=not_run took=2ms err=full
 time=10:00:05.000 level=info msg=generated node=a submission=l1 item=x1 skipped=3
 time=10:00:05.000 level=info msg=generated node=b submission=l1 item=x2 skipped=3
 `
@@ -123,12 +123,13 @@
 		{Submissions: 1, Took: explain.Distribution{P50: 4 * time.Second, P99: 4 * time.Second, Worst: 4 * time.Second}},
 		{Model: "m0", Submissions: 2, Attempts: 12, EmptyAttempts: 3, Took: explain.Distribution{P50: 3 * time.Second, P99: 4 * time.Second, Worst: 4 * time.Second}},
 	}
-	routes := []explain.RouteTiming{
-		{Route: "look", Requests: 3, Rejected: 1, Took: explain.Distribution{P50: 20 * time.Millisecond, P99: 30 * time.Millisecond, Worst: 30 * time.Millisecond}},
-		{Route: "pay", Requests: 1, Rejected: 1},
+	routes := []explain.RequestTiming{
+		{Name: "look", Requests: 3, Rejected: 1, Took: explain.Distribution{P50: 20 * time.Millisecond, P99: 30 * time.Millisecond, Worst: 30 * time.Millisecond}},
+		{Name: "pay", Requests: 1, Rejected: 1},
 	}
-	if !slices.Equal(s.Models, models) || !slices.Equal(s.Routes, routes) {
-		t.Errorf("models %+v and routes %+v, want %+v and %+v", s.Models, s.Routes, models, routes)
+	customers := []explain.RequestTiming{{Name: "c1", Requests: 2, Rejected: 1, Took: explain.Distribution{P50: 10 * time.Millisecond, P99: 10 * time.Millisecond, Worst: 10 * time.Millisecond}}}
+	if !slices.Equal(s.Models, models) || !slices.Equal(s.Routes, routes) || !slices.Equal(s.Customers, customers) {
+		t.Errorf("models %+v, routes %+v and customers %+v, want %+v, %+v and %+v", s.Models, s.Routes, s.Customers, models, routes, customers)
 	}
 	var out bytes.Buffer
 	if err := s.Write(&out, 5); err != nil || !strings.Contains(out.String(), "limits per second: failures 2, items 6, requests 4\n") {
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -48,8 +48,9 @@
 	Submissions []SubmissionTiming // those accepted and ended in the logs, slowest first
 	Rejections  int                // calls whose submission was not accepted
 	Models      []ModelTiming      // of Submissions
-	Routes      []RouteTiming
-	Skipped     map[string]int // lines that exceeded a limit per second, by kind
+	Routes      []RequestTiming
+	Customers   []RequestTiming // empty if the site has none
+	Skipped     map[string]int  // lines that exceeded a limit per second, by kind
 }
 
 // Summarize returns the processing times of the submissions in lines, and the times of
@@ -89,7 +90,8 @@
 	slices.SortFunc(s.Submissions, func(a, b SubmissionTiming) int {
 		return cmp.Or(cmp.Compare(b.Duration, a.Duration), cmp.Compare(a.ID, b.ID))
 	})
-	s.Models, s.Routes, s.Skipped = byModel(s.Submissions), byRoute(lines), skippedLines(lines)
+	s.Models, s.Skipped = byModel(s.Submissions), skippedLines(lines)
+	s.Routes, s.Customers = requestsBy("route", lines), requestsBy("customer", lines)
 	return s
 }
 
--- a/internal/explain/tables.go
+++ b/internal/explain/tables.go
@@ -36,9 +36,10 @@
 	Took                    Distribution
 }
 
-// RouteTiming is the times of the requests of one route that are in the logs.
-type RouteTiming struct {
-	Route    string
+// RequestTiming is the times of the requests of one route or customer that are in the
+// logs.
+type RequestTiming struct {
+	Name     string // of the route or customer
 	Requests int
 	Rejected int          // that have not run and were sent back
 	Took     Distribution // of those that were not rejected
@@ -67,32 +68,33 @@
 	return out
 }
 
-// byRoute returns the timings of the requests in lines by route, sorted by name.
-func byRoute(lines []Line) []RouteTiming {
-	timings, took := map[string]*RouteTiming{}, map[string][]int64{}
+// requestsBy returns the timings of the requests in lines by the value of a key of their
+// lines, sorted by it. Requests without the key are left out.
+func requestsBy(key string, lines []Line) []RequestTiming {
+	timings, took := map[string]*RequestTiming{}, map[string][]int64{}
 	for _, l := range lines {
-		if l.Message != "request" {
+		name := l.Get(key)
+		if l.Message != "request" || name == "" {
 			continue
 		}
-		route := l.Get("route")
-		t := timings[route]
+		t := timings[name]
 		if t == nil {
-			t = &RouteTiming{Route: route}
-			timings[route] = t
+			t = &RequestTiming{Name: name}
+			timings[name] = t
 		}
 		t.Requests++
 		if l.Get("verdict") == verdict.NotRun.String() {
 			t.Rejected++
 		} else if d, err := time.ParseDuration(l.Get("took")); err == nil {
-			took[route] = append(took[route], int64(d))
+			took[name] = append(took[name], int64(d))
 		}
 	}
-	var out []RouteTiming
+	var out []RequestTiming
 	for _, t := range timings {
-		t.Took = distribution(took[t.Route])
+		t.Took = distribution(took[t.Name])
 		out = append(out, *t)
 	}
-	slices.SortFunc(out, func(a, b RouteTiming) int { return cmp.Compare(a.Route, b.Route) })
+	slices.SortFunc(out, func(a, b RequestTiming) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -119,16 +121,25 @@
 	return out
 }
 
-// writeTables writes the tables by model and by route, and the numbers of skipped lines.
+// writeTables writes the tables by model, by route and by customer, if there are any, and
+// the numbers of skipped lines.
 func (s Summary) writeTables(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "\nmodel\tsubmissions\tp50\tp99\tworst\tattempts\trefused\t")
 	for _, m := range s.Models {
 		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%d\t\n", cmp.Or(m.Model, "unknown"), m.Submissions, m.Took, m.Attempts, m.EmptyAttempts)
 	}
-	fmt.Fprintln(t, "\nroute\trequests logged\tp50\tp99\tworst\trejected\t")
-	for _, r := range s.Routes {
-		fmt.Fprintf(t, "%s\t%d\t%s\t%d\t\n", r.Route, r.Requests, r.Took, r.Rejected)
+	for _, table := range []struct {
+		name string
+		rows []RequestTiming
+	}{{"route", s.Routes}, {"customer", s.Customers}} {
+		if len(table.rows) == 0 && table.name == "customer" {
+			continue // the site has none
+		}
+		fmt.Fprintf(t, "\n%s\trequests logged\tp50\tp99\tworst\trejected\t\n", table.name)
+		for _, r := range table.rows {
+			fmt.Fprintf(t, "%s\t%d\t%s\t%d\t\n", r.Name, r.Requests, r.Took, r.Rejected)
+		}
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -101,8 +101,12 @@
 		budget = o.failures
 		o.count("rejections." + rejectionReason(err))
 	}
-	o.logLine(budget, err != nil, "request", "request", r.ID, "route", rt.Name, "status", status, "verdict", v, "took", took,
-		"left", time.Until(r.Deadline), "configuration", o.node.configurationVersion(), "err", err)
+	fields := []any{"request", r.ID, "route", rt.Name, "status", status, "verdict", v, "took", took,
+		"left", time.Until(r.Deadline), "configuration", o.node.configurationVersion(), "err", err}
+	if r.Customer != "" {
+		fields = append(fields, "customer", r.Customer)
+	}
+	o.logLine(budget, err != nil, "request", fields...)
 }
 
 // rejectionReason returns the name of the counter for err.
