forward: the number of waiting requests is read when it is shown

Cause: a request that joined or left a queue counted itself and then wrote the sum to the gauge waitqueue.length, so that two that left together could write in the other order: the gauge showed one waiting request that was gone, until the next one came. Change: the gauge reads the sum.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -100,7 +100,8 @@
 	Guard *quarantine.Guard
 	// OnAttempt is called after each attempt. It may be nil.
 	OnAttempt func(Attempt)
-	// Metrics counts hedged copies. The default is a registry of its own.
+	// Metrics holds counters of hedged copies and of waiting requests, and the number of
+	// these. The default is a registry of its own.
 	Metrics metrics.Registry
 }
 
@@ -142,6 +143,7 @@
 	}
 	f := &Forwarder{cfg: cfg}
 	cfg.Registry.OnRelease(f.queues.wake)
+	_ = metrics.NewRegisteredFunctionalGauge("waitqueue.length", cfg.Metrics, f.waiting.Load) // shows the sum however its changes overlap
 	return f
 }
 
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -148,10 +148,9 @@
 		return nil, err
 	}
 	f.count("waitqueue.joined")
-	length := metrics.GetOrRegisterGauge("waitqueue.length", f.cfg.Metrics)
-	length.Update(f.waiting.Add(1))
+	f.waiting.Add(1)
 	rsv, err := f.await(ctx, q, ticket, signals, w)
-	length.Update(f.waiting.Add(-1))
+	f.waiting.Add(-1)
 	metrics.GetOrRegisterTimer("waitqueue.waited", f.cfg.Metrics).UpdateSince(now)
 	return rsv, err
 }
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -192,6 +192,38 @@
 	})
 }
 
+// Guards against a length of the queues that stays wrong: requests that leave at the same
+// moment wrote it to the gauge in another order than they had counted, so that it could
+// show one that was no longer there.
+func TestQueueLengthAfterAllLeave(t *testing.T) {
+	for round := range 2000 {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(true, "a", "b")
+			s.pause(time.Hour)
+			ctx, leave := context.WithCancel(t.Context())
+			var g errgroup.Group
+			for i := range forward.QueueLimit(2 * slotsOfEach) {
+				g.Go(func() error {
+					_, err := s.call(ctx, forward.Request{ID: fmt.Sprint(i)})
+					if !isRefusal(err) {
+						t.Errorf("got %v, want a refusal", err)
+					}
+					return nil
+				})
+			}
+			synctest.Wait()
+			if s.gauge("waitqueue.length") == 0 {
+				t.Errorf("round %d: got no waiting requests, want some", round)
+			}
+			leave()
+			_ = g.Wait()
+			if n := s.gauge("waitqueue.length"); n != 0 {
+				t.Errorf("round %d: %d requests in the queue after all have left", round, n)
+			}
+		})
+	}
+}
+
 // Guards, for any times of arrival, answers and refusals, against a request that is
 // neither answered nor refused in time, one that runs twice, and a queue that does not
 // become empty.
