pkg/weights: assignment that moves few engines

Models get contiguous ranges of the sorted engine IDs. When engines are lost or the work of a model changes, the bounds of the models after it shift, and the engines between load weights, which takes 0.9 s each.

AssignStable gives each model as many engines as AssignEngines does, from the same code, but takes pairs of engine and model by the rank of their hash. Engines propose to models instead of all pairs being sorted. Nodes use it where the settings say that capacity is contended, for orders and requests alike, and keep the last result of each pool.

--- a/pkg/node/assigner.go
+++ b/pkg/node/assigner.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 
+	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -45,6 +46,46 @@
 	return &assigner{busy: func() bool { return n.reader.runCount() > 0 }, assign: n.assignEngines}
 }
 
+// poolAssignment is the assignment of a pool's engines to its models.
+type poolAssignment struct {
+	ids     []string // engines that do not drain
+	demands []weights.Demand
+	byModel map[string][]string
+}
+
+// assignPool assigns the engines of a pool by demands. Which engines they are depends on
+// the settings only, so that all instances that know the same engines and submissions
+// compute the same. The caller must not modify the result.
+func (n *Node) assignPool(pool routetable.Pool, demands []weights.Demand) poolAssignment {
+	ids, _ := n.registry.NonDraining(pool.Name)
+	out := poolAssignment{ids: ids, demands: poolDemands(pool, demands, n.cfg.Contended)}
+	if n.cfg.Contended {
+		out.byModel = n.stable.assign(pool.Name, ids, out.demands)
+	} else {
+		out.byModel = weights.AssignEngines(ids, out.demands)
+	}
+	return out
+}
+
+// stableAssigners holds a weights.StableAssigner for each pool. The holder of the orders
+// lease needs the assignment ten times a second, most often the same. It is safe for
+// concurrent use.
+type stableAssigners struct {
+	mu     sync.Mutex
+	byPool map[string]*weights.StableAssigner
+}
+
+func (s *stableAssigners) assign(pool string, ids []string, demands []weights.Demand) map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.byPool[pool]
+	if a == nil {
+		a = &weights.StableAssigner{}
+		s.byPool[pool] = a
+	}
+	return a.Assign(ids, demands)
+}
+
 // assignEngines assigns the engines of each pool to its models. It reports false while
 // no configuration is in force.
 func (n *Node) assignEngines(demands []weights.Demand) bool {
@@ -55,8 +96,7 @@
 	assignments := map[string][]string{}
 	for _, pool := range t.Pools {
 		if len(pool.Models) > 0 {
-			ids, _ := n.registry.NonDraining(pool.Name)
-			maps.Copy(assignments, weights.AssignEngines(ids, poolDemands(pool, demands, n.cfg.Contended)))
+			maps.Copy(assignments, n.assignPool(pool, demands).byModel)
 		}
 	}
 	n.registry.SetAssignments(assignments)
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -158,6 +159,12 @@
 	return poolDemands(pool, s.s.demands(), contended)
 }
 
+// AssignPool assigns the entries, the only ones, of a pool to its models by demands.
+func (n *Node) AssignPool(pool routetable.Pool, entries []upstream.Entry, demands []weights.Demand) map[string][]string {
+	n.registry.Set(entries)
+	return n.assignPool(pool, demands).byModel
+}
+
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -140,6 +140,7 @@
 	orders         *orderSender
 	assigner       *assigner
 	follower       *watch.Follower
+	stable         stableAssigners
 	encodedMembers memberEncodings
 	duties         *duties
 	usage          *usageRecorder
@@ -162,7 +163,7 @@
 
 // New returns a Node configured by cfg.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, startID: membership.StartID(cfg.Name, time.Now()), startedAt: time.Now(), registry: upstream.NewRegistry(cfg.DataCentre),
+	n := &Node{cfg: cfg, stable: stableAssigners{byPool: map[string]*weights.StableAssigner{}}, startID: membership.StartID(cfg.Name, time.Now()), startedAt: time.Now(), registry: upstream.NewRegistry(cfg.DataCentre),
 		submissions: submission.Repository{Store: cfg.Store, MaxRowBytes: cfg.MaxRowBytes},
 		carryover:   &carryover.Store{Objects: cfg.Store, Limit: carryoverLimit}, events: make(chan any, eventQueueSize)}
 	if n.cfg.Metrics == nil {
--- a/pkg/node/plan.go
+++ b/pkg/node/plan.go
@@ -31,23 +31,21 @@
 // may load at once. until is the time until which orders may be sent under the lease.
 // continueRunning is the value of LoadOrder.Continue in the orders.
 func (o *orderSender) planPool(ctx context.Context, p planOrders, pool routetable.Pool, until time.Time, continueRunning bool) {
-	ids, _ := o.node.registry.NonDraining(pool.Name)
-	demands := poolDemands(pool, p.demands, o.node.cfg.Contended)
-	assignments := weights.AssignEngines(ids, demands)
-	budget := max(minLoading, int(loadingShare*float64(len(ids))+0.5))
+	assigned := o.node.assignPool(pool, p.demands)
+	budget := max(minLoading, int(loadingShare*float64(len(assigned.ids))+0.5))
 	held := func(d weights.Demand) map[string]uint64 {
 		out := map[string]uint64{}
-		for _, id := range assignments[d.Model] {
+		for _, id := range assigned.byModel[d.Model] {
 			if e, ok := o.node.registry.Entry(id); ok {
 				out[id] = e.Versions[d.Model]
 			}
 		}
 		return out
 	}
-	for _, d := range weights.SortByUrgency(demands, held) {
+	for _, d := range weights.SortByUrgency(assigned.demands, held) {
 		held := held(d)
 		key := pool.Name + "/" + d.Model
-		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(ids)/len(demands), p.at, until)
+		orders := o.reduce(key, d, held, budget-o.loading(pool.Name, key), len(assigned.ids)/len(assigned.demands), p.at, until)
 		for _, ord := range orders {
 			e, ok := o.node.registry.Entry(ord.Address)
 			if !ok {
--- a/pkg/weights/demand.go
+++ b/pkg/weights/demand.go
@@ -105,59 +105,82 @@
 //
 // The returned slices may share memory with engines.
 func AssignEngines(engines []string, demands []Demand) map[string][]string {
-	ids := engines
-	if !slices.IsSorted(ids) {
-		ids = slices.Sorted(slices.Values(engines))
+	ids := sorted(engines)
+	counts, ok := engineCounts(len(ids), demands)
+	if !ok {
+		return assignAll(ids, demands)
 	}
-	if out, ok := assignByNeed(ids, demands); ok {
-		return out
+	out := make(map[string][]string, len(demands))
+	for i, d := range demands {
+		out[d.Model], ids = ids[:counts[i]], ids[counts[i]:]
+	}
+	return out
+}
+
+// sorted returns engines if they are sorted, else a sorted copy.
+func sorted(engines []string) []string {
+	if slices.IsSorted(engines) {
+		return engines
+	}
+	return slices.Sorted(slices.Values(engines))
+}
+
+// assignAll assigns every engine to every model.
+func assignAll(ids []string, demands []Demand) map[string][]string {
+	out := make(map[string][]string, len(demands))
+	for _, d := range demands {
+		out[d.Model] = ids
+	}
+	return out
+}
+
+// engineCounts returns how many of n engines the model of each demand gets: by need if
+// there is a surplus of engines, else by work. It reports false if there are too few
+// engines to divide, or no work.
+func engineCounts(n int, demands []Demand) ([]int, bool) {
+	if counts, ok := countsByNeed(n, demands); ok {
+		return counts, true
 	}
 	total := 0.0
 	for _, d := range demands {
 		total += d.Work
 	}
-	out := make(map[string][]string, len(demands))
-	if len(ids) < len(demands)*minEngines || total <= 0 {
-		for _, d := range demands {
-			out[d.Model] = ids // too few engines to divide
-		}
-		return out
+	if n < len(demands)*minEngines || total <= 0 {
+		return nil, false
 	}
-	spare := len(ids) - len(demands)*minEngines
+	counts := make([]int, len(demands))
+	spare := n - len(demands)*minEngines
 	before, from := 0.0, 0
 	for i, d := range demands {
 		before += d.Work
 		to := (i+1)*minEngines + int(math.Round(before/total*float64(spare)))
-		out[d.Model] = ids[from:to]
+		counts[i] = to - from
 		from = to
 	}
-	return out
+	return counts, true
 }
 
 // surplusFactor is the ratio of the engines to those that the items of all models can
 // use from which on engines are assigned by need instead of by work.
 const surplusFactor = 1.5
 
-// assignByNeed assigns each model the number of engines that its items can use. It
-// reports false if that number is unknown for a model or there is no surplus of
-// engines.
-func assignByNeed(ids []string, demands []Demand) (map[string][]string, bool) {
+// countsByNeed returns, for the model of each demand, the number of engines that its
+// items can use. It reports false if that number is unknown for a model or n engines are
+// not a surplus.
+func countsByNeed(n int, demands []Demand) ([]int, bool) {
+	counts := make([]int, len(demands))
 	need := 0
-	for _, d := range demands {
+	for i, d := range demands {
 		if d.MaxEngines <= 0 {
 			return nil, false
 		}
-		need += max(d.MaxEngines, minEngines)
+		counts[i] = max(d.MaxEngines, minEngines)
+		need += counts[i]
 	}
-	if need == 0 || surplusFactor*float64(need) > float64(len(ids)) {
+	if need == 0 || surplusFactor*float64(need) > float64(n) {
 		return nil, false
 	}
-	out := make(map[string][]string, len(demands))
-	for _, d := range demands {
-		n := max(d.MaxEngines, minEngines)
-		out[d.Model], ids = ids[:n], ids[n:]
-	}
-	return out, true
+	return counts, true
 }
 
 // EnginesToLoad returns the engines that are to load the target version of d now, most
