pkg/scaling: orders carried out late or without capacity, overdue work

The provider may carry out an order after a newer one; the engines in excess then ran on. A data centre without engines was asked every 3 s. Submissions that their trainers had given up counted as work until they were deleted.

Where the settings say that capacity is contended, the last accepted order is sent again when more engines run than it asked for, once those of earlier orders must have booted, at most every 10 s. The pause after an order that finds nothing doubles from 3 to 24 s. Submissions overdue by more than 4.5 s do not count; since that depends on the time, the scaling duty gets the open submissions with their due times. The line "engines ordered" gains the number of running engines.

Measured in the simulation of the tests: 5 orders instead of 20 in 60 s without capacity; 8 engines in excess are gone after one order instead of running on.

--- a/pkg/node/demand.go
+++ b/pkg/node/demand.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/option"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
@@ -23,16 +24,22 @@
 	s.work[h.Model] = mean + workSmoothing*(float64(h.EstimatedLength)-mean)
 }
 
-// openItems returns the number of items of open submissions, by pool.
-func (s *state) openItems() map[string]int {
-	out := map[string]int{}
+// openSubmissions returns the open submissions, by pool, in no particular order.
+func (s *state) openSubmissions() map[string][]scaling.Submission {
+	out := map[string][]scaling.Submission{}
 	if s.table == nil {
 		return out
 	}
 	for _, head := range s.heads {
-		if rt, ok := s.table.Match(head.Host, head.Path); ok && head.Open() {
-			out[rt.Shares[0].Pool] += head.Total
+		rt, ok := s.table.Match(head.Host, head.Path)
+		if !ok || !head.Open() {
+			continue
+		}
+		open := scaling.Submission{Items: head.Total}
+		if rt.Due > 0 {
+			open.Due = head.AcceptedAt.Add(rt.Due)
 		}
+		out[rt.Shares[0].Pool] = append(out[rt.Shares[0].Pool], open)
 	}
 	return out
 }
--- a/pkg/node/demand_test.go
+++ b/pkg/node/demand_test.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/node"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 )
 
@@ -40,3 +42,27 @@
 		}
 	}
 }
+
+// Engines were ordered for submissions whose trainers had given up. What the scaling duty
+// gets must tell when the results of each open submission are due by its route, and leave
+// out those that are not open.
+func TestOpenSubmissions(t *testing.T) {
+	at := baseTime()
+	share := []routetable.Share{{Pool: "p"}}
+	s := node.NewState("a", "a#1", decoder)
+	s.SetTable(routetable.New(1, []routetable.Route{
+		{Host: "h", PathPrefix: "/due/", Kind: routetable.Submissions, Shares: share, Due: 7500 * time.Millisecond},
+		{Host: "h", PathPrefix: "/any/", Kind: routetable.Submissions, Shares: share},
+	}, nil, routetable.Limits{}))
+	for i, h := range []submission.Head{{ID: "a", Path: "/due/a", Total: 1}, {ID: "b", Path: "/any/b", Total: 2}, {ID: "c", Path: "/due/c", Total: 4, Ended: true}, {ID: "d", Path: "/none/d", Total: 8}} {
+		h.Host, h.AcceptedAt = "h", at
+		s.Update(heads(at, head(t, h, uint64(i+1))))
+	}
+	got := s.OpenSubmissions()["p"]
+	slices.SortFunc(got, func(a, b scaling.Submission) int { return a.Items - b.Items })
+	want := []scaling.Submission{{Items: 1, Due: at.Add(7500 * time.Millisecond)}, {Items: 2}}
+	same := func(a, b scaling.Submission) bool { return a.Items == b.Items && a.Due.Equal(b.Due) }
+	if !slices.EqualFunc(got, want, same) {
+		t.Fatalf("got open submissions %v, want %v", got, want)
+	}
+}
--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -223,9 +223,9 @@
 	if t == nil {
 		return
 	}
-	items := n.openItems.Load()
+	open := n.openSubmissions.Load()
 	for _, pool := range t.Pools {
-		if pool.Scaling.Max <= 0 || items == nil {
+		if pool.Scaling.Max <= 0 || open == nil {
 			continue
 		}
 		plan := d.plans[pool.Name]
@@ -233,13 +233,14 @@
 			plan = &scaling.Planner{}
 			d.plans[pool.Name] = plan
 		}
-		s := scaling.PoolState{At: time.Now(), Engines: map[scaling.Placement]int{}, Items: (*items)[pool.Name]}
+		limits := scaling.Limits{Scaling: pool.Scaling, Slots: pool.Slots, Contended: n.cfg.Contended}
+		now := time.Now()
+		s := scaling.PoolState{At: now, Engines: map[scaling.Placement]int{}, Items: limits.CountItems((*open)[pool.Name], now)}
 		for _, e := range n.registry.Entries(pool.Name) {
 			if !e.Draining {
 				s.Engines[scaling.Placement{DataCentre: e.DataCentre, Spot: e.Spot}]++
 			}
 		}
-		limits := scaling.Limits{Scaling: pool.Scaling, Slots: pool.Slots}
 		for _, o := range plan.Decide(pool.Name, limits, s) {
 			d.orderEngines(ctx, plan, o, s.Engines[o.Placement])
 		}
@@ -260,5 +261,5 @@
 	}
 	plan.RecordOutcome(o, outcome, current, time.Now())
 	n.observer.count("duties.engines.ordered")
-	n.cfg.Logger.Info("engines ordered", "pool", o.Pool, "data_centre", o.DataCentre, "spot", o.Spot, "engines", o.Engines, "err", err)
+	n.cfg.Logger.Info("engines ordered", "pool", o.Pool, "data_centre", o.DataCentre, "spot", o.Spot, "engines", o.Engines, "running", current, "err", err)
 }
--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -9,6 +9,7 @@
 
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -54,8 +55,10 @@
 	// setReachable publishes the time since which the store has been reachable without
 	// a break.
 	setReachable struct{ since time.Time }
-	// setOpenItems publishes the number of items of open submissions, by pool.
-	setOpenItems struct{ items map[string]int }
+	// setOpenSubmissions publishes the open submissions by pool.
+	setOpenSubmissions struct {
+		byPool map[string][]scaling.Submission
+	}
 	// announceDrain announces to other instances that this one drains.
 	announceDrain struct{}
 
@@ -128,7 +131,7 @@
 	n.reachableSinceNanos.Store(e.since.UnixNano())
 }
 
-func (e setOpenItems) execute(_ context.Context, n *Node) { n.openItems.Store(&e.items) }
+func (e setOpenSubmissions) execute(_ context.Context, n *Node) { n.openSubmissions.Store(&e.byPool) }
 
 // execute also makes instances that follow tables through this one choose another
 // relay.
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
@@ -165,6 +166,9 @@
 	return n.assignPool(pool, demands).byModel
 }
 
+// OpenSubmissions returns the open submissions by pool.
+func (s State) OpenSubmissions() map[string][]scaling.Submission { return s.s.openSubmissions() }
+
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/usage"
@@ -139,8 +140,8 @@
 	member         *memberRow
 	orders         *orderSender
 	assigner       *assigner
-	follower       *watch.Follower
 	stable         stableAssigners
+	follower       *watch.Follower
 	encodedMembers memberEncodings
 	duties         *duties
 	usage          *usageRecorder
@@ -148,8 +149,8 @@
 	// reachableSinceNanos is the time since which the store has been reachable without
 	// a break, in Unix nanoseconds. It is 0 until the first outage has ended.
 	reachableSinceNanos atomic.Int64
-	// openItems is the number of items of open submissions, by pool.
-	openItems atomic.Pointer[map[string]int]
+	// openSubmissions holds the open submissions by pool.
+	openSubmissions atomic.Pointer[map[string][]scaling.Submission]
 	// upstreams is the number of registered upstreams.
 	upstreams atomic.Int64
 	// quarantine tracks requests that crash upstreams.
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -213,7 +213,7 @@
 	if s.demandsStale {
 		before := s.lastDemands
 		s.lastDemands, s.demandsStale = s.demands(), false
-		effs = append(effs, setOpenItems{s.openItems()})
+		effs = append(effs, setOpenSubmissions{s.openSubmissions()})
 		s.assignmentsStale = s.assignmentsStale || !slices.Equal(before, s.lastDemands)
 	}
 	if s.assignmentsStale {
--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -17,6 +17,10 @@
 type Limits struct {
 	routetable.Scaling
 	Slots int // requests that an engine batches
+	// Contended makes the Planner send an order again that an older one has undone, ask a
+	// data centre without capacity less and less often, and leave out submissions that
+	// are overdue.
+	Contended bool
 }
 
 // Placement is a data centre and a kind of engine.
@@ -36,10 +40,30 @@
 type PoolState struct {
 	At      time.Time
 	Engines map[Placement]int // engines that do not drain
-	// Items is the number of items of the pool's open submissions.
+	// Items is the number of items of the pool's open submissions that engines are
+	// needed for, see CountItems.
 	Items int
 }
 
+// Submission is an open submission of a pool.
+type Submission struct {
+	Items int
+	Due   time.Time // when its results are due; zero if at no particular time
+}
+
+// CountItems returns the number of items of open submissions that engines are needed
+// for at a time. In contended pools those are left out that have been due for longer
+// than overdueLimit.
+func (l Limits) CountItems(open []Submission, at time.Time) int {
+	n := 0
+	for _, s := range open {
+		if !l.Contended || s.Due.IsZero() || at.Sub(s.Due) <= overdueLimit {
+			n += s.Items
+		}
+	}
+	return n
+}
+
 const (
 	// SlotsPerItem is the number of slots to provide for each item of the open
 	// submissions, as far as the operator's limits allow.
@@ -48,14 +72,23 @@
 	// engines are not released while trainers pause.
 	peakHold = 20 * time.Second
 	// noCapacityDelay is the pause before the next order for a placement that had no
-	// engine available.
-	noCapacityDelay = 3 * time.Second
+	// engine available. In contended pools it doubles with each such order up to
+	// maxNoCapacityDelay.
+	noCapacityDelay    = 3 * time.Second
+	maxNoCapacityDelay = 24 * time.Second
 	// bootMargin is added to the boot time before an ordered engine that was never seen
 	// is ordered again. Its registration takes one or two heartbeats.
 	bootMargin = 4 * time.Second
 	// retryDelay is the pause after an order that got no answer. It may have been
 	// carried out, or be carried out later.
 	retryDelay = 1500 * time.Millisecond
+	// correctionInterval is the least time between two orders for a placement that runs
+	// more engines than were last ordered.
+	correctionInterval = 10 * time.Second
+	// overdueLimit is the time between the due time of the customers' steps, 7.5 s, and
+	// the time when their trainers give up, 12 s. A submission that is still open after
+	// it has no reader, and more engines would not help anybody.
+	overdueLimit = 4500 * time.Millisecond
 )
 
 // Planner holds what the instance with the scaling duty remembers of a pool. Its zero
@@ -68,10 +101,26 @@
 
 // placementOrder is the last order for a placement.
 type placementOrder struct {
-	engines   int
-	at        time.Time
-	seen      bool      // whether all of its engines have been observed since
-	notBefore time.Time // earliest time of the next order
+	engines     int
+	at          time.Time // zero while no order has got an answer
+	accepted    int       // engines of the last order that was accepted
+	seen        bool      // whether all of its engines have been observed since
+	notBefore   time.Time // earliest time of the next order
+	misses      int       // orders in succession that found no engine
+	correctedAt time.Time // when an order was last sent because too many engines ran
+}
+
+// mayFollow reports whether an order for the same placement may be sent at a time.
+func (o placementOrder) mayFollow(at time.Time, contended bool) bool {
+	pause := time.Duration(0)
+	switch {
+	case o.misses == 0:
+	case contended:
+		pause = min(noCapacityDelay<<min(o.misses-1, 8), maxNoCapacityDelay)
+	default:
+		pause = noCapacityDelay
+	}
+	return !at.Before(o.notBefore) && at.Sub(o.at) >= pause
 }
 
 // Decide returns the orders to send now.
@@ -84,6 +133,10 @@
 // longer than peakHold they are released. If a data centre reclaims its engines and has
 // none, the others provide its share at once and keep it, so that orders do not
 // alternate while its capacity comes and goes.
+//
+// The provider may carry out an order late, after a newer one. In contended pools the
+// last order is sent again if more engines run than it asked for once those of earlier
+// orders must have booted. Fewer engines than ordered are ordered again in any pool.
 func (p *Planner) Decide(pool string, l Limits, s PoolState) []Order {
 	if l.Max <= 0 || l.Slots <= 0 || l.SpotPrice <= 0 {
 		return nil
@@ -99,11 +152,17 @@
 		if known {
 			p.orders[place] = o
 		}
-		lost := running < n && (o.seen || s.At.Sub(o.at) >= l.BootTime+bootMargin)
+		booted := s.At.Sub(o.at) >= l.BootTime+bootMargin
+		lost := running < n && (o.seen || booted)
+		surplus := l.Contended && !o.at.IsZero() && booted && running > max(o.engines, o.accepted) && s.At.Sub(o.correctedAt) >= correctionInterval
 		switch {
-		case s.At.Before(o.notBefore), !known && n <= running, known && n == o.engines && !lost:
+		case !o.mayFollow(s.At, l.Contended), !known && n <= running, known && n == o.engines && !lost && !surplus:
 			continue
 		}
+		if surplus {
+			o.correctedAt = s.At
+			p.orders[place] = o
+		}
 		out = append(out, Order{Pool: pool, Placement: place, Engines: n})
 	}
 	slices.SortFunc(out, func(a, b Order) int {
@@ -161,7 +220,7 @@
 	for _, dc := range centres {
 		place := Placement{DataCentre: dc, Spot: true}
 		n := s.Engines[Placement{DataCentre: dc}] + spot[place]
-		if n < fewest && !s.At.Before(p.orders[place].notBefore) {
+		if n < fewest && p.orders[place].mayFollow(s.At, l.Contended) {
 			best, fewest = dc, n
 		}
 	}
@@ -193,13 +252,13 @@
 // RecordOutcome records the outcome of o, received at at. running is the number of
 // engines that run in the order's placement.
 func (p *Planner) RecordOutcome(o Order, outcome Outcome, running int, at time.Time) {
+	last := p.orders[o.Placement]
 	switch outcome {
 	case Accepted:
-		p.orders[o.Placement] = placementOrder{engines: o.Engines, at: at}
+		p.orders[o.Placement] = placementOrder{engines: o.Engines, at: at, accepted: o.Engines, correctedAt: last.correctedAt}
 	case NoCapacity:
-		p.orders[o.Placement] = placementOrder{engines: min(running, o.Engines), at: at, notBefore: at.Add(noCapacityDelay)}
+		p.orders[o.Placement] = placementOrder{engines: min(running, o.Engines), at: at, accepted: last.accepted, misses: last.misses + 1, correctedAt: last.correctedAt}
 	case Unknown:
-		last := p.orders[o.Placement]
 		last.notBefore = at.Add(retryDelay)
 		p.orders[o.Placement] = last
 	}
--- a/pkg/scaling/scaling_test.go
+++ b/pkg/scaling/scaling_test.go
@@ -20,6 +20,7 @@
 // available again.
 type site struct {
 	plan       scaling.Planner
+	contended  bool
 	now        time.Time
 	regular    map[string]int
 	spot       map[string]int // running
@@ -36,6 +37,8 @@
 
 // run advances the time by span while open submissions hold the given number of items.
 func (s *site) run(span time.Duration, items int) {
+	l := limits
+	l.Contended = s.contended
 	for end := s.now.Add(span); s.now.Before(end); s.now = s.now.Add(250 * time.Millisecond) {
 		s.boot()
 		seen := scaling.PoolState{At: s.now, Engines: map[scaling.Placement]int{}, Items: items}
@@ -43,7 +46,7 @@
 			seen.Engines[scaling.Placement{DataCentre: dc}] = n
 			seen.Engines[scaling.Placement{DataCentre: dc, Spot: true}] = s.spot[dc]
 		}
-		for _, o := range s.plan.Decide("p", limits, seen) {
+		for _, o := range s.plan.Decide("p", l, seen) {
 			s.order(o)
 		}
 	}
@@ -184,6 +187,8 @@
 func TestOrdersStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var p scaling.Planner
+		limits := limits
+		limits.Contended = rapid.Bool().Draw(t, "contended")
 		at := time.Unix(1_800_000_000, 0)
 		for range rapid.IntRange(1, 60).Draw(t, "looks") {
 			at = at.Add(time.Duration(rapid.IntRange(50, 30_000).Draw(t, "later")) * time.Millisecond)
@@ -201,3 +206,95 @@
 		}
 	})
 }
+
+// A provider carried out an order for many engines after a newer one for fewer, and the
+// surplus ran on at a cost. In contended pools the newer order must be sent again, not
+// before the engines of earlier orders can have booted, and at most every 10 s.
+func TestOrderCarriedOutLate(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		contended   bool
+		after       time.Duration // from the newer order until the older one is carried out
+		late        int           // how often that is, every second
+		span        time.Duration // observed from then on
+		orders, end int           // orders in that span, and engines in excess after it
+	}{
+		{"not contended", false, 10 * time.Second, 1, 40 * time.Second, 0, 8},
+		{"once", true, 10 * time.Second, 1, 40 * time.Second, 1, 0},
+		{"soon after the newer one", true, time.Second, 1, 6 * time.Second, 0, 8},
+		{"soon, later on", true, time.Second, 1, 8 * time.Second, 1, 0},
+		{"again and again", true, 10 * time.Second, 40, 40 * time.Second, 4, 8},
+	} {
+		s := newSite()
+		s.contended = c.contended
+		s.run(10*time.Second, 700)
+		for older := s.desired["a"]; s.desired["a"] == older; {
+			s.run(250*time.Millisecond, 450)
+		}
+		s.run(c.after, 450)
+		before, ordered := s.orders, s.desired["a"]
+		for range c.late {
+			s.spot["a"] = ordered + 8
+			s.run(time.Second, 450)
+		}
+		s.run(c.span-time.Duration(c.late)*time.Second, 450)
+		if got, excess := s.orders-before, s.spot["a"]-ordered; got != c.orders || excess != c.end {
+			t.Errorf("%s: got %d orders and %d engines in excess after %v, want %d and %d", c.name, got, excess, c.span, c.orders, c.end)
+		}
+	}
+}
+
+// An order for more engines finds none while those of the one before still boot. When they
+// run, they must not be taken for engines that an older order started.
+func TestBootingEnginesAreNotSurplus(t *testing.T) {
+	s := newSite()
+	s.contended = true
+	s.run(time.Second, 450)
+	ordered := s.desired["a"]
+	s.noCapacity["a"] = true
+	s.run(30*time.Second, 500)
+	if ordered == 0 || s.spot["a"] != ordered {
+		t.Errorf("got %d engines in the data centre without capacity, want the %d ordered before", s.spot["a"], ordered)
+	}
+}
+
+// A data centre without capacity was asked every 3 s although nothing had changed there.
+// In contended pools the pause must double up to 24 s, start anew after an order that was
+// accepted, and the other data centres must be ordered from as before.
+func TestOrdersWithoutCapacity(t *testing.T) {
+	for contended, want := range map[bool]int{false: 20, true: 5} {
+		s := newSite()
+		s.contended = contended
+		s.noCapacity["a"] = true
+		for _, again := range []bool{false, true} {
+			before := s.orders
+			s.run(60*time.Second, 800)
+			others := s.orders - before - want
+			if max := map[bool]int{false: 2, true: 0}[again]; others < 0 || others > max {
+				t.Errorf("contended %v, again %v: got %d orders, want %d and at most %d in other data centres", contended, again, s.orders-before, want, max)
+			}
+			if s.regular["b"]+s.spot["b"] != limits.Max || s.regular["c"]+s.spot["c"] != limits.Max {
+				t.Errorf("contended %v: got spot engines %v, want the limit of the other data centres", contended, s.spot)
+			}
+			s.noCapacity["a"] = false
+			s.run(30*time.Second, 800)
+			if s.spot["a"] == 0 {
+				t.Fatalf("contended %v: got no engines 30 s after the data centre had some", contended)
+			}
+			s.spot["a"], s.noCapacity["a"] = 0, true
+		}
+	}
+}
+
+// Engines were held for submissions whose trainers had given up or were gone. In contended
+// pools submissions that are overdue by more than 4.5 s must not count; those without a
+// due time always do.
+func TestOverdueSubmissionsDoNotCount(t *testing.T) {
+	at := time.Unix(1_800_000_000, 0)
+	open := []scaling.Submission{{Items: 1}, {Items: 10, Due: at.Add(time.Second)}, {Items: 100, Due: at.Add(-4500 * time.Millisecond)}, {Items: 1000, Due: at.Add(-4501 * time.Millisecond)}}
+	for contended, want := range map[bool]int{false: 1111, true: 111} {
+		if got := (scaling.Limits{Contended: contended}).CountItems(open, at); got != want {
+			t.Errorf("contended %v: got %d items, want %d", contended, got, want)
+		}
+	}
+}
