--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -12,7 +12,9 @@
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/scaling"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -158,6 +160,15 @@
 	return poolDemands(pool, s.s.demands(), contended)
 }
 
+// AssignPool assigns the entries, the only ones, of a pool to its models by demands.
+func (n *Node) AssignPool(pool routetable.Pool, entries []upstream.Entry, demands []weights.Demand) map[string][]string {
+	n.registry.Set(entries)
+	return n.assignPool(pool, demands).byModel
+}
+
+// OpenSubmissions returns the open submissions by pool.
+func (s State) OpenSubmissions() map[string][]scaling.Submission { return s.s.openSubmissions() }
+
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
 
