scaling: ask a data centre without engines every 12 s at the latest

Cause: with up to 24 s, engines that are to be had again are noticed after two or three steps of a trainer have passed; a call to the provider costs next to nothing. Change: the pause doubles up to 12 s.

--- a/pkg/scaling/scaling.go
+++ b/pkg/scaling/scaling.go
@@ -73,9 +73,10 @@
 	peakHold = 20 * time.Second
 	// noCapacityDelay is the pause before the next order for a placement that had no
 	// engine available. In contended pools it doubles with each such order up to
-	// maxNoCapacityDelay.
+	// maxNoCapacityDelay, so that capacity that is back is noticed within two steps of a
+	// trainer, which is as long as the trainer waits for one.
 	noCapacityDelay    = 3 * time.Second
-	maxNoCapacityDelay = 24 * time.Second
+	maxNoCapacityDelay = 12 * time.Second
 	// bootMargin is added to the boot time before an ordered engine that was never seen
 	// is ordered again. Its registration takes one or two heartbeats.
 	bootMargin = 4 * time.Second
