upstream: failing upstreams are ranked lower in contended pools

An upstream with failure rate p counts as taking 1/(1-p) times as long, squared for requests that run once (Requirements.Once). The factor is relative to that of the best candidate, so that it is exactly 1 where all fail alike.

A failed attempt is no longer an observation of pace in contended pools: an upstream that fails at once seemed fast and attracted requests.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -52,6 +52,10 @@
 	// AttemptResult.TimePerUnit, of the mean request; 0 for 1. Both are used in contended
 	// pools only.
 	Work, Units float64
+
+	// Once marks a request that must not be sent again after it has failed. It avoids
+	// upstreams that fail requests more than others do. It is used in contended pools only.
+	Once bool
 }
 
 // Candidate is an upstream that may be chosen for a request.
--- a/pkg/upstream/entry.go
+++ b/pkg/upstream/entry.go
@@ -54,8 +54,14 @@
 	// Superseded means that the attempt was cancelled because another one had answered.
 	// It says nothing about the upstream's health.
 	Superseded bool
+	// Cancelled means that this instance or the caller ended the attempt before its
+	// response was complete. It is left out of the upstream's failure rate.
+	Cancelled bool
 	// Failed means that the upstream gave no usable response.
 	Failed bool
+	// Interrupted means that the upstream ended a response early that it had begun. The
+	// response counts as failed in the upstream's failure rate, and nowhere else.
+	Interrupted bool
 	// Unreachable means that the upstream accepted no connection.
 	Unreachable bool
 	// AddressReused means that another upstream has the address now.
--- a/pkg/upstream/pace_test.go
+++ b/pkg/upstream/pace_test.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// Guards against moves that gain little or go to an engine without a free slot or that
-// has just refused a request.
+// Guards against moves that gain little or go to an engine without a free slot, that has just
+// refused a request or that fails one in two.
 func TestAcquireSooner(t *testing.T) {
 	for _, c := range []struct {
 		name      string
@@ -129,12 +129,17 @@
 		{"no free slot", 0.4, 200, 8, false, true, false},
 		{"refused", 0.4, 200, 0, true, true, false},
 		{"not contended", 0.4, 200, 0, false, false, false},
+		{"fails requests", 0.4, 200, 0, false, true, false},
 	} {
 		r := newContended(2, map[int]float64{1: c.pace})
 		here := acquireAt(r, "i0")
 		for range c.taken {
 			acquireAt(r, "i1")
 		}
+		for i := range 300 {
+			at := baseTime().Add(time.Duration(i) * 100 * time.Millisecond)
+			acquireAt(r, "i1").Done(upstream.AttemptResult{At: at, Failed: c.name == "fails requests" && i%2 == 0})
+		}
 		if c.refused {
 			acquireAt(r, "i1").Done(upstream.AttemptResult{At: baseTime(), Busy: true, BusyUntil: baseTime()})
 		}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -37,8 +37,9 @@
 type Registry struct {
 	dataCentre string
 	health     *health.Tracker
-	tokenTimes *health.TokenTimes // for pools that are not contended
-	pace       *pace.Tracker      // for contended pools
+	tokenTimes *health.TokenTimes   // for pools that are not contended
+	pace       *pace.Tracker        // for contended pools
+	failures   *health.FailureRates // for contended pools
 
 	loadingPauses atomic.Int64 // see LoadingPauses
 
@@ -49,6 +50,7 @@
 	contended   bool                   // the capacity of all pools is contended
 	loadTimes   loadTimes
 	paceReports int64             // reports of upstreams' pace so far
+	failing     []failingUpstream // see FailureChanges
 	onRelease   func(pool string) // nil for none
 }
 
@@ -136,7 +138,7 @@
 func NewRegistry(dataCentre string) *Registry {
 	return &Registry{dataCentre: dataCentre, byID: map[string]*upstreamState{}, pools: map[string]*pool{},
 		health:     health.NewTracker(health.Config{FailureThreshold: 2, EjectionTime: firstEjection, MaxEjectionTime: maxEjection}),
-		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{})}
+		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{}), failures: health.NewFailureRates(health.FailureRatesConfig{})}
 }
 
 // SetContended sets whether the capacity of all pools is contended.
@@ -264,6 +266,7 @@
 		p.paced = slices.Delete(p.paced, i, i+1)
 	}
 	r.pace.Forget(id)
+	r.forgetFailures(s)
 	if len(p.members) == 0 {
 		delete(r.pools, s.Pool)
 	}
@@ -554,7 +557,7 @@
 		local := s.localOrZero()
 		out = append(out, timedCandidate{
 			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
-			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest})
+			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now)})
 	}
 	return out
 }
@@ -602,6 +605,7 @@
 	r.mu.Lock()
 	rsv.state.ensureLocal().inFlight--
 	r.record(rsv, result)
+	r.recordFailure(rsv, result)
 	released := r.onRelease
 	r.mu.Unlock()
 	if released != nil {
@@ -761,8 +765,12 @@
 			r.paceReports++
 		}
 	}
-	r.pace.Observe(s.ID, result.TimePerUnit, result.At)
-	if i, found := slices.BinarySearch(p.paced, s.ID); !found && (reported || result.TimePerUnit > 0) {
+	took := result.TimePerUnit
+	if result.Failed {
+		took = 0 // an upstream that fails requests at once would seem to be fast
+	}
+	r.pace.Observe(s.ID, took, result.At)
+	if i, found := slices.BinarySearch(p.paced, s.ID); !found && (reported || took > 0) {
 		p.paced = slices.Insert(p.paced, i, s.ID)
 	}
 }
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -36,30 +36,36 @@
 type timedCandidate struct {
 	Candidate
 	pace.Estimate
-	hold    time.Duration // how long a reported pace holds
-	refused bool          // refused its last request
+	hold        time.Duration // how long a reported pace holds
+	refused     bool          // refused its last request
+	failureRate float64       // share of the requests that fail
 }
 
 // chooseSoonest returns the index of the candidate for a request in a contended pool, or
 // -1 if there is none: one that is expected to complete it soonest, and among those about
 // equal the one that rendezvous hashing ranks first for the affinity. All slots are used,
-// whatever the pace of their upstream.
+// whatever the pace and the failure rate of their upstream.
 func chooseSoonest(candidates []timedCandidate, req Requirements) int {
 	scored := make([]route.Candidate, 0, len(candidates))
 	index := make([]int, 0, len(candidates))
-	soonest := time.Duration(0)
+	soonest, leastRate := 0.0, 1.0
+	for _, c := range candidates {
+		leastRate = min(leastRate, c.failureRate)
+	}
+	// Only differences matter: the factor is exactly 1 where all fail alike.
+	leastRepeats := repeats(leastRate, req.Once)
 	for i, c := range candidates {
 		if req.NeedFreeSlot && c.InFlight >= c.Slots || req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
 			continue
 		}
-		d := c.completion(req)
+		d := float64(c.completion(req)) * (repeats(c.failureRate, req.Once) / leastRepeats)
 		if len(scored) == 0 || d < soonest {
 			soonest = d
 		}
-		scored = append(scored, route.Candidate{Key: c.ID, Load: float64(d)})
+		scored = append(scored, route.Candidate{Key: c.ID, Load: d})
 		index = append(index, i)
 	}
-	best := route.Policy{Slack: soonestSlack * float64(soonest)}.Pick(scored, req.Affinity)
+	best := route.Policy{Slack: soonestSlack * soonest}.Pick(scored, req.Affinity)
 	if best < 0 {
 		return -1
 	}
@@ -73,7 +79,7 @@
 	left := here.workTime(req)
 	best, bestTime := -1, left-max(minMoveTime, time.Duration(minMoveGain*float64(left)))
 	for i, c := range candidates {
-		if c.ID == here.ID || c.Load >= c.Slots || c.refused {
+		if c.ID == here.ID || c.Load >= c.Slots || c.refused || c.failureRate >= failingRate {
 			continue
 		}
 		// The move must save the time even if the pace there is worse than estimated.
