forward, submission: what counts as a failure of an upstream

Attempts that the caller or this instance ended (AttemptResult.Cancelled) count neither as failures nor as successes in the failure rate, nor does a text that moved. A text that its engine cut off after some events was only Busy; it is also Interrupted now, which counts as failed in the rate, unless the engine is below the target version and may be loading. Ejection is unchanged.

go test -race ./pkg/forward ./pkg/submission: ok. Removing Once, Cancelled or Interrupted fails the tests.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -42,7 +42,7 @@
 
 // reserve returns a reservation for the next attempt, for which the request may wait.
 func (c *call) reserve(ctx context.Context) (*upstream.Reservation, error) {
-	req := upstream.Requirements{Pool: c.pool, Affinity: c.affinity}
+	req := upstream.Requirements{Pool: c.pool, Affinity: c.affinity, Once: c.route.Kind != routetable.Idempotent}
 	if c.hedge != nil {
 		return c.f.reserve(ctx, wait{pool: c.pool, plan: c.plan, priority: c.request.Priority.Or(c.route.Priority), customer: c.request.Customer,
 			work: c.hedge.Mean().Seconds(), acquire: func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -211,7 +211,7 @@
 	case err == nil:
 	case RecordRefusal(&rep, err, BusyBackoff):
 	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
-		// The caller cancelled the request, which tells nothing about the upstream.
+		rep.Cancelled = true // by the caller, which tells nothing about the upstream
 	default:
 		rep.Failed = true
 	}
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -122,7 +122,7 @@
 	}
 	if len(p.tried) > 0 && p.MayRetry() {
 		// Every upstream has been tried. One that was busy may have capacity now.
-		return r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now, MaxLoad: req.MaxLoad})
+		return r.Acquire(upstream.Requirements{Pool: req.Pool, Now: req.Now, MaxLoad: req.MaxLoad, Once: req.Once})
 	}
 	return nil, false
 }
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -271,3 +271,53 @@
 		t.Errorf("error %v, want a refusal that wraps ErrNotRun", err)
 	}
 }
+
+// Guards against an upstream whose failure rate a caller changes by leaving: with a success
+// besides it, a failure would not make it a failing one.
+func TestCallerThatLeavesShowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.next = []answer{{hang: true}, {status: http.StatusInternalServerError}}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(usualTime, leave)
+		for i, c := range []context.Context{ctx, t.Context()} {
+			_, _ = s.call(c, forward.Request{ID: "x"})
+			if _, failing := s.registry.FailureChanges(time.Now()); failing != i {
+				t.Errorf("%d upstreams failing after request %d, want %d", failing, i, i)
+			}
+		}
+	})
+}
+
+// Guards against a request that waits on although a failing upstream has room, and against
+// one that may run only once and is sent to it as if it could be repeated.
+func TestFailingUpstreamIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		kind  routetable.Kind
+		pause time.Duration // of the failing upstream "a"; the other is then paused for an hour
+		want  string
+	}{{routetable.Idempotent, 0, "a"}, {routetable.NonIdempotent, 0, "b"}, {routetable.NonIdempotent, 37 * time.Millisecond, "a"}} {
+		synctest.Test(t, func(t *testing.T) {
+			s, start, rt := newSite(true, "a", "b"), time.Now(), queueRoute
+			rt.Kind = c.kind
+			reserve := func(exclude string) *upstream.Reservation {
+				rsv, _ := s.registry.Acquire(upstream.Requirements{Pool: "pool", Now: start, Exclude: []string{exclude}})
+				return rsv
+			}
+			for i := range 60 {
+				reserve("b").Done(upstream.AttemptResult{At: start, Failed: i%5 == 0})
+			}
+			for range slotsOfEach - 1 {
+				reserve("a")
+			}
+			if c.pause > 0 {
+				reserve("b").Done(upstream.AttemptResult{At: start, Busy: true, BusyUntil: start.Add(c.pause)})
+				reserve("a").Done(upstream.AttemptResult{At: start, Busy: true, BusyUntil: start.Add(time.Hour)})
+			}
+			_, err := s.Do(t.Context(), rt, forward.Request{ID: "x"})
+			if took := time.Since(start); err != nil || s.attempts[0].Upstream != c.want || took != c.pause+usualTime {
+				t.Errorf("%+v: got %v after %v, attempts %+v", c, err, took, s.attempts)
+			}
+		})
+	}
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -111,7 +111,7 @@
 // reserve returns a reservation for the next attempt, for which the request may wait.
 func (s *streamRequest) reserve(ctx context.Context, prompt string) (*upstream.Reservation, error) {
 	acquire := func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
-		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad})
+		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad, Once: s.route.Kind != routetable.Idempotent})
 	}
 	// A stream that is resumed does not return to the upstreams that it has tried. At the
 	// head of the queue it would keep the others from these.
@@ -196,6 +196,7 @@
 	if events > 0 {
 		rep.TimePerUnit = time.Since(startedAt) / time.Duration(events)
 	}
+	rep.Cancelled = rep.Cancelled || errors.Is(err, errCallerGone)
 	rep.Failed = rep.Failed || err == nil && resp.Status >= http.StatusInternalServerError
 	rsv.Done(rep)
 	seen := Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Customer: s.request.Customer, Upstream: rsv.ID, Number: len(s.plan.Tried()) + 1, Status: resp.Status, Took: time.Since(startedAt), Err: err}
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -137,6 +137,7 @@
 	case err == nil:
 		out.Complete = true
 	case errors.Is(err, errSlowEngine):
+		res.Cancelled = true
 	case errors.As(err, &se):
 		out.Status, res.Load = se.Status, se.Load
 		res.Failed = se.Status > http.StatusInternalServerError
@@ -146,11 +147,13 @@
 		// An engine refuses with free slots while it loads weights.
 		res.Loading = res.Busy && load.FreeSlot() && rsv.Versions[r.spec.Model] < r.cfg.TargetVersion(r.spec.Model)
 	case ownerCtx.Err() != nil:
-		// Cancelled by this instance: this says nothing about the engine.
+		res.Cancelled = true // by this instance: this says nothing about the engine
 	case ctx.Err() == nil && s != nil && s.Last() > g.After:
 		// The engine ended a stream that had sent events: it loads weights, is being
 		// taken away or has crashed. The next request to it shows which.
 		res.Busy, res.BusyUntil = true, now.Add(refusalBackoff)
+		// An engine that holds the target version does not load another.
+		res.Interrupted = !errors.Is(err, errVersionTooOld) && rsv.Versions[r.spec.Model] >= r.cfg.TargetVersion(r.spec.Model)
 	default:
 		res.Failed = true
 	}
--- a/pkg/submission/move_test.go
+++ b/pkg/submission/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -211,3 +212,42 @@
 		t.Errorf("results %+v, want a whole text of version 2", results)
 	}
 }
+
+// cutEngines cut off each text that starts anew after two events.
+type cutEngines struct{ pacedEngines }
+
+func (c cutEngines) Generate(ctx context.Context, to upstream.Entry, g submission.GenerateRequest) (submission.Stream, *upstream.Load, error) {
+	s, load, err := c.pacedEngines.Generate(ctx, to, g)
+	return cutStream{s, g.After == 0}, load, err
+}
+
+type cutStream struct {
+	submission.Stream
+	cut bool
+}
+
+func (s cutStream) Next() (submission.Event, error) {
+	if s.cut && s.Last() == 2 {
+		return submission.Event{}, errors.New("connection reset")
+	}
+	return s.Stream.Next()
+}
+
+// Guards against engines that cut texts off and do not count as failing, and against ones
+// that count as failing because they load weights.
+func TestInterruptedTextCountsAsFailed(t *testing.T) {
+	for target, want := range map[uint64]int{1: 1, 2: 0} {
+		registry := upstream.NewRegistry("")
+		registry.SetContended(true)
+		registry.Set([]upstream.Entry{{ID: "fast", Pool: "p", Slots: 2, Versions: map[string]uint64{"m": 1}}})
+		r := submission.NewRunner(submission.Config{Repository: submission.Repository{Store: memoryStore{}, MaxRowBytes: 1 << 20}, Registry: registry, Generator: cutEngines{pacedEngines{func(int) {}}},
+			Route: func(string, string) (routetable.Route, bool, bool) {
+				return routetable.Route{MaxAttempts: 2, Shares: []routetable.Share{{Pool: "p", Weight: 1}}}, true, true
+			}, TargetVersion: func(string) uint64 { return target }, Rand: func() float64 { return 0 },
+		}, submission.HeadRow{Head: submission.Head{ID: "s", AcceptedAt: time.Now()}, Fencing: 1}, submission.Spec{ID: "s", Model: "m", MinVersion: 1, Items: []submission.Item{{ID: "a"}}}, submission.PriorWork{})
+		err := r.Run(t.Context())
+		if changes, _ := registry.FailureChanges(time.Now()); err != nil || len(changes) != want {
+			t.Errorf("target version %d: %v, changes %+v, want %d", target, err, changes, want)
+		}
+	}
+}
