loadsim: an upstream that fails some requests

A call whose first copy fails waits for the other one, as in forward; failed answers are no durations for hedging.

--- a/internal/loadsim/contended_test.go
+++ b/internal/loadsim/contended_test.go
@@ -1,8 +1,10 @@
 package loadsim_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/zinnialadder/zinnialadder/internal/loadsim"
 )
@@ -56,3 +58,23 @@
 		}
 	}
 }
+
+// Guards against an upstream, one of six, that fails 40 % of its requests at once or late and
+// is sent them like the others, or is not tried again for 10 s. Where the capacity is needed,
+// callers must not lose answers because it is avoided.
+func TestFailingUpstream(t *testing.T) {
+	t.Parallel()
+	load := loadsim.Minho
+	load.Upstreams, load.Duration, load.FailingUpstreams, load.FailureShare = 6, 12*time.Second, 1, 0.4
+	for _, load.FailureTime = range []float64{0, 1} {
+		for _, load.Rate = range []float64{0.2, 0.6, 0.9} {
+			before, after := mean(load, loadsim.SpreadRetries), mean(load, loadsim.HedgedQueued)
+			text := fmt.Sprintf("load %.1f, failures after %.0f of the time: failed attempts per request %.4f, %.4f before; answered %.4f, %.4f; longest gap %v",
+				load.Rate, load.FailureTime, after.Failed, before.Failed, after.Answered, before.Answered, after.LongestGap)
+			t.Log(text)
+			if load.Rate < 0.9 && after.Failed > before.Failed/2 || after.LongestGap > 10*time.Second || after.Answered < before.Answered-0.005 {
+				t.Errorf("%s; want half, no loss, at most 10 s", text)
+			}
+		}
+	}
+}
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -42,6 +42,10 @@
 	HeavyFactor     float64       // requests of the first customer relative to those of each other one; 0 for the same
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
+
+	FailingUpstreams int     // upstreams that answer some requests with an error
+	FailureShare     float64 // share of the requests to one of them that it answers so
+	FailureTime      float64 // time after which it does, relative to that of the request; 0 for at once
 }
 
 // Minho is the load of a plain service in the deployment of that name.
@@ -120,6 +124,8 @@
 	WorstSecond  float64       // lowest share answered of the requests that arrived in one second
 	MaxWait      time.Duration // longest wait of an attempt that was rejected without being sent
 	BusiestShare float64       // work of the upstream with the most, relative to the mean
+	Failed       float64       // attempts answered with an error, per offered request
+	LongestGap   time.Duration // longest time for which one of the FailingUpstreams got no request
 }
 
 // Run simulates load under policy p.
@@ -128,7 +134,7 @@
 	s.arrive(s.start)
 	s.runEvents()
 	r := s.meter.result(load, p)
-	r.BusiestShare = s.busiestShare()
+	r.BusiestShare, r.LongestGap = s.busiestShare(), s.longestGap()
 	return r
 }
 
--- a/internal/loadsim/meter.go
+++ b/internal/loadsim/meter.go
@@ -14,6 +14,7 @@
 	served                map[int]int     // answered ones of them
 	attempts              int             // attempts at upstreams
 	copies                int             // hedged copies among them
+	failed                int             // attempts answered with an error
 	offeredBy, answeredBy map[int]int     // by customer
 	steady                int             // answers that count for Result.Goodput
 	answered              []time.Duration // times from a caller's first attempt to its answer
@@ -29,6 +30,7 @@
 		r.Answered = float64(len(m.answered)) / offered
 		r.Attempts = float64(m.attempts) / offered
 		r.Copies = float64(m.copies) / offered
+		r.Failed = float64(m.failed) / offered
 		inTime := 0
 		for _, d := range m.answered {
 			if d <= load.LatencyObjective {
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -10,8 +10,8 @@
 	"github.com/wcharczuk/go-chart/v2"
 )
 
-// Mean returns the means of results that differ only in their seeds. Its MaxWait is the
-// longest one.
+// Mean returns the means of results that differ only in their seeds. Its MaxWait and
+// LongestGap are the longest ones.
 func Mean(results []Result) Result {
 	if len(results) == 0 {
 		return Result{}
@@ -30,6 +30,8 @@
 		out.P99 += r.P99 / time.Duration(len(results))
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
 		out.BusiestShare += r.BusiestShare / n
+		out.Failed += r.Failed / n
+		out.LongestGap = max(out.LongestGap, r.LongestGap)
 	}
 	return out
 }
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -21,6 +21,7 @@
 type job struct {
 	until   time.Time // deadline of the attempt; a queued job is dropped after it
 	running bool
+	failed  bool // answered with an error
 	answer  func(now time.Time, load upstream.Load, ran bool)
 }
 
@@ -46,6 +47,9 @@
 	id          string
 	hasOutage   bool // accepts no connection during the load's outage
 	slow        bool
+	failing     bool          // answers some requests with an error
+	arrivedAt   time.Time     // last arrival of an attempt
+	longestGap  time.Duration // longest time between two arrivals
 	running     int
 	queued      []*job
 	pendingCost time.Duration // cost of attempts, to be added to the next job's time
@@ -70,6 +74,7 @@
 // accept runs, queues or refuses an attempt that arrives at now.
 func (s *server) accept(now time.Time, j *job) {
 	s.pendingCost += attemptCost
+	s.longestGap, s.arrivedAt = max(s.longestGap, now.Sub(s.arrivedAt)), now
 	switch l := s.site.load; {
 	case s.running < l.Slots:
 		s.run(now, j)
@@ -85,6 +90,9 @@
 	s.running++
 	j.running = true
 	work := s.serviceTime() + s.pendingCost
+	if j.failed = s.failing && s.site.rand.Float64() < s.site.load.FailureShare; j.failed {
+		work = time.Duration(s.site.load.FailureTime * float64(work))
+	}
 	s.work += work
 	work = time.Duration(s.site.machines.pace(s.id, now) * float64(work))
 	if s.slow {
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -58,7 +58,8 @@
 	for i := range load.Upstreams {
 		id := upstreamID(i)
 		entries = append(entries, upstream.Entry{ID: id, Pool: pool, Address: id, Slots: load.Slots})
-		s.upstreams[id] = &server{site: s, id: id, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams}
+		s.upstreams[id] = &server{site: s, id: id, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams,
+			failing: i < load.FailingUpstreams, arrivedAt: s.start}
 	}
 	for i := range load.Instances {
 		in := &instance{registry: upstream.NewRegistry(""), hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
@@ -81,6 +82,17 @@
 	return float64(most) * float64(len(s.upstreams)) / float64(max(sum, 1))
 }
 
+// longestGap returns the longest time for which a failing upstream got no request.
+func (s *site) longestGap() time.Duration {
+	gap := time.Duration(0)
+	for _, u := range s.upstreams {
+		if u.failing {
+			gap = max(gap, u.longestGap, s.start.Add(s.load.Duration).Sub(u.arrivedAt))
+		}
+	}
+	return gap
+}
+
 // arrive starts a caller at now and schedules the arrival of the next one.
 func (s *site) arrive(now time.Time) {
 	after := now.Sub(s.start)
@@ -317,21 +329,25 @@
 		rep.Failed = !forward.RecordRefusal(&rep, err, forward.BusyBackoff)
 	} else {
 		rep.TimePerUnit, status = now.Sub(t.startedAt), http.StatusOK
+		if t.job.failed {
+			rep.Failed, status = true, http.StatusBadGateway
+			s.meter.failed++
+		}
 	}
-	if err == nil || err == errTimeout {
+	if err == nil && !rep.Failed || err == errTimeout {
 		r.instance.hedge.Observe(now.Sub(t.startedAt), now)
 	}
 	t.rsv.Done(rep)
 	done, err := r.plan.EndAttempt(t.rsv.ID, status, err, now)
 	switch {
-	case done && err == nil:
+	case done && err == nil && !rep.Failed:
 		for _, o := range r.running {
 			r.supersede(now, o, t)
 		}
 		r.instance.retries.Served(pool, now)
 		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start), r.caller.customer)
 	case len(r.running) > 0:
-	case done && err != errTimeout:
+	case done && err != nil && err != errTimeout:
 		r.reject(now)
 	case done:
 		r.caller.retry(now, now.Add(retryBackoff))
