--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/weights"
 )
 
@@ -161,6 +162,12 @@
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
 
+// ObserveFailures records the changes of the failure rates of registry in the metrics and log
+// of cfg.
+func ObserveFailures(cfg Config, registry *upstream.Registry, now time.Time) {
+	newObserver(&Node{cfg: cfg, registry: registry}).failingUpstreams(now)
+}
+
 // MinVersions returns the least versions of the latest and of the next submission.
 func (n *Node) MinVersions(of submission.Head) (latest, next uint64) { return n.heads.minVersions(of) }
 
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -208,7 +208,22 @@
 	o.gauge("quarantine.refused_contents", int64(quarantined))
 	reports := metrics.GetOrRegisterCounter("pace.reports", o.node.cfg.Metrics)
 	reports.Inc(o.node.registry.PaceReports() - reports.Count())
+	o.failingUpstreams(time.Now())
 	for model, v := range s.targetVersions {
 		o.gauge("weights.named."+model, int64(v))
 	}
 }
+
+// failingUpstreams records which upstreams fail many of this instance's requests, and which
+// no longer do.
+func (o *observer) failingUpstreams(now time.Time) {
+	changes, failing := o.node.registry.FailureChanges(now)
+	o.gauge("upstreams.failing", int64(failing))
+	for _, c := range changes {
+		what := "upstream fails requests"
+		if !c.Failing {
+			what = "upstream no longer fails requests"
+		}
+		o.logLine(o.upstreams, c.Failing, what, "upstream", c.Upstream, "pool", c.Pool, "rate", c.Rate)
+	}
+}
--- a/pkg/node/outlook_test.go
+++ b/pkg/node/outlook_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
@@ -11,6 +12,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/completion"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
 // A step near the limit becomes short of engines again and again. Counted each time, one
@@ -31,3 +33,23 @@
 		t.Errorf("log lines %q, want two with 11 groups in time, 7 deferred, 17 desired and 12 slots", got)
 	}
 }
+
+// Guards against a failing upstream that an operator is not told of, or is told of twice.
+func TestFailingUpstreamIsReported(t *testing.T) {
+	var lines bytes.Buffer
+	cfg := node.Config{Metrics: metrics.NewRegistry(), Logger: log.New(&lines)}
+	r, now := upstream.NewRegistry(""), time.Unix(1_800_000_000, 0)
+	r.SetContended(true)
+	r.Set([]upstream.Entry{{ID: "u", Pool: "p"}})
+	rsv, _ := r.Acquire(upstream.Requirements{Pool: "p", Now: now})
+	rsv.Done(upstream.AttemptResult{At: now, Failed: true})
+	for i, want := range []int64{1, 1, 0, 0} {
+		node.ObserveFailures(cfg, r, now.Add(time.Duration(i/2)*10*time.Second))
+		if got := metrics.GetOrRegisterGauge("upstreams.failing", cfg.Metrics).Value(); got != want {
+			t.Errorf("gauge at check %d: %d, want %d", i, got, want)
+		}
+	}
+	if got := lines.String(); got != "WARN upstream fails requests upstream=u pool=p rate=0.2\nINFO upstream no longer fails requests upstream=u pool=p rate=0\n" {
+		t.Errorf("log lines %q, want one of each", got)
+	}
+}
