--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -172,6 +172,12 @@
 // ObserveOutlook records an event of a run here in the metrics and log of cfg.
 func ObserveOutlook(cfg Config, e submission.OutlookEvent) { newObserver(&Node{cfg: cfg}).outlook(e) }
 
+// ObserveFailures records the changes of the failure rates of registry in the metrics and log
+// of cfg.
+func ObserveFailures(cfg Config, registry *upstream.Registry, now time.Time) {
+	newObserver(&Node{cfg: cfg, registry: registry}).failingUpstreams(now)
+}
+
 // MinVersions returns the least versions of the latest and of the next submission.
 func (n *Node) MinVersions(of submission.Head) (latest, next uint64) { return n.heads.minVersions(of) }
 
