forward: TestWaitersAreServedInOrder has room for one request at a time

Cause: once the first request had been answered, there was room for several, which got their reservations in order but were sent by goroutines of their own, whose order the test took for that of the queue. Change: requests without an answer take the other slots, so that each waiter is sent when the one before has been answered. The expected order is as before.

--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -38,6 +38,18 @@
 	}
 }
 
+// roomFor returns how many waiting requests find room at once.
+func (s *site) roomFor() int {
+	n := 0
+	for ; ; n++ {
+		rsv, ok := s.registry.Acquire(upstream.Requirements{Pool: "pool", Now: time.Now(), MaxLoad: forward.WaiterMaxLoad})
+		if !ok {
+			return n
+		}
+		defer rsv.Release()
+	}
+}
+
 // call forwards a request and returns how long that took.
 func (s *site) call(ctx context.Context, r forward.Request) (time.Duration, error) {
 	start := time.Now()
@@ -109,9 +121,21 @@
 func TestWaitersAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(true, "a")
+		// Requests without an answer leave room for one more at a time. With room for
+		// several, these would be sent at the same moment, in no order.
+		hanging, end := context.WithCancel(t.Context())
+		var g, others errgroup.Group
+		for s.roomFor() > 1 {
+			s.next = []answer{{hang: true}}
+			others.Go(func() error {
+				_, _ = s.call(hanging, forward.Request{ID: "hanging"})
+				return nil
+			})
+			synctest.Wait()
+		}
+		s.sent = nil
 		s.pause(50 * time.Millisecond)
 		ctx, leave := context.WithCancel(t.Context())
-		var g errgroup.Group
 		for _, r := range []forward.Request{{ID: "a1", Customer: "a"}, {ID: "a2", Customer: "a"}, {ID: "a3", Customer: "a"}, {ID: "left", Customer: "c"}, {ID: "b1", Customer: "b"},
 			{ID: "urgent", Customer: "a", Priority: option.Some(0)}} {
 			g.Go(func() error {
@@ -129,6 +153,8 @@
 		}
 		leave()
 		_ = g.Wait()
+		end()
+		_ = others.Wait()
 		var order []string
 		for _, r := range s.sent {
 			order = append(order, r.ID)
