forward: a report of how a request was served

Cause: the log line of a request tells neither its upstream nor whether it waited or was copied; an answered attempt has no line of its own. Change: Request.Report, filled in by Do and Stream: upstream and attempt that answered, time waited, waiters ahead, copies, which copy won and which attempt was cancelled. waitqueue.Queue.Ahead gives the waiters before a new one, as Join already estimated them. How requests are served is unchanged.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -45,7 +45,7 @@
 	req := upstream.Requirements{Pool: c.pool, Affinity: c.affinity}
 	if c.hedge != nil {
 		return c.f.reserve(ctx, wait{pool: c.pool, plan: c.plan, priority: c.request.Priority.Or(c.route.Priority), customer: c.request.Customer,
-			work: c.hedge.Mean().Seconds(), acquire: func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
+			work: c.hedge.Mean().Seconds(), report: c.request.Report, acquire: func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
 				req.Now, req.MaxLoad = now, maxLoad
 				return c.plan.Acquire(c.f.cfg.Registry, req)
 			}})
@@ -59,6 +59,7 @@
 		if wait == 0 || !clock.Sleep(ctx, wait) {
 			return nil, errNoCapacity
 		}
+		c.request.Report.waitedSince(req.Now)
 		if err := c.f.cfg.Guard.Check(c.request.content(), time.Now()); err != nil {
 			return nil, err
 		}
@@ -73,6 +74,8 @@
 	cancel    context.CancelFunc
 	startedAt time.Time
 	number    int
+	isCopy    bool
+	took      time.Duration // once it has ended
 }
 
 // result is what an attempt's upstream sent.
@@ -107,6 +110,8 @@
 	defer t.cancel()
 	rep := resultOf(ctx, t.ctx, err, res.load)
 	took := rep.At.Sub(t.startedAt)
+	t.took = took
+	c.request.Report.ended(t.rsv.ID, t.number, took)
 	if err == nil {
 		rep.TimePerUnit = took
 		c.f.lastLatency.Store(int64(took))
@@ -135,6 +140,7 @@
 	}
 	t.rsv.Done(rep)
 	c.report(t, 0, took, ErrSuperseded)
+	c.request.Report.superseded(t.rsv.ID)
 	t.guarded.Done(ctx, quarantine.Abandoned)
 }
 
@@ -142,7 +148,7 @@
 // time.
 func (c *call) report(t *attempt, status int, took time.Duration, err error) {
 	seen := Attempt{Request: c.request.ID, Content: c.request.content(), Route: c.route.Name, Customer: c.request.Customer, Upstream: t.rsv.ID,
-		Number: t.number, Status: status, Took: took, Err: err}
+		Number: t.number, Copy: t.isCopy, Status: status, Took: took, Err: err}
 	if !errors.Is(err, ErrNotRun) && !c.plan.MayHaveRun() {
 		seen.StartedAt = t.startedAt
 	}
@@ -180,7 +186,7 @@
 	timer := time.NewTimer(c.copyDelay)
 	defer timer.Stop()
 	running := []*attempt{first}
-	var failed *Response // response of a failed attempt
+	var failed *result // response of a failed attempt
 	for {
 		select {
 		case <-timer.C:
@@ -199,14 +205,16 @@
 				}
 				if res.attempt != first {
 					c.f.count("hedge.won")
+					c.request.Report.copyAnswered()
 				}
 				return res.resp, done, err
 			case len(running) > 0:
 				if res.err == nil {
-					failed = &res.resp
+					failed = &res
 				}
 			case done && err != nil && failed != nil:
-				return *failed, true, nil // a response says more than no response
+				c.request.Report.ended(failed.attempt.rsv.ID, failed.attempt.number, failed.attempt.took)
+				return failed.resp, true, nil // a response says more than no response
 			default:
 				return res.resp, done, err
 			}
@@ -238,5 +246,7 @@
 		return nil
 	}
 	c.f.count("hedge.copies")
+	c.request.Report.copied()
+	t.isCopy = true
 	return t
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -43,6 +43,8 @@
 	// MaxRuns is the number of upstreams that may run an idempotent request, if it is more
 	// than the route's MaxAttempts. The difference may be used for hedged copies only.
 	MaxRuns int
+	// Report is filled in by Do and Stream. It may be nil.
+	Report *Report
 }
 
 // content returns what identifies r across repetitions, for its fingerprint in the
@@ -113,7 +115,8 @@
 	Customer string
 	Upstream string
 	Number   int
-	Status   int // HTTP status; 0 if there was no response
+	Copy     bool // a hedged copy of the attempt before it
+	Status   int  // HTTP status; 0 if there was no response
 	Took     time.Duration
 	Err      error
 	// StartedAt is when the upstream started to work on the request, as far as is known. It
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -115,6 +115,7 @@
 	priority int
 	customer string
 	work     float64 // expected work, in seconds
+	report   *Report // nil if nobody reads it
 	// acquire reserves an upstream below maxLoad requests per slot if there is one that is
 	// usable; 0 is no limit.
 	acquire func(now time.Time, maxLoad float64) (*upstream.Reservation, bool)
@@ -137,8 +138,10 @@
 	_, slots := f.cfg.Registry.NonDraining(w.pool)
 	q.SetLimit(QueueLimit(slots))
 	signals := make(chan waitqueue.Signal, 1)
-	ticket, err := q.Join(waitqueue.Waiter[string]{Priority: w.priority, Customer: w.customer, Work: w.work, Deadline: limit,
-		Notify: func(s waitqueue.Signal) { signals <- s }}, now)
+	waiter := waitqueue.Waiter[string]{Priority: w.priority, Customer: w.customer, Work: w.work, Deadline: limit,
+		Notify: func(s waitqueue.Signal) { signals <- s }}
+	w.report.queueing(q.Ahead(waiter))
+	ticket, err := q.Join(waiter, now)
 	switch {
 	case errors.Is(err, waitqueue.ErrFull):
 		f.count("waitqueue.refused_full")
@@ -149,8 +152,10 @@
 	}
 	f.count("waitqueue.joined")
 	f.waiting.Add(1)
+	w.report.joined(now)
 	rsv, err := f.await(ctx, q, ticket, signals, w)
 	f.waiting.Add(-1)
+	w.report.waitedSince(now)
 	metrics.GetOrRegisterTimer("waitqueue.waited", f.cfg.Metrics).UpdateSince(now)
 	return rsv, err
 }
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -117,7 +117,7 @@
 	// head of the queue it would keep the others from these.
 	if s.f.cfg.Registry.Contended(s.pool) && len(s.plan.Tried()) == 0 {
 		return s.f.reserve(ctx, wait{pool: s.pool, model: s.request.Model, plan: s.plan, priority: s.request.Priority.Or(s.route.Priority),
-			customer: s.request.Customer, work: s.route.LatencyObjective.Seconds(), acquire: acquire})
+			customer: s.request.Customer, work: s.route.LatencyObjective.Seconds(), report: s.request.Report, acquire: acquire})
 	}
 	for {
 		now := time.Now()
@@ -127,6 +127,7 @@
 		if !s.plan.MayWait(now) || !clock.Sleep(ctx, pollInterval) {
 			return nil, errNoCapacity
 		}
+		s.request.Report.waitedSince(now)
 		if err := s.f.cfg.Guard.Check(s.request.content(), time.Now()); err != nil {
 			return nil, err
 		}
@@ -202,6 +203,7 @@
 	if !s.startReported && !firstAt.IsZero() {
 		s.startReported, seen.StartedAt = true, firstAt
 	}
+	s.request.Report.ended(seen.Upstream, seen.Number, seen.Took)
 	s.f.cfg.OnAttempt(seen)
 	return resp.Status, err
 }
--- a/pkg/waitqueue/waitqueue.go
+++ b/pkg/waitqueue/waitqueue.go
@@ -158,6 +158,18 @@
 	return t, nil
 }
 
+// Ahead returns how many waiters will be served before w if it joins now and nobody joins
+// after it.
+func (q *Queue[K]) Ahead(w Waiter[K]) int {
+	if w.Work <= 0 {
+		w.Work = 1
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := q.class(w.Priority)
+	return q.aheadOf(w, c, c.known[w.Customer])
+}
+
 // Wake gives the turn to the first waiter, or has the turn given again after the current
 // one. It is to be called when there may be capacity.
 func (q *Queue[K]) Wake() {
@@ -314,6 +326,17 @@
 	if q.seenAt.IsZero() || now.Sub(q.seenAt) > intervalLifetime {
 		return now
 	}
+	ahead := q.aheadOf(w, c, f)
+	interval := q.interval
+	if !q.takenAt.IsZero() {
+		interval = max(interval, q.meanInterval(now))
+	}
+	return now.Add(time.Duration(math.Min(float64(ahead)*interval, time.Hour.Seconds()) * float64(time.Second)))
+}
+
+// aheadOf returns how many waiters will be served before w, which would join class c and
+// flow f. f is nil if it is not known. q.mu must be held.
+func (q *Queue[K]) aheadOf(w Waiter[K], c *class[K], f *flow[K]) int {
 	ahead := c.ahead(f, w.Work)
 	for _, o := range q.classes {
 		if o.priority >= c.priority {
@@ -321,11 +344,7 @@
 		}
 		ahead += o.waiting
 	}
-	interval := q.interval
-	if !q.takenAt.IsZero() {
-		interval = max(interval, q.meanInterval(now))
-	}
-	return now.Add(time.Duration(math.Min(float64(ahead)*interval, time.Hour.Seconds()) * float64(time.Second)))
+	return ahead
 }
 
 // ahead returns how many waiters of c will be served before a new one with the given work
