node: log lines tell upstream, waiting, copies and why a caller was rejected

Cause: a complaint about a late or rejected call could not be followed: the line of a request named no upstream, and the reason was only in the error's text. Change: request gains upstream, attempt, attempt_took, joined_after, waited, ahead, copies, copy_won, superseded, reason and retry_after, each only if it holds something; attempt failed gains copy; submission not kept gains reason and retry_after; generated gains took, so that the time at an engine is known without the line of its begin, which the limit per second often leaves out. No line is added.

--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -87,10 +87,14 @@
 	default:
 		o.count("attempts.failed")
 	}
-	o.logLine(o.failures, true, "attempt failed", "request", a.Request, "content", a.Content.Fingerprint(), "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err)
+	fields := []any{"request", a.Request, "content", a.Content.Fingerprint(), "route", a.Route, "upstream", a.Upstream, "attempt", a.Number, "status", a.Status, "took", a.Took, "err", a.Err}
+	if a.Copy {
+		fields = append(fields, "copy", true)
+	}
+	o.logLine(o.failures, true, "attempt failed", fields...)
 }
 
-// request records how a caller's request ended.
+// request records how a caller's request ended, of which r.Report tells.
 func (o *observer) request(rt routetable.Route, r forward.Request, status int, started time.Time, err error) {
 	took := time.Since(started)
 	v := verdict.Of(err)
@@ -106,6 +110,8 @@
 	if r.Customer != "" {
 		fields = append(fields, "customer", r.Customer)
 	}
+	fields = append(fields, reportFields(*r.Report, started, took)...)
+	fields = append(fields, rejectionFields(err, time.Now())...)
 	o.logLine(budget, err != nil, "request", fields...)
 }
 
@@ -151,6 +157,9 @@
 	if e.Content != (quarantine.Fingerprint{}) {
 		fields = append(fields, "content", e.Content)
 	}
+	if e.Took > 0 {
+		fields = append(fields, "took", e.Took)
+	}
 	o.logLine(budget, e.Err != nil, e.What, fields...)
 }
 
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -57,6 +57,7 @@
 // Forward forwards r on route rt.
 func (n *Node) Forward(ctx context.Context, rt routetable.Route, r forward.Request) (forward.Response, error) {
 	started := time.Now()
+	r.Report = new(forward.Report)
 	a, err := n.forwarder.Do(ctx, rt, r)
 	n.observer.request(rt, r, a.Status, started, err)
 	return a, err
@@ -69,6 +70,7 @@
 	if r.Model != "" {
 		n.assigner.ensureCurrent()
 	}
+	r.Report = new(forward.Report)
 	err := n.forwarder.Stream(ctx, rt, r, prompt, sink)
 	n.observer.request(rt, r, 0, started, err)
 	return err
@@ -95,11 +97,13 @@
 	head, err := n.submissions.Accept(ctx, s, owner, owner == n.startID, started)
 	if err != nil {
 		n.observer.count("submissions.not_kept")
-		n.cfg.Logger.Warn("submission not kept", "submission", s.ID, "took", time.Since(started), "err", err)
+		rejection := verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, err)
 		if errors.Is(err, platform.ErrNotApplied) {
-			return verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(elsewhereRetryAfter), err)
+			rejection = verdict.Refuse(http.StatusServiceUnavailable, time.Now().Add(elsewhereRetryAfter), err)
 		}
-		return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, err)
+		fields := []any{"submission", s.ID, "took", time.Since(started), "err", err}
+		n.cfg.Logger.Warn("submission not kept", append(fields, rejectionFields(rejection, time.Now())...)...)
+		return rejection
 	}
 	n.observer.count("submissions.kept")
 	n.observer.time("submissions.keep", time.Since(started))
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -78,10 +78,12 @@
 func (r *Runner) attempt(ctx context.Context, i int, rt routetable.Route, rsv *upstream.Reservation, m *mover, g *GenerateRequest) *upstream.Reservation {
 	event := RunEvent{What: "generating", Submission: r.spec.ID, Item: g.ID, Upstream: rsv.ID, Events: g.After}
 	r.cfg.OnEvent(event)
+	started := time.Now()
 	result, err := r.generate(ctx, rsv, m, *g, func(out AttemptOutput) {
 		r.post(ctx, func(time.Time) { r.run.AddEvents(i, out, itemPolicy(rt)) })
 	})
 	event.What, event.Events, event.Status, event.Err = "generated", len(result.Events), result.Status, err
+	event.Took = time.Since(started)
 	if err != nil && !errors.Is(err, forward.ErrNotRun) {
 		event.Content = g.content(r.spec.Model).Fingerprint()
 	}
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -100,8 +100,9 @@
 	Events     int
 	Status     int
 	Position   int
-	Waiting    int // items queued for an engine
-	Running    int // items in flight at an engine
+	Waiting    int           // items queued for an engine
+	Running    int           // items in flight at an engine
+	Took       time.Duration // of the attempt, for "generated"
 	Err        error
 }
 
