explain: the course of a request, and tables by upstream and pool

Lines of older builds give what they hold. An upstream whose registration the limit of lines left out is counted to the pool of the others of its route or, for items, of the others. Result: go test -race ./internal/explain passes.

--- a/cmd/zinnialadder/explain.go
+++ b/cmd/zinnialadder/explain.go
@@ -39,7 +39,7 @@
 			return e.Write(cmd.OutOrStdout())
 		},
 	}
-	cmd.Flags().BoolVar(&summary, "summary", false, "print the time that all submissions, and the slowest ones, spent in each phase, and times by model and by route")
+	cmd.Flags().BoolVar(&summary, "summary", false, "print the time that all submissions, and the slowest ones, spent in each phase, and times by model, route, customer and upstream")
 	return cmd
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -103,6 +103,7 @@
 type Explanation struct {
 	ID    string
 	Lines []Line // sorted by time: those that name the ID, and related ones
+	Steps []Step // course of a request, sorted by time; empty for an item
 	Cause string // decisive line among those that name the ID, see cause
 }
 
@@ -149,7 +150,7 @@
 	}
 	slices.SortStableFunc(e.Lines, func(a, b Line) int { return a.at.Compare(b.at) })
 	slices.SortStableFunc(own, func(a, b Line) int { return a.at.Compare(b.at) })
-	e.Cause = cause(own)
+	e.Steps, e.Cause = courseOf(own), cause(own)
 	return e, true
 }
 
@@ -204,8 +205,8 @@
 	return b.String()
 }
 
-// Write writes e as text: a line each, marked with ">" if it names the ID, and the
-// cause. An error is one of w.
+// Write writes e as text: a line each, marked with ">" if it names the ID, then the course
+// of a request, and the cause. An error is one of w.
 func (e Explanation) Write(w io.Writer) error {
 	for _, l := range e.Lines {
 		mark := " "
@@ -216,6 +217,16 @@
 			return err
 		}
 	}
+	if len(e.Steps) > 0 {
+		if _, err := fmt.Fprintln(w, "course:"); err != nil {
+			return err
+		}
+	}
+	for _, s := range e.Steps {
+		if _, err := fmt.Fprintf(w, "  %s %s\n", s.Time, s.Text); err != nil {
+			return err
+		}
+	}
 	_, err := fmt.Fprintf(w, "cause: %s\n", e.Cause)
 	return err
 }
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -50,7 +50,9 @@
 	Models      []ModelTiming      // of Submissions
 	Routes      []RequestTiming
 	Customers   []RequestTiming // empty if the site has none
-	Skipped     map[string]int  // lines that exceeded a limit per second, by kind
+	Upstreams   []UpstreamTiming
+	Pools       []PoolTiming
+	Skipped     map[string]int // lines that exceeded a limit per second, by kind
 }
 
 // Summarize returns the processing times of the submissions in lines, and the times of
@@ -92,6 +94,7 @@
 	})
 	s.Models, s.Skipped = byModel(s.Submissions), skippedLines(lines)
 	s.Routes, s.Customers = requestsBy("route", lines), requestsBy("customer", lines)
+	s.Upstreams, s.Pools = byUpstream(lines)
 	return s
 }
 
@@ -130,8 +133,8 @@
 }
 
 // Write writes a table with the sums over all submissions and a row for each of the
-// slowest ones, in seconds by phase, and tables of times by model and by route. An error
-// is one of w.
+// slowest ones, in seconds by phase, and tables of times by model, route, customer, pool
+// and upstream. An error is one of w.
 func (s Summary) Write(w io.Writer, slowest int) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(t, "submission\tmodel\tstep\ttook\truns\tattempts\trefused\t")
--- a/internal/explain/tables.go
+++ b/internal/explain/tables.go
@@ -121,8 +121,8 @@
 	return out
 }
 
-// writeTables writes the tables by model, by route and by customer, if there are any, and
-// the numbers of skipped lines.
+// writeTables writes the tables by model, by route, by customer, if there are any, by pool
+// and by upstream, and the numbers of skipped lines.
 func (s Summary) writeTables(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "\nmodel\tsubmissions\tp50\tp99\tworst\tattempts\trefused\t")
@@ -141,6 +141,7 @@
 			fmt.Fprintf(t, "%s\t%d\t%s\t%d\t\n", r.Name, r.Requests, r.Took, r.Rejected)
 		}
 	}
+	s.writeUpstreams(t)
 	if err := t.Flush(); err != nil {
 		return err
 	}
