explain: a request's last attempt is named without a line of its own

Cause: in a burst the limit per second leaves out most lines of failed attempts; the course then showed a rejected request as if it had been sent nowhere. Change: the course names the last attempt, which the line of the request has.

--- a/internal/explain/call.go
+++ b/internal/explain/call.go
@@ -58,7 +58,7 @@
 	} else if waited > 0 {
 		steps = append(steps, stepAt(arrived, "waited %s for capacity", show(waited)))
 	}
-	answered := l.Get("verdict") == verdict.Ran.String() && l.Get("upstream") != ""
+	missing := l.Get("upstream") != "" // no line of the last attempt was found
 	for _, a := range own {
 		// Times are logged in whole milliseconds.
 		if a.Message != "attempt failed" || a.Node != l.Node || a.at.Before(arrived.Add(-time.Millisecond)) || a.at.After(l.at) {
@@ -66,10 +66,14 @@
 		}
 		steps = append(steps, stepAt(a.at.Add(-a.duration("took")), "%s", a.attempt(a.Get("attempt"), a.Get("copy") != "", a.duration("took"))))
 		if a.attemptKey() == l.attemptKey() {
-			answered = false // with an error status, which is the line of the attempt
+			missing = false // it failed, or was answered with an error status
 		}
 	}
-	if answered {
+	switch {
+	case !missing:
+	case l.Get("verdict") != verdict.Ran.String():
+		steps = append(steps, stepAt(l.at, "last attempt %s at %s; its line was left out", l.attemptNumber(), l.Get("upstream")))
+	default:
 		took := l.attemptTook()
 		text := l.attempt(l.attemptNumber(), l.Get("copy_won") != "", took)
 		if other := l.Get("superseded"); other != "" {
--- a/internal/explain/call_test.go
+++ b/internal/explain/call_test.go
@@ -17,6 +17,7 @@
 time=10:00:03.000 level=warn msg=request node=a request=old status=0 verdict=not_run took=60ms err="forward: not run: no upstream has capacity for the request (not_run)"
 time=10:00:04.000 level=info msg=request node=a request=polled status=200 verdict=ran took=40ms err=null upstream=i1 attempt_took=10ms waited=30ms
 time=10:00:05.000 level=info msg=request node=a request=first status=200 verdict=ran took=40ms err=null upstream=i1 copies=1 superseded=i2
+time=10:00:05.500 level=warn msg=request node=a request=cut status=0 verdict=not_run took=70ms err="forward: not run" upstream=i2 attempt=4 attempt_took=1ms joined_after=10µs waited=65ms reason=upstreams_full
 time=10:00:06.000 level=warn msg="submission not kept" node=a submission=s1 took=2s err="platform: nothing was done" reason=store retry_after=100ms
 `
 
@@ -58,6 +59,12 @@
   10:00:04.960 arrived at a
   10:00:04.960 attempt 1 at i1: status 200 after 40ms, before the one at i2, which was cancelled
   10:00:05.000 answered with status 200 after 40ms; copies sent: 1
+`,
+		"cut": `course:
+  10:00:05.430 arrived at a
+  10:00:05.430 joined the wait queue, 0 ahead; waited 65ms
+  10:00:05.500 last attempt 4 at i2; its line was left out
+  10:00:05.500 rejected after 70ms: no upstream had room
 `,
 		"s1": `course:
   10:00:06.000 rejected after 2s: the store was not available; Retry-After 100ms
