pkg/upstream: requests fit into the memory of engines

An engine that is sent more tokens than it holds preempts requests and reads them in again. The registry now sums the expected tokens of the requests in flight at each upstream, with the mean for those of other instances, and in contended pools with a known memory sends an upstream at most 0.95 of it, or a single request.

An engine that has taken three requests ahead of the first one that waits for memory is kept free for it for 1 s at a time. For 8 s the engine therefore takes only requests of up to half of what has ended there since the last one.

--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -52,6 +52,15 @@
 	// AttemptResult.TimePerUnit, of the mean request; 0 for 1. Both are used in contended
 	// pools only.
 	Work, Units float64
+
+	// Tokens is how many tokens of an upstream's memory the request is expected to take
+	// up; 0 if unknown. In contended pools, an upstream is sent no request that exceeds
+	// its memory, unless that is the only one there.
+	Tokens int
+	// First identifies the request if it goes before all others of its submission that
+	// wait. An upstream that has too little memory for it takes only a few of the others
+	// ahead of it. It is empty for other requests.
+	First string
 }
 
 // Candidate is an upstream that may be chosen for a request.
@@ -64,6 +73,11 @@
 	Local    bool    // in the same data centre as this instance
 }
 
+// full reports whether a candidate of a contended pool has no slot for a request.
+func (c Candidate) full(req Requirements) bool {
+	return req.NeedFreeSlot && c.InFlight >= c.Slots || req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots)
+}
+
 // Choose returns the index of the candidate for a request, or -1 if there is none. It
 // prefers the candidate that is expected to serve the request soonest, judging by load
 // relative to slots and by slowness. Among those about equal it takes the one that
--- /dev/null
+++ b/pkg/upstream/memory.go
@@ -0,0 +1,312 @@
+package upstream
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// memoryShare is the share of an upstream's memory up to which it is sent requests.
+	// Texts that exceed their expected length take up the rest.
+	memoryShare = 0.95
+	// hintMargin is how many times its length hint a text is expected to take up at most.
+	// About half of the hints are off by a factor of 1.6 or more either way.
+	hintMargin = 1.5
+	// meanWindow is the number of requests over which their mean use of memory is taken.
+	meanWindow = 64
+	// maxOvertakings is how many requests an upstream takes in a row that go ahead of
+	// the first one that waits for memory there.
+	maxOvertakings = 3
+	// maxHold is how long an upstream is then kept free for it, and again after each
+	// further one that goes ahead. It is short compared to a text of seconds, because the
+	// slots and the memory that are free stay unused.
+	maxHold = time.Second
+	// drainTime is how long an upstream takes, besides, only requests of up to half of the
+	// memory that has become free since it took the last one. What is in use there thus
+	// shrinks, and the waiting request fits at the latest when those that were in flight
+	// have ended; the longest texts take 7.1 s. Being kept free for a second at a time
+	// does not suffice: at an engine with 6 slots and memory for 62,540 tokens, texts of
+	// 9,500 tokens take 5 s, and one of them a second never leaves room for 14,000.
+	drainTime = 8 * time.Second
+)
+
+// ErrTooLarge means that a request may take up more memory than any upstream of its pool
+// has.
+var ErrTooLarge = errors.New("upstream: request larger than the memory of its pool's upstreams")
+
+// TokenUse is what a request may take up of an upstream's memory, in tokens. Its zero
+// value means that this is not known.
+type TokenUse struct {
+	Prompt int `json:"prompt,omitempty"`
+	Output int `json:"output,omitempty"` // most that is generated
+}
+
+// Total returns the most that the request may take up.
+func (t TokenUse) Total() int { return t.Prompt + t.Output }
+
+// Expected returns what the request is expected to take up, given the sender's estimate of
+// the length of its text, 0 for none.
+func (t TokenUse) Expected(hint int) int {
+	if hint <= 0 {
+		return t.Total()
+	}
+	return t.Prompt + int(min(float64(t.Output), hintMargin*float64(hint)))
+}
+
+// memoryRoom returns how many tokens a request may have that is sent to an upstream with
+// the given memory, where this instance's requests in flight take up own tokens and there
+// are others of mean size. It may be negative.
+func memoryRoom(memory, own, others int, mean float64) int {
+	return int(memoryShare*float64(memory) - float64(own) - float64(others)*mean)
+}
+
+// tokenMean is the mean use of memory of recent requests.
+type tokenMean struct {
+	mean float64
+	n    int
+}
+
+func (m *tokenMean) observe(tokens int) {
+	m.n = min(m.n+1, meanWindow)
+	m.mean += (float64(tokens) - m.mean) / float64(m.n)
+}
+
+// overtakings tracks the requests that are the first of those that wait and find no
+// memory, by request, so that smaller requests do not go ahead of them forever.
+type overtakings map[string]*overtaken
+
+type overtaken struct {
+	expires   time.Time                // when the request is no longer taken to wait
+	upstreams map[string]*overtakingAt // that had too little memory for it, by ID
+}
+
+type overtakingAt struct {
+	times      int       // requests that it took ahead of the waiting one
+	heldUntil  time.Time // until when it takes no others
+	drainUntil time.Time // until when it takes only smaller ones than have ended; see drainTime
+	ended      int       // tokens of the requests that have ended since it took the last one
+}
+
+// waits records that a request waits for memory at upstreams, and reports whether it has
+// just begun to.
+func (o overtakings) waits(request string, upstreams []string, now time.Time) bool {
+	w, known := o[request]
+	if !known {
+		if len(upstreams) == 0 {
+			return false
+		}
+		w = &overtaken{upstreams: map[string]*overtakingAt{}}
+		o[request] = w
+	}
+	w.expires = now.Add(maxHold)
+	for _, id := range upstreams {
+		if w.upstreams[id] == nil {
+			w.upstreams[id] = &overtakingAt{}
+		}
+	}
+	return !known
+}
+
+// took records that an upstream took a request; request is empty if it is not the first
+// of those that wait.
+func (o overtakings) took(upstream, request string, now time.Time) {
+	if len(o) == 0 {
+		return
+	}
+	delete(o, request)
+	maps.DeleteFunc(o, func(_ string, w *overtaken) bool { return !now.Before(w.expires) })
+	for _, w := range o {
+		at := w.upstreams[upstream]
+		if at == nil {
+			continue
+		}
+		at.ended = 0
+		if at.times >= maxOvertakings && !now.Before(at.drainUntil) {
+			at.times = 0 // it may be requests of others that leave no room
+		}
+		if at.times++; at.times == maxOvertakings {
+			at.drainUntil = now.Add(drainTime)
+		}
+		if at.times >= maxOvertakings {
+			at.heldUntil = now.Add(maxHold)
+		}
+	}
+}
+
+// ended records that a request has ended at an upstream.
+func (o overtakings) ended(upstream string, tokens int) {
+	for _, w := range o {
+		if at := w.upstreams[upstream]; at != nil {
+			at.ended += tokens
+		}
+	}
+}
+
+// room returns how many tokens a request may have that an upstream takes ahead of another,
+// if the upstream has as many for any. It is negative if the upstream is kept free.
+func (o overtakings) room(upstream, request string, most int, now time.Time) int {
+	for other, w := range o {
+		at := w.upstreams[upstream]
+		if at == nil || other == request || !now.Before(w.expires) {
+			continue
+		}
+		switch {
+		case now.Before(at.heldUntil):
+			return -1
+		case at.times >= maxOvertakings && now.Before(at.drainUntil):
+			most = min(most, at.ended/2)
+		}
+	}
+	return most
+}
+
+// memoryState is what a Registry knows of the memory of upstreams and its use. It is
+// guarded by Registry.mu.
+type memoryState struct {
+	tokens      map[string]int        // memory of each upstream, in tokens, by pool
+	means       map[string]*tokenMean // by pool
+	overtakings overtakings
+	refusals    int64
+}
+
+// SetMemory sets the memory of the upstreams of each pool, in tokens. In contended pools,
+// an upstream is then sent only requests that fit into it. Pools that are left out have
+// no limit. The map must not be modified afterwards.
+func (r *Registry) SetMemory(tokens map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memory.tokens = tokens
+}
+
+// TooLarge reports whether a request that may take up the given number of tokens fits into
+// no upstream of a contended pool, whatever else runs there.
+func (r *Registry) TooLarge(pool string, tokens int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	memory := r.limitedMemory(pool)
+	return memory > 0 && tokens > memory
+}
+
+// MemoryRefusals returns how many times a request found upstreams with free slots and none
+// of them with enough memory. Of requests that wait for free slots, it counts the first
+// ones only (Requirements.First), once each.
+func (r *Registry) MemoryRefusals() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.memory.refusals
+}
+
+// MemoryRoom reports whether a request that found no upstream lacks only memory, and how
+// many tokens it may have to fit.
+func (r *Registry) MemoryRoom(req Requirements) (tokens int, lacking bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limitedMemory(req.Pool) == 0 {
+		return 0, false
+	}
+	tokens, upstreams := r.lackMemory(r.usableFor(req), req)
+	return tokens, len(upstreams) > 0
+}
+
+// limitedMemory returns the memory of each upstream of a pool if requests must fit into
+// it, and otherwise 0.
+func (r *Registry) limitedMemory(pool string) int {
+	if !r.isContended(pool) {
+		return 0
+	}
+	return r.memory.tokens[pool]
+}
+
+// roomAt returns how many tokens a request may have that is sent to s, which has the given
+// memory. It is negative if s is kept free for another request. A request may exceed the
+// memory if it is the only one.
+func (r *Registry) roomAt(s *upstreamState, memory int, req Requirements) int {
+	local, load := s.localOrZero(), s.load(req.Now)
+	if load == 0 {
+		return math.MaxInt
+	}
+	mean := 0.0
+	if m := r.memory.means[s.Pool]; m != nil {
+		mean = m.mean
+	}
+	room := max(memoryRoom(memory, local.tokens, load-local.inFlight, mean), 0)
+	return r.memory.overtakings.room(s.ID, req.First, room, req.Now)
+}
+
+// withMemory returns the upstreams among states that have the memory for a request.
+func (r *Registry) withMemory(states []*upstreamState, req Requirements) []*upstreamState {
+	memory := r.limitedMemory(req.Pool)
+	if memory == 0 {
+		return states
+	}
+	out := make([]*upstreamState, 0, len(states))
+	for _, s := range states {
+		if req.Tokens <= r.roomAt(s, memory, req) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// lackMemory returns the IDs of the upstreams among states that would take a request if
+// they had the memory for it, and the most tokens that it may have to fit at one of them.
+func (r *Registry) lackMemory(states []*upstreamState, req Requirements) (most int, ids []string) {
+	memory := r.limitedMemory(req.Pool)
+	if memory == 0 || req.Tokens == 0 {
+		return 0, nil
+	}
+	for _, s := range states {
+		room := r.roomAt(s, memory, req)
+		c := Candidate{Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: max(s.Slots, 1)}
+		if req.Tokens > room && !c.full(req) {
+			most, ids = max(most, room), append(ids, s.ID)
+		}
+	}
+	return most, ids
+}
+
+// recordNoUpstream records that a request found none of the usable upstreams, states, with
+// room for it.
+func (r *Registry) recordNoUpstream(states []*upstreamState, req Requirements) {
+	if req.Outdated {
+		return // the request has been recorded without it
+	}
+	_, ids := r.lackMemory(states, req)
+	switch {
+	case req.First != "":
+		if r.memory.overtakings.waits(req.First, ids, req.Now) {
+			r.memory.refusals++
+		}
+	case len(ids) > 0 && !req.NeedFreeSlot:
+		r.memory.refusals++
+	}
+}
+
+// addTokens counts a request that is sent to s, and returns with how many tokens. One whose
+// use of memory is not known counts as a mean one.
+func (r *Registry) addTokens(s *upstreamState, req Requirements) int {
+	tokens, m := req.Tokens, r.memory.means[s.Pool]
+	switch {
+	case tokens > 0 && m == nil:
+		m = &tokenMean{}
+		r.memory.means[s.Pool] = m
+		fallthrough
+	case tokens > 0:
+		m.observe(tokens)
+	case m != nil:
+		tokens = int(m.mean)
+	}
+	s.ensureLocal().tokens += tokens
+	r.memory.overtakings.took(s.ID, req.First, req.Now)
+	return tokens
+}
+
+// removeFromLoad ends the counting of rsv's request at its upstream.
+func (rsv *Reservation) removeFromLoad() {
+	local := rsv.state.ensureLocal()
+	local.inFlight--
+	local.tokens -= rsv.tokens
+	rsv.registry.memory.overtakings.ended(rsv.ID, rsv.tokens)
+}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -48,7 +48,8 @@
 	assignments map[string]*assignment // by model
 	contended   bool                   // the capacity of all pools is contended
 	loadTimes   loadTimes
-	paceReports int64             // reports of upstreams' pace so far
+	paceReports int64 // reports of upstreams' pace so far
+	memory      memoryState
 	onRelease   func(pool string) // nil for none
 }
 
@@ -92,6 +93,7 @@
 // it.
 type localState struct {
 	inFlight         int // requests of this process
+	tokens           int // of these requests
 	otherLoad        int // requests of other senders, by the last load received
 	otherLoadAt      time.Time
 	busyUntil        time.Time
@@ -136,7 +138,8 @@
 func NewRegistry(dataCentre string) *Registry {
 	return &Registry{dataCentre: dataCentre, byID: map[string]*upstreamState{}, pools: map[string]*pool{},
 		health:     health.NewTracker(health.Config{FailureThreshold: 2, EjectionTime: firstEjection, MaxEjectionTime: maxEjection}),
-		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{})}
+		tokenTimes: health.NewTokenTimes(0), pace: pace.New(pace.Config{}),
+		memory: memoryState{means: map[string]*tokenMean{}, overtakings: overtakings{}}}
 }
 
 // SetContended sets whether the capacity of all pools is contended.
@@ -434,6 +437,7 @@
 	model      string // model of the request; empty for none
 	minVersion uint64 // version that the request requires
 	outdated   bool   // the upstream was believed to be older than that
+	tokens     int    // with which the request counts
 	single     bool   // this request set singleInFlight and has not been answered
 	answered   bool   // the upstream has accepted the request
 }
@@ -446,7 +450,11 @@
 	states := r.usableFor(req)
 	i := -1
 	if r.isContended(req.Pool) {
-		i = chooseSoonest(r.timedCandidates(states, req), req)
+		usable := states
+		states = r.withMemory(usable, req)
+		if i = chooseSoonest(r.timedCandidates(states, req), req); i < 0 {
+			r.recordNoUpstream(usable, req)
+		}
 	} else {
 		i = Choose(r.candidates(states, req), req)
 	}
@@ -468,7 +476,8 @@
 		local.versionCheckedAt = req.Now
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
-	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated}
+	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated,
+		tokens: r.addTokens(s, req)}
 }
 
 // usableFor returns the upstreams that may take a request: those assigned to its model
@@ -600,7 +609,7 @@
 func (rsv *Reservation) Done(result AttemptResult) {
 	r := rsv.registry
 	r.mu.Lock()
-	rsv.state.ensureLocal().inFlight--
+	rsv.removeFromLoad()
 	r.record(rsv, result)
 	released := r.onRelease
 	r.mu.Unlock()
@@ -613,7 +622,7 @@
 func (rsv *Reservation) Release() {
 	r := rsv.registry
 	r.mu.Lock()
-	rsv.state.ensureLocal().inFlight--
+	rsv.removeFromLoad()
 	r.endSingle(rsv)
 	released := r.onRelease
 	r.mu.Unlock()
@@ -659,7 +668,7 @@
 		return nil, false
 	}
 	here := r.timedCandidates([]*upstreamState{rsv.state}, req)[0]
-	states := r.usableFor(req)
+	states := r.withMemory(r.usableFor(req), req)
 	i := chooseMove(here, r.timedCandidates(states, req), req, overhead)
 	if i < 0 {
 		return nil, false
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -49,7 +49,7 @@
 	index := make([]int, 0, len(candidates))
 	soonest := time.Duration(0)
 	for i, c := range candidates {
-		if req.NeedFreeSlot && c.InFlight >= c.Slots || req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
+		if c.full(req) {
 			continue
 		}
 		d := c.completion(req)
