platform, pkg/node: kv_capacity of the configuration reaches the registry

The memory of engines was not decoded. services[].engine.kv_capacity now becomes routetable.Pool.MemoryTokens, and the registry learns it with each configuration that comes into force.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -97,6 +97,11 @@
 }
 
 func (e setTable) execute(_ context.Context, n *Node) {
+	memory := make(map[string]int, len(e.table.Pools))
+	for name, pool := range e.table.Pools {
+		memory[name] = pool.MemoryTokens
+	}
+	n.registry.SetMemory(memory)
 	n.table.Store(e.table)
 	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.RouteCount())
 }
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -64,12 +64,24 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
+// Without returns the route without the shares of the pools that exclude reports true
+// for. The result may have no share.
+func (r Route) Without(exclude func(pool string) bool) Route {
+	excluded := func(s Share) bool { return exclude(s.Pool) }
+	if slices.ContainsFunc(r.Shares, excluded) {
+		r.Shares = slices.DeleteFunc(slices.Clone(r.Shares), excluded)
+	}
+	return r
+}
+
 // Pool is the configuration of a pool of upstreams.
 type Pool struct {
 	Name    string
 	Slots   int      // requests that an engine runs at once; 0 if not configured
 	Models  []string // models that the pool's engines can hold; empty for plain services
 	Scaling Scaling  // zero if engines cannot be ordered for the pool
+	// MemoryTokens is how many tokens an engine holds in memory; 0 if unknown.
+	MemoryTokens int
 }
 
 // Scaling limits the engines that may be ordered for a pool, and holds their prices.
