pkg/forward, pkg/submission, platform: memory of streams and items

A stream that fits into no engine of its route is refused at once with 503, without an attempt or a time to retry. Such an item stays waiting, is reported once and holds nothing up. Items for which engines have too little memory are passed over; the first of them is told to the registry, so that it is not overtaken forever.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -43,6 +43,10 @@
 	// MaxRuns is the number of upstreams that may run an idempotent request, if it is more
 	// than the route's MaxAttempts. The difference may be used for hedged copies only.
 	MaxRuns int
+	// Tokens is what the request takes up of an engine's memory, and LengthHint the
+	// caller's estimate of the tokens of its text. They are 0 if unknown.
+	Tokens     upstream.TokenUse
+	LengthHint int
 }
 
 // content returns what identifies r across repetitions, for its fingerprint in the
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
+	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
 // Event is one complete event of an upstream's stream.
@@ -62,7 +63,8 @@
 // Stream forwards a request for a stream of events according to route rt. It sends events
 // to sink as they arrive. If the stream is interrupted, Stream resumes it at another
 // upstream if the route allows that, and otherwise returns ErrStreamInterrupted. If nothing
-// has been sent to sink, the error is a *verdict.Error.
+// has been sent to sink, the error is a *verdict.Error; that of a request that is too large
+// for the engines wraps upstream.ErrTooLarge and has no time to retry.
 func (f *Forwarder) Stream(ctx context.Context, rt routetable.Route, r Request, prompt string, sink Sink) error {
 	if rt.Resumable {
 		rt.Kind = routetable.Idempotent // the stream can be requested again
@@ -71,6 +73,11 @@
 	r.Deadline = plan.Deadline
 	ctx, cancel := context.WithDeadline(ctx, plan.Deadline)
 	defer cancel()
+	rt = rt.Without(func(pool string) bool { return f.cfg.Registry.TooLarge(pool, r.Tokens.Total()) })
+	if len(rt.Shares) == 0 {
+		f.count("memory.too_large")
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, fmt.Errorf("%w: %d tokens", upstream.ErrTooLarge, r.Tokens.Total()))
+	}
 	pool := rt.PickPool(rand.Float64())
 	s := &streamRequest{f: f, plan: plan, route: rt, pool: pool, request: r, sink: sink}
 	for {
@@ -111,7 +118,8 @@
 // reserve returns a reservation for the next attempt, for which the request may wait.
 func (s *streamRequest) reserve(ctx context.Context, prompt string) (*upstream.Reservation, error) {
 	acquire := func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
-		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad})
+		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad,
+			Tokens: s.request.Tokens.Expected(s.request.LengthHint)})
 	}
 	// A stream that is resumed does not return to the upstreams that it has tried. At the
 	// head of the queue it would keep the others from these.
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -12,6 +12,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 	"github.com/zinnialadder/zinnialadder/pkg/waitqueue"
 	"github.com/zinnialadder/zinnialadder/pkg/watch"
@@ -118,6 +119,8 @@
 		return "no_configuration"
 	case errors.Is(err, quarantine.ErrQuarantined):
 		return "quarantined"
+	case errors.Is(err, upstream.ErrTooLarge):
+		return "too_large"
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
 	case errors.Is(err, waitqueue.ErrFull), errors.Is(err, forward.ErrDisplaced):
@@ -139,8 +142,11 @@
 // step records an event of an item or submission that runs here.
 func (o *observer) step(e submission.RunEvent) {
 	o.count("items." + e.What)
-	if e.What == submission.TextMoved {
+	switch e.What {
+	case submission.TextMoved:
 		o.count("texts.moved")
+	case submission.ItemTooLarge:
+		o.count("memory.too_large")
 	}
 	budget := o.items
 	if e.Err != nil {
@@ -208,6 +214,8 @@
 	o.gauge("quarantine.refused_contents", int64(quarantined))
 	reports := metrics.GetOrRegisterCounter("pace.reports", o.node.cfg.Metrics)
 	reports.Inc(o.node.registry.PaceReports() - reports.Count())
+	noRoom := metrics.GetOrRegisterCounter("memory.no_room", o.node.cfg.Metrics)
+	noRoom.Inc(o.node.registry.MemoryRefusals() - noRoom.Count())
 	for model, v := range s.targetVersions {
 		o.gauge("weights.named."+model, int64(v))
 	}
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -13,16 +13,21 @@
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
-// startItem starts an attempt at item i and reports whether an engine had a free slot.
-func (r *Runner) startItem(ctx context.Context, i int, rt routetable.Route, now time.Time) bool {
-	it := r.spec.Items[i]
+// requirements returns what an attempt at item i requires of an engine.
+func (r *Runner) requirements(i int, rt routetable.Route, now time.Time) upstream.Requirements {
+	it, length := r.spec.Items[i], r.run.Length(i)
+	return upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Newest: r.cfg.TargetVersion(r.spec.Model),
+		Affinity: it.Affinity, NeedFreeSlot: true, Work: length.Work, Units: length.MeanEvents, Tokens: it.Tokens.Expected(it.Length)}
+}
+
+// startItem starts an attempt at item i, with the requirements req, and reports whether an
+// engine had room for it.
+func (r *Runner) startItem(ctx context.Context, i int, rt routetable.Route, req upstream.Requirements) bool {
 	after, versions := r.run.LastEvent(i)
 	expect := uint64(0)
-	target := r.cfg.TargetVersion(r.spec.Model)
-	length := r.run.Length(i)
-	req := upstream.Requirements{Pool: rt.PickPool(r.cfg.Rand()), Now: now, Model: r.spec.Model, MinVersion: r.spec.MinVersion, Newest: target, Affinity: it.Affinity, NeedFreeSlot: true,
-		Work: length.Work, Units: length.MeanEvents}
+	now, target := req.Now, req.Newest
 	elsewhere := req // what a faster engine must offer for the text to be moved there
+	elsewhere.First = ""
 	rsv, ok := r.cfg.Registry.Acquire(req)
 	if !ok && target >= r.spec.MinVersion && target > 0 && !r.cfg.Guard.NeedsTrial(r.generation(i, after).content(r.spec.Model), now) {
 		// An engine may hold the target version before its registry entry says so. The
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	// quarantineRecheckDelay is the time between checks whether a quarantined item was
 	// released.
 	quarantineRecheckDelay = 500 * time.Millisecond
+	// tooLargeRecheckDelay is the time between checks whether an item that was too large
+	// for the engines' memory fits, which takes a change of the configuration.
+	tooLargeRecheckDelay = time.Second
 	// updatesPerItem is the room in the queue of updates for each item: the last events
 	// of an attempt are posted while its earlier ones may still be queued.
 	updatesPerItem = 2
@@ -90,6 +94,10 @@
 // slot has been reserved for it.
 const TextMoved = "moved"
 
+// ItemTooLarge is the What of the event of an item that fits into no engine's memory. It
+// waits, as engines with more memory may be configured.
+const ItemTooLarge = "too_large"
+
 // RunEvent is an event of an item or a submission, for log and metrics.
 type RunEvent struct {
 	What       string
@@ -127,6 +135,8 @@
 	short, everShort bool      // the step is, or has been, short of engines as last reported
 	nextOutlookAt    time.Time // when a change of that is reported next
 
+	reportedTooLarge map[int]bool // items whose ItemTooLarge event has been sent
+
 	startedAt, endedAt time.Time
 	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
 
@@ -158,7 +168,7 @@
 	r := &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, prior: prior, results: prior.Results,
 		writtenAt: make([]time.Time, len(prior.Results)),
 		updates:   make(chan func(time.Time), updatesPerItem*len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
-		priorToken: priorToken}
+		priorToken: priorToken, reportedTooLarge: map[int]bool{}}
 	r.run = r.newRun(prior.Partials)
 	return r
 }
@@ -288,17 +298,48 @@
 	r.startScoring(ctx, now)
 }
 
-// startWaiting starts waiting items while engines have free slots.
+// startWaiting starts waiting items while engines have free slots. Items for which engines
+// have too little memory are passed over; the first of them is given priority by the
+// registry.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
+	room, first := math.MaxInt, true // room: most tokens that may fit
 	for _, i := range r.waiting(rt, now) {
+		use := r.spec.Items[i].Tokens
+		if use.Expected(r.spec.Items[i].Length) > room {
+			continue
+		}
 		if r.cfg.Guard.Check(r.generation(i, 0).content(r.spec.Model), now) != nil {
 			r.run.Postpone(i, now.Add(quarantineRecheckDelay))
 			continue
 		}
-		if !r.startItem(ctx, i, rt, now) {
+		fits := rt.Without(func(pool string) bool { return r.cfg.Registry.TooLarge(pool, use.Total()) })
+		if len(fits.Shares) == 0 {
+			r.reportTooLarge(i, use)
+			r.run.Postpone(i, now.Add(tooLargeRecheckDelay))
+			continue
+		}
+		req := r.requirements(i, fits, now)
+		if first {
+			req.First = r.spec.ID + "/" + r.spec.Items[i].ID
+		}
+		if r.startItem(ctx, i, fits, req) {
+			continue
+		}
+		left, lacking := r.cfg.Registry.MemoryRoom(req)
+		if !lacking {
 			return
 		}
+		room, first = min(room, left), false
+	}
+}
+
+// reportTooLarge reports, once, that item i fits into no engine's memory.
+func (r *Runner) reportTooLarge(i int, use upstream.TokenUse) {
+	if r.reportedTooLarge[i] {
+		return
 	}
+	r.reportedTooLarge[i] = true
+	r.cfg.OnEvent(RunEvent{What: ItemTooLarge, Submission: r.spec.ID, Item: r.spec.Items[i].ID, Err: fmt.Errorf("%w: %d tokens", upstream.ErrTooLarge, use.Total())})
 }
 
 // generation returns the request for item i's text, to continue after the given event.
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -49,6 +49,8 @@
 	// Length is the sender's estimate of the text's length; 0 for none. It only orders
 	// items, as it is often far off.
 	Length int `json:"length,omitempty"`
+	// Tokens is what the item takes up of an engine's memory; zero if unknown.
+	Tokens upstream.TokenUse `json:"token_use,omitzero"`
 }
 
 // Call is a request to a plain service.
