--- a/internal/explain/call.go
+++ b/internal/explain/call.go
@@ -24,6 +24,7 @@
 	"queue_too_slow": "its turn in the wait queue would have come too late",
 	"displaced":      "it gave way in the wait queue to a more urgent request, or to another customer's",
 	"upstreams_full": "no upstream had room",
+	"too_large":      "no engine of its pool can hold it",
 	"store":          "the store was not available",
 }
 
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -45,6 +45,10 @@
 	MaxRuns int
 	// Report is filled in by Do and Stream. It may be nil.
 	Report *Report
+	// Tokens is what the request takes up of an engine's memory, and LengthHint the
+	// caller's estimate of the tokens of its text. They are 0 if unknown.
+	Tokens     upstream.TokenUse
+	LengthHint int
 }
 
 // content returns what identifies r across repetitions, for its fingerprint in the
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -55,7 +55,7 @@
 	// Only differences matter: the factor is exactly 1 where all fail alike.
 	leastRepeats := repeats(leastRate, req.Once)
 	for i, c := range candidates {
-		if req.NeedFreeSlot && c.InFlight >= c.Slots || req.MaxLoad > 0 && float64(c.Load) >= req.MaxLoad*float64(c.Slots) {
+		if c.full(req) {
 			continue
 		}
 		d := float64(c.completion(req)) * (repeats(c.failureRate, req.Once) / leastRepeats)
