storepath: calls lost before the store's return end with it

Cause: while the store was unreachable, checks requested by failing calls ran in the loop that sends the periodic pings and reset its timer, so that the return was noticed late; and the return cancelled only calls older than 250 ms, so that a write sent less than 250 ms before it waited for its timeout of 1.2 s. Change: no checks on request while the store is unreachable, as periodic ones run; the return cancels the calls that began before the ping that was answered. sharedPing tells when that ping was sent, which may be 150 ms after the request for it.

--- a/pkg/storepath/check.go
+++ b/pkg/storepath/check.go
@@ -83,10 +83,11 @@
 func (s *Store) pingUnreachable(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, PingTimeout)
 	defer cancel()
-	if s.cfg.Ping(ctx) != nil {
+	sentAt, err := s.timedPing(ctx)
+	if err != nil {
 		return
 	}
-	s.answered(AccessPath{Kind: Unreachable}, "answered a ping")
+	s.answered(AccessPath{Kind: Unreachable}, sentAt, "answered a ping")
 }
 
 // check checks the paths and selects the one found, unless a call has changed the path
--- a/pkg/storepath/links.go
+++ b/pkg/storepath/links.go
@@ -45,7 +45,8 @@
 // Listen returns Links that use the direct path and listen for peers. It fails if it
 // cannot listen on cfg.Listen.
 func Listen(cfg LinksConfig) (*Links, error) {
-	cfg.Ping = (&sharedPing{ping: cfg.Ping}).Ping
+	shared := &sharedPing{ping: cfg.Ping}
+	cfg.Ping = shared.Ping
 	l := &Links{cfg: cfg, sessions: peer.NewSessions(keepAlive), peers: func() []string { return nil }}
 	if cfg.Listen != "" {
 		var err error
@@ -56,6 +57,7 @@
 	l.Store = New(Config{Direct: cfg.Direct, Ping: cfg.Ping, Go: cfg.Go, OnCall: cfg.OnCall, OnChange: l.pathChanged,
 		Peers: func() []string { return l.peers() },
 		Peer:  func(address string) PeerStore { return &peer.StoreClient{Sessions: l.sessions, Address: address} }})
+	l.timedPing = shared.timedPing
 	return l, nil
 }
 
--- a/pkg/storepath/ping.go
+++ b/pkg/storepath/ping.go
@@ -45,18 +45,25 @@
 // Ping pings the store, waits for a young ping in flight, or returns the error of a
 // recent one.
 func (p *sharedPing) Ping(ctx context.Context) error {
+	_, err := p.timedPing(ctx)
+	return err
+}
+
+// timedPing is Ping, and returns when the ping was sent that was answered. That may be
+// long after the call, if an earlier ping hangs.
+func (p *sharedPing) timedPing(ctx context.Context) (sentAt time.Time, err error) {
 	for {
 		c, own, err := p.startPing(time.Now())
 		if err != nil {
-			return err
+			return time.Time{}, err
 		}
 		if own {
 			err := p.ping(ctx)
 			p.endPing(c, err, ctx.Err() != nil, time.Now())
-			return err
+			return c.startedAt, err
 		}
 		if err, ok := c.wait(ctx); ok {
-			return err
+			return c.startedAt, err
 		}
 	}
 }
--- a/pkg/storepath/selector.go
+++ b/pkg/storepath/selector.go
@@ -140,9 +140,10 @@
 }
 
 // Failed reports whether the paths should be checked after a call on path ap was refused
-// or interrupted at at.
+// or interrupted at at. While the store is unreachable they should not: they are checked
+// periodically, and further checks would delay these.
 func (s *Selector) Failed(ap AccessPath, at time.Time) bool {
-	return ap == s.path && s.CheckIsDue(at)
+	return ap == s.path && ap.Kind != Unreachable && s.CheckIsDue(at)
 }
 
 // CheckIsDue reports whether the last check is long enough ago for another.
--- a/pkg/storepath/store.go
+++ b/pkg/storepath/store.go
@@ -42,6 +42,9 @@
 	cfg           Config
 	checkRequests chan string // requests a check of the paths, with the reason
 
+	// timedPing is Config.Ping with the time at which the ping was sent.
+	timedPing func(ctx context.Context) (sentAt time.Time, err error)
+
 	checking atomic.Bool // a check is running in a goroutine of its own
 
 	mu          sync.Mutex
@@ -68,7 +71,11 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(AccessPath, AccessPath, string) {}
 	}
-	return &Store{cfg: cfg, checkRequests: make(chan string, 1), calls: map[*call]bool{}, unreachable: make(chan struct{})}
+	return &Store{cfg: cfg, checkRequests: make(chan string, 1), calls: map[*call]bool{}, unreachable: make(chan struct{}),
+		timedPing: func(ctx context.Context) (time.Time, error) {
+			sentAt := time.Now()
+			return sentAt, cfg.Ping(ctx)
+		}}
 }
 
 // Unreachable reports whether no path leads to the store.
@@ -142,7 +149,7 @@
 	s.mu.Unlock()
 	s.cfg.OnCall(c.path, err)
 	if !errors.Is(err, platform.ErrUnavailable) {
-		s.answered(c.path, "answered")
+		s.answered(c.path, c.startedAt, "answered")
 		return
 	}
 	if ctx.Err() != nil {
@@ -156,17 +163,23 @@
 	}
 }
 
-// answered records that a call or ping on path ap was answered. If that changes the path,
-// the calls on ap are cancelled that are older than AnswerTimeout. Calls that the store may
-// hold, and that began later, are cancelled AnswerTimeout from now: the store may have lost
-// them, and they would time out only a second or two later.
-func (s *Store) answered(ap AccessPath, reason string) {
+// answered records that a call or ping on path ap that was sent at sentAt was answered. If
+// that changes the path, the calls on ap are cancelled that began before sentAt or are
+// older than AnswerTimeout: they were probably lost in the outage, and a write that waits
+// for its timeout delays the results behind it. Calls that the store may hold, and that
+// began later, are cancelled AnswerTimeout from now: the store may have lost them, and they
+// would time out only a second or two later.
+func (s *Store) answered(ap AccessPath, sentAt time.Time, reason string) {
 	now := time.Now()
 	s.mu.Lock()
 	changed := s.selector.Answered(ap, now)
 	if changed {
 		s.updateUnreachable(ap)
-		s.cancelCalls(ap, now.Add(-AnswerTimeout), false)
+		lostBefore := now.Add(-AnswerTimeout)
+		if sentAt.After(lostBefore) {
+			lostBefore = sentAt
+		}
+		s.cancelCalls(ap, lostBefore, false)
 		time.AfterFunc(AnswerTimeout, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/pkg/storepath/store_test.go
+++ b/pkg/storepath/store_test.go
@@ -173,3 +173,46 @@
 		})
 	}
 }
+
+// Guards against a write that is lost just before the store's return and waits for its
+// timeout of a second, with all results behind it. Pings are shared, so that one that hangs
+// is followed by another within the same call.
+func TestLostCallEndsOnReturn(t *testing.T) {
+	for before := 10 * time.Millisecond; before < 150*time.Millisecond; before += 20 * time.Millisecond {
+		t.Run(before.String(), func(t *testing.T) {
+			t.Parallel()
+			direct := &silentStore{}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			var g errgroup.Group
+			s, err := storepath.Listen(storepath.LinksConfig{Direct: direct, Ping: direct.Ping, Go: func(f func() error) { g.Go(f) }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Serve(ctx, func() []string { return nil }, nil)
+			t.Cleanup(func() {
+				cancel()
+				_ = g.Wait() // its goroutines return nil
+			})
+			direct.silent.Store(true)
+			if _, err := s.Get(ctx, "k"); err == nil {
+				t.Fatal("got an answer from a silent store")
+			}
+			within(t, 2*time.Second, "the store is found unreachable", s.Unreachable)
+			time.Sleep(700 * time.Millisecond) // until pings overlap
+			var call errgroup.Group
+			call.Go(func() error {
+				_, err := s.Get(ctx, "k")
+				return err
+			})
+			time.Sleep(before)
+			direct.silent.Store(false)
+			returnedAt := time.Now()
+			if err := call.Wait(); err == nil {
+				t.Fatal("got an answer to a lost call")
+			}
+			if took := time.Since(returnedAt); took > 200*time.Millisecond {
+				t.Errorf("lost call ended %v after the store's return, want at most 200 ms", took)
+			}
+		})
+	}
+}
