submission: results held in an outage are written in few transactions

Cause: the batch whose write failed first, of 1 to 3 results, was repeated unchanged until the store returned, so that 100 held results took 4 transactions. A write that had waited 1.2 s for its answer was followed by a further pause of 150 ms. Change: results are added to a batch before it is written again. The rows of its earlier writes are a prefix, and each write requires that none of its rows exists, so that the store applies one of them only; if that is a shorter one, Append writes the rest. The pause between writes counts from the start of a write. HeldResults tells what is not written yet.

--- a/pkg/submission/append.go
+++ b/pkg/submission/append.go
@@ -24,11 +24,11 @@
 		return nil
 	}
 	r.appending = true
-	batch, wait := r.batch, r.appendBackoff
+	batch, next := r.batch, time.Now().Add(r.appendBackoff)
 	r.group.Go(func() error {
 		b, err := r.write(ctx, batch, position, results)
 		if err != nil && !errors.Is(err, ErrNotOwner) {
-			clock.Sleep(ctx, wait)
+			clock.Sleep(ctx, time.Until(next)) // a write that waited long for its answer is repeated at once
 		}
 		r.post(ctx, func(time.Time) { r.appendEnded(b, err) })
 		return nil
@@ -38,17 +38,21 @@
 
 func (r *Runner) ownershipLost() bool { return r.head.Fencing == 0 }
 
-// write writes batch, or a new one prepared from results if batch is nil. It returns
-// the batch, which must be written again unchanged if the write failed.
+// write writes the first of results, which start at position: those of batch, if a write
+// of it failed, and as many more as fit. It returns the batch, which must be written again
+// if the write failed.
 func (r *Runner) write(ctx context.Context, batch *Batch, position int, results []Result) (*Batch, error) {
+	var b Batch
+	var err error
 	if batch == nil {
-		b, err := r.cfg.Repository.PrepareBatch(ctx, r.head, position, results)
-		if err != nil {
-			return nil, err
-		}
-		batch = &b
+		b, err = r.cfg.Repository.PrepareBatch(ctx, r.head, position, results)
+	} else {
+		b, err = r.cfg.Repository.ExtendBatch(ctx, r.head, *batch, results)
+	}
+	if err != nil {
+		return batch, err
 	}
-	return batch, r.cfg.Repository.Append(ctx, r.head, *batch)
+	return &b, r.cfg.Repository.Append(ctx, r.head, b)
 }
 
 // appendEnded applies the outcome of a write.
--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -6,13 +6,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
-// Batch holds results at consecutive positions that are written in one transaction. It
-// must be written again unchanged until its outcome is known: the first call may still
-// be carried out.
+// Batch holds results at consecutive positions that are written in one transaction. Until
+// its outcome is known it must be written again, with the same results at the same
+// positions, since the first call may still be carried out. Results may be added after
+// them: of several writes, the store applies the first only, because each requires that
+// none of its rows exists.
 type Batch struct {
 	Position int
 	Results  []Result
@@ -23,14 +27,27 @@
 // transaction. Results larger than repo.MaxRowBytes bytes are stored as objects first; the
 // error is the store's or that of the encoding.
 func (repo Repository) PrepareBatch(ctx context.Context, head HeadRow, position int, results []Result) (Batch, error) {
-	b := Batch{Position: position, ops: []platform.Op{platform.Check(headKey(head.ID), head.Fencing)}}
-	bytes := 0
-	for _, r := range results {
-		op, err := repo.resultOp(ctx, head.ID, position+len(b.Results), r)
-		if err != nil {
+	return repo.ExtendBatch(ctx, head, Batch{Position: position, ops: []platform.Op{platform.Check(headKey(head.ID), head.Fencing)}}, results)
+}
+
+// ExtendBatch returns b with as many of the results that follow its own as fit into one
+// transaction, so that an outage of the store costs few transactions after it. results
+// begin with those of b. If b holds results, it is returned with those that could be added
+// before a failure.
+func (repo Repository) ExtendBatch(ctx context.Context, head HeadRow, b Batch, results []Result) (Batch, error) {
+	// An earlier call of Append may still use the slices of b.
+	b.ops, b.Results = slices.Clip(b.ops), slices.Clip(b.Results)
+	size := 0
+	for _, op := range b.ops {
+		size += len(op.Value)
+	}
+	for len(b.Results) < min(len(results), maxBatchResults) {
+		r := results[len(b.Results)]
+		op, err := repo.resultOp(ctx, head.ID, b.Position+len(b.Results), r)
+		if err != nil && len(b.Results) == 0 {
 			return Batch{}, err
 		}
-		if bytes += len(op.Value); len(b.Results) == maxBatchResults || bytes > maxBatchBytes && len(b.Results) > 0 {
+		if size += len(op.Value); err != nil || size > maxBatchBytes && len(b.Results) > 0 {
 			break
 		}
 		b.ops, b.Results = append(b.ops, op), append(b.Results, r)
@@ -59,7 +76,8 @@
 var ErrNotOwner = errors.New("submission: this instance is not the owner")
 
 // Append writes b. It returns ErrNotOwner if head is no longer the submission's head, or
-// an error of the store, after which b must be written again.
+// an error of the store, after which b must be written again. If the store holds the first
+// results of b, from an earlier write whose response was lost, it writes the others.
 func (repo Repository) Append(ctx context.Context, head HeadRow, b Batch) error {
 	_, err := repo.Store.Commit(ctx, b.ops...)
 	var ce *platform.ConflictError
@@ -74,5 +92,35 @@
 			return fmt.Errorf("%w: row %s holds a different result", ErrNotOwner, ce.Key)
 		}
 	}
-	return nil // an earlier write of this batch succeeded and its response was lost
+	n, err := repo.countStored(ctx, b)
+	if err != nil || n == len(b.Results) {
+		return err
+	}
+	rest := Batch{Position: b.Position + n, Results: b.Results[n:], ops: slices.Concat(b.ops[:1], b.ops[1+n:])}
+	return repo.Append(ctx, head, rest)
+}
+
+// countStored returns how many of b's results the store holds, at least one. It returns
+// ErrNotOwner if it holds different results at their positions.
+func (repo Repository) countStored(ctx context.Context, b Batch) (int, error) {
+	rows := b.ops[1:]
+	prefix := rows[0].Key[:strings.LastIndexByte(rows[0].Key, '/')+1]
+	page, err := repo.Store.ScanFrom(ctx, prefix, rows[0].Key, len(rows))
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, row := range page.Rows {
+		if n == len(rows) || row.Key != rows[n].Key {
+			break
+		}
+		if !bytes.Equal(row.Value, rows[n].Value) {
+			return 0, fmt.Errorf("%w: row %s holds a different result", ErrNotOwner, row.Key)
+		}
+		n++
+	}
+	if n == 0 {
+		return 0, fmt.Errorf("%w: result %s disappeared", platform.ErrUnavailable, rows[0].Key)
+	}
+	return n, nil
 }
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -130,6 +130,7 @@
 	startedAt, endedAt time.Time
 	writtenAt          []time.Time // by position of the result; zero if a previous owner wrote it
 
+	held          atomic.Int64  // see HeldResults
 	eventsPerUnit atomic.Uint64 // bits of the estimator's EventsPerUnit, for the moves of texts
 
 	mu      sync.Mutex
@@ -181,6 +182,11 @@
 	return r.results[min(position, len(r.results)):], r.changed
 }
 
+// HeldResults returns the number of results that are finished and not yet written, which
+// would have to be generated again if this instance were lost. It may be called
+// concurrently with Run.
+func (r *Runner) HeldResults() int { return int(r.held.Load()) }
+
 // Run runs the submission until every result is written. It returns ErrNotOwner if the
 // instance does not own the submission any more, and ctx's error when ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
@@ -196,6 +202,8 @@
 	for !r.run.Done() {
 		now := time.Now()
 		r.eventsPerUnit.Store(math.Float64bits(r.run.estimator.EventsPerUnit()))
+		_, unwritten := r.run.Unwritten()
+		r.held.Store(int64(len(unwritten)))
 		r.startAll(ctx, now)
 		if err := r.appendResults(ctx); err != nil {
 			return err
