node: accepted steps while the store is away

Cause: a reader of results that the instance had cached waited behind another's read of the store, 0.75 to 0.8 s in an outage; nothing showed how many results an owner holds. Change: cached results are returned without waiting for a read.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -181,6 +181,7 @@
 	n.forwarder = forward.New(forward.Config{Transport: cfg.Upstreams, Opener: cfg.Upstreams, Registry: n.registry, Affinity: cfg.Name, Guard: n.quarantine.Guard, OnAttempt: n.observer.attempt, Metrics: n.cfg.Metrics})
 	n.heads.init()
 	n.reader = newSubmissionReader(n)
+	metrics.NewRegisteredFunctionalGauge("submissions.results_held", n.cfg.Metrics, n.reader.heldResults)
 	n.member = &memberRow{node: n, wake: clock.NewWakeup()}
 	n.orders = newOrderSender(n)
 	n.assigner = newAssigner(n)
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -57,8 +57,24 @@
 // resultCache holds the first results of a submission. It needs no invalidation,
 // because the position of a result never changes.
 type resultCache struct {
-	mu      sync.Mutex // held while the store is read, so that concurrent readers cause one read
-	results []submission.Result
+	reading sync.Mutex // held while the store is read, so that concurrent readers cause one read
+
+	mu      sync.Mutex
+	results []submission.Result // only appended to
+}
+
+// all returns the results that are cached.
+func (c *resultCache) all() []submission.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.results
+}
+
+// add caches the results that follow those cached.
+func (c *resultCache) add(results []submission.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, results...)
 }
 
 func newSubmissionReader(n *Node) *submissionReader {
@@ -103,6 +119,18 @@
 	}
 }
 
+// heldResults returns the number of results of the runs here that are finished and not
+// yet written.
+func (r *submissionReader) heldResults() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := 0
+	for _, run := range r.runs {
+		held += run.runner.HeldResults()
+	}
+	return int64(held)
+}
+
 // runCount returns the number of submissions that run here.
 func (r *submissionReader) runCount() int {
 	r.mu.Lock()
@@ -187,19 +215,23 @@
 		r.results.put(head.ID, c)
 	}
 	r.mu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.results) <= after && len(c.results) < head.Total {
-		more, err := r.node.submissions.Results(ctx, head.ID, len(c.results), resultsPerRead)
+	if cached := c.all(); after < len(cached) {
+		return cached[after:], nil, nil // without waiting for a read of the store, which may be away
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	cached := c.all()
+	for ; len(cached) <= after && len(cached) < head.Total; cached = c.all() {
+		more, err := r.node.submissions.Results(ctx, head.ID, len(cached), resultsPerRead)
 		if err != nil {
 			return nil, nil, err
 		}
 		if len(more) == 0 {
 			return nil, nil, nil
 		}
-		c.results = append(c.results, more...)
+		c.add(more)
 	}
-	return c.results[min(after, len(c.results)):], nil, nil
+	return cached[min(after, len(cached)):], nil, nil
 }
 
 // limitPageSize returns as many of the results as fit into one response, at least one.
