node: a holder whose fencing token is refused sends and writes nothing more

Cause: an order that had waited for its engine's report was sent under the token read before the wait, though another engine had refused that token meanwhile. A usage report was written after its counts had been read, whether or not the lease was lost during the read, and the reports of later windows after it. Change: the lease is checked again before an order is sent, before a usage report is written and before the tallies of a reported window are deleted.

--- a/pkg/node/duties.go
+++ b/pkg/node/duties.go
@@ -136,7 +136,11 @@
 	n := d.node
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	since := d.heldAt
 	sum, err := d.ledger.Sum(cctx, w)
+	if err == nil && !n.orders.heldSince().Equal(since) {
+		err = errLeaseEnded // lost while the tallies were read
+	}
 	if err == nil {
 		var r usage.Report
 		r, err = d.ledger.Finalize(cctx, usage.Report{Window: w, Counts: sum.Counts, FinalizedAt: time.Now().UTC().Round(0), FinalizedBy: n.startID, Tallies: len(sum.Rows)})
@@ -145,7 +149,9 @@
 			n.cfg.Logger.Info("usage report finalized", "window", w, "ended", d.billing.Schedule.End(w), "customers", len(r.Counts), "tallies", r.Tallies, "fixed_by", r.FinalizedBy)
 			old := d.billing.ToDelete()
 			n.group.Go(func() error {
-				d.deleteOld(ctx, sum, old)
+				if n.orders.heldSince().Equal(since) {
+					d.deleteOld(ctx, sum, old)
+				}
 				return nil
 			})
 			return true
@@ -200,8 +206,8 @@
 // makes this instance drop the lease.
 func (d *duties) call(ctx context.Context, f func(context.Context, LeaseHolder) error) error {
 	n := d.node
-	held := n.orders.current()
-	if held.Fencing == 0 || !n.orders.heldSince().Equal(d.heldAt) || !time.Now().Before(ordersValidUntil(held).Add(-orderMargin)) {
+	held, ok := n.orders.heldUnder(d.heldAt)
+	if !ok {
 		return errLeaseEnded
 	}
 	cctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
--- a/pkg/node/orderlease.go
+++ b/pkg/node/orderlease.go
@@ -187,6 +187,15 @@
 	return o.heldAt
 }
 
+// heldUnder returns the lease as last renewed, if it is the one acquired at since and calls
+// may still be made under it.
+func (o *orderSender) heldUnder(since time.Time) (h lease.Held, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ok = o.held.Fencing != 0 && o.heldAt.Equal(since) && time.Now().Before(ordersValidUntil(o.held).Add(-orderMargin))
+	return o.held, ok
+}
+
 // loseLease drops the lease with the given fencing token after another holder was
 // detected, unless the lease has been acquired again since.
 func (o *orderSender) loseLease(fencing uint64) {
--- a/pkg/node/orders.go
+++ b/pkg/node/orders.go
@@ -142,12 +142,15 @@
 	started := time.Now()
 	octx, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
+	since := o.heldSince()
 	held, err := o.waitPersisted(octx, to.ID)
 	if err == nil {
 		mo.Fencing = held.Fencing
 		mo.AfterOrders, err = o.acceptedCount(octx, to)
 	}
-	if err == nil && !time.Now().Before(ordersValidUntil(held).Add(-orderMargin)) {
+	// The lease may have been lost since waitPersisted returned it, while the engine's
+	// report was awaited.
+	if _, ok := o.heldUnder(since); err == nil && (!ok || !time.Now().Before(ordersValidUntil(held).Add(-orderMargin))) {
 		err = errLeaseEnded
 	}
 	if err != nil {
@@ -179,7 +182,7 @@
 func (n *Node) orderTimeout() time.Duration { return loadTimeout + n.cfg.HeartbeatInterval }
 
 var (
-	errLeaseEnded  = errors.New("node: lease ended before the order was sent")
+	errLeaseEnded  = errors.New("node: lease ended before the call was made")
 	errLoadTimeout = errors.New("node: engine did not load the version before the timeout")
 	errEngineGone  = errors.New("node: engine is no longer registered")
 )
