--- a/internal/deployfile/deployfile.go
+++ b/internal/deployfile/deployfile.go
@@ -28,7 +28,7 @@
 	MachineClass string            `toml:"on"`    // class of the machines that run the role
 	Share        *float64          `toml:"share"` // fraction of the machines of the class, over 0 and at most 1; excludes Count
 	Count        *int              `toml:"count"` // machines in each data centre; excludes Share
-	Apart        bool              `toml:"apart"`
+	Apart        bool              `toml:"apart"` // machines are taken from the end of their order; read by the platform only
 	Serves       []string          `toml:"serves"`
 	Metrics      string            `toml:"metrics"`  // PORT/PATH
 	Template     string            `toml:"template"` // path from the root of the repository; must exist
