upstream: requests that wait for memory do not hold each other up

Cause: an upstream that has been passed over for a waiting request is kept free from all others, which includes other waiting requests. If requests of two submissions waited for the same engine and three smaller ones had gone ahead, each kept the engine free from the other: neither was sent although both fitted, for a second and, while the engine drained, unless they were smaller than half of what had ended there. A request refused only because the engine is kept free begins to wait itself, so a small one sufficed.

Change: a request that waits is not held up by those that began to wait after it.

--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -78,6 +78,7 @@
 type overtakings map[string]*overtaken
 
 type overtaken struct {
+	since     time.Time                // when the request began to wait
 	expires   time.Time                // when the request is no longer taken to wait
 	upstreams map[string]*overtakingAt // that had too little memory for it, by ID
 }
@@ -97,7 +98,7 @@
 		if len(upstreams) == 0 {
 			return false
 		}
-		w = &overtaken{upstreams: map[string]*overtakingAt{}}
+		w = &overtaken{since: now, upstreams: map[string]*overtakingAt{}}
 		o[request] = w
 	}
 	w.expires = now.Add(maxHold)
@@ -145,13 +146,19 @@
 }
 
 // room returns how many tokens a request may have that an upstream takes ahead of another,
-// if the upstream has as many for any. It is negative if the upstream is kept free.
+// if the upstream has as many for any. It is negative if the upstream is kept free. A
+// request that waits is not held up by those that have waited for less time: two that fit
+// would otherwise keep the upstream free from each other.
 func (o overtakings) room(upstream, request string, most int, now time.Time) int {
+	own := o[request]
 	for other, w := range o {
 		at := w.upstreams[upstream]
 		if at == nil || other == request || !now.Before(w.expires) {
 			continue
 		}
+		if own != nil && now.Before(own.expires) && (own.since.Before(w.since) || own.since.Equal(w.since) && request < other) {
+			continue
+		}
 		switch {
 		case now.Before(at.heldUntil):
 			return -1
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -205,6 +205,38 @@
 	try(8*time.Second, 5_000, "", true)
 }
 
+// Guards against two requests that wait for the same engine and keep it free from each other,
+// so that neither is sent although both fit. The one that has waited longer goes first, until
+// it waits no longer.
+func TestWaitingRequestsDoNotHoldEachOtherUp(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		r, now := newMemoryRegistry(1), baseTime()
+		try := func(at time.Duration, tokens int, first string, want bool) *upstream.Reservation {
+			t.Helper()
+			rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(at), NeedFreeSlot: true, Tokens: tokens, First: first})
+			if ok != want {
+				t.Errorf("first leaves %v: after %v, %d tokens: sent %v, want %v", leaves, at, tokens, ok, want)
+			}
+			return rsv
+		}
+		running := try(0, 40_000, "", true)
+		try(0, 25_000, "y", false)
+		try(time.Millisecond, 24_000, "x", false)
+		for range 3 {
+			try(time.Millisecond, 1_000, "", true)
+		}
+		running.Release()
+		try(time.Millisecond, 24_000, "x", false)
+		if !leaves {
+			try(time.Millisecond, 25_000, "y", true)
+			try(time.Millisecond, 24_000, "x", true)
+			continue
+		}
+		try(999*time.Millisecond, 24_000, "x", false)
+		try(time.Second, 24_000, "x", true)
+	}
+}
+
 // Guards against texts whose prompt or output is counted in full, or not at all, because
 // of their hint.
 func TestExpectedTokens(t *testing.T) {
