upstream: a reassigned engine is not kept free for a waiting request

Cause: an engine that had too little memory for a waiting request stayed registered for it as long as the request waited anywhere. After the engine had been assigned to another model, the request could no longer go there, but the engine still took only three requests of its new model, was then kept free for a second and restricted for 8 s, again and again.

Change: an engine counts for a waiting request only while it was usable for it at one of its attempts in the last second (maxHold).

--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -84,6 +84,7 @@
 }
 
 type overtakingAt struct {
+	expires    time.Time // when the request is no longer taken to wait for this upstream
 	times      int       // requests that it took ahead of the waiting one
 	heldUntil  time.Time // until when it takes no others
 	drainUntil time.Time // until when it takes only smaller ones than have ended; see drainTime
@@ -91,8 +92,10 @@
 }
 
 // waits records that a request waits for memory at upstreams, and reports whether it has
-// just begun to.
-func (o overtakings) waits(request string, upstreams []string, now time.Time) bool {
+// just begun to. It goes on waiting at those where it did before if they are still usable
+// for it. Others, such as those that have been assigned to another model, are not kept free
+// for it for longer than maxHold.
+func (o overtakings) waits(request string, upstreams []string, usable []*upstreamState, now time.Time) bool {
 	w, known := o[request]
 	if !known {
 		if len(upstreams) == 0 {
@@ -107,6 +110,11 @@
 			w.upstreams[id] = &overtakingAt{}
 		}
 	}
+	for _, s := range usable {
+		if at := w.upstreams[s.ID]; at != nil {
+			at.expires = w.expires
+		}
+	}
 	return !known
 }
 
@@ -123,6 +131,10 @@
 		if at == nil {
 			continue
 		}
+		if !now.Before(at.expires) {
+			delete(w.upstreams, upstream)
+			continue
+		}
 		at.ended = 0
 		if at.times >= maxOvertakings && !now.Before(at.drainUntil) {
 			at.times = 0 // it may be requests of others that leave no room
@@ -153,7 +165,7 @@
 	own := o[request]
 	for other, w := range o {
 		at := w.upstreams[upstream]
-		if at == nil || other == request || !now.Before(w.expires) {
+		if at == nil || other == request || !now.Before(at.expires) {
 			continue
 		}
 		if own != nil && now.Before(own.expires) && (own.since.Before(w.since) || own.since.Equal(w.since) && request < other) {
@@ -283,7 +295,7 @@
 	_, ids := r.lackMemory(states, req)
 	switch {
 	case req.First != "":
-		if r.memory.overtakings.waits(req.First, ids, req.Now) {
+		if r.memory.overtakings.waits(req.First, ids, states, req.Now) {
 			r.memory.refusals++
 		}
 	case len(ids) > 0 && !req.NeedFreeSlot:
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -237,6 +237,35 @@
 	}
 }
 
+// Guards against an engine that is kept free for a request that no longer goes there, because
+// the engine has been assigned to another model.
+func TestReassignedEngineIsNotHeld(t *testing.T) {
+	r, now := newMemoryRegistry(2), baseTime()
+	first := upstream.Requirements{Pool: "p", Model: "a", NeedFreeSlot: true, Tokens: 25_000, First: "x"}
+	r.SetAssignments(map[string][]string{"a": {"i0", "i1"}})
+	for range 2 {
+		if _, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now, Model: "a", NeedFreeSlot: true, Tokens: 40_000}); !ok {
+			t.Fatal("an engine without requests refused one")
+		}
+	}
+	waits := func(at time.Duration) {
+		first.Now = now.Add(at)
+		if _, ok := r.Acquire(first); ok {
+			t.Fatal("the request was sent although it does not fit")
+		}
+	}
+	waits(0)
+	r.SetAssignments(map[string][]string{"a": {"i0"}, "b": {"i1"}})
+	for at := 500 * time.Millisecond; at <= 2*time.Second; at += 500 * time.Millisecond {
+		waits(at)
+	}
+	for i := range 5 {
+		if _, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(2 * time.Second), Model: "b", NeedFreeSlot: true, Tokens: 100}); !ok {
+			t.Errorf("request %d for the new model was refused", i)
+		}
+	}
+}
+
 // Guards against texts whose prompt or output is counted in full, or not at all, because
 // of their hint.
 func TestExpectedTokens(t *testing.T) {
