--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -78,11 +78,13 @@
 type overtakings map[string]*overtaken
 
 type overtaken struct {
+	since     time.Time                // when the request began to wait
 	expires   time.Time                // when the request is no longer taken to wait
 	upstreams map[string]*overtakingAt // that had too little memory for it, by ID
 }
 
 type overtakingAt struct {
+	expires    time.Time // when the request is no longer taken to wait for this upstream
 	times      int       // requests that it took ahead of the waiting one
 	heldUntil  time.Time // until when it takes no others
 	drainUntil time.Time // until when it takes only smaller ones than have ended; see drainTime
@@ -90,14 +92,16 @@
 }
 
 // waits records that a request waits for memory at upstreams, and reports whether it has
-// just begun to.
-func (o overtakings) waits(request string, upstreams []string, now time.Time) bool {
+// just begun to. It goes on waiting at those where it did before if they are still usable
+// for it. Others, such as those that have been assigned to another model, are not kept free
+// for it for longer than maxHold.
+func (o overtakings) waits(request string, upstreams []string, usable []*upstreamState, now time.Time) bool {
 	w, known := o[request]
 	if !known {
 		if len(upstreams) == 0 {
 			return false
 		}
-		w = &overtaken{upstreams: map[string]*overtakingAt{}}
+		w = &overtaken{since: now, upstreams: map[string]*overtakingAt{}}
 		o[request] = w
 	}
 	w.expires = now.Add(maxHold)
@@ -106,6 +110,11 @@
 			w.upstreams[id] = &overtakingAt{}
 		}
 	}
+	for _, s := range usable {
+		if at := w.upstreams[s.ID]; at != nil {
+			at.expires = w.expires
+		}
+	}
 	return !known
 }
 
@@ -122,6 +131,10 @@
 		if at == nil {
 			continue
 		}
+		if !now.Before(at.expires) {
+			delete(w.upstreams, upstream)
+			continue
+		}
 		at.ended = 0
 		if at.times >= maxOvertakings && !now.Before(at.drainUntil) {
 			at.times = 0 // it may be requests of others that leave no room
@@ -145,11 +158,17 @@
 }
 
 // room returns how many tokens a request may have that an upstream takes ahead of another,
-// if the upstream has as many for any. It is negative if the upstream is kept free.
+// if the upstream has as many for any. It is negative if the upstream is kept free. A
+// request that waits is not held up by those that have waited for less time: two that fit
+// would otherwise keep the upstream free from each other.
 func (o overtakings) room(upstream, request string, most int, now time.Time) int {
+	own := o[request]
 	for other, w := range o {
 		at := w.upstreams[upstream]
-		if at == nil || other == request || !now.Before(w.expires) {
+		if at == nil || other == request || !now.Before(at.expires) {
+			continue
+		}
+		if own != nil && now.Before(own.expires) && (own.since.Before(w.since) || own.since.Equal(w.since) && request < other) {
 			continue
 		}
 		switch {
@@ -276,7 +295,7 @@
 	_, ids := r.lackMemory(states, req)
 	switch {
 	case req.First != "":
-		if r.memory.overtakings.waits(req.First, ids, req.Now) {
+		if r.memory.overtakings.waits(req.First, ids, states, req.Now) {
 			r.memory.refusals++
 		}
 	case len(ids) > 0 && !req.NeedFreeSlot:
