forward: streams of very different size wait in queues of their own

Cause: the first of a wait queue alone looks for room. A stream that lacked memory at all engines kept streams behind it from engines where they fit, until all were refused. Change: where the memory of engines is limited, streams wait with those of the same model whose tokens have the same number of binary digits.

--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -37,18 +37,27 @@
 	users int         // requests that use the queue; guarded by queues.mu
 }
 
+// queueKey identifies a queue of a pool. Requests in one queue wait for the same room.
+type queueKey struct {
+	model string // requests for different models wait for different upstreams
+	// size is the power of two next above the tokens of a request, where the memory of
+	// upstreams is limited: the first of a queue must not keep others from room in which
+	// only they fit. It is 0 elsewhere.
+	size int
+}
+
 // queues holds the queues of requests that wait. Its zero value is ready for use.
 type queues struct {
 	mu     sync.Mutex
-	byPool map[string]map[string]*roomQueue // by pool and model
+	byPool map[string]map[queueKey]*roomQueue // by pool
 	count  int
 }
 
-// use returns the queue of a pool and model. The caller calls done after its use.
-func (qs *queues) use(pool, model string) *roomQueue {
+// use returns the queue of a pool with the key. The caller calls done after its use.
+func (qs *queues) use(pool string, key queueKey) *roomQueue {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
-	q := qs.byPool[pool][model]
+	q := qs.byPool[pool][key]
 	if q == nil {
 		if qs.count >= maxQueues {
 			qs.removeUnused()
@@ -57,12 +66,12 @@
 		q.timer = time.AfterFunc(time.Hour, q.Wake)
 		q.timer.Stop()
 		if qs.byPool == nil {
-			qs.byPool = map[string]map[string]*roomQueue{}
+			qs.byPool = map[string]map[queueKey]*roomQueue{}
 		}
 		if qs.byPool[pool] == nil {
-			qs.byPool[pool] = map[string]*roomQueue{}
+			qs.byPool[pool] = map[queueKey]*roomQueue{}
 		}
-		qs.byPool[pool][model] = q
+		qs.byPool[pool][key] = q
 		qs.count++
 	}
 	q.users++
@@ -78,15 +87,15 @@
 
 // removeUnused removes the queues that no request uses. qs.mu must be held.
 func (qs *queues) removeUnused() {
-	for pool, byModel := range qs.byPool {
-		for model, q := range byModel {
+	for pool, byKey := range qs.byPool {
+		for key, q := range byKey {
 			if q.users == 0 {
 				q.timer.Stop()
-				delete(byModel, model)
+				delete(byKey, key)
 				qs.count--
 			}
 		}
-		if len(byModel) == 0 {
+		if len(byKey) == 0 {
 			delete(qs.byPool, pool)
 		}
 	}
@@ -110,7 +119,7 @@
 // wait is a request that needs room at an upstream of a contended pool.
 type wait struct {
 	pool     string
-	model    string // requests for different models wait for different upstreams
+	key      queueKey
 	plan     *Plan
 	priority int
 	customer string
@@ -124,7 +133,7 @@
 // reserve returns a reservation for w, for which it waits in the queue of its pool if
 // there is no room.
 func (f *Forwarder) reserve(ctx context.Context, w wait) (*upstream.Reservation, error) {
-	q := f.queues.use(w.pool, w.model)
+	q := f.queues.use(w.pool, w.key)
 	defer f.queues.done(q)
 	now, limit := time.Now(), w.plan.WaitDeadline()
 	if q.Len() == 0 || !now.Before(limit) {
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -104,6 +104,39 @@
 	})
 }
 
+// Guards against a stream that waits for memory at the head of the queue and keeps those
+// from an engine that fit there.
+func TestStreamWithoutMemoryDoesNotKeepOthersWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(true, "a")
+		s.registry.SetMemory(map[string]int{"pool": 62_540})
+		ctx, end := context.WithCancel(t.Context())
+		stream := func(tokens int) error {
+			return s.Stream(ctx, queueRoute, forward.Request{ID: fmt.Sprint(tokens), Model: "m", Tokens: upstream.TokenUse{Prompt: tokens}}, "", sink{})
+		}
+		var g errgroup.Group
+		s.next = []answer{{hang: true}}
+		g.Go(func() error { _ = stream(40_000); return nil })
+		synctest.Wait()
+		for range 2 {
+			g.Go(func() error {
+				if err := stream(25_000); !isRefusal(err) {
+					t.Errorf("stream without memory: got %v, want a refusal", err)
+				}
+				return nil
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		start := time.Now()
+		if err, took := stream(100), time.Since(start); err != nil || took != usualTime {
+			t.Errorf("stream that fits: got %v after %v, want success after %v", err, took, usualTime)
+		}
+		time.Sleep(waitLimit)
+		end()
+		_ = g.Wait()
+	})
+}
+
 // Guards against a change for pools that are not contended: requests there poll for at
 // most 75 ms.
 func TestDoesNotQueueWherePoolIsNotContended(t *testing.T) {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/bits"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -117,14 +118,19 @@
 
 // reserve returns a reservation for the next attempt, for which the request may wait.
 func (s *streamRequest) reserve(ctx context.Context, prompt string) (*upstream.Reservation, error) {
+	tokens := s.request.Tokens.Expected(s.request.LengthHint)
 	acquire := func(now time.Time, maxLoad float64) (*upstream.Reservation, bool) {
 		return s.f.cfg.Registry.Acquire(upstream.Requirements{Pool: s.pool, Now: now, Exclude: s.plan.Tried(), Model: s.request.Model, Affinity: prompt, MaxLoad: maxLoad,
-			Once: s.route.Kind != routetable.Idempotent, Tokens: s.request.Tokens.Expected(s.request.LengthHint)})
+			Once: s.route.Kind != routetable.Idempotent, Tokens: tokens})
 	}
 	// A stream that is resumed does not return to the upstreams that it has tried. At the
 	// head of the queue it would keep the others from these.
 	if s.f.cfg.Registry.Contended(s.pool) && len(s.plan.Tried()) == 0 {
-		return s.f.reserve(ctx, wait{pool: s.pool, model: s.request.Model, plan: s.plan, priority: s.request.Priority.Or(s.route.Priority),
+		key := queueKey{model: s.request.Model}
+		if s.f.cfg.Registry.MemoryLimited(s.pool) {
+			key.size = bits.Len(uint(tokens))
+		}
+		return s.f.reserve(ctx, wait{pool: s.pool, key: key, plan: s.plan, priority: s.request.Priority.Or(s.route.Priority),
 			customer: s.request.Customer, work: s.route.LatencyObjective.Seconds(), report: s.request.Report, acquire: acquire})
 	}
 	for {
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -229,6 +229,13 @@
 	return tokens, len(upstreams) > 0
 }
 
+// MemoryLimited reports whether requests must fit into the memory of a pool's upstreams.
+func (r *Registry) MemoryLimited(pool string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limitedMemory(pool) > 0
+}
+
 // limitedMemory returns the memory of each upstream of a pool if requests must fit into
 // it, and otherwise 0.
 func (r *Registry) limitedMemory(pool string) int {
