pkg/forward: outcomes of attempts that ended for lack of memory

A request that is displaced before it is sent, and a response that an instance has no room for, say nothing about the upstream: ErrWithdrawn ends the request as not run, ErrUnread the attempt as one that may have run. Without ErrUnread, two responses without room in a row ejected their upstream, and ordinary requests got 503 (platform.TestCallersThatDoNotRead).

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -69,6 +69,12 @@
 	ErrMisdirected = fmt.Errorf("%w: another upstream listens at the address", ErrNotRun)
 	// ErrUnreachable wraps ErrNotRun. It means that the upstream refused the connection.
 	ErrUnreachable = fmt.Errorf("%w: upstream refused the connection", ErrNotRun)
+	// ErrWithdrawn wraps ErrNotRun. It means that the request was given up before it was
+	// sent, which says nothing about the upstream. It is not tried elsewhere.
+	ErrWithdrawn = fmt.Errorf("%w: given up before it was sent", ErrNotRun)
+	// ErrUnread means that an attempt failed after its response had to wait for room in the
+	// instance's memory. It says nothing about the upstream.
+	ErrUnread = errors.New("forward: no room for the response")
 	// ErrSuperseded means that the attempt was cancelled because another copy of the
 	// request had been answered.
 	ErrSuperseded = errors.New("forward: superseded by the answer to another copy")
@@ -197,7 +203,7 @@
 		return quarantine.Unreachable
 	case errors.Is(err, ErrNotRun):
 		return quarantine.NotRun
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, ErrUnread):
 		return quarantine.Abandoned
 	}
 	return quarantine.ConnectionLost
@@ -210,6 +216,7 @@
 	switch {
 	case err == nil:
 	case RecordRefusal(&rep, err, BusyBackoff):
+	case errors.Is(err, ErrUnread):
 	case ctx.Err() != nil && actx.Err() != context.DeadlineExceeded:
 		// The caller cancelled the request, which tells nothing about the upstream.
 	default:
@@ -218,10 +225,12 @@
 	return rep
 }
 
-// RecordRefusal reports whether err means that the upstream refused an attempt, and records
-// the reason in rep. An upstream without capacity is marked busy for the duration pause.
+// RecordRefusal reports whether err means that an attempt did not run, and records in rep
+// why the upstream refused it, if it did. An upstream without capacity is marked busy for
+// the duration pause.
 func RecordRefusal(rep *upstream.AttemptResult, err error, pause time.Duration) bool {
 	switch {
+	case errors.Is(err, ErrWithdrawn):
 	case errors.Is(err, ErrMisdirected):
 		rep.AddressReused = true
 	case errors.Is(err, ErrUnreachable):
--- a/pkg/forward/plan.go
+++ b/pkg/forward/plan.go
@@ -168,7 +168,7 @@
 // EndAttempt records how an attempt ended and reports whether the request is finished. If
 // it is and the returned error is nil, the attempt's response is the result.
 func (p *Plan) EndAttempt(upstreamID string, status int, err error, now time.Time) (bool, error) {
-	if errors.Is(err, quarantine.ErrQuarantined) {
+	if errors.Is(err, quarantine.ErrQuarantined) || errors.Is(err, ErrWithdrawn) {
 		return true, err // the request was not sent
 	}
 	if !slices.Contains(p.tried, upstreamID) {
--- a/pkg/forward/plan_test.go
+++ b/pkg/forward/plan_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/internal/rapidseed"
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
 func TestMain(m *testing.M) {
@@ -86,3 +87,17 @@
 		t.Fatal("deadline of the last attempt is not the plan's deadline")
 	}
 }
+
+// Guards against a request that is given up before it is sent and is tried at other
+// upstreams, or counts as refused by the upstream that it was meant for.
+func TestWithdrawnRequest(t *testing.T) {
+	now := time.Now()
+	plan := forward.NewPlan(routetable.Route{Kind: routetable.Idempotent, MaxAttempts: 3}, now, time.Time{})
+	if done, err := plan.EndAttempt("i", 0, forward.ErrWithdrawn, now); !done || !errors.Is(err, forward.ErrNotRun) || plan.MayHaveRun() {
+		t.Errorf("EndAttempt: got %v, %v, may have run %v", done, err, plan.MayHaveRun())
+	}
+	var res upstream.AttemptResult
+	if !forward.RecordRefusal(&res, forward.ErrWithdrawn, time.Second) || res.Busy {
+		t.Errorf("RecordRefusal: got %+v, want an upstream that is not busy", res)
+	}
+}
