platform: limit the request bodies and responses that are held

Bodies of requests, also of submissions while they are accepted, and whole responses count against a quarter of limits.memory_mb. Requests that do not fit get 503 with Retry-After 0.5 s; responses that do not fit are not read, for at most 2 s. Callers that do not read are disconnected. Without limits.memory_mb in the settings nothing changes.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -116,12 +116,16 @@
 	if s.CloudAddress != "" {
 		cloud = platform.NewCloud(s.CloudAddress)
 	}
+	upstreams := platform.NewUpstreamClient()
+	if s.MemoryLimited {
+		upstreams.Held = platform.NewHeldData(platform.HeldDataConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger})
+	}
 	n := node.New(node.Config{
-		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, StoreReachability: links, Dial: watch.DialPeer, Upstreams: platform.NewUpstreamClient(),
+		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, StoreReachability: links, Dial: watch.DialPeer, Upstreams: upstreams,
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, HeartbeatInterval: s.HeartbeatInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
 		CloudProvider: cloud, UsageSchedule: usage.Schedule{Length: s.UsageWindow, ReportDelay: s.UsageReportDelay}, Contended: s.Contended,
 	})
-	callers := platform.NewCallerAPI(platform.CallerConfig{Instance: n, MaxAddressTTL: option.Some(s.MaxAddressTTL)})
+	callers := platform.NewCallerAPI(platform.CallerConfig{Instance: n, MaxAddressTTL: option.Some(s.MaxAddressTTL), HeldData: upstreams.Held})
 	var servers []*http.Server
 	for _, endpoint := range []struct {
 		address string
