platform: count the spoiled responses of upstreams

Responses that cannot be used were told apart only in log lines, most cases had no test, and a response without a body to another request left its connection in use, so that further requests failed on it.

UpstreamClient counts responses.spoiled.cut, .foreign and .malformed in the registry of its new UpstreamClientConfig: once a response, and not for requests that the caller cancelled. It closes the connection of a response with another Request-Id, or none, also if the response has no body, and refuses to switch protocols. A response to another request no longer reports a load. Dialling and writing are those of net/http as before.

FuzzResponse compares a successful body with what its framing declares; FuzzLoad is there already for parseLoad. TestResponseToHead guards the body http.NoBody, by which readResponse knows that there is none. Existing tests change only in the call of NewUpstreamClient.

Without the closing of connections 4 rows of TestSpoiledResponses fail, without the check for cancellation TestCancelledIsNotSpoiled does, and with http.NoBody wrapped TestResponseToHead does.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -116,7 +116,7 @@
 	if s.CloudAddress != "" {
 		cloud = platform.NewCloud(s.CloudAddress)
 	}
-	upstreams := platform.NewUpstreamClient()
+	upstreams := platform.NewUpstreamClient(platform.UpstreamClientConfig{Metrics: registry})
 	if s.MemoryLimited {
 		upstreams.Held = platform.NewHeldData(platform.HeldDataConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger})
 	}
--- a/pkg/node/assigner_test.go
+++ b/pkg/node/assigner_test.go
@@ -59,7 +59,7 @@
 		entries = append(entries, upstream.Entry{ID: ids[i], Pool: "p", Slots: 1})
 	}
 	for contended, assign := range map[bool]func([]string, []weights.Demand) map[string][]string{false: weights.AssignEngines, true: weights.AssignStable} {
-		n := node.New(node.Config{Name: "a", Store: platform.NewStore("127.0.0.1:1"), Upstreams: platform.NewUpstreamClient(), Decoder: platform.Decoder(), Logger: log.New(io.Discard), Contended: contended})
+		n := node.New(node.Config{Name: "a", Store: platform.NewStore("127.0.0.1:1"), Upstreams: platform.NewUpstreamClient(platform.UpstreamClientConfig{}), Decoder: platform.Decoder(), Logger: log.New(io.Discard), Contended: contended})
 		for _, engines := range []int{20, 14, 20} {
 			got := n.AssignPool(pool, entries[:engines], demands)
 			if want := assign(ids[:engines], demands); !maps.EqualFunc(got, want, slices.Equal) {
--- a/pkg/node/carried_test.go
+++ b/pkg/node/carried_test.go
@@ -17,7 +17,7 @@
 )
 
 func newCarryNode(t *testing.T, store *sitetest.Store, name string) *node.Node {
-	return node.New(node.Config{Name: name, Store: platform.NewStore(store.Serve(t, name)), Upstreams: platform.NewUpstreamClient(), Decoder: platform.Decoder(), Logger: log.New(io.Discard)})
+	return node.New(node.Config{Name: name, Store: platform.NewStore(store.Serve(t, name)), Upstreams: platform.NewUpstreamClient(platform.UpstreamClientConfig{}), Decoder: platform.Decoder(), Logger: log.New(io.Discard)})
 }
 
 func endedHead(id, customer string, version uint64) submission.HeadRow {
--- a/pkg/node/orderlease_test.go
+++ b/pkg/node/orderlease_test.go
@@ -43,7 +43,7 @@
 // their entries less often than by default.
 func TestOrderTimeoutFollowsHeartbeats(t *testing.T) {
 	for interval, want := range map[time.Duration]time.Duration{0: 4 * time.Second, 1200 * time.Millisecond: 4 * time.Second, 5 * time.Second: 7800 * time.Millisecond} {
-		n := node.New(node.Config{Name: "a", Store: platform.NewStore("127.0.0.1:1"), Upstreams: platform.NewUpstreamClient(), Decoder: platform.Decoder(),
+		n := node.New(node.Config{Name: "a", Store: platform.NewStore("127.0.0.1:1"), Upstreams: platform.NewUpstreamClient(platform.UpstreamClientConfig{}), Decoder: platform.Decoder(),
 			Logger: log.New(io.Discard), HeartbeatInterval: interval})
 		if got := n.OrderTimeout(); got != want {
 			t.Errorf("heartbeats every %v: timeout of orders %v, want %v", interval, got, want)
