--- a/internal/explain/upstreams.go
+++ b/internal/explain/upstreams.go
@@ -42,7 +42,7 @@
 // another engine. Such an attempt has not failed.
 const movedText = "another engine is faster"
 
-// attemptCounter counts the attempts that lines tell of.
+// attemptCounter counts the attempts in log lines.
 type attemptCounter struct {
 	timings map[string]*UpstreamTiming // by upstream
 	took    map[string][]int64         // times of attempts that were not refused, in nanoseconds, by upstream
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -124,7 +124,7 @@
 	priority int
 	customer string
 	work     float64 // expected work, in seconds
-	report   *Report // nil if nobody reads it
+	report   *Report // nil if it is not read
 	// acquire reserves an upstream below maxLoad requests per slot if there is one that is
 	// usable; 0 is no limit.
 	acquire func(now time.Time, maxLoad float64) (*upstream.Reservation, bool)
--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -57,7 +57,7 @@
 	unsent   map[*Hold[K]]struct{} // those with charged bytes that may be displaced
 	waiting  map[*Hold[K]]struct{} // those that failed to grow
 	created  uint64                // number of holds created
-	room     chan struct{}         // closed when room may have become available; nil if nobody waits
+	room     chan struct{}         // closed when room may have become available; nil if no caller waits
 }
 
 // account is what a customer holds and requests.
@@ -279,7 +279,7 @@
 }
 
 // fits reports whether a customer may hold need more charged bytes once the hold without,
-// which may be nil, is gone. b.mu must be held.
+// which may be nil, has ended. b.mu must be held.
 func (b *Budget[K]) fits(customer K, need int64, without *Hold[K]) bool {
 	total, own := b.charged+need, need
 	if a := b.accounts[customer]; a != nil {
--- a/pkg/waitqueue/waitqueue.go
+++ b/pkg/waitqueue/waitqueue.go
@@ -158,7 +158,7 @@
 	return t, nil
 }
 
-// Ahead returns how many waiters will be served before w if it joins now and nobody joins
+// Ahead returns how many waiters will be served before w if it joins now and none joins
 // after it.
 func (q *Queue[K]) Ahead(w Waiter[K]) int {
 	if w.Work <= 0 {
