forward: the test of a request that waited and was copied gives answers by request

Cause: two waiters are woken at the same moment and reach the fake upstreams in any order, while the answers were given in the order of arrival. Change: the answer that hangs is tied to its request. The checks are unchanged.

--- a/pkg/forward/hedged_test.go
+++ b/pkg/forward/hedged_test.go
@@ -40,7 +40,8 @@
 }
 
 // site is a Forwarder with fake upstreams. Requests get the answers of next in the order
-// in which they are sent, and usualTime and 200 if there is none.
+// in which they are sent, and usualTime and 200 if there is none. Requests that are sent at
+// the same moment reach the upstreams in any order: nextOf gives answers by request.
 type site struct {
 	*forward.Forwarder
 	registry *upstream.Registry
@@ -48,6 +49,7 @@
 
 	mu        sync.Mutex
 	next      []answer
+	nextOf    map[string][]answer // by request ID, before next
 	sent      []forward.Request
 	hanging   string // ID of an upstream that never answers
 	cancelled int
@@ -73,7 +75,9 @@
 func (s *site) Send(ctx context.Context, to upstream.Entry, r forward.Request) (forward.Response, *upstream.Load, error) {
 	s.mu.Lock()
 	a := answer{after: usualTime, status: http.StatusOK}
-	if len(s.next) > 0 {
+	if next := s.nextOf[r.ID]; len(next) > 0 {
+		a, s.nextOf[r.ID] = next[0], next[1:]
+	} else if len(s.next) > 0 {
 		a, s.next = s.next[0], s.next[1:]
 	}
 	s.sent = append(s.sent, r)
--- a/pkg/forward/report_test.go
+++ b/pkg/forward/report_test.go
@@ -16,7 +16,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		const pause = 37 * time.Millisecond
 		s := newSite(true, "a", "b")
-		s.learn(t, answer{after: usualTime, status: 200}, answer{hang: true})
+		s.learn(t)
+		s.nextOf = map[string][]answer{"x": {{hang: true}}} // both waiters are woken at once
 		s.pause(pause)
 		start := time.Now()
 		var g errgroup.Group
