loadsim: replay of plain calls in several data centres

Cause: nothing told how many calls are sent to another data centre, where each byte is expensive. Change: a Load may have data centres with oscillating demand and a slow time; a Result has the share of attempts sent to another one and its largest change in a second; Policy.IgnoreDataCentres; `zinnialadder experiment datacentres`. Loads with a single data centre draw the same random numbers in the same order as before.

--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -37,7 +37,7 @@
 			return nil
 		},
 	}
-	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd())
+	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd(), dataCentresCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
@@ -138,6 +138,25 @@
 	return cmd
 }
 
+// dataCentresCompareCmd returns the command that compares placement with and without regard
+// to data centres.
+func dataCentresCompareCmd() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "datacentres",
+		Short: "Compare placement with and without regard to data centres, in simulated time",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds <= 0 || seeds > 1000 {
+				return fmt.Errorf("--seeds %d: want 1 to 1000", seeds)
+			}
+			return loadsim.WriteDataCentres(cmd.OutOrStdout(), seeds)
+		},
+	}
+	cmd.Flags().IntVar(&seeds, "seeds", 5, "seeds simulated for each load; 1 to 1000")
+	return cmd
+}
+
 // writeFile creates the file at path and calls write with it.
 func writeFile(path string, write func(io.Writer) error) error {
 	f, err := os.Create(path)
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -35,6 +35,7 @@
 	SlowUpstreams   int // upstreams whose requests take SlowFactor times as long
 	SlowFactor      float64
 	Machines        Machines
+	DataCentres     DataCentres
 	ReportDelay     time.Duration // age of upstreams' reports of their load
 	LongShare       float64       // share of the requests that take LongFactor times as long
 	LongFactor      float64
@@ -78,6 +79,8 @@
 	Hedge bool
 	// Queue has requests wait in an ordered queue instead of polling.
 	Queue bool
+	// IgnoreDataCentres hides from instances in which data centre upstreams are.
+	IgnoreDataCentres bool
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
@@ -101,6 +104,9 @@
 	// BySoonest is SpreadRetries with the placement of contended pools.
 	BySoonest = Policy{Name: "by pace", RetryAt: SpreadRetries.RetryAt, Contended: true}
 
+	// IgnoringDataCentres is HedgedQueued without regard to data centres.
+	IgnoringDataCentres = Policy{Name: "ignoring data centres", Contended: true, Hedge: true, Queue: true, IgnoreDataCentres: true, RetryAt: SpreadRetries.RetryAt}
+
 	// ContendedPolicies are the policies for contended pools, and the one of other pools.
 	ContendedPolicies = []Policy{SpreadRetries, BySoonest, Hedged, Queued, HedgedQueued}
 )
@@ -126,15 +132,22 @@
 	BusiestShare float64       // work of the upstream with the most, relative to the mean
 	Failed       float64       // attempts answered with an error, per offered request
 	LongestGap   time.Duration // longest time for which one of the FailingUpstreams got no request
+	CrossShare   float64       // share of the attempts that were sent to another data centre
+	// CrossChange is the largest change of CrossShare in one data centre from one second to
+	// the next.
+	CrossChange float64
 }
 
 // Run simulates load under policy p.
 func Run(load Load, p Policy) Result {
 	s := newSite(load, p)
-	s.arrive(s.start)
+	for dataCentre := range max(load.DataCentres.Count, 1) {
+		s.arrive(dataCentre, s.start)
+	}
 	s.runEvents()
 	r := s.meter.result(load, p)
 	r.BusiestShare, r.LongestGap = s.busiestShare(), s.longestGap()
+	r.CrossShare, r.CrossChange = s.crossings.share(load)
 	return r
 }
 
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -10,8 +10,8 @@
 	"github.com/wcharczuk/go-chart/v2"
 )
 
-// Mean returns the means of results that differ only in their seeds. Its MaxWait and
-// LongestGap are the longest ones.
+// Mean returns the means of results that differ only in their seeds. Its MaxWait,
+// LongestGap and CrossChange are the largest ones.
 func Mean(results []Result) Result {
 	if len(results) == 0 {
 		return Result{}
@@ -32,6 +32,8 @@
 		out.BusiestShare += r.BusiestShare / n
 		out.Failed += r.Failed / n
 		out.LongestGap = max(out.LongestGap, r.LongestGap)
+		out.CrossShare += r.CrossShare / n
+		out.CrossChange = max(out.CrossChange, r.CrossChange)
 	}
 	return out
 }
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -54,6 +54,7 @@
 	queued      []*job
 	pendingCost time.Duration // cost of attempts, to be added to the next job's time
 	work        time.Duration // usual time of the jobs run so far
+	dataCentre  int
 }
 
 // unreachable reports whether the upstream accepts no connection at now.
@@ -62,11 +63,16 @@
 	return s.hasOutage && after >= l.OutageStart && after < l.OutageStart+l.OutageDuration
 }
 
+// slowness returns how long work takes in the upstream's data centre relative to the usual.
+func (s *server) slowness(now time.Time) float64 {
+	return s.site.load.DataCentres.slowness(s.dataCentre, now.Sub(s.site.start))
+}
+
 // load returns the load that the upstream reports with an answer.
 func (s *server) load(now time.Time) upstream.Load {
 	l := upstream.Load{Running: s.running, Queued: len(s.queued), Slots: s.site.load.Slots}
 	if s.site.policy.Contended {
-		l.Pace = s.site.machines.passing(s.id, now)
+		l.Pace = s.site.machines.passing(s.id, now) * s.slowness(now)
 	}
 	return l
 }
@@ -94,7 +100,7 @@
 		work = time.Duration(s.site.load.FailureTime * float64(work))
 	}
 	s.work += work
-	work = time.Duration(s.site.machines.pace(s.id, now) * float64(work))
+	work = time.Duration(s.site.machines.pace(s.id, now) * s.slowness(now) * float64(work))
 	if s.slow {
 		work = time.Duration(s.site.load.SlowFactor * float64(work))
 	}
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// linkDelay is the one-way network delay between an instance and an upstream.
+	// linkDelay is the one-way network delay between an instance and an upstream of the same
+	// data centre.
 	linkDelay = 500 * time.Microsecond
 	// attemptCost is the time that each attempt costs an upstream besides the
 	// request's own, also one that it refuses: that of a new connection.
@@ -38,6 +39,7 @@
 	upstreams map[string]*server
 	machines  machines
 	meter     meter
+	crossings crossings
 }
 
 // instance is a simulated instance.
@@ -48,6 +50,8 @@
 	queue    *waitqueue.Queue[int]
 	wakeups  int // scheduled ones
 	name     string
+
+	dataCentre int
 }
 
 // newSite returns a site at its start, without events.
@@ -58,11 +62,13 @@
 	for i := range load.Upstreams {
 		id := upstreamID(i)
 		entries = append(entries, upstream.Entry{ID: id, Pool: pool, Address: id, Slots: load.Slots})
+		s.setDataCentre(&entries[i], i)
 		s.upstreams[id] = &server{site: s, id: id, hasOutage: i < load.OutageUpstreams, slow: i >= load.Upstreams-load.SlowUpstreams,
-			failing: i < load.FailingUpstreams, arrivedAt: s.start}
+			failing: i < load.FailingUpstreams, arrivedAt: s.start, dataCentre: load.DataCentres.of(i, load.Upstreams)}
 	}
 	for i := range load.Instances {
-		in := &instance{registry: upstream.NewRegistry(""), hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
+		dataCentre := load.DataCentres.of(i, load.Instances)
+		in := &instance{registry: upstream.NewRegistry(s.dataCentreName(dataCentre)), dataCentre: dataCentre, hedge: hedge.New(hedge.Config{Objective: load.LatencyObjective}), name: fmt.Sprintf("n%d", i)}
 		in.registry.SetContended(p.Contended)
 		in.registry.Set(entries)
 		in.queue = waitqueue.New[int](waitqueue.Config{Limit: forward.QueueLimit(load.Upstreams * load.Slots), CustomerShare: 0.5})
@@ -93,17 +99,17 @@
 	return gap
 }
 
-// arrive starts a caller at now and schedules the arrival of the next one.
-func (s *site) arrive(now time.Time) {
+// arrive starts a caller in a data centre at now and schedules the arrival of the next one there.
+func (s *site) arrive(dataCentre int, now time.Time) {
 	after := now.Sub(s.start)
 	if after >= s.load.Duration {
 		return
 	}
-	c := &caller{site: s, customer: s.customer(), startedAt: now, deadline: now.Add(s.load.Timeout)}
+	c := &caller{site: s, dataCentre: dataCentre, customer: s.customer(), startedAt: now, deadline: now.Add(s.load.Timeout)}
 	s.meter.offer(after, c.customer)
 	c.try(now)
-	gap := s.rand.ExpFloat64() / s.load.rate(after)
-	s.schedule(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
+	gap := s.rand.ExpFloat64() / (s.load.rate(after) * s.load.DataCentres.demand(dataCentre, after))
+	s.schedule(now.Add(time.Duration(gap*float64(time.Second))), func(now time.Time) { s.arrive(dataCentre, now) })
 }
 
 // customer draws the customer of a request.
@@ -122,12 +128,14 @@
 	startedAt time.Time
 	deadline  time.Time
 	attempts  int
+
+	dataCentre int
 }
 
-// try sends the request to a random instance.
+// try sends the request to a random instance of the caller's data centre.
 func (c *caller) try(now time.Time) {
 	c.attempts++
-	in := c.site.instances[c.site.rand.IntN(len(c.site.instances))]
+	in := c.site.instanceIn(c.dataCentre)
 	r := &request{caller: c, instance: in, startedAt: now, plan: forward.NewPlan(c.site.load.route(), now, c.deadline)}
 	if c.site.policy.Hedge {
 		r.copyDelay, r.mayHedge = in.hedge.Begin(now)
@@ -292,13 +300,15 @@
 	s.meter.attempts++
 	r.running = append(r.running, t)
 	server := s.upstreams[t.rsv.ID]
+	delay := s.delay(r.instance, server)
+	s.crossings.add(r.instance.dataCentre, now.Sub(s.start), r.instance.dataCentre != server.dataCentre)
 	if server.unreachable(now) {
-		s.schedule(now.Add(2*linkDelay), func(now time.Time) { r.ended(now, t, nil, forward.ErrUnreachable) })
+		s.schedule(now.Add(2*delay), func(now time.Time) { r.ended(now, t, nil, forward.ErrUnreachable) })
 		return
 	}
 	t.job = &job{until: until}
 	t.job.answer = func(now time.Time, load upstream.Load, ran bool) {
-		s.schedule(now.Add(linkDelay), func(now time.Time) {
+		s.schedule(now.Add(delay), func(now time.Time) {
 			if ran {
 				r.ended(now, t, &load, nil)
 				return
@@ -306,7 +316,7 @@
 			r.ended(now, t, &load, forward.ErrNotRun)
 		})
 	}
-	s.schedule(now.Add(linkDelay), func(now time.Time) { server.accept(now, t.job) })
+	s.schedule(now.Add(delay), func(now time.Time) { server.accept(now, t.job) })
 	s.schedule(until, func(now time.Time) { r.ended(now, t, nil, errTimeout) })
 }
 
@@ -368,7 +378,8 @@
 	}
 	t.rsv.Done(rep)
 	if t.job != nil {
-		s.schedule(now.Add(linkDelay), func(now time.Time) { s.upstreams[t.rsv.ID].cancel(now, t.job) })
+		server := s.upstreams[t.rsv.ID]
+		s.schedule(now.Add(s.delay(r.instance, server)), func(now time.Time) { server.cancel(now, t.job) })
 	}
 }
 
