upstream: the penalty of plain calls to another data centre is a time

Change: a plain call crosses only if it is expected to complete sooner by more than 0.9 ms and the error of the estimate, of the remote upstream's pace and of a load that is old or not known. A copy (Requirements.Copy) crosses if it is sooner by more than 0.9 ms. Requests that name a model and pools that are not contended are placed as before.

--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -283,7 +283,7 @@
 			return
 		}
 		req := r.requirements(now)
-		req.Exclude, req.NeedFreeSlot, req.MaxLoad = append(slices.Clone(r.plan.Tried()), rsv.ID), true, forward.CopyMaxLoad
+		req.Exclude, req.NeedFreeSlot, req.MaxLoad, req.Copy = append(slices.Clone(r.plan.Tried()), rsv.ID), true, forward.CopyMaxLoad, true
 		other, ok := r.instance.registry.Acquire(req)
 		if !ok {
 			r.instance.hedge.Refund()
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -235,7 +235,7 @@
 		return nil
 	}
 	exclude := append(slices.Clone(c.plan.Tried()), first.rsv.ID)
-	rsv, ok := c.f.cfg.Registry.Acquire(upstream.Requirements{Pool: c.pool, Now: now, Affinity: c.affinity, Exclude: exclude, NeedFreeSlot: true, MaxLoad: CopyMaxLoad})
+	rsv, ok := c.f.cfg.Registry.Acquire(upstream.Requirements{Pool: c.pool, Now: now, Affinity: c.affinity, Exclude: exclude, NeedFreeSlot: true, MaxLoad: CopyMaxLoad, Copy: true})
 	if !ok {
 		c.hedge.Refund()
 		return nil
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -9,7 +9,8 @@
 const (
 	// remotePenalty is added to the load, as a fraction of its slots, of an upstream in
 	// another data centre: traffic between data centres is billed, and its round trip
-	// takes a few milliseconds longer.
+	// takes a few milliseconds longer. Plain calls in contended pools have crossingPenalty
+	// instead.
 	remotePenalty = 0.1
 	// affinitySlack is how much more loaded, as a fraction of its slots, an upstream
 	// may be and still be preferred because it has processed the request's prompt
@@ -56,6 +57,9 @@
 	// Once marks a request that must not be sent again after it has failed. It avoids
 	// upstreams that fail requests more than others do. It is used in contended pools only.
 	Once bool
+	// Copy marks a copy of a plain call that takes longer than usual at another upstream. It is
+	// used in contended pools only.
+	Copy bool
 	// Tokens is how many tokens of an upstream's memory the request is expected to take
 	// up; 0 if unknown. In contended pools, an upstream is sent no request that exceeds
 	// its memory, unless that is the only one there.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -564,9 +564,10 @@
 			e = estimates[i]
 		}
 		local := s.localOrZero()
+		loadAge := min(max(float32(req.Now.Sub(local.otherLoadAt))/float32(loadMaxAge), 0), 1)
 		out = append(out, timedCandidate{
 			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
-			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now)})
+			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now), loadAge: loadAge})
 	}
 	return out
 }
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -22,6 +22,18 @@
 	// take when requests fill all slots of its engine. Engines take up to a quarter longer
 	// for a token of a full batch.
 	batchSlowdown = 0.25
+	// crossingTime is what a plain call to another data centre takes longer, there and back.
+	// Data centres of a region are 0.5 to 0.9 ms apart.
+	crossingTime = 900 * time.Microsecond
+	// oldLoadError is the error of the expected delay by other requests, as a fraction of the
+	// time of a mean request, where no recent load is known. They may fill anything from none
+	// to all of the slots (loadWeight).
+	oldLoadError = loadWeight / 2
+	// maxCrossingError bounds the relative error of the pace of an upstream in another data
+	// centre that has hardly been observed. Without a bound, calls stayed longer in a data
+	// centre whose upstreams had all become 2.5 times slower: the p99 was 1.07 instead of 1.02
+	// times that of placement without regard to data centres (ten seeds).
+	maxCrossingError = 0.3
 	// unknownPaceError is the relative error of the pace of an upstream without
 	// observations: upstreams of a pool differ by a factor of two or more.
 	unknownPaceError = 0.5
@@ -37,18 +49,20 @@
 	Candidate
 	pace.Estimate
 	hold        time.Duration // how long a reported pace holds
-	refused     bool          // refused its last request
 	failureRate float64       // share of the requests that fail
+	refused     bool          // refused its last request
+	loadAge     float32       // age of its load, from 0 for new to 1 for too old to be used
 }
 
 // chooseSoonest returns the index of the candidate for a request in a contended pool, or
 // -1 if there is none: one that is expected to complete it soonest, and among those about
 // equal the one that rendezvous hashing ranks first for the affinity. All slots are used,
-// whatever the pace and the failure rate of their upstream.
+// whatever the pace and the failure rate of their upstream. A plain call is sent to another
+// data centre only if it is expected to complete sooner there by more than crossingPenalty.
 func chooseSoonest(candidates []timedCandidate, req Requirements) int {
 	scored := make([]route.Candidate, 0, len(candidates))
 	index := make([]int, 0, len(candidates))
-	soonest, leastRate := 0.0, 1.0
+	leastRate, remote := 1.0, false
 	for _, c := range candidates {
 		leastRate = min(leastRate, c.failureRate)
 	}
@@ -59,12 +73,19 @@
 			continue
 		}
 		d := float64(c.completion(req)) * (repeats(c.failureRate, req.Once) / leastRepeats)
-		if len(scored) == 0 || d < soonest {
-			soonest = d
-		}
+		remote = remote || !c.Local
 		scored = append(scored, route.Candidate{Key: c.ID, Load: d})
 		index = append(index, i)
 	}
+	if remote && req.Model == "" {
+		scored, index = withoutCrossing(candidates, scored, index, req)
+	}
+	soonest := 0.0
+	for i, s := range scored {
+		if i == 0 || s.Load < soonest {
+			soonest = s.Load
+		}
+	}
 	best := route.Policy{Slack: soonestSlack * soonest}.Pick(scored, req.Affinity)
 	if best < 0 {
 		return -1
@@ -72,6 +93,36 @@
 	return index[best]
 }
 
+// withoutCrossing returns those of the scored candidates, and their indexes in candidates,
+// among which a plain call's is chosen: remote ones that are sooner than all local ones by
+// their penalties, or all local ones if there is none. It reuses the slices. Remote candidates
+// are then compared without penalties, so that one that is not known well is tried as well.
+func withoutCrossing(candidates []timedCandidate, scored []route.Candidate, index []int, req Requirements) ([]route.Candidate, []int) {
+	soonestLocal := math.Inf(1)
+	for i, s := range scored {
+		if candidates[index[i]].Local {
+			soonestLocal = min(soonestLocal, s.Load)
+		}
+	}
+	kept := 0
+	for i, s := range scored {
+		if c := candidates[index[i]]; !c.Local && s.Load+float64(c.crossingPenalty(req)) < soonestLocal {
+			scored[kept], index[kept] = s, index[i]
+			kept++
+		}
+	}
+	if kept > 0 {
+		return scored[:kept], index[:kept]
+	}
+	for i, s := range scored {
+		if candidates[index[i]].Local {
+			scored[kept], index[kept] = s, index[i]
+			kept++
+		}
+	}
+	return scored[:kept], index[:kept]
+}
+
 // chooseMove returns the index of the candidate at which the rest of a request, req, that
 // is at the upstream here is expected to complete soonest, if it has a free slot and the
 // move saves enough time, and otherwise -1.
@@ -93,7 +144,7 @@
 // completion returns the expected time until a request is complete at c.
 func (c timedCandidate) completion(req Requirements) time.Duration {
 	load := float64(c.Load+1) / float64(c.Slots)
-	if !c.Local {
+	if !c.Local && req.Model != "" {
 		load += remotePenalty
 	}
 	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
@@ -104,6 +155,19 @@
 	return d
 }
 
+// crossingPenalty returns by how much sooner a plain call must be expected to complete at c,
+// in another data centre, than at any local upstream to be sent there: what crossing costs its
+// caller and the error of the estimate. An instance sends little to other data centres, so
+// that it knows little of the pace and the load there. A copy is sent because the local
+// upstreams may be slower than estimated, so the error does not count for it.
+func (c timedCandidate) crossingPenalty(req Requirements) time.Duration {
+	if req.Copy {
+		return crossingTime
+	}
+	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
+	return crossingTime + time.Duration(math.Hypot(min(c.Error, maxCrossingError)*float64(own), float64(c.loadAge)*oldLoadError*float64(mean)))
+}
+
 // workTime returns how long the work of a request is expected to take at c. The passing
 // factor, which decays while it holds, changes the time of a long request only by what is
 // lost or gained in half of that time.
