--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -43,6 +43,9 @@
 	// MaxRuns is the number of upstreams that may run an idempotent request, if it is more
 	// than the route's MaxAttempts. The difference may be used for hedged copies only.
 	MaxRuns int
+	// Repeatable means that an upstream may run the request more than once. Do sets it for
+	// idempotent routes; it has no effect on streams.
+	Repeatable bool
 	// Report is filled in by Do and Stream. It may be nil.
 	Report *Report
 	// Tokens is what the request takes up of an engine's memory, and LengthHint the
@@ -168,7 +171,7 @@
 	start := time.Now()
 	plan := NewPlan(rt, start, r.Deadline)
 	plan.MaxRuns = max(plan.MaxRuns, r.MaxRuns)
-	r.Deadline = plan.Deadline
+	r.Deadline, r.Repeatable = plan.Deadline, rt.Kind == routetable.Idempotent
 	ctx, cancel := context.WithDeadline(ctx, plan.Deadline)
 	defer cancel()
 	pool := rt.PickPool(rand.Float64())
