completion, submission: score the texts of the groups with the fewest items missing first

Cause: the scorer was called for texts in the order of items. While more texts wait than it accepts calls, some texts of each group were scored and few groups became complete.

Change: completion.ScoringOrder decides: the groups that the trainer waits for before others (the carried ones, then those with the fewest items missing), and of each kind those with the fewest items missing, one after the other. Active in contended pools; the order elsewhere is unchanged.

--- a/pkg/completion/completion.go
+++ b/pkg/completion/completion.go
@@ -1,6 +1,6 @@
 // Package completion decides in which order the waiting items of a step start when the
-// engines may not generate all of the step until it is due. It reads no clock and does
-// no I/O.
+// engines may not generate all of the step until it is due, and in which order its texts
+// are scored. It reads no clock and does no I/O.
 package completion
 
 import (
@@ -59,10 +59,10 @@
 	last  rank = 1 << 30 // of the first group that the trainer does not wait for
 )
 
-// group is a group with what Order needs to know of it.
+// group is a group with what determines its place in an order.
 type group struct {
 	index     int
-	work      float64 // sum of its items' Left
+	work      float64 // that is left of it
 	waitedFor bool
 }
 
@@ -76,7 +76,14 @@
 // waits for are the carried ones and then those with the least work; the others follow
 // them, one after the other.
 func Order(s State) ([]int, Outlook) {
-	groups := byWork(s)
+	groups := make([]group, len(s.Groups))
+	for i, g := range s.Groups {
+		groups[i] = group{index: i, waitedFor: g.Carried}
+		for _, it := range g.Items {
+			groups[i].work += it.Left
+		}
+	}
+	sortByWork(groups, s.Complete, s.Desired)
 	all, waitedFor := 0.0, 0.0
 	for _, g := range groups {
 		all += g.work
@@ -110,31 +117,25 @@
 	return sorted(s, ranks, critical), outlook
 }
 
-// byWork returns the groups of s by ascending work, and which of them the trainer waits
-// for.
-func byWork(s State) []group {
-	out := make([]group, len(s.Groups))
-	missing := len(s.Groups)
-	if s.Desired > 0 {
-		missing = s.Desired - s.Complete
+// sortByWork sorts the groups of a step that are not complete by ascending work and marks
+// those that the trainer waits for. The carried ones are marked already.
+func sortByWork(groups []group, complete, desired int) {
+	missing := len(groups)
+	if desired > 0 {
+		missing = desired - complete
 	}
-	for i, g := range s.Groups {
-		out[i] = group{index: i, waitedFor: g.Carried}
-		for _, it := range g.Items {
-			out[i].work += it.Left
-		}
-		if g.Carried {
+	for _, g := range groups {
+		if g.waitedFor {
 			missing--
 		}
 	}
-	slices.SortFunc(out, func(a, b group) int { return cmp.Or(cmp.Compare(a.work, b.work), cmp.Compare(a.index, b.index)) })
-	for i := range out {
-		if !out[i].waitedFor && missing > 0 {
-			out[i].waitedFor = true
+	slices.SortFunc(groups, func(a, b group) int { return cmp.Or(cmp.Compare(a.work, b.work), cmp.Compare(a.index, b.index)) })
+	for i := range groups {
+		if !groups[i].waitedFor && missing > 0 {
+			groups[i].waitedFor = true
 			missing--
 		}
 	}
-	return out
 }
 
 // running returns the work of g's items that are running.
--- a/pkg/submission/order.go
+++ b/pkg/submission/order.go
@@ -63,14 +63,14 @@
 	return s, true
 }
 
-// Ready reports whether item i, which is waiting, may be sent to an engine at now.
+// Ready reports whether item i, which is waiting or unscored, may be sent to an engine or
+// its scorer at now.
 func (r *Run) Ready(i int, now time.Time) bool { return !now.Before(r.items[i].notBefore) }
 
 // waiting returns the items to be sent to an engine at now, those to be sent first in
 // front.
 func (r *Runner) waiting(rt routetable.Route, now time.Time) []int {
-	contended := func(s routetable.Share) bool { return r.cfg.Registry.Contended(s.Pool) }
-	if rt.Due <= 0 || !slices.ContainsFunc(rt.Shares, contended) {
+	if rt.Due <= 0 || !r.contended(rt) {
 		return r.run.Waiting(now)
 	}
 	slots := 0
@@ -86,6 +86,45 @@
 	return slices.DeleteFunc(order, func(i int) bool { return !r.run.Ready(i, now) })
 }
 
+// contended reports whether the capacity of a pool of the route is contended.
+func (r *Runner) contended(rt routetable.Route) bool {
+	return slices.ContainsFunc(rt.Shares, func(s routetable.Share) bool { return r.cfg.Registry.Contended(s.Pool) })
+}
+
+// ScoringState returns what is left of the step for its scorers at now.
+func (r *Run) ScoringState(now time.Time) completion.ScoringState {
+	s := completion.ScoringState{Desired: r.spec.Desired}
+	for _, items := range r.groups {
+		var g completion.UnscoredGroup
+		for _, i := range items {
+			switch it := &r.items[i]; {
+			case it.phase == finished || it.phase == stored:
+				continue
+			case it.phase == unscored && r.Ready(i, now):
+				g.Ready = append(g.Ready, i)
+			}
+			g.Missing++
+			g.Carried = g.Carried || r.items[i].carried
+		}
+		if g.Missing == 0 {
+			s.Complete++
+			continue
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	return s
+}
+
+// unscored returns the items whose scorer is to be called at now, those to be scored first
+// in front.
+func (r *Runner) unscored(rt routetable.Route, now time.Time) []int {
+	items := r.run.Unscored(now)
+	if len(items) < 2 || !r.contended(rt) {
+		return items
+	}
+	return completion.ScoringOrder(r.run.ScoringState(now))
+}
+
 // reportOutlook reports that the step has become short of engines or is no longer short.
 func (r *Runner) reportOutlook(o completion.Outlook, slots int, now time.Time) {
 	if o.Short == r.short || now.Before(r.nextOutlookAt) {
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -304,7 +304,7 @@
 		return
 	}
 	r.startWaiting(ctx, rt, now)
-	r.startScoring(ctx, now)
+	r.startScoring(ctx, rt, now)
 }
 
 // startWaiting starts waiting items while engines have free slots. Items for which engines
@@ -359,8 +359,8 @@
 }
 
 // startScoring calls the scorers of complete texts.
-func (r *Runner) startScoring(ctx context.Context, now time.Time) {
-	for _, i := range r.run.Unscored(now) {
+func (r *Runner) startScoring(ctx context.Context, rt routetable.Route, now time.Time) {
+	for _, i := range r.unscored(rt, now) {
 		if r.scoring >= r.cfg.ScorerLimit(*r.spec.Items[i].Scorer) {
 			break // further calls would only queue at the scorer, each on a connection of its own
 		}
