upstream: an engine kept free for a waiting request does not lack memory

MemoryRefusals (memory.no_room) counted requests that found an engine with room for them which was kept free for another one, and streams each time they looked. Operators are told by it to add engines.

Count a request only if the memory of all upstreams that would take it is too small.

--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -80,7 +80,8 @@
 type overtaken struct {
 	since     time.Time                // when the request began to wait
 	expires   time.Time                // when the request is no longer taken to wait
-	upstreams map[string]*overtakingAt // that had too little memory for it, by ID
+	counted   bool                     // MemoryRefusals counts the request
+	upstreams map[string]*overtakingAt // that had too little memory for it or were kept free, by ID
 }
 
 type overtakingAt struct {
@@ -91,15 +92,15 @@
 	ended      int       // tokens of the requests that have ended since it took the last one
 }
 
-// waits records that a request waits for memory at upstreams, and reports whether it has
-// just begun to. It goes on waiting at those where it did before if they are still usable
-// for it. Others, such as those that have been assigned to another model, are not kept free
-// for it for longer than maxHold.
-func (o overtakings) waits(request string, upstreams []string, usable []*upstreamState, now time.Time) bool {
-	w, known := o[request]
-	if !known {
+// waits records that a request waits for memory at upstreams, and returns what is known of
+// it, or nil if it does not wait. It goes on waiting at those where it did before if they
+// are still usable for it. Others, such as those that have been assigned to another model,
+// are not kept free for it for longer than maxHold.
+func (o overtakings) waits(request string, upstreams []string, usable []*upstreamState, now time.Time) *overtaken {
+	w := o[request]
+	if w == nil {
 		if len(upstreams) == 0 {
-			return false
+			return nil
 		}
 		w = &overtaken{since: now, upstreams: map[string]*overtakingAt{}}
 		o[request] = w
@@ -115,7 +116,7 @@
 			at.expires = w.expires
 		}
 	}
-	return !known
+	return w
 }
 
 // took records that an upstream took a request; request is empty if it is not the first
@@ -209,24 +210,25 @@
 }
 
 // MemoryRefusals returns how many times a request found upstreams with free slots and none
-// of them with enough memory. Of requests that wait for free slots, it counts the first
-// ones only (Requirements.First), once each.
+// of them with enough memory. Upstreams that are kept free for another request do not count
+// as ones without memory. Of requests that wait for free slots, it counts the first ones
+// only (Requirements.First), once each.
 func (r *Registry) MemoryRefusals() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.memory.refusals
 }
 
-// MemoryRoom reports whether a request that found no upstream lacks only memory, and how
-// many tokens it may have to fit.
+// MemoryRoom reports whether a request that found no upstream lacks only memory, or an
+// upstream that is not kept free for another request, and how many tokens it may have to fit.
 func (r *Registry) MemoryRoom(req Requirements) (tokens int, lacking bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.limitedMemory(req.Pool) == 0 {
 		return 0, false
 	}
-	tokens, upstreams := r.lackMemory(r.usableFor(req), req)
-	return tokens, len(upstreams) > 0
+	l := r.lackMemory(r.usableFor(req), req)
+	return l.room, len(l.upstreams) > 0
 }
 
 // MemoryLimited reports whether requests must fit into the memory of a pool's upstreams.
@@ -246,10 +248,18 @@
 }
 
 // roomAt returns how many tokens a request may have that is sent to s, which has the given
-// memory. It is negative if s is kept free for another request. A request may exceed the
-// memory if it is the only one.
+// memory. It is negative if s is kept free for another request.
 func (r *Registry) roomAt(s *upstreamState, memory int, req Requirements) int {
-	local, load := s.localOrZero(), s.load(req.Now)
+	if s.load(req.Now) == 0 {
+		return math.MaxInt
+	}
+	return r.memory.overtakings.room(s.ID, req.First, r.freeMemory(s, memory, req.Now), req.Now)
+}
+
+// freeMemory returns how many tokens fit into the memory of s, which has the given size. A
+// request may exceed the memory if it is the only one.
+func (r *Registry) freeMemory(s *upstreamState, memory int, now time.Time) int {
+	local, load := s.localOrZero(), s.load(now)
 	if load == 0 {
 		return math.MaxInt
 	}
@@ -257,8 +267,7 @@
 	if m := r.memory.means[s.Pool]; m != nil {
 		mean = m.mean
 	}
-	room := max(memoryRoom(memory, local.tokens, load-local.inFlight, mean), 0)
-	return r.memory.overtakings.room(s.ID, req.First, room, req.Now)
+	return max(memoryRoom(memory, local.tokens, load-local.inFlight, mean), 0)
 }
 
 // withMemory returns the upstreams among states that have the memory for a request.
@@ -276,21 +285,32 @@
 	return out
 }
 
-// lackMemory returns the IDs of the upstreams among states that would take a request if
-// they had the memory for it, and the most tokens that it may have to fit at one of them.
-func (r *Registry) lackMemory(states []*upstreamState, req Requirements) (most int, ids []string) {
+// memoryLack tells which upstreams do not take a request for lack of room.
+type memoryLack struct {
+	upstreams []string // IDs of those that would take it if they had room for it
+	room      int      // most tokens that it may have to fit at one of them
+	keptFree  bool     // one of them has the memory, but is kept free for another request
+}
+
+// noMemory reports whether the request would have been sent if there were more memory.
+func (l memoryLack) noMemory() bool { return len(l.upstreams) > 0 && !l.keptFree }
+
+// lackMemory returns which upstreams among states do not take a request for lack of room.
+func (r *Registry) lackMemory(states []*upstreamState, req Requirements) memoryLack {
+	var l memoryLack
 	memory := r.limitedMemory(req.Pool)
 	if memory == 0 || req.Tokens == 0 {
-		return 0, nil
+		return l
 	}
 	for _, s := range states {
 		room := r.roomAt(s, memory, req)
 		c := Candidate{Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: max(s.Slots, 1)}
 		if req.Tokens > room && !c.full(req) {
-			most, ids = max(most, room), append(ids, s.ID)
+			l.upstreams, l.room = append(l.upstreams, s.ID), max(l.room, room)
+			l.keptFree = l.keptFree || req.Tokens <= r.freeMemory(s, memory, req.Now)
 		}
 	}
-	return most, ids
+	return l
 }
 
 // recordNoUpstream records that a request found none of the usable upstreams, states, with
@@ -299,13 +319,14 @@
 	if req.Outdated {
 		return // the request has been recorded without it
 	}
-	_, ids := r.lackMemory(states, req)
+	l := r.lackMemory(states, req)
 	switch {
 	case req.First != "":
-		if r.memory.overtakings.waits(req.First, ids, states, req.Now) {
+		if w := r.memory.overtakings.waits(req.First, l.upstreams, states, req.Now); w != nil && l.noMemory() && !w.counted {
+			w.counted = true
 			r.memory.refusals++
 		}
-	case len(ids) > 0 && !req.NeedFreeSlot:
+	case l.noMemory() && !req.NeedFreeSlot:
 		r.memory.refusals++
 	}
 }
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -279,3 +279,29 @@
 		}
 	}
 }
+
+// Guards against an engine that has room for a request, but is kept free for another one, and
+// counts as one that lacks memory. The number of such cases tells operators to add engines.
+func TestEngineKeptFreeDoesNotLackMemory(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(at time.Duration, tokens int, first string, wait, want bool, refusals int64) {
+		t.Helper()
+		_, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(at), NeedFreeSlot: wait, Tokens: tokens, First: first})
+		if got := r.MemoryRefusals(); ok != want || got != refusals {
+			t.Errorf("after %v, %d tokens: sent %v with %d refusals for lack of memory so far, want %v and %d", at, tokens, ok, got, want, refusals)
+		}
+	}
+	try(0, 40_000, "", true, true, 0)
+	try(0, 25_000, "x", true, false, 1)
+	for range 3 {
+		try(0, 1_000, "", true, true, 1)
+	}
+	try(0, 10_000, "", false, false, 1)
+	try(0, 10_000, "y", true, false, 1)
+	try(0, 30_000, "", false, false, 2)
+	try(500*time.Millisecond, 10_000, "y", true, false, 2)
+	try(time.Second, 10_000, "", true, true, 2) // x waits no longer
+	for range 2 {
+		try(time.Second, 10_000, "y", true, false, 3)
+	}
+}
