upstream: a request that is not sent overtakes none that waits for memory

A reservation released before its request was sent, such as that of content which has been quarantined, counted as one that went ahead of a waiting request: three kept the engine free for a second, and one more took back the room that had become free before. Its tokens counted as room that had become free.

Release undoes both. TestReleasedRequestOvertakesNone: the fourth request after three released ones was refused, and is sent now. TestSmallRequestsAreNotHeldUpForGood ended its requests with Release, which is for requests that were not sent; it uses Done, and passes before and after.

--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -119,14 +119,21 @@
 	return w
 }
 
-// took records that an upstream took a request; request is empty if it is not the first
-// of those that wait.
-func (o overtakings) took(upstream, request string, now time.Time) {
+// overtaking is a request that an upstream took ahead of a waiting one.
+type overtaking struct {
+	at            *overtakingAt
+	before, after overtakingAt // at, before and after it
+}
+
+// took records that an upstream took a request, and returns which waiting ones that went
+// ahead of; request is empty if it is not the first of those that wait.
+func (o overtakings) took(upstream, request string, now time.Time) []overtaking {
 	if len(o) == 0 {
-		return
+		return nil
 	}
 	delete(o, request)
 	maps.DeleteFunc(o, func(_ string, w *overtaken) bool { return !now.Before(w.expires) })
+	var out []overtaking
 	for _, w := range o {
 		at := w.upstreams[upstream]
 		if at == nil {
@@ -136,6 +143,7 @@
 			delete(w.upstreams, upstream)
 			continue
 		}
+		before := *at
 		at.ended = 0
 		if at.times >= maxOvertakings && !now.Before(at.drainUntil) {
 			at.times = 0 // it may be requests of others that leave no room
@@ -146,6 +154,21 @@
 		if at.times >= maxOvertakings {
 			at.heldUntil = now.Add(maxHold)
 		}
+		out = append(out, overtaking{at, before, *at})
+	}
+	return out
+}
+
+// undo removes the overtaking, because its request was not sent.
+func (o overtaking) undo() {
+	at := o.at
+	if at.times == o.after.times && at.heldUntil.Equal(o.after.heldUntil) { // it was the last one
+		at.times, at.heldUntil, at.drainUntil = o.before.times, o.before.heldUntil, o.before.drainUntil
+		at.ended += o.before.ended
+		return
+	}
+	if at.times = max(at.times-1, 0); at.times < maxOvertakings {
+		at.heldUntil, at.drainUntil = time.Time{}, time.Time{}
 	}
 }
 
@@ -331,9 +354,15 @@
 	}
 }
 
-// addTokens counts a request that is sent to s, and returns with how many tokens. One whose
-// use of memory is not known counts as a mean one.
-func (r *Registry) addTokens(s *upstreamState, req Requirements) int {
+// memoryUse is what a request counts as among those that use and wait for memory.
+type memoryUse struct {
+	tokens   int
+	overtook []overtaking
+}
+
+// addMemoryUse counts a request that is sent to s, and returns as what. One whose use of
+// memory is not known counts as a mean one.
+func (r *Registry) addMemoryUse(s *upstreamState, req Requirements) memoryUse {
 	tokens, m := req.Tokens, r.memory.means[s.Pool]
 	switch {
 	case tokens > 0 && m == nil:
@@ -346,14 +375,20 @@
 		tokens = int(m.mean)
 	}
 	s.ensureLocal().tokens += tokens
-	r.memory.overtakings.took(s.ID, req.First, req.Now)
-	return tokens
+	return memoryUse{tokens, r.memory.overtakings.took(s.ID, req.First, req.Now)}
 }
 
-// removeFromLoad ends the counting of rsv's request at its upstream.
-func (rsv *Reservation) removeFromLoad() {
+// removeFromLoad ends the counting of rsv's request at its upstream. sent tells whether it
+// was sent.
+func (rsv *Reservation) removeFromLoad(sent bool) {
 	local := rsv.state.ensureLocal()
 	local.inFlight--
-	local.tokens -= rsv.tokens
-	rsv.registry.memory.overtakings.ended(rsv.ID, rsv.tokens)
+	local.tokens -= rsv.memory.tokens
+	if sent {
+		rsv.registry.memory.overtakings.ended(rsv.ID, rsv.memory.tokens)
+		return
+	}
+	for _, o := range rsv.memory.overtook {
+		o.undo()
+	}
 }
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -186,12 +186,12 @@
 	try(0, 25_000, "x", false)
 	overtaking := []*upstream.Reservation{try(0, 800, "", true), try(0, 1_000, "", true), try(0, 1_000, "", true)}
 	try(0, 10, "", false)
-	overtaking[0].Release()
+	overtaking[0].Done(upstream.AttemptResult{At: now})
 	try(999*time.Millisecond, 10, "", false)
 	try(999*time.Millisecond, 25_000, "x", false)
 	try(time.Second, 401, "", false)
 	try(time.Second, 400, "", true)
-	overtaking[1].Release()
+	overtaking[1].Done(upstream.AttemptResult{At: now})
 	for at := 1500 * time.Millisecond; at < 8*time.Second; at += 500 * time.Millisecond {
 		try(at, 25_000, "x", false)
 		try(at, 501, "", false)
@@ -199,9 +199,9 @@
 	try(8*time.Second, 501, "", true)
 	overtaking = append(overtaking, try(8*time.Second, 10, "", true), try(8*time.Second, 10, "", true))
 	try(8*time.Second, 10, "", false)
-	running.Release()
+	running.Done(upstream.AttemptResult{At: now})
 	try(8*time.Second, 25_000, "x", true)
-	overtaking[3].Release()
+	overtaking[3].Done(upstream.AttemptResult{At: now})
 	try(8*time.Second, 5_000, "", true)
 }
 
@@ -305,3 +305,35 @@
 		try(time.Second, 10_000, "y", true, false, 3)
 	}
 }
+
+// Guards against requests that are not sent after all, for example because their content
+// has been quarantined, and count as ones that went ahead of a waiting request: the engine
+// would be kept free early, and give no room that has become free before.
+func TestReleasedRequestOvertakesNone(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(at time.Duration, tokens int, first string, want bool) *upstream.Reservation {
+		t.Helper()
+		rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(at), NeedFreeSlot: true, Tokens: tokens, First: first})
+		if ok != want {
+			t.Fatalf("after %v, %d tokens: sent %v, want %v", at, tokens, ok, want)
+		}
+		return rsv
+	}
+	try(0, 40_000, "", true)
+	try(0, 25_000, "x", false)
+	for range 5 {
+		try(0, 1_000, "", true).Release()
+	}
+	sent := []*upstream.Reservation{try(0, 1_000, "", true), try(0, 1_000, "", true), try(0, 1_000, "", true)}
+	try(0, 10, "", false)
+	sent[2].Release()
+	sent[2] = try(0, 800, "", true)
+	try(0, 10, "", false)
+	sent[2].Done(upstream.AttemptResult{At: now})
+	try(999*time.Millisecond, 25_000, "x", false)
+	try(time.Second, 401, "", false)
+	try(time.Second, 400, "", true).Release()
+	try(time.Second, 401, "", false)
+	try(time.Second, 400, "", true)
+	try(time.Second, 10, "", false)
+}
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -440,9 +440,9 @@
 	model      string // model of the request; empty for none
 	minVersion uint64 // version that the request requires
 	outdated   bool   // the upstream was believed to be older than that
-	tokens     int    // with which the request counts
-	single     bool   // this request set singleInFlight and has not been answered
-	answered   bool   // the upstream has accepted the request
+	memory     memoryUse
+	single     bool // this request set singleInFlight and has not been answered
+	answered   bool // the upstream has accepted the request
 }
 
 // Acquire chooses an upstream for a request and counts the request there. It reports
@@ -480,7 +480,7 @@
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
 	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated,
-		tokens: r.addTokens(s, req)}
+		memory: r.addMemoryUse(s, req)}
 }
 
 // usableFor returns the upstreams that may take a request: those assigned to its model
@@ -612,7 +612,7 @@
 func (rsv *Reservation) Done(result AttemptResult) {
 	r := rsv.registry
 	r.mu.Lock()
-	rsv.removeFromLoad()
+	rsv.removeFromLoad(true)
 	r.record(rsv, result)
 	r.recordFailure(rsv, result)
 	released := r.onRelease
@@ -626,7 +626,7 @@
 func (rsv *Reservation) Release() {
 	r := rsv.registry
 	r.mu.Lock()
-	rsv.removeFromLoad()
+	rsv.removeFromLoad(false)
 	r.endSingle(rsv)
 	released := r.onRelease
 	r.mu.Unlock()
