upstream: an empty engine is kept free too

An engine that had been passed over three times for a waiting request took any other one as soon as it had nothing to do, so that a request which needs most of the memory was overtaken at the moment at which it fitted.

The room for others applies to empty engines as well. TestEmptyEngineIsKeptFree: 10 tokens were sent ahead of a waiting request of 60,000 before, and are not now.

--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -273,9 +273,6 @@
 // roomAt returns how many tokens a request may have that is sent to s, which has the given
 // memory. It is negative if s is kept free for another request.
 func (r *Registry) roomAt(s *upstreamState, memory int, req Requirements) int {
-	if s.load(req.Now) == 0 {
-		return math.MaxInt
-	}
 	return r.memory.overtakings.room(s.ID, req.First, r.freeMemory(s, memory, req.Now), req.Now)
 }
 
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -337,3 +337,27 @@
 	try(time.Second, 400, "", true)
 	try(time.Second, 10, "", false)
 }
+
+// Guards against a request that needs an engine of its own and is overtaken whenever the
+// engine has nothing to do.
+func TestEmptyEngineIsKeptFree(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(tokens int, first string, want bool) *upstream.Reservation {
+		t.Helper()
+		rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now, NeedFreeSlot: true, Tokens: tokens, First: first})
+		if ok != want {
+			t.Fatalf("%d tokens: sent %v, want %v", tokens, ok, want)
+		}
+		return rsv
+	}
+	running := []*upstream.Reservation{try(1_000, "", true)}
+	try(60_000, "x", false)
+	for range 3 {
+		running = append(running, try(1_000, "", true))
+	}
+	for _, rsv := range running {
+		rsv.Done(upstream.AttemptResult{At: now})
+	}
+	try(10, "", false)
+	try(60_000, "x", true)
+}
