forward: a request that is not sent is no success of its upstream

A request that was displaced from the instance's memory just before it was sent ended its reservation without a failure, which counts as an answer: it readmitted an ejected upstream, lowered its failure rate and freed a paused upstream for more than one request.

Its reservation is released. TestWithdrawnRequestIsNoSuccess: an upstream with a failure before and after such a request was still used, by plain requests and by streams, and is ejected now.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -120,7 +120,7 @@
 	if c.hedge != nil && (err == nil && !rep.Failed || errors.Is(t.ctx.Err(), context.DeadlineExceeded)) {
 		c.hedge.Observe(took, rep.At)
 	}
-	t.rsv.Done(rep)
+	endReservation(t.rsv, rep, err)
 	c.report(t, res.resp.Status, took, err)
 	t.guarded.Done(ctx, outcomeOf(t.ctx, res.resp.Status, err))
 	return c.plan.EndAttempt(t.rsv.ID, res.resp.Status, err, time.Now())
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -234,6 +234,16 @@
 	return rep
 }
 
+// endReservation ends rsv with what its attempt, which ended with err, tells about the
+// upstream.
+func endReservation(rsv *upstream.Reservation, rep upstream.AttemptResult, err error) {
+	if errors.Is(err, ErrWithdrawn) {
+		rsv.Release()
+		return
+	}
+	rsv.Done(rep)
+}
+
 // RecordRefusal reports whether err means that an attempt did not run, and records in rep
 // why the upstream refused it, if it did. An upstream without capacity is marked busy for
 // the duration pause.
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -412,3 +412,28 @@
 		})
 	}
 }
+
+// Guards against a request that is given up before it is sent and counts as one that its
+// upstream has served: one that fails again and again would not be ejected.
+func TestWithdrawnRequestIsNoSuccess(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.NonIdempotent, routetable.Streaming} {
+		synctest.Test(t, func(t *testing.T) {
+			s, rt := newSite(true, "a"), queueRoute
+			rt.Kind = kind
+			for i, err := range []error{errReset, forward.ErrWithdrawn, errReset} {
+				s.next = []answer{{err: err}}
+				if kind == routetable.Streaming {
+					_ = s.Stream(t.Context(), rt, forward.Request{ID: "x"}, "", sink{})
+				} else {
+					_, _ = s.Do(t.Context(), rt, forward.Request{ID: "x"})
+				}
+				if len(s.attempts) != i+1 {
+					t.Fatalf("%v: %d attempts after request %d", kind, len(s.attempts), i)
+				}
+			}
+			if _, ok := s.registry.Acquire(upstream.Requirements{Pool: "pool", Now: time.Now()}); ok {
+				t.Errorf("%v: usable after two failures with a withdrawn request between them", kind)
+			}
+		})
+	}
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -213,7 +213,7 @@
 	}
 	rep.Cancelled = rep.Cancelled || errors.Is(err, errCallerGone)
 	rep.Failed = rep.Failed || err == nil && resp.Status >= http.StatusInternalServerError
-	rsv.Done(rep)
+	endReservation(rsv, rep, err)
 	seen := Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Customer: s.request.Customer, Upstream: rsv.ID, Number: len(s.plan.Tried()) + 1, Status: resp.Status, Took: time.Since(startedAt), Err: err}
 	if !s.startReported && !firstAt.IsZero() {
 		s.startReported, seen.StartedAt = true, firstAt
