holding: a body that does not fit makes no response give up

A request whose body has no declared length and does not fit is refused at once. Until its hold was released it counted as one that waits: if all others that held something waited, the newest of them was told to give up, which ends its attempt as failed, may have run. Its customer also ceased at once to count as one that requests room, unlike that of a body with a declared length.

TestRefusedBodyIsNoStall: the response got ErrStalled before, and has room now.

--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -147,6 +147,28 @@
 	return err
 }
 
+// TryGrow is like Grow for a hold that is released if the bytes do not fit: it does not wait
+// for room.
+func (h *Hold[K]) TryGrow(n int64) error {
+	if h == nil {
+		return nil
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch h.state {
+	case displaced:
+		return ErrDisplaced
+	case released:
+		return ErrReleased
+	}
+	err := b.grow(h, n)
+	if mayFitLater(err) {
+		b.recordDemand(h.customer)
+	}
+	return err
+}
+
 // Shrink holds n bytes less.
 func (h *Hold[K]) Shrink(n int64) {
 	if h == nil {
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -260,3 +260,28 @@
 		h.Release()
 	}
 }
+
+// Guards against a response that is given up for a body that does not fit: the body's hold is
+// released at once, so that the response has room.
+func TestRefusedBodyIsNoStall(t *testing.T) {
+	b := holding.New[string](config)
+	body, _ := b.Hold("a", 0, 60, start)
+	response, _ := b.Hold("b", 0, 60, start)
+	_ = response.MarkSent()
+	if err := response.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the response grows beyond the limit: got %v, want ErrNoRoom", err)
+	}
+	if err := body.TryGrow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the body grows beyond the limit: got %v, want ErrNoRoom", err)
+	}
+	body.Release()
+	if err := response.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Errorf("beyond the share while a requests room: got %v, want ErrNoRoom", err)
+	}
+	if _, err := b.Hold("c", 0, 0, start.Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if err := response.Grow(10); err != nil {
+		t.Errorf("the response once a requests no room: got %v", err)
+	}
+}
