holding: a hold that has given up to grow does not wait

A response that found no room for 2 s, or until its deadline, went on counting as one that waits until its request ended, which may take another attempt. Meanwhile its customer counted as requesting room, and a single other response that waited was told to give up at once, although the request would end.

StopWaiting ends the wait. TestHoldThatWaitsNoLongerIsNoStall: the second response got ErrStalled before, and now gets the room of the first when that ends.

--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -120,7 +120,7 @@
 
 // Grow holds n more bytes. If they do not fit, nothing changes, and the error is ErrNoRoom
 // or ErrTooLarge; after ErrNoRoom the customer counts as requesting room until the hold
-// grows or is released. Only a hold that has not been sent displaces others. The error of a displaced
+// grows, stops waiting or is released. Only a hold that has not been sent displaces others. The error of a displaced
 // or released hold is ErrDisplaced or ErrReleased.
 func (h *Hold[K]) Grow(n int64) error {
 	if h == nil {
@@ -169,6 +169,18 @@
 	return err
 }
 
+// StopWaiting records that the request has given up to grow.
+func (h *Hold[K]) StopWaiting() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.state == unsent || h.state == sent {
+		h.budget.setWaiting(h, false)
+	}
+}
+
 // Shrink holds n bytes less.
 func (h *Hold[K]) Shrink(n int64) {
 	if h == nil {
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -285,3 +285,31 @@
 		t.Errorf("the response once a requests no room: got %v", err)
 	}
 }
+
+// Guards against a response that is given up for one that has stopped waiting, whose request
+// goes on at another upstream and will end.
+func TestHoldThatWaitsNoLongerIsNoStall(t *testing.T) {
+	b := holding.New[string](config)
+	var holds []*holding.Hold[string]
+	for _, customer := range []string{"a", "b"} {
+		h, err := b.Hold(customer, 0, 60, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = h.MarkSent()
+		holds = append(holds, h)
+	}
+	if err := holds[0].Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the first: got %v, want ErrNoRoom", err)
+	}
+	holds[0].StopWaiting()
+	for range 2 {
+		if err := holds[1].Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+			t.Fatalf("the second: got %v, want ErrNoRoom", err)
+		}
+	}
+	holds[0].Release()
+	if err := holds[1].Grow(10); err != nil {
+		t.Errorf("the second once the first has ended: got %v", err)
+	}
+}
