--- a/internal/explain/upstreams_test.go
+++ b/internal/explain/upstreams_test.go
@@ -55,3 +55,27 @@
 		t.Errorf("Write: %v, want the share and the ratio in the text:\n%s", err, out.String())
 	}
 }
+
+// Guards against the attempt of a moved text that counts twice, since both the move and the
+// begin of the attempt that it leads to have a line, and against a line of the begin of a
+// later attempt that does not count.
+func TestMovedTextCountsOnce(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(`time=10:00:04.000 level=info msg=generating node=a submission=s item=x1 upstream=e1 err=null
+time=10:00:04.500 level=warn msg=generated node=a submission=s item=x1 upstream=e1 events=5 err="submission: another engine is faster" took=500ms
+time=10:00:04.500 level=info msg=moved node=a submission=s item=x1 upstream=e2 err=null
+time=10:00:04.500 level=info msg=generating node=a submission=s item=x1 upstream=e2 err=null
+time=10:00:04.700 level=info msg=generated node=a submission=s item=x1 upstream=e2 events=9 err=null took=200ms
+time=10:00:05.000 level=info msg=moved node=a submission=s item=x2 upstream=e3 err=null
+time=10:00:05.000 level=info msg=generating node=a submission=s item=x2 upstream=e3 err=null
+time=10:00:06.000 level=info msg=generating node=a submission=s item=x2 upstream=e3 err=null
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]int{"e1": 1, "e2": 1, "e3": 2}
+	for _, u := range explain.Summarize(lines).Upstreams {
+		if u.Attempts != want[u.Upstream] {
+			t.Errorf("%s: got %d attempts, want %d", u.Upstream, u.Attempts, want[u.Upstream])
+		}
+	}
+}
