submission: no results are held once all are written

The gauge submissions.results_held kept the number of the last write until the run was removed, which takes calls to the store: it told operators not to restart an instance that held nothing.

TestNoResultIsHeldAfterRun: 1 result held after the run before, 0 now.

--- a/pkg/submission/memory_test.go
+++ b/pkg/submission/memory_test.go
@@ -63,3 +63,20 @@
 		}
 	})
 }
+
+// Guards against a gauge of held results that shows results as held which are written, until
+// the instance has nothing more to do for the submission, which takes calls to the store.
+func TestNoResultIsHeldAfterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := upstream.NewRegistry("")
+		registry.Set([]upstream.Entry{{ID: "fast", Pool: "p", Address: "f", Slots: 2}})
+		r := submission.NewRunner(submission.Config{Repository: submission.Repository{Store: memoryStore{}, MaxRowBytes: 1 << 20}, Registry: registry, Generator: pacedEngines{func(int) {}},
+			Route: func(string, string) (routetable.Route, bool, bool) {
+				return routetable.Route{MaxAttempts: 2, Shares: []routetable.Share{{Pool: "p", Weight: 1}}}, true, true
+			}, TargetVersion: func(string) uint64 { return 0 }, Rand: func() float64 { return 0 },
+		}, submission.HeadRow{Head: submission.Head{ID: "s", AcceptedAt: time.Now()}, Fencing: 1}, submission.Spec{ID: "s", Items: []submission.Item{{ID: "a"}}}, submission.PriorWork{})
+		if err := r.Run(t.Context()); err != nil || r.HeldResults() != 0 {
+			t.Errorf("got %v and %d results held after all were written, want none", err, r.HeldResults())
+		}
+	})
+}
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -228,6 +228,7 @@
 			return err
 		}
 	}
+	r.held.Store(0)
 	return r.complete(ctx)
 }
 
