holding: refused requests stop counting while no request arrives

A customer whose request was refused counts for a second as requesting room, but that second was measured by the arrival of requests. On a quiet instance, a response beyond its customer's share waited 2 s in vain and failed, may have run, although there was room.

--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -49,7 +49,7 @@
 	cfg Config
 
 	mu       sync.Mutex
-	now      time.Time // latest time passed to Hold
+	now      time.Time // latest time passed to Hold or Advance
 	holds    int
 	bytes    int64 // held, including reserves
 	charged  int64 // held beyond reserves
@@ -103,9 +103,7 @@
 	h := &Hold[K]{budget: b, customer: customer, priority: priority}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.After(b.now) {
-		b.now = now
-	}
+	b.advance(now)
 	b.created++
 	h.order = b.created
 	if err := b.grow(h, n); err != nil {
@@ -261,6 +259,21 @@
 	return b.room
 }
 
+// Advance tells the time to those that wait for room: at now, requests of other customers
+// that were refused long ago no longer count. Hold does so too.
+func (b *Budget[K]) Advance(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+}
+
+// advance is Advance with b.mu held.
+func (b *Budget[K]) advance(now time.Time) {
+	if now.After(b.now) {
+		b.now = now
+	}
+}
+
 // Stats describes what a Budget holds.
 type Stats[K comparable] struct {
 	Holds        int   // number of requests
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -313,3 +313,22 @@
 		t.Errorf("the second once the first has ended: got %v", err)
 	}
 }
+
+// Guards against a response that waits in vain for room because the request of another
+// customer, which was given up long ago, counts as long as no other request arrives.
+func TestDemandEndsWithoutFurtherRequests(t *testing.T) {
+	b := holding.New[string](config)
+	a, _ := b.Hold("a", 0, 60, start)
+	_ = a.MarkSent()
+	if _, err := b.Hold("b", 0, 70, start); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("got %v, want ErrNoRoom", err)
+	}
+	b.Advance(start.Add(999 * time.Millisecond))
+	if err := a.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Errorf("beyond the share while b requests room: got %v, want ErrNoRoom", err)
+	}
+	b.Advance(start.Add(time.Second))
+	if err := a.Grow(10); err != nil {
+		t.Errorf("a second later: got %v", err)
+	}
+}
