forward: a request displaced from memory has not lacked an upstream

A request that was displaced while it waited for capacity was logged and counted as one for which the upstreams had no room, with another Retry-After than its caller was given, and made the times to retry of others longer.

Its context is cancelled with the cause, which ends the wait: the reason is "memory".

--- a/internal/explain/call.go
+++ b/internal/explain/call.go
@@ -25,6 +25,7 @@
 	"displaced":      "it gave way in the wait queue to a more urgent request, or to another customer's",
 	"upstreams_full": "no upstream had room",
 	"too_large":      "no engine of its pool can hold it",
+	"memory":         "it gave way in the instance's memory to a more urgent request",
 	"store":          "the store was not available",
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -57,7 +57,7 @@
 			return rsv, nil
 		}
 		if wait == 0 || !clock.Sleep(ctx, wait) {
-			return nil, errNoCapacity
+			return nil, waitEnded(ctx)
 		}
 		c.request.Report.waitedSince(req.Now)
 		if err := c.f.cfg.Guard.Check(c.request.content(), time.Now()); err != nil {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -76,7 +76,8 @@
 	// ErrUnreachable wraps ErrNotRun. It means that the upstream refused the connection.
 	ErrUnreachable = fmt.Errorf("%w: upstream refused the connection", ErrNotRun)
 	// ErrWithdrawn wraps ErrNotRun. It means that the request was given up before it was
-	// sent, which says nothing about the upstream. It is not tried elsewhere.
+	// sent, which says nothing about the upstream. It is not tried elsewhere, and gets no
+	// time to retry. The context of a request that is given up is cancelled with it as cause.
 	ErrWithdrawn = fmt.Errorf("%w: given up before it was sent", ErrNotRun)
 	// ErrUnread means that an attempt failed after its response had to wait for room in the
 	// instance's memory. It says nothing about the upstream.
@@ -200,6 +201,15 @@
 
 var errNoCapacity = fmt.Errorf("%w: no upstream has capacity for the request", ErrNotRun)
 
+// waitEnded returns the error of a request that stops waiting for capacity in ctx: the cause
+// with which ctx was cancelled, if it wraps ErrWithdrawn.
+func waitEnded(ctx context.Context) error {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrWithdrawn) {
+		return cause
+	}
+	return errNoCapacity
+}
+
 // outcomeOf classifies the end of an attempt from the attempt's context ctx, the response
 // status and the error.
 func outcomeOf(ctx context.Context, status int, err error) quarantine.Outcome {
@@ -271,6 +281,9 @@
 	case p.ran > 0:
 		return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, cause)
 	}
+	if errors.Is(cause, ErrWithdrawn) {
+		return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, cause)
+	}
 	var refused *quarantine.RefusedError
 	if errors.As(cause, &refused) {
 		return verdict.Refuse(http.StatusServiceUnavailable, refused.Until, cause)
--- a/pkg/forward/queue.go
+++ b/pkg/forward/queue.go
@@ -193,7 +193,7 @@
 			return nil, errNoCapacity
 		case <-ctx.Done():
 			ticket.Leave()
-			return nil, errNoCapacity
+			return nil, waitEnded(ctx)
 		}
 	}
 }
--- a/pkg/forward/queue_test.go
+++ b/pkg/forward/queue_test.go
@@ -437,3 +437,32 @@
 		})
 	}
 }
+
+// Guards against a request that is displaced from the instance's memory while it waits, and
+// counts as one for which the upstreams had no room: the reason of its rejection would be
+// wrong, and requests that are rejected for lack of room would be told to retry later.
+func TestWithdrawnWhileItWaits(t *testing.T) {
+	errDisplaced := errors.New("displaced")
+	for _, contended := range []bool{true, false} {
+		for _, kind := range []routetable.Kind{routetable.NonIdempotent, routetable.Streaming} {
+			synctest.Test(t, func(t *testing.T) {
+				s, rt := newSite(contended, "a"), queueRoute
+				rt.Kind = kind
+				s.pause(time.Second)
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				time.AfterFunc(usualTime, func() { cancel(fmt.Errorf("%w: %w", forward.ErrWithdrawn, errDisplaced)) })
+				var err error
+				if kind == routetable.Streaming {
+					err = s.Stream(ctx, rt, forward.Request{ID: "x"}, "", sink{})
+				} else {
+					_, err = s.Do(ctx, rt, forward.Request{ID: "x"})
+				}
+				var ve *verdict.Error
+				if !errors.As(err, &ve) || ve.Verdict != verdict.NotRun || !ve.RetryAt.IsZero() || !errors.Is(err, errDisplaced) || !errors.Is(err, forward.ErrWithdrawn) {
+					t.Errorf("contended %v, kind %v: got %v, want one that has not run, with its cause and without a time to retry", contended, kind, err)
+				}
+			})
+		}
+	}
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -139,7 +139,7 @@
 			return rsv, nil
 		}
 		if !s.plan.MayWait(now) || !clock.Sleep(ctx, pollInterval) {
-			return nil, errNoCapacity
+			return nil, waitEnded(ctx)
 		}
 		s.request.Report.waitedSince(now)
 		if err := s.f.cfg.Guard.Check(s.request.content(), time.Now()); err != nil {
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -212,3 +212,9 @@
 
 // OrderTimeout is orderTimeout.
 func (n *Node) OrderTimeout() time.Duration { return n.orderTimeout() }
+
+// RejectionReason and RejectionFields export what is logged and counted of a rejection.
+var (
+	RejectionReason = rejectionReason
+	RejectionFields = rejectionFields
+)
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -127,6 +127,8 @@
 		return "quarantined"
 	case errors.Is(err, upstream.ErrTooLarge):
 		return "too_large"
+	case errors.Is(err, forward.ErrWithdrawn):
+		return "memory" // displaced before it was sent
 	case errors.Is(err, forward.ErrNotRun):
 		return "upstreams_full"
 	case errors.Is(err, waitqueue.ErrFull), errors.Is(err, forward.ErrDisplaced):
