holding: a stalled hold goes on if there is room

The newest of the holds that waited for each other gave up even if another of them had ended before it looked again: its attempt failed, may have run, although there was room.

TestNoStallOnceThereIsRoom: ErrStalled before, grows now.

--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -133,11 +133,11 @@
 	case released:
 		return ErrReleased
 	}
-	if h.stalled {
+	err := b.grow(h, n)
+	if h.stalled && mayFitLater(err) {
 		b.setWaiting(h, false)
 		return ErrStalled
 	}
-	err := b.grow(h, n)
 	b.setWaiting(h, mayFitLater(err))
 	if h.waiting {
 		b.breakStall()
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -332,3 +332,26 @@
 		t.Errorf("a second later: got %v", err)
 	}
 }
+
+// Guards against a hold that gives up although the others that it stalled with have ended.
+func TestNoStallOnceThereIsRoom(t *testing.T) {
+	b := holding.New[string](config)
+	var holds []*holding.Hold[string]
+	for range 2 {
+		h, err := b.Hold("a", 0, 60, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = h.MarkSent()
+		holds = append(holds, h)
+	}
+	for _, h := range holds {
+		if err := h.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+			t.Fatalf("got %v, want ErrNoRoom", err)
+		}
+	}
+	holds[0].Release()
+	if err := holds[1].Grow(10); err != nil {
+		t.Errorf("once the other has ended: got %v", err)
+	}
+}
