holding: a displaced request counts from the time at which it was displaced

A request that a growing body displaced counted as requesting room from the arrival of the latest request on, and so for less than a second.

The budget is told the time before a body grows.

--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -259,8 +259,8 @@
 	return b.room
 }
 
-// Advance tells the time to those that wait for room: at now, requests of other customers
-// that were refused long ago no longer count. Hold does so too.
+// Advance tells the time by which requests that are refused or displaced count for a while.
+// Hold does so too, Grow and TryGrow do not.
 func (b *Budget[K]) Advance(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -86,6 +86,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "operations") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap_ms")) * time.Millisecond)
+			b.Advance(now)
 			op := rapid.SampledFrom([]string{"hold", "hold", "grow", "grow", "shrink", "send", "release"}).Draw(t, "operation")
 			n := rapid.Int64Range(0, 80).Draw(t, "bytes")
 			if op == "hold" {
