--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -143,7 +143,7 @@
 			return rsv, nil
 		}
 		if !s.plan.MayWait(now) || !clock.Sleep(ctx, pollInterval) {
-			return nil, errNoCapacity
+			return nil, waitEnded(ctx)
 		}
 		s.request.Report.waitedSince(now)
 		if err := s.f.cfg.Guard.Check(s.request.content(), time.Now()); err != nil {
@@ -210,7 +210,7 @@
 		rep.TimePerUnit = time.Since(startedAt) / time.Duration(events)
 	}
 	rep.Failed = rep.Failed || err == nil && resp.Status >= http.StatusInternalServerError
-	rsv.Done(rep)
+	endReservation(rsv, rep, err)
 	seen := Attempt{Request: s.request.ID, Content: s.request.content(), Route: s.route.Name, Customer: s.request.Customer, Upstream: rsv.ID, Number: len(s.plan.Tried()) + 1, Status: resp.Status, Took: time.Since(startedAt), Err: err}
 	if !s.startReported && !firstAt.IsZero() {
 		s.startReported, seen.StartedAt = true, firstAt
--- a/pkg/holding/holding.go
+++ b/pkg/holding/holding.go
@@ -49,7 +49,7 @@
 	cfg Config
 
 	mu       sync.Mutex
-	now      time.Time // latest time passed to Hold
+	now      time.Time // latest time passed to Hold or Advance
 	holds    int
 	bytes    int64 // held, including reserves
 	charged  int64 // held beyond reserves
@@ -103,9 +103,7 @@
 	h := &Hold[K]{budget: b, customer: customer, priority: priority}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.After(b.now) {
-		b.now = now
-	}
+	b.advance(now)
 	b.created++
 	h.order = b.created
 	if err := b.grow(h, n); err != nil {
@@ -120,7 +118,7 @@
 
 // Grow holds n more bytes. If they do not fit, nothing changes, and the error is ErrNoRoom
 // or ErrTooLarge; after ErrNoRoom the customer counts as requesting room until the hold
-// grows or is released. Only a hold that has not been sent displaces others. The error of a displaced
+// grows, stops waiting or is released. Only a hold that has not been sent displaces others. The error of a displaced
 // or released hold is ErrDisplaced or ErrReleased.
 func (h *Hold[K]) Grow(n int64) error {
 	if h == nil {
@@ -135,11 +133,11 @@
 	case released:
 		return ErrReleased
 	}
-	if h.stalled {
+	err := b.grow(h, n)
+	if h.stalled && mayFitLater(err) {
 		b.setWaiting(h, false)
 		return ErrStalled
 	}
-	err := b.grow(h, n)
 	b.setWaiting(h, mayFitLater(err))
 	if h.waiting {
 		b.breakStall()
@@ -147,6 +145,40 @@
 	return err
 }
 
+// TryGrow is like Grow for a hold that is released if the bytes do not fit: it does not wait
+// for room.
+func (h *Hold[K]) TryGrow(n int64) error {
+	if h == nil {
+		return nil
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch h.state {
+	case displaced:
+		return ErrDisplaced
+	case released:
+		return ErrReleased
+	}
+	err := b.grow(h, n)
+	if mayFitLater(err) {
+		b.recordDemand(h.customer)
+	}
+	return err
+}
+
+// StopWaiting records that the request has given up to grow.
+func (h *Hold[K]) StopWaiting() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.state == unsent || h.state == sent {
+		h.budget.setWaiting(h, false)
+	}
+}
+
 // Shrink holds n bytes less.
 func (h *Hold[K]) Shrink(n int64) {
 	if h == nil {
@@ -227,6 +259,21 @@
 	return b.room
 }
 
+// Advance tells the time by which requests that are refused or displaced count for a while.
+// Hold does so too, Grow and TryGrow do not.
+func (b *Budget[K]) Advance(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+}
+
+// advance is Advance with b.mu held.
+func (b *Budget[K]) advance(now time.Time) {
+	if now.After(b.now) {
+		b.now = now
+	}
+}
+
 // Stats describes what a Budget holds.
 type Stats[K comparable] struct {
 	Holds        int   // number of requests
--- a/pkg/holding/holding_test.go
+++ b/pkg/holding/holding_test.go
@@ -86,6 +86,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "operations") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap_ms")) * time.Millisecond)
+			b.Advance(now)
 			op := rapid.SampledFrom([]string{"hold", "hold", "grow", "grow", "shrink", "send", "release"}).Draw(t, "operation")
 			n := rapid.Int64Range(0, 80).Draw(t, "bytes")
 			if op == "hold" {
@@ -260,3 +261,98 @@
 		h.Release()
 	}
 }
+
+// Guards against a response that is given up for a body that does not fit: the body's hold is
+// released at once, so that the response has room.
+func TestRefusedBodyIsNoStall(t *testing.T) {
+	b := holding.New[string](config)
+	body, _ := b.Hold("a", 0, 60, start)
+	response, _ := b.Hold("b", 0, 60, start)
+	_ = response.MarkSent()
+	if err := response.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the response grows beyond the limit: got %v, want ErrNoRoom", err)
+	}
+	if err := body.TryGrow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the body grows beyond the limit: got %v, want ErrNoRoom", err)
+	}
+	body.Release()
+	if err := response.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Errorf("beyond the share while a requests room: got %v, want ErrNoRoom", err)
+	}
+	if _, err := b.Hold("c", 0, 0, start.Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if err := response.Grow(10); err != nil {
+		t.Errorf("the response once a requests no room: got %v", err)
+	}
+}
+
+// Guards against a response that is given up for one that has stopped waiting, whose request
+// goes on at another upstream and will end.
+func TestHoldThatWaitsNoLongerIsNoStall(t *testing.T) {
+	b := holding.New[string](config)
+	var holds []*holding.Hold[string]
+	for _, customer := range []string{"a", "b"} {
+		h, err := b.Hold(customer, 0, 60, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = h.MarkSent()
+		holds = append(holds, h)
+	}
+	if err := holds[0].Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("the first: got %v, want ErrNoRoom", err)
+	}
+	holds[0].StopWaiting()
+	for range 2 {
+		if err := holds[1].Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+			t.Fatalf("the second: got %v, want ErrNoRoom", err)
+		}
+	}
+	holds[0].Release()
+	if err := holds[1].Grow(10); err != nil {
+		t.Errorf("the second once the first has ended: got %v", err)
+	}
+}
+
+// Guards against a response that waits in vain for room because the request of another
+// customer, which was given up long ago, counts as long as no other request arrives.
+func TestDemandEndsWithoutFurtherRequests(t *testing.T) {
+	b := holding.New[string](config)
+	a, _ := b.Hold("a", 0, 60, start)
+	_ = a.MarkSent()
+	if _, err := b.Hold("b", 0, 70, start); !errors.Is(err, holding.ErrNoRoom) {
+		t.Fatalf("got %v, want ErrNoRoom", err)
+	}
+	b.Advance(start.Add(999 * time.Millisecond))
+	if err := a.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+		t.Errorf("beyond the share while b requests room: got %v, want ErrNoRoom", err)
+	}
+	b.Advance(start.Add(time.Second))
+	if err := a.Grow(10); err != nil {
+		t.Errorf("a second later: got %v", err)
+	}
+}
+
+// Guards against a hold that gives up although the others that it stalled with have ended.
+func TestNoStallOnceThereIsRoom(t *testing.T) {
+	b := holding.New[string](config)
+	var holds []*holding.Hold[string]
+	for range 2 {
+		h, err := b.Hold("a", 0, 60, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = h.MarkSent()
+		holds = append(holds, h)
+	}
+	for _, h := range holds {
+		if err := h.Grow(10); !errors.Is(err, holding.ErrNoRoom) {
+			t.Fatalf("got %v, want ErrNoRoom", err)
+		}
+	}
+	holds[0].Release()
+	if err := holds[1].Grow(10); err != nil {
+		t.Errorf("once the other has ended: got %v", err)
+	}
+}
--- a/pkg/upstream/memory_test.go
+++ b/pkg/upstream/memory_test.go
@@ -186,12 +186,12 @@
 	try(0, 25_000, "x", false)
 	overtaking := []*upstream.Reservation{try(0, 800, "", true), try(0, 1_000, "", true), try(0, 1_000, "", true)}
 	try(0, 10, "", false)
-	overtaking[0].Release()
+	overtaking[0].Done(upstream.AttemptResult{At: now})
 	try(999*time.Millisecond, 10, "", false)
 	try(999*time.Millisecond, 25_000, "x", false)
 	try(time.Second, 401, "", false)
 	try(time.Second, 400, "", true)
-	overtaking[1].Release()
+	overtaking[1].Done(upstream.AttemptResult{At: now})
 	for at := 1500 * time.Millisecond; at < 8*time.Second; at += 500 * time.Millisecond {
 		try(at, 25_000, "x", false)
 		try(at, 501, "", false)
@@ -199,9 +199,9 @@
 	try(8*time.Second, 501, "", true)
 	overtaking = append(overtaking, try(8*time.Second, 10, "", true), try(8*time.Second, 10, "", true))
 	try(8*time.Second, 10, "", false)
-	running.Release()
+	running.Done(upstream.AttemptResult{At: now})
 	try(8*time.Second, 25_000, "x", true)
-	overtaking[3].Release()
+	overtaking[3].Done(upstream.AttemptResult{At: now})
 	try(8*time.Second, 5_000, "", true)
 }
 
@@ -279,3 +279,85 @@
 		}
 	}
 }
+
+// Guards against an engine that has room for a request, but is kept free for another one, and
+// counts as one that lacks memory. The number of such cases tells operators to add engines.
+func TestEngineKeptFreeDoesNotLackMemory(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(at time.Duration, tokens int, first string, wait, want bool, refusals int64) {
+		t.Helper()
+		_, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(at), NeedFreeSlot: wait, Tokens: tokens, First: first})
+		if got := r.MemoryRefusals(); ok != want || got != refusals {
+			t.Errorf("after %v, %d tokens: sent %v with %d refusals for lack of memory so far, want %v and %d", at, tokens, ok, got, want, refusals)
+		}
+	}
+	try(0, 40_000, "", true, true, 0)
+	try(0, 25_000, "x", true, false, 1)
+	for range 3 {
+		try(0, 1_000, "", true, true, 1)
+	}
+	try(0, 10_000, "", false, false, 1)
+	try(0, 10_000, "y", true, false, 1)
+	try(0, 30_000, "", false, false, 2)
+	try(500*time.Millisecond, 10_000, "y", true, false, 2)
+	try(time.Second, 10_000, "", true, true, 2) // x waits no longer
+	for range 2 {
+		try(time.Second, 10_000, "y", true, false, 3)
+	}
+}
+
+// Guards against requests that are not sent after all, for example because their content
+// has been quarantined, and count as ones that went ahead of a waiting request: the engine
+// would be kept free early, and give no room that has become free before.
+func TestReleasedRequestOvertakesNone(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(at time.Duration, tokens int, first string, want bool) *upstream.Reservation {
+		t.Helper()
+		rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now.Add(at), NeedFreeSlot: true, Tokens: tokens, First: first})
+		if ok != want {
+			t.Fatalf("after %v, %d tokens: sent %v, want %v", at, tokens, ok, want)
+		}
+		return rsv
+	}
+	try(0, 40_000, "", true)
+	try(0, 25_000, "x", false)
+	for range 5 {
+		try(0, 1_000, "", true).Release()
+	}
+	sent := []*upstream.Reservation{try(0, 1_000, "", true), try(0, 1_000, "", true), try(0, 1_000, "", true)}
+	try(0, 10, "", false)
+	sent[2].Release()
+	sent[2] = try(0, 800, "", true)
+	try(0, 10, "", false)
+	sent[2].Done(upstream.AttemptResult{At: now})
+	try(999*time.Millisecond, 25_000, "x", false)
+	try(time.Second, 401, "", false)
+	try(time.Second, 400, "", true).Release()
+	try(time.Second, 401, "", false)
+	try(time.Second, 400, "", true)
+	try(time.Second, 10, "", false)
+}
+
+// Guards against a request that needs an engine of its own and is overtaken whenever the
+// engine has nothing to do.
+func TestEmptyEngineIsKeptFree(t *testing.T) {
+	r, now := newMemoryRegistry(1), baseTime()
+	try := func(tokens int, first string, want bool) *upstream.Reservation {
+		t.Helper()
+		rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: now, NeedFreeSlot: true, Tokens: tokens, First: first})
+		if ok != want {
+			t.Fatalf("%d tokens: sent %v, want %v", tokens, ok, want)
+		}
+		return rsv
+	}
+	running := []*upstream.Reservation{try(1_000, "", true)}
+	try(60_000, "x", false)
+	for range 3 {
+		running = append(running, try(1_000, "", true))
+	}
+	for _, rsv := range running {
+		rsv.Done(upstream.AttemptResult{At: now})
+	}
+	try(10, "", false)
+	try(60_000, "x", true)
+}
