--- a/cmd/zinnialadder/experiment.go
+++ b/cmd/zinnialadder/experiment.go
@@ -37,7 +37,7 @@
 			return nil
 		},
 	}
-	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd())
+	cmd.AddCommand(loadCompareCmd(), stepCompareCmd(), paceCompareCmd(), hardCompareCmd())
 	cmd.Flags().IntVar(&steps, "steps", 10, "steps per trainer")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of generation lengths")
 	return cmd
--- a/internal/loadsim/loadsim.go
+++ b/internal/loadsim/loadsim.go
@@ -40,6 +40,7 @@
 	LongFactor      float64
 	Customers       int           // that share the requests; 0 for one
 	HeavyFactor     float64       // requests of the first customer relative to those of each other one; 0 for the same
+	UrgentShare     float64       // share of the requests with urgentPriority instead of otherPriority
 	Duration        time.Duration // callers arrive until then; longer than Timeout
 	Seed            uint64
 
@@ -78,6 +79,11 @@
 	Hedge bool
 	// Queue has requests wait in an ordered queue instead of polling.
 	Queue bool
+	// NoFailureRates withholds the failed requests from the estimates of failure rates.
+	NoFailureRates bool
+	// Oracle has requests that wait in the queue, and copies, placed by what upstreams truly
+	// have and how fast they truly are.
+	Oracle bool
 }
 
 // constantBackoff is the backoff of ConstantBackoff.
@@ -116,8 +122,15 @@
 	WithinObjective float64 // share of offered requests answered within the latency objective
 	Answered        float64 // share of offered requests answered within the caller's timeout
 	P50, P99        time.Duration
-	Attempts        float64 // attempts at upstreams per offered request
-	Copies          float64 // hedged copies per offered request
+	Mean            time.Duration // mean time from a caller's first attempt to its answer
+	// FirstSendP99 is the 99th percentile of the time from a caller's first attempt until its
+	// request was first sent to an upstream, of the requests that were sent.
+	FirstSendP99 time.Duration
+	// AnsweredUrgent and AnsweredOther are Answered of the urgent requests, 0 if there is
+	// none, and of the others.
+	AnsweredUrgent, AnsweredOther float64
+	Attempts                      float64 // attempts at upstreams per offered request
+	Copies                        float64 // hedged copies per offered request
 	// Fairness is Jain's index of what each customer was served, relative to its max-min
 	// fair share of the capacity. It is 1 if all got their share.
 	Fairness     float64
--- a/internal/loadsim/meter.go
+++ b/internal/loadsim/meter.go
@@ -19,9 +19,13 @@
 	steady                int             // answers that count for Result.Goodput
 	answered              []time.Duration // times from a caller's first attempt to its answer
 	waits                 []time.Duration // waits of attempts that were rejected without being sent
+	firstSends            []time.Duration // times from a caller's first attempt until its request was first sent
+	urgent                int             // requests that are urgent
+	answeredUrgent        int             // answered ones of them
 }
 
-// result returns the outcome of the requests counted. It sorts m.answered.
+// result returns the outcome of the requests counted. It sorts m.answered and
+// m.firstSends.
 func (m *meter) result(load Load, p Policy) Result {
 	r := Result{Policy: p.Name, Rate: load.Rate, MaxWait: longest(m.waits),
 		Goodput: float64(m.steady) / (load.Duration - load.Timeout).Seconds() / load.capacity()}
@@ -38,6 +42,8 @@
 			}
 		}
 		r.WithinObjective = float64(inTime) / offered
+		r.AnsweredUrgent = float64(m.answeredUrgent) / float64(max(m.urgent, 1))
+		r.AnsweredOther = float64(len(m.answered)-m.answeredUrgent) / float64(max(m.offered-m.urgent, 1))
 	}
 	r.Fairness = m.fairness(load)
 	r.WorstSecond = 1
@@ -46,6 +52,11 @@
 	}
 	slices.Sort(m.answered)
 	r.P50, r.P99 = quantile(m.answered, 0.5), quantile(m.answered, 0.99)
+	for _, d := range m.answered {
+		r.Mean += d / time.Duration(len(m.answered))
+	}
+	slices.Sort(m.firstSends)
+	r.FirstSendP99 = quantile(m.firstSends, 0.99)
 	return r
 }
 
--- a/internal/loadsim/report.go
+++ b/internal/loadsim/report.go
@@ -28,6 +28,10 @@
 		out.Fairness += r.Fairness / n
 		out.P50 += r.P50 / time.Duration(len(results))
 		out.P99 += r.P99 / time.Duration(len(results))
+		out.Mean += r.Mean / time.Duration(len(results))
+		out.FirstSendP99 += r.FirstSendP99 / time.Duration(len(results))
+		out.AnsweredUrgent += r.AnsweredUrgent / n
+		out.AnsweredOther += r.AnsweredOther / n
 		out.MaxWait = max(out.MaxWait, r.MaxWait)
 		out.BusiestShare += r.BusiestShare / n
 		out.Failed += r.Failed / n
--- a/internal/loadsim/server.go
+++ b/internal/loadsim/server.go
@@ -50,6 +50,7 @@
 	failing     bool          // answers some requests with an error
 	arrivedAt   time.Time     // last arrival of an attempt
 	longestGap  time.Duration // longest time between two arrivals
+	coming      int           // attempts that have been sent and not arrived
 	running     int
 	queued      []*job
 	pendingCost time.Duration // cost of attempts, to be added to the next job's time
--- a/internal/loadsim/site.go
+++ b/internal/loadsim/site.go
@@ -25,6 +25,9 @@
 	// slotPollInterval is the period in which a waiting request checks for a free
 	// slot.
 	slotPollInterval = 15 * time.Millisecond
+	// urgentPriority and otherPriority are the priorities of urgent requests and of others.
+	urgentPriority = 0
+	otherPriority  = 2
 )
 
 // site simulates callers, instances and upstreams.
@@ -99,8 +102,12 @@
 	if after >= s.load.Duration {
 		return
 	}
-	c := &caller{site: s, customer: s.customer(), startedAt: now, deadline: now.Add(s.load.Timeout)}
+	c := &caller{site: s, customer: s.customer(), priority: otherPriority, startedAt: now, deadline: now.Add(s.load.Timeout)}
 	s.meter.offer(after, c.customer)
+	if s.load.UrgentShare > 0 && s.rand.Float64() < s.load.UrgentShare {
+		c.priority = urgentPriority
+		s.meter.urgent++
+	}
 	c.try(now)
 	gap := s.rand.ExpFloat64() / s.load.rate(after)
 	s.schedule(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
@@ -122,6 +129,8 @@
 	startedAt time.Time
 	deadline  time.Time
 	attempts  int
+	priority  int
+	sent      bool // to an upstream
 }
 
 // try sends the request to a random instance.
@@ -196,7 +205,7 @@
 func (r *request) nextInQueue(now time.Time) {
 	s, q, limit := r.caller.site, r.instance.queue, r.plan.WaitDeadline()
 	if q.Len() == 0 || !now.Before(limit) {
-		if rsv, ok := r.plan.Acquire(r.instance.registry, r.requirements(now)); ok {
+		if rsv, ok := r.acquire(r.requirements(now)); ok {
 			r.begin(now, rsv)
 			return
 		}
@@ -205,7 +214,7 @@
 		r.reject(now)
 		return
 	}
-	t, err := q.Join(waitqueue.Waiter[int]{Customer: r.caller.customer, Deadline: limit, Notify: func(sig waitqueue.Signal) {
+	t, err := q.Join(waitqueue.Waiter[int]{Priority: r.caller.priority, Customer: r.caller.customer, Deadline: limit, Notify: func(sig waitqueue.Signal) {
 		s.schedule(s.now, func(now time.Time) { r.signal(now, sig) })
 	}}, now)
 	if err != nil {
@@ -236,7 +245,7 @@
 	}
 	req := r.requirements(now)
 	req.MaxLoad = forward.WaiterMaxLoad
-	if rsv, ok := r.plan.Acquire(in.registry, req); ok {
+	if rsv, ok := r.acquire(req); ok {
 		r.ticket = nil
 		t.Take(now)
 		r.begin(now, rsv)
@@ -276,7 +285,7 @@
 		}
 		req := r.requirements(now)
 		req.Exclude, req.NeedFreeSlot, req.MaxLoad = append(slices.Clone(r.plan.Tried()), rsv.ID), true, forward.CopyMaxLoad
-		other, ok := r.instance.registry.Acquire(req)
+		other, ok := r.acquireCopy(req)
 		if !ok {
 			r.instance.hedge.Refund()
 			return
@@ -290,6 +299,10 @@
 func (r *request) send(now time.Time, t *attempt, until time.Time) {
 	s := r.caller.site
 	s.meter.attempts++
+	if c := r.caller; !c.sent {
+		c.sent = true
+		s.meter.firstSends = append(s.meter.firstSends, now.Sub(c.startedAt))
+	}
 	r.running = append(r.running, t)
 	server := s.upstreams[t.rsv.ID]
 	if server.unreachable(now) {
@@ -306,7 +319,11 @@
 			r.ended(now, t, &load, forward.ErrNotRun)
 		})
 	}
-	s.schedule(now.Add(linkDelay), func(now time.Time) { server.accept(now, t.job) })
+	server.coming++
+	s.schedule(now.Add(linkDelay), func(now time.Time) {
+		server.coming--
+		server.accept(now, t.job)
+	})
 	s.schedule(until, func(now time.Time) { r.ended(now, t, nil, errTimeout) })
 }
 
@@ -331,6 +348,7 @@
 		rep.TimePerUnit, status = now.Sub(t.startedAt), http.StatusOK
 		if t.job.failed {
 			rep.Failed, status = true, http.StatusBadGateway
+			rep.Cancelled = s.policy.NoFailureRates // only the estimate of failure rates regards it
 			s.meter.failed++
 		}
 	}
@@ -346,6 +364,9 @@
 		}
 		r.instance.retries.Served(pool, now)
 		s.meter.answer(s.load, now.Sub(s.start), now.Sub(r.caller.startedAt), r.caller.startedAt.Sub(s.start), r.caller.customer)
+		if r.caller.priority == urgentPriority {
+			s.meter.answeredUrgent++
+		}
 	case len(r.running) > 0:
 	case done && err != nil && err != errTimeout:
 		r.reject(now)
