upstream: an unknown load is expected to be that of the pool

A sender among many hears little of each upstream. It took an upstream without a report of the last 500 ms for empty and preferred it to those that it knew to have few requests. In contended pools, the load of others by which upstreams are ranked now approaches their mean in the pool as its report ages, and is that mean without a report. Which upstreams count as full is judged as before.

--- a/internal/loadsim/hard_test.go
+++ b/internal/loadsim/hard_test.go
@@ -26,13 +26,13 @@
 }
 
 // Guards against a placement of plain calls that takes much longer than one that knows the
-// true state of the upstreams, where it has met the target, and against an oracle that is no
-// bound. docs/design/load.md has the loads on which the target is missed.
+// true state of the upstreams, and against an oracle that is no bound. The target is missed
+// where upstreams differ and 100 senders hear little of each (docs/design/load.md).
 func TestPlacementIsNearOracle(t *testing.T) {
 	t.Parallel()
 	scenarios := slices.DeleteFunc(loadsim.OracleScenarios(), func(s loadsim.CallScenario) bool {
-		unequal, many := len(s.Load.Machines.Speeds) > 0, s.Load.Instances > 10
-		return s.Load.Rate < 0.6 || s.Load.Machines.SlowShare > 0 || unequal == many
+		differ, many := len(s.Load.Machines.Speeds) > 0 || s.Load.Machines.SlowShare > 0, s.Load.Instances > 10
+		return s.Load.Rate < 0.6 || differ == many
 	})
 	for _, r := range loadsim.CompareOracle(scenarios, 2) {
 		t.Logf("%s: mean %v, p99 %v; %.3f and %.3f of the oracle's", r.Load, r.Now.Mean, r.Now.P99, r.MeanRatio(), r.P99Ratio())
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -62,6 +62,7 @@
 	paced       []string         // IDs of members whose pace has been observed or reported
 	nonDraining *nonDraining     // nil if it must be recomputed
 	contended   bool             // an upstream has told the pace of its machine
+	others      meanOthers       // requests of other senders
 }
 
 // nonDraining holds the upstreams of a pool that do not drain.
@@ -549,8 +550,9 @@
 // chooseSoonest. All upstreams of the pool whose pace is known are compared.
 func (r *Registry) timedCandidates(states []*upstreamState, req Requirements) []timedCandidate {
 	var paced []string
+	var others meanOthers
 	if p := r.pools[req.Pool]; p != nil {
-		paced = p.paced
+		paced, others = p.paced, p.others
 	}
 	estimates := r.pace.Estimates(paced, req.Now)
 	usual := pace.Estimate{Lasting: 1, Passing: 1, Error: unknownPaceError}
@@ -566,7 +568,7 @@
 		local := s.localOrZero()
 		out = append(out, timedCandidate{
 			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
-			Estimate:  e, hold: r.pace.Hold(), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now)})
+			Estimate:  e, hold: r.pace.Hold(), expectedLoad: s.expectedLoad(others, req.Now), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now)})
 	}
 	return out
 }
@@ -702,8 +704,9 @@
 	if result.Load != nil && !old {
 		local.otherLoad = max(0, result.Load.Running+result.Load.Queued-local.inFlight)
 		local.otherLoadAt = result.At
-		if p := r.pools[s.Pool]; p != nil && result.Load.Pace > 0 {
-			p.contended = true
+		if p := r.pools[s.Pool]; p != nil {
+			p.contended = p.contended || result.Load.Pace > 0
+			p.others.observe(float64(local.otherLoad)/float64(max(s.Slots, 1)), result.At)
 		}
 	}
 	r.recordPace(s, result)
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -36,9 +36,11 @@
 type timedCandidate struct {
 	Candidate
 	pace.Estimate
-	hold        time.Duration // how long a reported pace holds
-	refused     bool          // refused its last request
-	failureRate float64       // share of the requests that fail
+	hold time.Duration // how long a reported pace holds
+	// expectedLoad is the number of requests expected at the upstream.
+	expectedLoad float64
+	refused      bool    // refused its last request
+	failureRate  float64 // share of the requests that fail
 }
 
 // chooseSoonest returns the index of the candidate for a request in a contended pool, or
@@ -92,7 +94,7 @@
 
 // completion returns the expected time until a request is complete at c.
 func (c timedCandidate) completion(req Requirements) time.Duration {
-	load := float64(c.Load+1) / float64(c.Slots)
+	load := (c.expectedLoad + 1) / float64(c.Slots)
 	if !c.Local {
 		load += remotePenalty
 	}
