--- a/internal/loadsim/hard_test.go
+++ b/internal/loadsim/hard_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a queue in which urgent requests lose to less urgent ones where only a
-// quarter of all can be answered, with any seed.
+// quarter of all can be answered, in each seed.
 func TestUrgentRequestsFirst(t *testing.T) {
 	t.Parallel()
 	load := loadsim.UrgentScenario().Load
