--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -48,10 +48,12 @@
 type timedCandidate struct {
 	Candidate
 	pace.Estimate
-	hold        time.Duration // how long a reported pace holds
-	failureRate float64       // share of the requests that fail
-	refused     bool          // refused its last request
-	loadAge     float32       // age of its load, from 0 for new to 1 for too old to be used
+	hold time.Duration // how long a reported pace holds
+	// expectedLoad is the number of requests expected at the upstream.
+	expectedLoad float64
+	refused      bool    // refused its last request
+	failureRate  float64 // share of the requests that fail
+	loadAge      float32 // age of its load, from 0 for new to 1 for too old to be used
 }
 
 // chooseSoonest returns the index of the candidate for a request in a contended pool, or
@@ -143,7 +145,7 @@
 
 // completion returns the expected time until a request is complete at c.
 func (c timedCandidate) completion(req Requirements) time.Duration {
-	load := float64(c.Load+1) / float64(c.Slots)
+	load := (c.expectedLoad + 1) / float64(c.Slots)
 	if !c.Local && req.Model != "" {
 		load += remotePenalty
 	}
