--- a/internal/explain/upstreams.go
+++ b/internal/explain/upstreams.go
@@ -47,12 +47,12 @@
 	timings map[string]*UpstreamTiming // by upstream
 	took    map[string][]int64         // times of attempts that were not refused, in nanoseconds, by upstream
 	failed  map[string]bool            // attempts of requests with a line "attempt failed", by attemptKey
-	begun   map[string]begin           // attempts at items whose end was not found yet, by itemKey
+	begun   map[string]attemptStart    // attempts at items whose end was not found yet, by itemKey
 	uses    map[string]map[string]bool // upstreams of which a line names the use, by use, see use
 }
 
-// begin is the begin of an attempt at an item.
-type begin struct {
+// attemptStart is the start of an attempt at an item.
+type attemptStart struct {
 	at    time.Time
 	moved bool // known by the line of the move only
 }
@@ -60,7 +60,7 @@
 // byUpstream returns the timings of the upstreams in lines, sorted by pool and the share of
 // its work, the busiest first, and those of the pools.
 func byUpstream(lines []Line) ([]UpstreamTiming, []PoolTiming) {
-	c := attemptCounter{timings: map[string]*UpstreamTiming{}, took: map[string][]int64{}, failed: map[string]bool{}, begun: map[string]begin{}, uses: map[string]map[string]bool{}}
+	c := attemptCounter{timings: map[string]*UpstreamTiming{}, took: map[string][]int64{}, failed: map[string]bool{}, begun: map[string]attemptStart{}, uses: map[string]map[string]bool{}}
 	for _, l := range lines {
 		if pool := l.Get("pool"); pool != "" && l.Get("upstream") != "" {
 			c.of(l.Get("upstream")).Pool = pool
@@ -158,7 +158,7 @@
 		if moved || !c.begun[l.itemKey()].moved { // else the same attempt
 			c.of(l.Get("upstream")).Attempts++
 		}
-		c.begun[l.itemKey()] = begin{l.at, moved}
+		c.begun[l.itemKey()] = attemptStart{l.at, moved}
 	case "generated":
 		took := l.duration("took")
 		if begun, ok := c.begun[l.itemKey()]; ok {
--- a/internal/loadsim/hard_test.go
+++ b/internal/loadsim/hard_test.go
@@ -19,8 +19,8 @@
 	for load.Seed = range uint64(2) {
 		r := loadsim.Run(load, loadsim.RulesNow.Calls)
 		t.Logf("seed %d: answered %.3f of the urgent requests, %.3f of the others", load.Seed, r.AnsweredUrgent, r.AnsweredOther)
-		if r.AnsweredUrgent < r.AnsweredOther {
-			t.Errorf("seed %d: answered %.3f of the urgent requests, %.3f of the others, want no fewer", load.Seed, r.AnsweredUrgent, r.AnsweredOther)
+		if r.AnsweredUrgent <= r.AnsweredOther {
+			t.Errorf("seed %d: answered %.3f of the urgent requests, %.3f of the others, want more", load.Seed, r.AnsweredUrgent, r.AnsweredOther)
 		}
 	}
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -117,7 +117,7 @@
 		c.f.lastLatency.Store(int64(took))
 		rep.Failed = res.resp.Status >= http.StatusInternalServerError
 	}
-	if c.hedge != nil && (err == nil && !rep.Failed || errors.Is(t.ctx.Err(), context.DeadlineExceeded)) {
+	if c.hedge != nil && !rep.Cancelled && (err == nil && !rep.Failed || errors.Is(t.ctx.Err(), context.DeadlineExceeded)) {
 		c.hedge.Observe(took, rep.At)
 	}
 	endReservation(t.rsv, rep, err)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -97,9 +97,9 @@
 // long as responses are fast, it opens few connections.
 const exploreThreshold = 1.0 / 3
 
-// maxLateness is the fraction of an attempt's time by which it may end after its deadline
-// and still tell something about its upstream. On a machine of 12 cores at a load of 38,
-// attempts of 0.98 s ended up to 0.9 s late: the instance did not run when the response came.
+// maxLateness bounds how long after its deadline an attempt may end, as a fraction of its
+// time, and still count as a failure of its upstream. With a load average of 38 on 12 cores,
+// attempts of 0.98 s ended up to 0.9 s late because the instance had no processor time.
 const maxLateness = 1.0 / 4
 
 // Transport sends one request to one upstream and returns the complete response, with the
@@ -251,7 +251,7 @@
 	case ctx.Err() != nil && !timedOut:
 		rep.Cancelled = true // by the caller, which tells nothing about the upstream
 	case timedOut && float64(rep.At.Sub(deadline)) > maxLateness*float64(deadline.Sub(startedAt)):
-		rep.Cancelled = true // this instance did not run
+		rep.Cancelled = true // the instance had no processor time
 	default:
 		rep.Failed, rep.TimedOut = true, timedOut
 	}
@@ -288,7 +288,8 @@
 }
 
 // finalError returns the error of a request that gets no response from pool because of
-// cause. A request that did not run is given a time to retry.
+// cause. A request that did not run is given a time to retry,
+// unless it was withdrawn.
 func (f *Forwarder) finalError(p *Plan, pool string, now time.Time, cause error) error {
 	switch {
 	case p.ran > 0 && !now.Before(p.Deadline):
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -236,15 +236,15 @@
 		if n == 0 {
 			onFirst()
 		}
-		if timeout != nil {
-			timeout.Stop()
-		}
 		late := actx.Err() != nil
+		if timeout != nil && !timeout.Stop() {
+			late = true // the timeout has fired, though the context may not be cancelled yet
+		}
 		if err := s.sink.Event(e.Raw); err != nil {
 			return n, fmt.Errorf("%w: %w", errCallerGone, err)
 		}
 		s.lastEventID = e.ID
-		if !late && actx.Err() != nil {
+		if !late && errors.Is(actx.Err(), context.DeadlineExceeded) {
 			return n + 1, errCallerSlow
 		}
 		if timeout != nil {
--- a/pkg/upstream/choose.go
+++ b/pkg/upstream/choose.go
@@ -9,7 +9,7 @@
 const (
 	// remotePenalty is added to the load, as a fraction of its slots, of an upstream in
 	// another data centre: traffic between data centres is billed, and its round trip
-	// takes a few milliseconds longer. Plain calls in contended pools have crossingPenalty
+	// takes longer. Plain calls in contended pools have crossingPenalty
 	// instead.
 	remotePenalty = 0.1
 	// affinitySlack is how much more loaded, as a fraction of its slots, an upstream
--- a/pkg/upstream/crossing_test.go
+++ b/pkg/upstream/crossing_test.go
@@ -90,9 +90,8 @@
 	})
 }
 
-// Guards against calls to another data centre only because nothing was sent there, so that
-// its upstreams seem idle: none of its load is known, and it is not preferred while the call
-// leaves a local slot free. It is where the call would wait for a local slot.
+// Guards against calls to another data centre only because its upstreams have sent no
+// report: one is not preferred while the call leaves a local slot free. It is where the call would wait for a local slot.
 func TestUnknownLoadIsNoReasonToCross(t *testing.T) {
 	for _, c := range []struct {
 		local int
--- a/pkg/upstream/others.go
+++ b/pkg/upstream/others.go
@@ -39,23 +39,28 @@
 	return m.perSlot
 }
 
-// otherDataCentre returns 0 if s is in the registry's data centre and 1 otherwise. The means of
-// others' requests are kept apart by it: how many requests there are in this data centre
-// tells little about the others, whose demand rises at other times.
-func (r *Registry) otherDataCentre(s *upstreamState) int {
+// localityIndex returns the index of s's mean in poolState.others: 0 in the registry's data
+// centre and 1 in others. The load of this data centre says little about the others, whose
+// demand peaks at other times.
+func (r *Registry) localityIndex(s *upstreamState) int {
 	if s.DataCentre == r.dataCentre {
 		return 0
 	}
 	return 1
 }
 
-// expectedLoad returns the requests that are expected at s. The load of other senders in its
-// last report approaches that mean as the report ages, since their requests
-// end and others begin. An upstream that has sent no recent report has the mean: if it were
-// taken for empty, it would be preferred to those that are known to have few.
+// loadAge returns the age at now of the last report of s as a fraction of loadMaxAge, at
+// most 1.
+func (s *upstreamState) loadAge(now time.Time) float64 {
+	return min(max(now.Sub(s.localOrZero().otherLoadAt).Seconds(), 0)/loadMaxAge.Seconds(), 1)
+}
+
+// expectedLoad returns the expected number of requests at s: this instance's own, and those
+// of other senders. For the latter, the last report counts less the older it is, and the mean
+// of others more; without a recent report it is the mean alone. Counting such an upstream as
+// empty would prefer it to upstreams that are known to have few requests.
 func (s *upstreamState) expectedLoad(others meanOthers, now time.Time) float64 {
 	local := s.localOrZero()
 	mean := others.mean(now) * float64(max(s.Slots, 1))
-	known := max(1-max(now.Sub(local.otherLoadAt), 0).Seconds()/loadMaxAge.Seconds(), 0)
-	return float64(local.inFlight) + mean + known*(float64(local.otherLoad)-mean)
+	return float64(local.inFlight) + mean + (1-s.loadAge(now))*(float64(local.otherLoad)-mean)
 }
--- a/pkg/upstream/others_test.go
+++ b/pkg/upstream/others_test.go
@@ -7,8 +7,8 @@
 	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 )
 
-// Guards against a sender among many that takes upstreams of which it has heard nothing, or
-// nothing for a while, for empty and avoids the one that it knows to have few requests. An
+// Guards against a sender among many that takes upstreams without a report, or with an
+// old one, for empty and avoids the one that it knows to have few requests. An
 // unknown one must still be sent requests that wait, however many the others have.
 func TestUnknownLoadIsUsual(t *testing.T) {
 	for _, c := range []struct {
@@ -18,8 +18,8 @@
 		maxLoad float64
 		want    string
 	}{
-		{"one never heard of", []int{1, 7, -1}, 0, 0, "i0"},
-		{"one never heard of, others full", []int{9, 9, -1}, 0, 1, "i2"},
+		{"one without a report", []int{1, 7, -1}, 0, 0, "i0"},
+		{"one without a report, others full", []int{9, 9, -1}, 0, 1, "i2"},
 		{"an old report", []int{6, 7, 8}, 300 * time.Millisecond, 0, "i0"},
 	} {
 		r := upstream.NewRegistry("z")
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -62,7 +62,7 @@
 	paced       []string         // IDs of members whose pace has been observed or reported
 	nonDraining *nonDraining     // nil if it must be recomputed
 	contended   bool             // an upstream has told the pace of its machine
-	others      [2]meanOthers    // requests of other senders, by otherDataCentre
+	others      [2]meanOthers    // requests of other senders, by localityIndex
 }
 
 // nonDraining holds the upstreams of a pool that do not drain.
@@ -567,10 +567,9 @@
 			e = estimates[i]
 		}
 		local := s.localOrZero()
-		loadAge := min(max(float32(req.Now.Sub(local.otherLoadAt))/float32(loadMaxAge), 0), 1)
 		out = append(out, timedCandidate{
 			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
-			Estimate:  e, hold: r.pace.Hold(), expectedLoad: s.expectedLoad(others[r.otherDataCentre(s)], req.Now), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now), loadAge: loadAge})
+			Estimate:  e, hold: r.pace.Hold(), expectedLoad: s.expectedLoad(others[r.localityIndex(s)], req.Now), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now), loadAge: s.loadAge(req.Now)})
 	}
 	return out
 }
@@ -708,7 +707,7 @@
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil {
 			p.contended = p.contended || result.Load.Pace > 0
-			p.others[r.otherDataCentre(s)].observe(float64(local.otherLoad)/float64(max(s.Slots, 1)), result.At)
+			p.others[r.localityIndex(s)].observe(float64(local.otherLoad)/float64(max(s.Slots, 1)), result.At)
 		}
 	}
 	r.recordPace(s, result)
--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -22,12 +22,12 @@
 	// take when requests fill all slots of its engine. Engines take up to a quarter longer
 	// for a token of a full batch.
 	batchSlowdown = 0.25
-	// crossingTime is what a plain call to another data centre takes longer, there and back.
-	// Data centres of a region are 0.5 to 0.9 ms apart.
+	// crossingTime is the additional round-trip time of a plain call to another data centre;
+	// those of a region have 0.5 to 0.9 ms.
 	crossingTime = 900 * time.Microsecond
 	// oldLoadError is the error of the expected delay by other requests, as a fraction of the
-	// time of a mean request, where no recent load is known. They may fill anything from none
-	// to all of the slots (loadWeight).
+	// time of a mean request, where the load is a mean because the upstream has sent no recent
+	// report. The requests may fill anything from none to all of the slots (loadWeight).
 	oldLoadError = loadWeight / 2
 	// maxCrossingError bounds the relative error of the pace of an upstream in another data
 	// centre that has hardly been observed. Without a bound, calls stayed longer in a data
@@ -53,7 +53,9 @@
 	expectedLoad float64
 	refused      bool    // refused its last request
 	failureRate  float64 // share of the requests that fail
-	loadAge      float32 // age of its load, from 0 for new to 1 for too old to be used
+	// loadAge is the weight of the mean in expectedLoad: 0 for a new report, 1 without a
+	// recent one.
+	loadAge float64
 }
 
 // chooseSoonest returns the index of the candidate for a request in a contended pool, or
@@ -167,7 +169,7 @@
 		return crossingTime
 	}
 	own, mean := c.workTime(req), c.workTime(Requirements{Units: req.Units})
-	return crossingTime + time.Duration(math.Hypot(min(c.Error, maxCrossingError)*float64(own), float64(c.loadAge)*oldLoadError*float64(mean)))
+	return crossingTime + time.Duration(math.Hypot(min(c.Error, maxCrossingError)*float64(own), c.loadAge*oldLoadError*float64(mean)))
 }
 
 // workTime returns how long the work of a request is expected to take at c. The passing
