--- a/pkg/upstream/soonest.go
+++ b/pkg/upstream/soonest.go
@@ -30,9 +30,8 @@
 	// report. The requests may fill anything from none to all of the slots (loadWeight).
 	oldLoadError = loadWeight / 2
 	// maxCrossingError bounds the relative error of the pace of an upstream in another data
-	// centre that has hardly been observed. Without a bound, calls stayed longer in a data
-	// centre whose upstreams had all become 2.5 times slower: the p99 was 1.07 instead of 1.02
-	// times that of placement without regard to data centres (ten seeds).
+	// centre that has hardly been observed. Without a bound, calls stay too long in a data
+	// centre whose upstreams have all become slow.
 	maxCrossingError = 0.3
 	// unknownPaceError is the relative error of the pace of an upstream without
 	// observations: upstreams of a pool differ by a factor of two or more.
