platform: a request that is given up is not delivered later

Cause: giving up a request closed its connection in an orderly way. The kernel kept what a cut link held up and delivered it after the cut.

Why it works: internal/tcp dials connections that are reset when they are closed, which discards what the peer has not acknowledged.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,6 +22,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/internal/tcp"
 	"github.com/zinnialadder/zinnialadder/pkg/admission"
 	"github.com/zinnialadder/zinnialadder/pkg/control"
 	"github.com/zinnialadder/zinnialadder/pkg/delivery"
@@ -89,6 +90,7 @@
 	if cfg.ID == "" || cfg.DataCentre == "" || cfg.Listen == "" || cfg.Platform == nil {
 		return nil, errors.New("entry: ID, DataCentre, Listen and Platform are required")
 	}
+	dial := tcp.ResetOnClose(new(net.Dialer).DialContext)
 	in := &Instance{
 		cfg:  cfg,
 		self: Member{ID: cfg.ID, Address: cfg.Advertise, PeerAddress: cfg.PeerAdvertise, DataCentre: cfg.DataCentre},
@@ -99,8 +101,8 @@
 				RetryDelay: cfg.RolloutPollInterval, ReportLag: cfg.ReportLag},
 			RolloutRenew: cfg.RolloutLeaseTTL / control.RenewalsPerTTL, RolloutPollInterval: cfg.RolloutPollInterval, PoolPollInterval: cfg.PoolPollInterval},
 		events:     make(chan control.Event, 64),
-		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
-		reportHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
+		http:       &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
+		reportHTTP: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
 		policy:     route.Policy{Slack: affinitySlack},
 		health:     health.NewTracker(cfg.Health),
 		tokenTimes: health.NewTokenTimes(cfg.SlowFactor),
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -8,11 +8,15 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/zinnialadder/zinnialadder/internal/tcp"
 )
 
 // dialTimeout bounds dialing a peer: a round trip takes milliseconds, and an unreachable
@@ -47,6 +51,7 @@
 type peerSession struct {
 	mu      sync.Mutex // held while dialing
 	session *yamux.Session
+	conn    net.Conn // of session
 }
 
 // NewSessions returns Sessions without open sessions.
@@ -75,26 +80,28 @@
 	if p.session != nil && !p.session.IsClosed() {
 		return p.session, nil
 	}
-	session, err := dial(ctx, addr, s.keepAlive)
+	session, conn, err := dial(ctx, addr, s.keepAlive)
 	if err != nil {
 		return nil, err
 	}
-	p.session = session
+	p.session, p.conn = session, conn
 	return session, nil
 }
 
-func dial(ctx context.Context, addr string, keepAlive time.Duration) (*yamux.Session, error) {
+// dial opens a session whose connection is reset when it is closed, as a call that was
+// given up must not reach the peer later.
+func dial(ctx context.Context, addr string, keepAlive time.Duration) (*yamux.Session, net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := tcp.ResetOnClose(d.DialContext)(ctx, "tcp", addr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	session, err := yamux.Client(conn, yamuxConfig(keepAlive))
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return session, nil
+	return session, conn, nil
 }
 
 // Drop closes the session to the peer at addr, if there is one.
@@ -122,14 +129,28 @@
 	}
 }
 
-// Close closes all sessions and makes Open fail from then on.
+// Close closes all sessions and makes Open fail from then on. Hints that were sent before
+// still reach their peers.
 func (s *Sessions) Close() {
 	s.mu.Lock()
 	s.closed = true
+	peers := slices.Collect(maps.Values(s.peers))
 	s.mu.Unlock()
+	for _, p := range peers {
+		p.deliverOnClose()
+	}
 	s.CloseExcept("")
 }
 
+// deliverOnClose makes the system deliver what was sent on the session after its close.
+func (p *peerSession) deliverOnClose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(-1) // fails if the session has ended
+	}
+}
+
 func (p *peerSession) close() {
 	if p == nil {
 		return
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/zinnialadder/zinnialadder/internal/peerpb"
+	"github.com/zinnialadder/zinnialadder/internal/tcp/tcptest"
 	"github.com/zinnialadder/zinnialadder/pkg/peer"
 )
 
@@ -100,3 +103,35 @@
 		}
 	}
 }
+
+// Guards against a store call through a peer that is given up and carried out when the
+// network path to the peer works again.
+func TestGivenUpCallIsNotDeliveredLater(t *testing.T) {
+	server := tcptest.Listen(t)
+	sessions := peer.NewSessions(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	store := peer.StoreClient{Sessions: sessions, Address: server.Address}
+	if err := store.PutObject(ctx, "o", make([]byte, 64<<10)); err == nil {
+		t.Fatal("the call succeeded without an answer")
+	}
+	sessions.Drop(server.Address)
+	if _, err := tcptest.ReadRest(server.Accept(t)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the dropped session ended with %v, want a reset", err)
+	}
+}
+
+// Guards against hints of an instance that stops, such as that it drains, which are lost
+// because its sessions are reset.
+func TestStoppingInstanceDeliversWhatItSent(t *testing.T) {
+	server := tcptest.Listen(t)
+	sessions := peer.NewSessions(0)
+	if _, err := sessions.Open(context.Background(), server.Address); err != nil {
+		t.Fatal(err)
+	}
+	conn := server.Accept(t)
+	sessions.Close()
+	if _, err := tcptest.ReadRest(conn); err != nil {
+		t.Errorf("the session of a stopping instance ended with %v, want an orderly close", err)
+	}
+}
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -65,7 +65,7 @@
 
 // DialLink opens a Link to the peer at address. The caller closes it.
 func DialLink(ctx context.Context, address string) (*Link, error) {
-	session, err := dial(ctx, address, 0)
+	session, _, err := dial(ctx, address, 0)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", address, err)
 	}
