quarantine: items under which engines crashed are placed again

Callers saw: after a burst of crashes a trainer's step, and each later one with the same item, waited for the item until its time was up, at engines with room.

Cause: six ends of engines put an item's content in quarantine for 24 hours, whatever explains them.

Why it works: items, calls of their scorers and samples of steps are exempt: never refused, and no crash counts against their bytes. Crashes that they find still explain others, and their answers release a content. Requests of callers keep their protection, with the same bytes too.

--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -14,6 +14,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/engine"
 	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/trainer"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
@@ -33,6 +34,7 @@
 	tokens   int
 	versions []uint64          // weight versions that produced the text, in order, without consecutive repetitions
 	tried    []string          // engines tried; cleared once all have been tried
+	exempt   bool              // known not to crash engines, see quarantine.Guard.BeginExempt
 	onEngine func(addr string) // called with the address of each engine tried; may be nil
 	// reached is set once an engine may have started the request.
 	reached bool
@@ -49,9 +51,11 @@
 	g.in.retries.Deposit()
 	var last error
 	for attempts, tries := 0, 0; attempts < maxAttempts && tries < maxTried; tries++ {
-		if err := g.in.quarantine.Guard.Check(g.content(), time.Now()); err != nil {
-			last = err
-			break
+		if !g.exempt {
+			if err := g.in.quarantine.Guard.Check(g.content(), time.Now()); err != nil {
+				last = err
+				break
+			}
 		}
 		if attempts > 0 && g.tokens == 0 && !g.in.retries.Withdraw() {
 			g.in.stats.retriesRefused.Inc(1)
@@ -178,7 +182,7 @@
 // chunks to the caller. It reports whether the generation is complete.
 func (g *generation) attempt(ctx context.Context, addr string) (bool, error) {
 	defer g.in.load.Release(addr) // reserved by pick
-	guarded, err := g.in.quarantine.Guard.Begin(ctx, g.content(), upstreamEntry(g.entry.Pool, addr))
+	guarded, err := g.beginGuarded(ctx, upstreamEntry(g.entry.Pool, addr))
 	if err != nil {
 		return false, err
 	}
@@ -191,6 +195,15 @@
 	return done, err
 }
 
+// beginGuarded must be called before the generation is sent to the engine to. It returns an
+// error if it must not be sent.
+func (g *generation) beginGuarded(ctx context.Context, to upstream.Entry) (*quarantine.Attempt, error) {
+	if g.exempt {
+		return g.in.quarantine.Guard.BeginExempt(g.content(), to), nil
+	}
+	return g.in.quarantine.Guard.Begin(ctx, g.content(), to)
+}
+
 // stream runs one attempt without the guard.
 func (g *generation) stream(ctx context.Context, addr string) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/pkg/entry/stepgenerate.go
+++ b/pkg/entry/stepgenerate.go
@@ -25,7 +25,7 @@
 	}
 	defer release()
 	g := a.Spec.Groups[a.Group]
-	gen := &generation{in: in, entry: a.Entry, emit: func(Event) error { return nil }, tried: a.UsedEngines, onEngine: a.OnEngine,
+	gen := &generation{in: in, entry: a.Entry, emit: func(Event) error { return nil }, tried: a.UsedEngines, onEngine: a.OnEngine, exempt: true,
 		req: GenerateRequest{Customer: a.Spec.Customer, Entry: a.Spec.Entry, Prompt: g.Prompt, MaxTokens: g.MaxTokens, Group: g.ID,
 			RequestID: fmt.Sprintf("%s.%s.%d.%s.%d", a.Spec.ID, g.ID, a.Index, in.processID, a.Number)}}
 	res, err := gen.run(ctx)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -60,7 +60,7 @@
 			return nil, waitEnded(ctx)
 		}
 		c.request.Report.waitedSince(req.Now)
-		if err := c.f.cfg.Guard.Check(c.request.content(), time.Now()); err != nil {
+		if err := c.f.checkQuarantine(c.request, time.Now()); err != nil {
 			return nil, err
 		}
 	}
@@ -88,7 +88,7 @@
 
 // begin prepares attempt number n, with the deadline that deadlineAt returns for its start.
 func (c *call) begin(ctx context.Context, rsv *upstream.Reservation, n int, deadlineAt func(time.Time) time.Time) (*attempt, error) {
-	guarded, err := c.f.cfg.Guard.Begin(ctx, c.request.content(), rsv.Entry)
+	guarded, err := c.f.beginGuarded(ctx, c.request, rsv.Entry)
 	if err != nil {
 		rsv.Release()
 		return nil, err
@@ -227,7 +227,7 @@
 func (c *call) copyOf(ctx context.Context, first *attempt) *attempt {
 	now := time.Now()
 	// A request that may have crashed upstreams runs at one upstream at a time.
-	if !now.Before(c.plan.Deadline) || c.f.cfg.Guard.NeedsTrial(c.request.content(), now) {
+	if !now.Before(c.plan.Deadline) || !c.request.Exempt && c.f.cfg.Guard.NeedsTrial(c.request.content(), now) {
 		return nil
 	}
 	if !c.hedge.Copy() {
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -53,6 +53,9 @@
 	// caller's estimate of the tokens of its text. They are 0 if unknown.
 	Tokens     upstream.TokenUse
 	LengthHint int
+	// Exempt means that the request is known not to crash upstreams by itself, so that it is
+	// not held back after crashes. It has no effect on streams.
+	Exempt bool
 }
 
 // content returns what identifies r across repetitions, for its fingerprint in the
@@ -190,7 +193,7 @@
 	c.start(start)
 	for {
 		now := time.Now()
-		if err := f.cfg.Guard.Check(r.content(), now); err != nil {
+		if err := f.checkQuarantine(r, now); err != nil {
 			return Response{}, f.finalError(plan, pool, now, err)
 		}
 		rsv, err := c.reserve(ctx)
@@ -208,6 +211,23 @@
 	}
 }
 
+// checkQuarantine returns an error if r must not run at now because it may crash upstreams.
+func (f *Forwarder) checkQuarantine(r Request, now time.Time) error {
+	if r.Exempt {
+		return nil
+	}
+	return f.cfg.Guard.Check(r.content(), now)
+}
+
+// beginGuarded must be called before r is sent to the upstream to. It returns an error if r
+// must not be sent.
+func (f *Forwarder) beginGuarded(ctx context.Context, r Request, to upstream.Entry) (*quarantine.Attempt, error) {
+	if r.Exempt {
+		return f.cfg.Guard.BeginExempt(r.content(), to), nil
+	}
+	return f.cfg.Guard.Begin(ctx, r.content(), to)
+}
+
 var errNoCapacity = fmt.Errorf("%w: no upstream has capacity for the request", ErrNotRun)
 
 // waitEnded returns the error of a request that stops waiting for capacity in ctx: the cause
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -11,7 +11,6 @@
 	"github.com/zinnialadder/zinnialadder/pkg/forward"
 	"github.com/zinnialadder/zinnialadder/pkg/membership"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
-	"github.com/zinnialadder/zinnialadder/pkg/quarantine"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
@@ -294,9 +293,9 @@
 	}
 	rt.MaxAttempts = 1 // the caller counts each failure
 	a, err := n.forwarder.Do(ctx, rt, forward.Request{ID: c.ID, Method: http.MethodPost, URI: c.Path, Host: c.Host,
-		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait), MaxRuns: s.MaxAttempts})
+		Header: http.Header{}, Body: c.Body, Deadline: time.Now().Add(wait), MaxRuns: s.MaxAttempts,
+		Exempt: true}) // as the item that it scores
 	if err != nil {
-		s.Quarantined = errors.Is(err, quarantine.ErrQuarantined)
 		return s
 	}
 	s.Status = a.Status
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -172,6 +172,17 @@
 	return a, err
 }
 
+// BeginExempt must be called before a request of content c is sent to the upstream to, if
+// the request is known not to crash upstreams by itself. Such a request is never refused,
+// and no crash counts against its content. Its outcome still tells which upstreams have
+// crashed, and an answer shows that the content does not crash them.
+func (g *Guard) BeginExempt(c Content, to upstream.Entry) *Attempt {
+	if g == nil {
+		return nil
+	}
+	return &Attempt{guard: g, content: c, to: to, startedAt: time.Now(), exempt: true}
+}
+
 // claimTrial claims a trial of a content, to run at the upstream to.
 func (g *Guard) claimTrial(ctx context.Context, f Fingerprint, number int, to upstream.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -199,6 +210,7 @@
 	to        upstream.Entry
 	trial     int // number of its trial; 0 for none
 	startedAt time.Time
+	exempt    bool // see BeginExempt
 }
 
 // Done records the outcome of the attempt. After a lost connection it waits until it is
@@ -218,7 +230,9 @@
 	case ConnectionLost:
 		a.guard.onConnectionLost(ctx, a)
 	case Abandoned:
-		a.guard.noteAbandoned(a, time.Now())
+		if !a.exempt {
+			a.guard.noteAbandoned(a, time.Now())
+		}
 	case Unreachable:
 		a.guard.onUnreachable(a.to)
 		a.guard.returnTrial(a)
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -214,6 +214,58 @@
 	}
 }
 
+// Guards against an item that is never placed again because upstreams crashed while they ran it,
+// and against crashes under it that hold back the request of a caller with the same bytes.
+func TestExemptRequestIsNeverRefused(t *testing.T) {
+	g, c := newTestGuard(t), quarantine.Content{URI: "/item"}
+	g.down.Store(true)
+	for i := range 8 {
+		a := g.BeginExempt(c, entryOf(i))
+		time.Sleep(10 * time.Millisecond) // longer than minCrashTime
+		a.Done(context.Background(), []quarantine.Outcome{quarantine.ConnectionLost, quarantine.Abandoned}[i%2])
+		_ = g.run(quarantine.Content{URI: fmt.Sprint("/other", i)}, i, quarantine.Unreachable)
+		g.waitForProbes()
+	}
+	if err := g.Check(c, time.Now()); err != nil {
+		t.Errorf("Check of the same bytes from a caller: got %v, want nil", err)
+	}
+	if n := len(g.Pending(time.Now().Add(time.Minute), false).Put); n != 0 {
+		t.Errorf("got %d rows to write, want 0", n)
+	}
+}
+
+// Guards against an answer to an item that leaves the request of a caller with the same bytes
+// in quarantine, and against crashes that a lost item finds and that do not explain others.
+func TestExemptRequestIsEvidence(t *testing.T) {
+	g, c := newTestGuard(t), quarantine.Content{URI: "/a"}
+	g.down.Store(true)
+	for i := range 3 {
+		_ = g.run(c, i, quarantine.ConnectionLost)
+	}
+	if err := g.Check(c, time.Now()); !errors.Is(err, quarantine.ErrQuarantined) {
+		t.Fatalf("Check after three crashes: got %v, want ErrQuarantined", err)
+	}
+	g.BeginExempt(c, entryOf(9)).Done(context.Background(), quarantine.Answered)
+	if err := g.Check(c, time.Now()); err != nil {
+		t.Errorf("Check after an answer: got %v, want nil", err)
+	}
+	bystander := quarantine.Content{URI: "/bystander"}
+	for i := range 3 { // each at the moment of another upstream's crash, which an item finds
+		item := g.BeginExempt(quarantine.Content{URI: "/item"}, entryOf(20+i))
+		a, err := g.Begin(context.Background(), bystander, entryOf(10+i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // longer than minCrashTime
+		item.Done(context.Background(), quarantine.ConnectionLost)
+		a.Done(context.Background(), quarantine.ConnectionLost)
+		g.waitForProbes()
+	}
+	if err := g.Check(bystander, time.Now()); err != nil {
+		t.Errorf("Check of a request whose crashes are explained: got %v, want nil", err)
+	}
+}
+
 // Guards against an instance that stops and waits for a probe of an upstream that does not
 // answer, half a second of the time until it is killed.
 func TestStopEndsProbes(t *testing.T) {
--- a/pkg/quarantine/probe.go
+++ b/pkg/quarantine/probe.go
@@ -85,7 +85,8 @@
 
 // onConnectionLost starts a probe of the upstream at which a lost its connection. If
 // crashes found by the probes in progress could put the content of a in quarantine, it
-// waits until these probes are done or ctx is.
+// waits until these probes are done or ctx is. A crash does not count against the content of
+// an exempt attempt, but as one of an upstream that did not run the contents of others.
 func (g *Guard) onConnectionLost(ctx context.Context, a *Attempt) {
 	if g.cfg.IsLeaving(a.to) {
 		return // a planned stop is no crash
@@ -96,7 +97,11 @@
 		g.mu.Unlock()
 		return
 	}
-	g.startProbe(a.to, Interrupted{Content: f, RanFor: ranFor})
+	g.startProbe(a.to, Interrupted{Content: f, RanFor: ranFor, Exempt: a.exempt})
+	if a.exempt {
+		g.mu.Unlock()
+		return
+	}
 	probes := g.probesOf(f)
 	wait := g.tracker.Crashes(f)+len(probes) >= quarantineThreshold
 	for _, p := range probes {
@@ -120,7 +125,7 @@
 func (g *Guard) probesOf(f Fingerprint) []*probe {
 	var out []*probe
 	for _, p := range g.probes {
-		if slices.ContainsFunc(p.interrupted, func(in Interrupted) bool { return in.Content == f }) {
+		if slices.ContainsFunc(p.interrupted, func(in Interrupted) bool { return in.Content == f && !in.Exempt }) {
 			out = append(out, p)
 		}
 	}
@@ -186,6 +191,11 @@
 		}
 	}
 	delete(g.abandoned, process)
+	for _, in := range p.interrupted {
+		if in.Exempt {
+			g.cfg.OnEvent(Event{What: "upstream ended under an exempt request", Content: in.Content, Upstream: to.ID})
+		}
+	}
 	for _, f := range g.tracker.RecordCrash(p.interrupted, g.recordCrash(process, p.sentAt, now), now) {
 		g.cfg.OnEvent(Event{What: "upstream ended under a request", Content: f, Upstream: to.ID, Crashes: g.tracker.Crashes(f), UnexplainedCrashes: g.tracker.unexplainedCrashes(f)})
 	}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -64,6 +64,7 @@
 type Interrupted struct {
 	Content Fingerprint
 	RanFor  time.Duration // time since it was sent to the upstream
+	Exempt  bool          // the crash does not count against it
 }
 
 // RecordCrash records that an upstream process was found at now to have crashed, and
@@ -78,6 +79,9 @@
 	t.recentCrashes[process] = now
 	var added []Fingerprint
 	for _, in := range interrupted {
+		if in.Exempt {
+			continue
+		}
 		if s, ok := t.add(Fact{Content: in.Content, Kind: Crash, Subject: process}, now); ok {
 			s.shareAt = now.Add(shareDelay)
 			s.ranTooShort = in.RanFor < minCrashTime
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -29,7 +29,7 @@
 	elsewhere := req // what a faster engine must offer for the text to be moved there
 	elsewhere.First = ""
 	rsv, ok := r.cfg.Registry.Acquire(req)
-	if !ok && target >= r.spec.MinVersion && target > 0 && !r.cfg.Guard.NeedsTrial(r.generation(i, after).content(r.spec.Model), now) {
+	if !ok && target >= r.spec.MinVersion && target > 0 {
 		// An engine may hold the target version before its registry entry says so. The
 		// request names the version, and the engine refuses it if it does not hold it.
 		req.Outdated, expect = true, target
@@ -117,11 +117,7 @@
 // are returned. The attempt is cancelled with ownerCtx, and when the engine sends nothing
 // for firstEventTimeout or eventTimeout.
 func (r *Runner) generate(ownerCtx context.Context, rsv *upstream.Reservation, m *mover, g GenerateRequest, flush func(AttemptOutput)) (AttemptOutput, error) {
-	attempt, err := r.cfg.Guard.Begin(ownerCtx, g.content(r.spec.Model), rsv.Entry)
-	if err != nil {
-		rsv.Release()
-		return AttemptOutput{}, err
-	}
+	attempt := r.cfg.Guard.BeginExempt(g.content(r.spec.Model), rsv.Entry)
 	ctx, cancel := context.WithCancel(ownerCtx)
 	defer cancel()
 	idleTimer := time.AfterFunc(firstEventTimeout, cancel)
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -276,9 +276,6 @@
 	Score       string // returned by the scorer; empty if the call failed
 	Status      int    // HTTP status of the response; 0 for none
 	MaxAttempts int    // responses with status 500 after which the item is given up
-	// Quarantined means that the call was not sent, because it is quarantined for
-	// crashing the service.
-	Quarantined bool
 }
 
 // ScoringEnded applies the end of a call of item i's scorer at now.
@@ -297,9 +294,6 @@
 		}
 	}
 	it.notBefore = now.Add(retryDelay)
-	if s.Quarantined {
-		it.notBefore = now.Add(quarantineRecheckDelay)
-	}
 }
 
 // GiveUp gives up the items that are not in flight, if their route is gone or the
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -42,9 +42,6 @@
 	// doubles up to maxAppendBackoff, so as not to overload a failing store.
 	minAppendBackoff = 50 * time.Millisecond
 	maxAppendBackoff = 150 * time.Millisecond
-	// quarantineRecheckDelay is the time between checks whether a quarantined item was
-	// released.
-	quarantineRecheckDelay = 500 * time.Millisecond
 	// tooLargeRecheckDelay is the time between checks whether an item that was too large
 	// for the engines' memory fits, which takes a change of the configuration.
 	tooLargeRecheckDelay = time.Second
@@ -60,7 +57,9 @@
 	Repository Repository
 	Registry   *upstream.Registry
 	Generator  Generator
-	// Guard holds back items that crash engines; nil for none.
+	// Guard learns from the items which engines have crashed, and that what an engine has
+	// answered does not crash it; nil for none. It holds no item back: an item under which
+	// engines crash is still owed to its trainer, and is known not to be the cause.
 	Guard *quarantine.Guard
 	// Score makes one scorer call.
 	Score func(ctx context.Context, c Call) ScoreResult
@@ -318,10 +317,6 @@
 		if use.Expected(r.spec.Items[i].Length) > room {
 			continue
 		}
-		if r.cfg.Guard.Check(r.generation(i, 0).content(r.spec.Model), now) != nil {
-			r.run.Postpone(i, now.Add(quarantineRecheckDelay))
-			continue
-		}
 		fits := rt.Without(func(pool string) bool { return r.cfg.Registry.TooLarge(pool, use.Total()) })
 		if len(fits.Shares) == 0 {
 			r.reportTooLarge(i, use)
