platform: responses without end are cut off

Callers would have seen: an instance that is killed for its memory, with all requests that it holds, when servers send a header, an event or a report without end.

Cause: net/http reads up to 10 MB of a header for each response, the reader of event streams had no limit at all, and internal/httpjson decoded and discarded without one.

Why it works: each place that reads a response has a limit.

--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,8 +16,22 @@
 type Client struct {
 	BaseURL string // URL that request paths are appended to, such as "http://127.0.0.1:7101"
 	HTTP    *http.Client
+	// MaxResponse is the largest response body that Do decodes, in bytes. 0 means 64 MB, which
+	// is enough for all rows of a platform.
+	MaxResponse int64
 }
 
+// defaultMaxResponse is the default of Client.MaxResponse.
+const defaultMaxResponse = 64 << 20
+
+// maxDiscard is how many bytes of an unused body are read so that the connection can be
+// reused.
+const maxDiscard = 64 << 10
+
+// ErrResponseTooLarge is wrapped by the error of Do for a body of more than MaxResponse
+// bytes.
+var ErrResponseTooLarge = errors.New("response exceeds its limit")
+
 // NewClient returns a Client for the server at baseURL. If hc is nil, the Client uses
 // http.DefaultClient.
 func NewClient(baseURL string, hc *http.Client) Client {
@@ -48,7 +64,8 @@
 }
 
 // Do sends a request as Send does and decodes the JSON response into out, or discards it
-// if out is nil. For a status other than 2xx the error is a *StatusError.
+// if out is nil. For a status other than 2xx the error is a *StatusError. A server may send a
+// body without end: what exceeds a limit is not read, and the connection is closed.
 func (c Client) Do(ctx context.Context, method, path string, in, out any) error {
 	resp, err := c.Send(ctx, method, path, in)
 	if err != nil {
@@ -59,10 +76,16 @@
 		return NewStatusError(resp)
 	}
 	if out == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	limit := cmp.Or(c.MaxResponse, defaultMaxResponse)
+	body := &io.LimitedReader{R: resp.Body, N: limit + 1}
+	err = json.NewDecoder(body).Decode(out)
+	if body.N == 0 {
+		err = fmt.Errorf("%w of %d bytes", ErrResponseTooLarge, limit)
+	}
+	if err != nil {
 		return fmt.Errorf("decode response: %w", err)
 	}
 	return nil
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -24,7 +24,9 @@
 // NewClient returns a Client for the engine at addr. A nil httpClient means
 // http.DefaultClient.
 func NewClient(addr string, httpClient *http.Client) *Client {
-	return &Client{server: httpjson.NewClient("http://"+addr, httpClient)}
+	server := httpjson.NewClient("http://"+addr, httpClient)
+	server.MaxResponse = httpjson.MaxBody
+	return &Client{server: server}
 }
 
 // Stream is an open generation. Call Next until it returns a chunk with Done set or an
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -40,6 +40,10 @@
 // are few engines, the connection is still open for the next report.
 const reportIdleTimeout = 3 * time.Second
 
+// maxResponseHeader limits the header of an upstream's or a trainer's response, in bytes. A
+// faulty server may send one without end.
+const maxResponseHeader = 16 << 10
+
 // The retry budget: a fifth of the number of requests, of which up to retryBurst retries
 // can be saved up.
 const (
@@ -101,8 +105,8 @@
 				RetryDelay: cfg.RolloutPollInterval, ReportLag: cfg.ReportLag},
 			RolloutRenew: cfg.RolloutLeaseTTL / control.RenewalsPerTTL, RolloutPollInterval: cfg.RolloutPollInterval, PoolPollInterval: cfg.PoolPollInterval},
 		events:     make(chan control.Event, 64),
-		http:       &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}},
-		reportHTTP: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout}},
+		http:       &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxResponseHeader}},
+		reportHTTP: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportIdleTimeout, MaxResponseHeaderBytes: maxResponseHeader}},
 		policy:     route.Policy{Slack: affinitySlack},
 		health:     health.NewTracker(cfg.Health),
 		tokenTimes: health.NewTokenTimes(cfg.SlowFactor),
--- a/pkg/entry/generation.go
+++ b/pkg/entry/generation.go
@@ -233,7 +233,7 @@
 		}
 		monitor.received()
 		timer.received()
-		switch err := checkChunk(c, req.RequestID, index); {
+		switch err := checkChunk(c, req, index); {
 		case errors.Is(err, errRepeatedChunk):
 			continue
 		case err != nil:
@@ -253,18 +253,21 @@
 	errForeignChunk  = errors.New("engine sent a chunk of another request")
 	errSkippedChunk  = errors.New("engine skipped a chunk")
 	errRepeatedChunk = errors.New("engine repeated a chunk")
+	errExcessChunk   = errors.New("engine sent more chunks than tokens were asked for")
 )
 
-// checkChunk returns nil if c is the chunk at index of the stream of request id, and
-// otherwise the reason why it is not.
-func checkChunk(c engine.Chunk, id string, index int) error {
+// checkChunk returns nil if c is the chunk at index of the stream of req, and otherwise the
+// reason why it is not.
+func checkChunk(c engine.Chunk, req engine.GenerateRequest, index int) error {
 	switch {
-	case c.RequestID != id:
+	case c.RequestID != req.RequestID:
 		return errForeignChunk
 	case c.Index > index:
 		return errSkippedChunk
 	case c.Index < index:
 		return errRepeatedChunk
+	case !c.Done && index >= req.MaxTokens:
+		return errExcessChunk
 	}
 	return nil
 }
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -141,6 +141,8 @@
 		out.Complete = true
 	case errors.Is(err, errSlowEngine):
 		res.Cancelled = true
+	case errors.Is(err, ErrTextTooLong):
+		out.Overlong, res.Failed = true, true
 	case errors.As(err, &se):
 		out.Status, res.Load = se.Status, se.Load
 		res.Failed = se.Status > http.StatusInternalServerError
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -198,6 +198,9 @@
 	Versions []uint64 // that produced Events, oldest first
 	Complete bool     // the text is complete
 	Status   int      // HTTP status of a response that is not a text; 0 for none
+	// Overlong means that the engine sent more than the request allows. Where the text should
+	// have ended is not known, so it starts again.
+	Overlong bool
 }
 
 // AddEvents adds events that a running attempt at item i has produced.
@@ -234,6 +237,9 @@
 		r.completeEvents += it.lastEvent
 	}
 	switch {
+	case out.Overlong:
+		it.discard()
+		it.notBefore = now.Add(retryDelay)
 	case complete && r.spec.Items[i].Scorer != nil:
 		it.phase = unscored
 	case complete:
--- a/pkg/submission/run_test.go
+++ b/pkg/submission/run_test.go
@@ -226,3 +226,22 @@
 		t.Fatal("item not given up after its route was removed")
 	}
 }
+
+// Guards against an item that is listed with what an engine sent beyond its text, or that goes on
+// after it.
+func TestOverlongTextStartsAgain(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	run := submission.NewRun(submission.Spec{ID: "l", Items: []submission.Item{{ID: "0"}}}, nil, nil)
+	policy := submission.ItemPolicy{MaxAttempts: 3}
+	run.Started(0, now)
+	run.AddEvents(0, submission.AttemptOutput{Events: events(0, 1, textEvents), Versions: []uint64{3}}, policy)
+	run.AttemptEnded(0, submission.AttemptOutput{Events: events(0, textEvents+1, textEvents+2), Versions: []uint64{3}, Overlong: true}, policy, now)
+	if last, versions := run.LastEvent(0); last != 0 || len(versions) != 0 {
+		t.Fatalf("the text goes on after event %d of versions %v, want its start", last, versions)
+	}
+	run.Started(0, now)
+	run.AttemptEnded(0, submission.AttemptOutput{Events: events(0, 1, textEvents), Versions: []uint64{3}, Complete: true}, policy, now)
+	if _, results := run.Unwritten(); len(results) != 1 || results[0].State != submission.Done || results[0].Output != fullText(0) {
+		t.Errorf("got results %+v, want the whole text", results)
+	}
+}
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -126,6 +126,10 @@
 	ErrItemNotFound     = errors.New("submission: no such item")
 )
 
+// ErrTextTooLong is wrapped by the error of a Stream whose engine sent more than the request
+// allows.
+var ErrTextTooLong = errors.New("submission: text is longer than the request allows")
+
 // ErrVersionMismatch is a forward.ErrNotRun: the engine holds another weight version
 // than the request asked for.
 var ErrVersionMismatch = fmt.Errorf("%w: the engine holds another weight version", forward.ErrNotRun)
--- a/pkg/trainer/trainer.go
+++ b/pkg/trainer/trainer.go
@@ -65,7 +65,9 @@
 // NewClient returns a Client for the trainer at addr, such as "127.0.0.1:7301". A nil hc
 // means http.DefaultClient.
 func NewClient(addr string, hc *http.Client) *Client {
-	return &Client{server: httpjson.NewClient("http://"+addr, hc)}
+	server := httpjson.NewClient("http://"+addr, hc)
+	server.MaxResponse = httpjson.MaxBody
+	return &Client{server: server}
 }
 
 // Deliver sends g and returns the trainer's Ack. After an error it is unknown whether the
