--- a/pkg/entry/quarantine_test.go
+++ b/pkg/entry/quarantine_test.go
@@ -109,20 +109,22 @@
 	checkPoison(t, s, p)
 }
 
-// unluckyRuns is how many engines crash under a sample, for another reason, before one completes
+// bystanderRuns is how many engines crash under a sample, for another reason, before one completes
 // it. That is more than a request may crash upstreams, its trials included.
-const unluckyRuns = 12
+const bystanderRuns = 12
 
 // Guards against a sample of a step that is never generated again after several engines
 // crashed while they generated it: its group was missing in the step and in later steps.
 func TestSampleUnderWhichEnginesCrashedIsGeneratedAgain(t *testing.T) {
 	t.Parallel()
 	var runs atomic.Int64
-	p := &crashtest.Poison{CrashDelay: 20 * time.Millisecond, Match: func(body []byte) bool { return bytes.Contains(body, []byte("unlucky")) && runs.Add(1) <= unluckyRuns }}
+	p := &crashtest.Poison{CrashDelay: 20 * time.Millisecond, Match: func(body []byte) bool {
+		return bytes.Contains(body, []byte("bystander")) && runs.Add(1) <= bystanderRuns
+	}}
 	s := startSiteWith(t, 3, 2, enginetest.Config{WeightVersion: 1}, func(cfg *site.Config) { cfg.Poison, cfg.RestartAfter = p, 250*time.Millisecond })
 	for i := range 2 { // the second step in calm, with the same bytes
 		spec := stepSpec(fmt.Sprint("step-", i), 3, 1, 2)
-		spec.Groups[0] = step.Group{ID: spec.ID + "-unlucky", Prompt: "unlucky", Size: 1, MaxTokens: 8}
+		spec.Groups[0] = step.Group{ID: spec.ID + "-bystander", Prompt: "bystander", Size: 1, MaxTokens: 8}
 		spec.Desired = 3
 		spec.Deadline = time.Now().Add(2 * sharedWithin).UTC()
 		if status := submit(t, s, i, spec); status != http.StatusOK {
@@ -130,7 +132,7 @@
 		}
 		waitFor(t, 2*sharedWithin, "the groups of "+spec.ID, func() bool { return completeGroups(t, s, 1) == 3*(i+1) })
 	}
-	if n := runs.Load(); n < unluckyRuns+2 {
-		t.Errorf("got %d runs of the samples, want %d under which engines crashed and one for each step", n, unluckyRuns)
+	if n := runs.Load(); n < bystanderRuns+2 {
+		t.Errorf("got %d runs of the samples, want %d under which engines crashed and one for each step", n, bystanderRuns)
 	}
 }
