--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,48 @@
+// Command standin-3 plays one case of the review: it starts the stand-ins of the platform,
+// the engines, the consumers and the trainer, and the project's program as processes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// maxDuration bounds a case.
+const maxDuration = 110 * time.Second
+
+// Exit codes of a case.
+const (
+	held      = 0
+	broken    = 1
+	couldNot  = 2
+	caseCount = 3 // arguments: the program's name, the case and its folder
+)
+
+func main() {
+	if len(os.Args) != caseCount {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
+		os.Exit(couldNot)
+	}
+	cases := map[string]func(*run) int{"expect-version": expectVersion}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
+		os.Exit(couldNot)
+	}
+	r, err := newRun(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(couldNot)
+	}
+	timer := time.AfterFunc(maxDuration, func() {
+		r.note("the case took too long")
+		r.close()
+		os.Exit(couldNot)
+	})
+	code := play(r)
+	timer.Stop()
+	r.note("exit code %d", code)
+	r.close()
+	os.Exit(code)
+}
