--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 go build -o target/review-2/standin-2 ./review/standin-2
+go build -o target/review-2/standin-3 ./review/standin-3
--- a/review/standin-3/expectversion.go
+++ b/review/standin-3/expectversion.go
@@ -64,8 +64,8 @@
 	if r.trouble {
 		version = 1
 	}
-	r.chats("pinned", version, 24)
-	busiest := 0 // most requests at the engines in the last idleTime of the step
+	r.chats("pinned", version, len(r.nodes)) // one at each process
+	busiest := 0                             // most requests at the engines in the last idleTime of the step
 	for time.Since(accepted) < stepDeadline {
 		if time.Since(accepted) > stepDeadline-idleTime {
 			running := 0
@@ -88,6 +88,7 @@
 	r.note("trainer: at its deadline, %d of %d items are listed", page.Next, page.Total)
 	idle := r.idleItems(accepted)
 	begun := r.itemsBegun()
+	r.noteRuns()
 	r.note("items that an engine has begun: %d; items that no engine has finished or failed and that were at no engine in the last 5 s: %d; most requests at the engines meanwhile: %d of %d slots", begun, idle, busiest, slots*len(r.engines))
 	r.plainChats()
 	if idle > 0 && begun > 0 && busiest*2 < slots*len(r.engines) && accepted.Add(stepDeadline-idleTime).Sub(named) > namedBefore {
@@ -102,7 +103,9 @@
 	statuses, complete := map[int]int{}, 0
 	for i := range n {
 		id := fmt.Sprintf("chat-%s-%d", name, i)
-		status, _ := r.chat(r.nodes[i%len(r.nodes)], id, strconv.Itoa(version))
+		node := r.nodes[i%len(r.nodes)]
+		status, _ := r.chat(node, id, strconv.Itoa(version))
+		r.note("consumer: %s with Expect-Version %d at %s, answered %d", id, version, node.name, status)
 		statuses[status]++
 		if status == http.StatusOK {
 			complete++
@@ -111,7 +114,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	r.note("consumer: %d streams with Expect-Version %d, answers by status (0: broken off): %v", n, version, statuses)
+	r.note("consumer: %d streams, answers by status (0: broken off): %v", n, statuses)
 	return complete
 }
 
@@ -154,6 +157,22 @@
 	return runs
 }
 
+// noteRuns records which engines ran each item.
+func (r *run) noteRuns() {
+	for i := range items {
+		id := fmt.Sprintf("item-%02d", i)
+		var runs []string
+		for _, e := range r.engines {
+			for _, run := range e.Runs() {
+				if run.ID == id {
+					runs = append(runs, fmt.Sprintf("%s from %.3f s, complete %v", e.ID, run.StartedAt.Sub(r.startedAt).Seconds(), run.Completed))
+				}
+			}
+		}
+		r.note("%s: runs %q", id, runs)
+	}
+}
+
 func (r *run) itemsBegun() (n int) {
 	for i := range items {
 		if len(r.itemRuns(fmt.Sprintf("item-%02d", i))) > 0 {
