--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,7 +24,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
 		os.Exit(couldNot)
 	}
-	cases := map[string]func(*run) int{"expect-version": expectVersion}
+	cases := map[string]func(*run) int{"expect-version": expectVersion, "double-slash": doubleSlash}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
