node, submission: log lines identify the results that are written and read

Cause: no line told position, item, fencing token and content of a result, so that the logs of the incident could not tell whether a reader was answered from a run, a cache or the store, nor which owner wrote what it read. Change: "listed" has the fencing token, each item with a digest of its whole result, and how many results are stored as objects; "results read" has the same digests and the source of each page that is sent. Both have a budget of lines of their own, and the digests are computed only for lines that are written. "submission runs no more" has the fencing token. Counters: results.objects, results.read_from.{run,cache,store}.

--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -25,6 +25,7 @@
 	failureLines  = 40
 	requestLines  = 15
 	itemLines     = 25
+	resultLines   = 20
 	upstreamLines = 10
 )
 
@@ -34,11 +35,12 @@
 	failures  *logs.Limiter
 	requests  *logs.Limiter
 	items     *logs.Limiter
+	results   *logs.Limiter
 	upstreams *logs.Limiter
 }
 
 func newObserver(n *Node) *observer {
-	return &observer{node: n, failures: logs.NewLimiter(failureLines), requests: logs.NewLimiter(requestLines), items: logs.NewLimiter(itemLines), upstreams: logs.NewLimiter(upstreamLines)}
+	return &observer{node: n, failures: logs.NewLimiter(failureLines), requests: logs.NewLimiter(requestLines), items: logs.NewLimiter(itemLines), results: logs.NewLimiter(resultLines), upstreams: logs.NewLimiter(upstreamLines)}
 }
 
 func (o *observer) count(name string) { metrics.GetOrRegisterCounter(name, o.node.cfg.Metrics).Inc(1) }
@@ -155,6 +157,11 @@
 		o.count("texts.moved")
 	case submission.ItemTooLarge:
 		o.count("memory.too_large")
+	case submission.ResultsListed:
+		o.add("results.objects", e.Objects)
+		o.logLine(o.results, false, e.What, "submission", e.Submission, "position", e.Position, "events", e.Events, "fencing", e.Fencing,
+			"objects", e.Objects, "results", submission.Digests(e.Results))
+		return
 	}
 	budget := o.items
 	if e.Err != nil {
@@ -171,6 +178,16 @@
 	o.logLine(budget, e.Err != nil, e.What, fields...)
 }
 
+// resultsRead records that a caller was sent results of a submission from a position on.
+// The digests tell whether a position was given out with different results.
+func (o *observer) resultsRead(id string, position int, results []submission.Result, source string) {
+	if len(results) == 0 {
+		return
+	}
+	o.count("results.read_from." + source)
+	o.logLine(o.results, false, "results read", "submission", id, "position", position, "source", source, "results", submission.Digests(results))
+}
+
 // outlook records that a step that runs here has become short of engines or is no longer
 // short.
 func (o *observer) outlook(e submission.OutlookEvent) {
@@ -201,7 +218,7 @@
 	o.node.cfg.Logger.Info("submission runs no more", "submission", h.ID, "model", h.Model, "step", h.Step,
 		"owner_after", s.StartedAt.Sub(h.AcceptedAt), "took", s.EndedAt.Sub(s.StartedAt), "waited", s.LastItem.Waited(s.StartedAt),
 		"generating", s.LastItem.Generating, "interrupted", s.LastItem.Interrupted(), "scoring", s.LastItem.Scoring(), "writing", writing,
-		"attempts", s.Attempts, "refused", s.EmptyAttempts, "err", err)
+		"attempts", s.Attempts, "refused", s.EmptyAttempts, "fencing", s.Fencing, "err", err)
 }
 
 // state sets the gauges of the control state.
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -179,13 +179,14 @@
 // there is a result, until has passed or ctx is done.
 func (r *submissionReader) page(ctx context.Context, head submission.HeadRow, after int, until time.Time) (ResultPage, error) {
 	for {
-		results, changed, err := r.resultsFrom(ctx, head, after)
+		results, source, changed, err := r.resultsFrom(ctx, head, after)
 		if err != nil {
 			return ResultPage{}, err
 		}
 		remaining := time.Until(until)
 		if len(results) > 0 || after >= head.Total || remaining <= 0 || ctx.Err() != nil {
 			results = limitPageSize(results)
+			r.node.observer.resultsRead(head.ID, after, results, source)
 			return ResultPage{Total: head.Total, Next: after + len(results), Results: results}, nil
 		}
 		if changed == nil {
@@ -201,12 +202,18 @@
 	}
 }
 
-// resultsFrom returns results from a position on and, if the submission runs here, a
-// channel that is closed when there are more.
-func (r *submissionReader) resultsFrom(ctx context.Context, head submission.HeadRow, after int) ([]submission.Result, <-chan struct{}, error) {
+// Sources of the results that a caller reads, for the log.
+const (
+	sourceRun   = "run"   // the run here
+	sourceCache = "cache" // an earlier read or run here
+)
+
+// resultsFrom returns results from a position on, their source and, if the submission runs
+// here, a channel that is closed when there are more.
+func (r *submissionReader) resultsFrom(ctx context.Context, head submission.HeadRow, after int) (results []submission.Result, source string, changed <-chan struct{}, err error) {
 	if run := r.run(head.ID); run != nil {
 		results, changed := run.runner.Results(after)
-		return results, changed, nil
+		return results, sourceRun, changed, nil
 	}
 	r.mu.Lock()
 	c, ok := r.results.get(head.ID)
@@ -216,22 +223,23 @@
 	}
 	r.mu.Unlock()
 	if cached := c.all(); after < len(cached) {
-		return cached[after:], nil, nil // without waiting for a read of the store, which may be away
+		return cached[after:], sourceCache, nil, nil // without waiting for a read of the store, which may be away
 	}
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	cached := c.all()
+	cached, source := c.all(), sourceCache
 	for ; len(cached) <= after && len(cached) < head.Total; cached = c.all() {
 		more, err := r.node.submissions.Results(ctx, head.ID, len(cached), resultsPerRead)
 		if err != nil {
-			return nil, nil, err
+			return nil, "", nil, err
 		}
 		if len(more) == 0 {
-			return nil, nil, nil
+			return nil, "", nil, nil
 		}
 		c.add(more)
+		source = sourceStore
 	}
-	return cached[min(after, len(cached)):], nil, nil
+	return cached[min(after, len(cached)):], source, nil, nil
 }
 
 // limitPageSize returns as many of the results as fit into one response, at least one.
--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -21,6 +21,7 @@
 	Position int
 	Results  []Result
 	ops      []platform.Op
+	objects  int // results that are stored as objects
 }
 
 // PrepareBatch returns a Batch of the first of results, as many as fit into one
@@ -43,7 +44,7 @@
 	}
 	for len(b.Results) < min(len(results), maxBatchResults) {
 		r := results[len(b.Results)]
-		op, err := repo.resultOp(ctx, head.ID, b.Position+len(b.Results), r)
+		op, isObject, err := repo.resultOp(ctx, head.ID, b.Position+len(b.Results), r)
 		if err != nil && len(b.Results) == 0 {
 			return Batch{}, err
 		}
@@ -51,24 +52,30 @@
 			break
 		}
 		b.ops, b.Results = append(b.ops, op), append(b.Results, r)
+		if isObject {
+			b.objects++
+		}
 	}
 	return b, nil
 }
 
-func (repo Repository) resultOp(ctx context.Context, id string, position int, r Result) (platform.Op, error) {
-	op, err := platform.Put(resultKey(id, position), 0, storedResult{Result: r})
+// resultOp returns the write of a result's row, and whether the result is stored as an
+// object.
+func (repo Repository) resultOp(ctx context.Context, id string, position int, r Result) (op platform.Op, isObject bool, err error) {
+	op, err = platform.Put(resultKey(id, position), 0, storedResult{Result: r})
 	if err != nil || len(op.Value) <= repo.MaxRowBytes {
-		return op, err
+		return op, false, err
 	}
 	data, err := json.Marshal(r)
 	if err != nil {
-		return platform.Op{}, err
+		return platform.Op{}, false, err
 	}
 	name := objectPrefix + id + "-result-" + r.Item
 	if err := repo.Store.PutObject(ctx, name, data); err != nil {
-		return platform.Op{}, err
+		return platform.Op{}, false, err
 	}
-	return platform.Put(resultKey(id, position), 0, storedResult{Result: Result{Item: r.Item, State: r.State}, Object: name})
+	op, err = platform.Put(resultKey(id, position), 0, storedResult{Result: Result{Item: r.Item, State: r.State}, Object: name})
+	return op, true, err
 }
 
 // ErrNotOwner is returned by calls that write for a submission which has ended or has
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -97,6 +97,9 @@
 // waits, as engines with more memory may be configured.
 const ItemTooLarge = "too_large"
 
+// ResultsListed is the What of the event of results that have been written.
+const ResultsListed = "listed"
+
 // RunEvent is an event of an item or a submission, for log and metrics.
 type RunEvent struct {
 	What       string
@@ -110,6 +113,9 @@
 	Waiting    int           // items queued for an engine
 	Running    int           // items in flight at an engine
 	Took       time.Duration // of the attempt, for "generated"
+	Fencing    uint64        // fencing token under which results were written, for "listed"
+	Results    []Result      // that were written, for "listed"
+	Objects    int           // those of Results that are stored as objects
 	Err        error
 }
 
@@ -235,13 +241,14 @@
 type Summary struct {
 	LastItem                ItemTiming // of the item that got its result last
 	StartedAt, EndedAt      time.Time
-	Attempts, EmptyAttempts int // generation attempts of all items, and those that produced no events
+	Fencing                 uint64 // fencing token that the submission was claimed with
+	Attempts, EmptyAttempts int    // generation attempts of all items, and those that produced no events
 }
 
 // Summary returns the times and attempts. It must not be called before Run has
 // returned.
 func (r *Runner) Summary() Summary {
-	s := Summary{StartedAt: r.startedAt, EndedAt: r.endedAt}
+	s := Summary{StartedAt: r.startedAt, EndedAt: r.endedAt, Fencing: r.fencing}
 	s.LastItem, s.Attempts, s.EmptyAttempts = r.run.LastFinished()
 	return s
 }
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,6 +91,37 @@
 	Score    string   `json:"score,omitempty"`
 }
 
+// Digest returns a short digest of all of r, by which logs tell whether two results of an
+// item are the same.
+func (r Result) Digest() string {
+	h := sha256.New()
+	var buf []byte
+	for _, s := range []string{r.Item, string(r.State), r.Output, r.Score} {
+		buf = binary.AppendUvarint(buf[:0], uint64(len(s))) // makes the boundaries of the fields part of the digest
+		h.Write(buf)
+		_, _ = io.WriteString(h, s) // a hash returns no error
+	}
+	for _, v := range r.Versions {
+		h.Write(binary.AppendUvarint(buf[:0], v))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// Digests formats results as their items and digests, for the log.
+type Digests []Result
+
+// String computes the digests, so that a line that is not logged costs none.
+func (d Digests) String() string {
+	var b strings.Builder
+	for i, r := range d {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(r.Item + ":" + r.Digest())
+	}
+	return b.String()
+}
+
 // Head is the value of a submission's row. The row's version is the owner's fencing
 // token: each change of owner, and the end of the submission, raises it, and results
 // are written on condition that it has not changed.
