submission: the name of a large result's object identifies its content

What callers saw: a position of a batch was given out with two different results of the item, a text of one weight version first and one of two versions, with another score, later. Cause: a result that does not fit into a row is an object, which was named by batch and item and is written without a condition. A former owner that was paused, or whose call the store carries out late, replaced the object that its successor's row referred to. An owner's conflict on such a row was taken for its own earlier write, since rows that refer to different results were equal. Fix: the name has a digest of the content. A late write stores what the name stands for, and rows with different results differ. Objects that no row refers to, of owners that were replaced, are found by their prefix when the submission is deleted; peers do not list objects, so the list is read from the store directly. Rows written by earlier builds keep the names that they hold.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -121,7 +121,7 @@
 		upstreams.Held = platform.NewHeldData(platform.HeldDataConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger})
 	}
 	n := node.New(node.Config{
-		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, StoreReachability: links, Dial: watch.DialPeer, Upstreams: upstreams,
+		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, ObjectLister: store, StoreReachability: links, Dial: watch.DialPeer, Upstreams: upstreams,
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, HeartbeatInterval: s.HeartbeatInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
 		CloudProvider: cloud, UsageSchedule: usage.Schedule{Length: s.UsageWindow, ReportDelay: s.UsageReportDelay}, Contended: s.Contended,
 	})
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,6 +88,9 @@
 	// PeerAddress is the address for other instances. It is empty if there is none.
 	PeerAddress string
 	Store       platform.Store
+	// ObjectLister is the store reached without a peer, since peers do not list objects. Only
+	// deletions need it, which may wait until the store is reached directly.
+	ObjectLister platform.ObjectLister
 	// Dial opens a link to another instance to follow tables through it. If nil, each
 	// instance reads the tables from the store.
 	Dial                watch.Dial
@@ -165,7 +168,7 @@
 // New returns a Node configured by cfg.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, stable: stableAssigners{byPool: map[string]*weights.StableAssigner{}}, startID: membership.StartID(cfg.Name, time.Now()), startedAt: time.Now(), registry: upstream.NewRegistry(cfg.DataCentre),
-		submissions: submission.Repository{Store: cfg.Store, MaxRowBytes: cfg.MaxRowBytes},
+		submissions: submission.Repository{Store: cfg.Store, MaxRowBytes: cfg.MaxRowBytes, Lister: cfg.ObjectLister},
 		carryover:   &carryover.Store{Objects: cfg.Store, Limit: carryoverLimit}, events: make(chan any, eventQueueSize)}
 	if n.cfg.Metrics == nil {
 		n.cfg.Metrics = metrics.NewRegistry()
--- a/pkg/platform/changes.go
+++ b/pkg/platform/changes.go
@@ -64,6 +64,13 @@
 	DeleteObject(ctx context.Context, name string) error
 }
 
+// ObjectLister lists objects.
+type ObjectLister interface {
+	// ListObjects returns names of objects with a prefix, in ascending order: the first of
+	// those after a name, or of all if after is empty, and whether there are more.
+	ListObjects(ctx context.Context, prefix, after string) (names []string, more bool, err error)
+}
+
 // Store is the platform's whole store.
 type Store interface {
 	Table
--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -70,7 +72,7 @@
 	if err != nil {
 		return platform.Op{}, false, err
 	}
-	name := objectPrefix + id + "-result-" + r.Item
+	name := resultObjectName(id, data)
 	if err := repo.Store.PutObject(ctx, name, data); err != nil {
 		return platform.Op{}, false, err
 	}
@@ -78,6 +80,22 @@
 	return op, true, err
 }
 
+// resultObjectPrefix returns the prefix of the names of the objects with results of a
+// submission. It holds a digest of the ID, since another ID might begin with this one.
+func resultObjectPrefix(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	return "result-" + hex.EncodeToString(sum[:8]) + "-"
+}
+
+// resultObjectName returns the name of the object that holds data. Objects are written
+// without a condition, so the name identifies the content: a write by a former owner, or one
+// that is carried out late, cannot change what a row refers to, and rows that refer to
+// different results differ.
+func resultObjectName(id string, data []byte) string {
+	sum := sha256.Sum256(data)
+	return resultObjectPrefix(id) + hex.EncodeToString(sum[:16])
+}
+
 // ErrNotOwner is returned by calls that write for a submission which has ended or has
 // another owner by now.
 var ErrNotOwner = errors.New("submission: this instance is not the owner")
--- a/pkg/submission/delete.go
+++ b/pkg/submission/delete.go
@@ -12,7 +12,7 @@
 const deleteRows = 48
 
 // DeleteSubmission deletes a submission past its retention: its results and their
-// objects, its spec and partial texts, and last its head, so that an interrupted
+// objects, those of results that were never listed, its spec and partial texts, and last its head, so that an interrupted
 // deletion is found and completed. It returns ErrNotOwner if the head has changed.
 func (repo Repository) DeleteSubmission(ctx context.Context, head HeadRow) error {
 	for {
@@ -34,6 +34,9 @@
 			return err
 		}
 	}
+	if err := repo.deleteUnlistedObjects(ctx, head.ID); err != nil {
+		return err
+	}
 	for _, name := range []string{specName(head.ID, head.Customer), progressName(head.ID, head.Head.ProgressToken)} {
 		if err := repo.Store.DeleteObject(ctx, name); err != nil {
 			return err
@@ -60,6 +63,29 @@
 	return repo.Store.DeleteObject(ctx, s.Object)
 }
 
+// deleteUnlistedObjects deletes the objects of a submission's results that no row refers to,
+// of owners that were replaced before they wrote the row.
+func (repo Repository) deleteUnlistedObjects(ctx context.Context, id string) error {
+	if repo.Lister == nil {
+		return nil
+	}
+	for after := ""; ; {
+		names, more, err := repo.Lister.ListObjects(ctx, resultObjectPrefix(id), after)
+		if err != nil {
+			return err
+		}
+		for _, name := range names {
+			if err := repo.Store.DeleteObject(ctx, name); err != nil {
+				return err
+			}
+			after = name
+		}
+		if !more || len(names) == 0 {
+			return nil
+		}
+	}
+}
+
 // DeleteProgress deletes the partial texts of a submission that are stored under a
 // fencing token.
 func (repo Repository) DeleteProgress(ctx context.Context, id string, fencing uint64) error {
--- a/pkg/submission/repository.go
+++ b/pkg/submission/repository.go
@@ -32,6 +32,9 @@
 	// MaxRowBytes is the largest value of a row, in bytes. Larger results are stored as
 	// objects.
 	MaxRowBytes int
+	// Lister lists the objects that a deletion must find because no row refers to them; nil
+	// leaves them stored.
+	Lister platform.ObjectLister
 }
 
 // HeadRow is a submission's head with the version of its row.
