submission: each run has a fencing token of its own

What callers saw: nothing by itself; with results stored as objects, a position that changed after it was read, at one instance and without a takeover by another. Cause: an instance that took over its own submission kept the token of its earlier run, since Claim returned the head as it was, without a call to the store. A write of the earlier run that the store carried out late was not fenced: it appeared after PriorWork had read that there was none, and ended the next run with "holds a different result". The head could also be one that another owner had replaced since. Fix: Claim always writes the head. Its new version fences all earlier runs, and a claim with a head that is no longer current fails. The case of a run that continues under the token of its own progress is gone from NewRunner.

--- a/pkg/submission/repository.go
+++ b/pkg/submission/repository.go
@@ -144,7 +144,7 @@
 }
 
 // Claim makes owner the instance that runs a submission, and returns the head whose
-// version is its fencing token. prev is the head as the previous owner left it. If the
+// version is the fencing token of this run. prev is the head as the previous owner left it. If the
 // head has changed since, Claim returns ErrNotOwner: another instance has claimed the
 // submission, or there is more prior work than the caller knows of.
 func (repo Repository) Claim(ctx context.Context, prev HeadRow, owner string) (HeadRow, error) {
@@ -153,9 +153,8 @@
 	}
 	claimed := prev.Head
 	claimed.Owner, claimed.Claimed, claimed.ProgressToken = owner, true, 0
-	if claimed == prev.Head {
-		return prev, nil // already claimed by this owner
-	}
+	// The head is written even if the owner has claimed the submission before: the new token
+	// fences the writes of its earlier run, and a head that is no longer current is noticed.
 	got, err := repo.putHead(ctx, claimed, prev.Fencing)
 	if err == nil && got.Head != claimed {
 		return HeadRow{}, ErrNotOwner
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -168,14 +168,10 @@
 	if cfg.Priority == nil {
 		cfg.Priority = func(string) option.Of[int] { return option.Of[int]{} }
 	}
-	priorToken := prior.ProgressToken
-	if priorToken == head.Fencing {
-		priorToken = 0 // stored by this instance itself, before it took the submission over again
-	}
 	r := &Runner{cfg: cfg, head: head, fencing: head.Fencing, spec: s, prior: prior, results: prior.Results,
 		writtenAt: make([]time.Time, len(prior.Results)),
 		updates:   make(chan func(time.Time), updatesPerItem*len(s.Items)), changed: make(chan struct{}), appendBackoff: minAppendBackoff,
-		priorToken: priorToken, reportedTooLarge: map[int]bool{}}
+		priorToken: prior.ProgressToken, reportedTooLarge: map[int]bool{}}
 	r.run = r.newRun(prior.Partials)
 	return r
 }
