--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -84,7 +84,7 @@
 // submission. It holds a digest of the ID, since another ID might begin with this one.
 func resultObjectPrefix(id string) string {
 	sum := sha256.Sum256([]byte(id))
-	return "result-" + hex.EncodeToString(sum[:8]) + "-"
+	return "large-result-" + hex.EncodeToString(sum[:8]) + "-"
 }
 
 // resultObjectName returns the name of the object that holds data. Objects are written
