submission: a deletion frees the spec also without a list of objects

What callers would see: refused submissions (507) on a full store. Since large results are named by their content, DeleteSubmission lists objects before it deletes the spec and the head. Objects cannot be listed through a peer, so an instance that reaches the store only through one kept the specs of all submissions for which it ranks first as a sweeper. Fix: the list comes after the spec and the partial texts, directly before the head, which stays until the list succeeds.

--- a/pkg/submission/delete.go
+++ b/pkg/submission/delete.go
@@ -12,8 +12,10 @@
 const deleteRows = 48
 
 // DeleteSubmission deletes a submission past its retention: its results and their
-// objects, those of results that were never listed, its spec and partial texts, and last its head, so that an interrupted
-// deletion is found and completed. It returns ErrNotOwner if the head has changed.
+// objects, its spec and partial texts, the objects of results that were never listed, and
+// last its head, so that an interrupted deletion is found and completed. The spec does not
+// wait for the list of objects, which fails while the store is reached through a peer. It
+// returns ErrNotOwner if the head has changed.
 func (repo Repository) DeleteSubmission(ctx context.Context, head HeadRow) error {
 	for {
 		page, err := repo.Store.ScanFrom(ctx, resultsPrefix(head.ID), "", deleteRows)
@@ -34,14 +36,14 @@
 			return err
 		}
 	}
-	if err := repo.deleteUnlistedObjects(ctx, head.ID); err != nil {
-		return err
-	}
 	for _, name := range []string{specName(head.ID, head.Customer), progressName(head.ID, head.Head.ProgressToken)} {
 		if err := repo.Store.DeleteObject(ctx, name); err != nil {
 			return err
 		}
 	}
+	if err := repo.deleteUnlistedObjects(ctx, head.ID); err != nil {
+		return err
+	}
 	return repo.commitDelete(ctx, []platform.Op{platform.Delete(headKey(head.ID), head.Fencing)})
 }
 
