submission: partial texts have names that no specification can have

What callers saw: an accepted submission with the ID L-progress-N could not be read any more, as the partial texts of L under token N replaced its specification. What operators would have seen: objects of replaced owners that stay stored for ever, since a deletion knows only the token in the head, on the way to a full store (507). Cause: the objects were named submission-ID-progress-N beside specifications named submission-ID, with IDs that senders choose; a list of them by prefix would have found those of other submissions, too. Fix: the names begin with partial-texts- and a digest of the ID, and a deletion lists them as it lists large results. Texts that an earlier build stored are not found during an upgrade, so that they are generated again.

--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -81,11 +81,8 @@
 }
 
 // resultObjectPrefix returns the prefix of the names of the objects with results of a
-// submission. It holds a digest of the ID, since another ID might begin with this one.
-func resultObjectPrefix(id string) string {
-	sum := sha256.Sum256([]byte(id))
-	return "large-result-" + hex.EncodeToString(sum[:8]) + "-"
-}
+// submission.
+func resultObjectPrefix(id string) string { return "large-result-" + idDigest(id) + "-" }
 
 // resultObjectName returns the name of the object that holds data. Objects are written
 // without a condition, so the name identifies the content: a write by a former owner, or one
--- a/pkg/submission/delete.go
+++ b/pkg/submission/delete.go
@@ -12,10 +12,10 @@
 const deleteRows = 48
 
 // DeleteSubmission deletes a submission past its retention: its results and their
-// objects, its spec and partial texts, the objects of results that were never listed, and
-// last its head, so that an interrupted deletion is found and completed. The spec does not
-// wait for the list of objects, which fails while the store is reached through a peer. It
-// returns ErrNotOwner if the head has changed.
+// objects, its spec and partial texts, the objects of owners that were replaced, and last
+// its head, so that an interrupted deletion is found and completed. The spec does not wait
+// for the list of objects, which fails while the store is reached through a peer. It returns
+// ErrNotOwner if the head has changed.
 func (repo Repository) DeleteSubmission(ctx context.Context, head HeadRow) error {
 	for {
 		page, err := repo.Store.ScanFrom(ctx, resultsPrefix(head.ID), "", deleteRows)
@@ -41,8 +41,10 @@
 			return err
 		}
 	}
-	if err := repo.deleteUnlistedObjects(ctx, head.ID); err != nil {
-		return err
+	for _, prefix := range []string{resultObjectPrefix(head.ID), progressPrefix(head.ID)} {
+		if err := repo.deleteObjects(ctx, prefix); err != nil {
+			return err
+		}
 	}
 	return repo.commitDelete(ctx, []platform.Op{platform.Delete(headKey(head.ID), head.Fencing)})
 }
@@ -65,14 +67,14 @@
 	return repo.Store.DeleteObject(ctx, s.Object)
 }
 
-// deleteUnlistedObjects deletes the objects of a submission's results that no row refers to,
-// of owners that were replaced before they wrote the row.
-func (repo Repository) deleteUnlistedObjects(ctx context.Context, id string) error {
+// deleteObjects deletes the objects whose names have a prefix: those that no row refers to, of
+// owners that were replaced before they wrote the row.
+func (repo Repository) deleteObjects(ctx context.Context, prefix string) error {
 	if repo.Lister == nil {
 		return nil
 	}
 	for after := ""; ; {
-		names, more, err := repo.Lister.ListObjects(ctx, resultObjectPrefix(id), after)
+		names, more, err := repo.Lister.ListObjects(ctx, prefix, after)
 		if err != nil {
 			return err
 		}
--- a/pkg/submission/prior_work.go
+++ b/pkg/submission/prior_work.go
@@ -53,8 +53,12 @@
 	Complete bool     `json:"complete,omitempty"` // all events are present; only the score is missing
 }
 
+// progressPrefix returns the prefix of the names of the objects with partial texts of a
+// submission.
+func progressPrefix(id string) string { return "partial-texts-" + idDigest(id) + "-" }
+
 func progressName(id string, fencing uint64) string {
-	return objectPrefix + id + "-progress-" + strconv.FormatUint(fencing, 10)
+	return progressPrefix(id) + strconv.FormatUint(fencing, 10)
 }
 
 // PutProgress stores the partial texts of the owner in head for its successor.
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -186,6 +186,13 @@
 	return name + "-of-" + hex.EncodeToString(sum[:8])
 }
 
+// idDigest returns a digest of a submission's ID for names of objects. Senders choose IDs, so
+// one may begin with another, or with the prefix of other objects.
+func idDigest(id string) string {
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:8])
+}
+
 // partitions is the number of store partitions that submissions are spread over. One
 // takes 200 transactions a second, and a submission makes about ten; reading all heads
 // takes one call per partition.
