submission: a deletion with a head that is not current deletes nothing

What callers would have seen: an accepted submission whose large results and specification are gone, if its ID was used before and the earlier submission is deleted by an instance that follows the store late. Cause: objects are deleted without a condition, before the transaction that checks the head. Evidence: TestDeletionWithStaleHeadDeletesNothing, found by the review of the fix, failed before (1 of 1 run). Fix: the head is read first. After: it passes, with TestDeleteSubmission and TestDeletionWithoutListFreesSpec.

--- a/pkg/submission/delete.go
+++ b/pkg/submission/delete.go
@@ -17,6 +17,12 @@
 // for the list of objects, which fails while the store is reached through a peer. It returns
 // ErrNotOwner if the head has changed.
 func (repo Repository) DeleteSubmission(ctx context.Context, head HeadRow) error {
+	// Objects are deleted without a condition, and another submission may have the ID by now.
+	if cur, err := repo.Head(ctx, head.ID); errors.Is(err, ErrNotFound) || err == nil && cur.Fencing != head.Fencing {
+		return ErrNotOwner
+	} else if err != nil {
+		return err
+	}
 	for {
 		page, err := repo.Store.ScanFrom(ctx, resultsPrefix(head.ID), "", deleteRows)
 		if err != nil {
