submission: a successor that claims twice finds the partial texts

What callers saw: items generated from the start after a takeover, although most of their text was stored. Cause: a claim drops the token under which the former owner stored the texts from the head. If what is stored cannot be read in time after the claim, the next try starts from the instance's own head and looks under a token under which nothing was stored. Since each run has a token of its own, the same held for an instance that claims what it owns. Fix: a claim keeps that token in the head, and PriorWork reads the texts of the last owner or, if it stored none, those under the kept token. An instance that drains before its run has started hands the token on.

--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -232,7 +232,10 @@
 			if h.Owner != n.startID || !h.Open() {
 				return h, false
 			}
-			h.Owner, h.Claimed, h.ProgressToken = "", false, e.Fencing
+			h.Owner, h.Claimed = "", false
+			if run != nil || h.ProgressToken == 0 { // a run that has not started has stored no texts
+				h.ProgressToken = e.Fencing
+			}
 			return h, true
 		})
 		n.cfg.Logger.Info("submission handed over", "submission", e.ID, "err", err)
--- a/pkg/submission/prior_work.go
+++ b/pkg/submission/prior_work.go
@@ -28,22 +28,31 @@
 	if !prev.Claimed && prev.Head.ProgressToken == 0 {
 		return out, nil // no instance has run it
 	}
-	out.ProgressToken = prev.Fencing
-	if prev.Owner == "" {
-		out.ProgressToken = prev.Head.ProgressToken // the last owner gave the submission up
-	}
 	var g errgroup.Group
 	g.Go(func() (err error) {
 		out.Results, err = repo.AllResults(ctx, prev.ID)
 		return err
 	})
 	g.Go(func() (err error) {
-		out.Partials, err = repo.progress(ctx, prev.ID, out.ProgressToken)
+		out.Partials, out.ProgressToken, err = repo.partialTexts(ctx, prev)
 		return err
 	})
 	return out, g.Wait()
 }
 
+// partialTexts returns the newest partial texts that were stored for a successor of prev's
+// owner, and the fencing token under which they are stored.
+func (repo Repository) partialTexts(ctx context.Context, prev HeadRow) (texts []PartialText, token uint64, err error) {
+	if prev.Claimed {
+		texts, err = repo.progress(ctx, prev.ID, prev.Fencing)
+		if texts != nil || err != nil || prev.Head.ProgressToken == 0 {
+			return texts, prev.Fencing, err
+		}
+	}
+	texts, err = repo.progress(ctx, prev.ID, prev.Head.ProgressToken)
+	return texts, prev.Head.ProgressToken, err
+}
+
 // PartialText is the text of an item that has no stored result.
 type PartialText struct {
 	Item     string   `json:"item"`
--- a/pkg/submission/repository.go
+++ b/pkg/submission/repository.go
@@ -152,7 +152,11 @@
 		return HeadRow{}, ErrNotOwner
 	}
 	claimed := prev.Head
-	claimed.Owner, claimed.Claimed, claimed.ProgressToken = owner, true, 0
+	claimed.Owner, claimed.Claimed = owner, true
+	if prev.Claimed && (prev.Owner != owner || prev.Head.ProgressToken == 0) {
+		// An owner that claims the submission again may have failed to read the earlier texts.
+		claimed.ProgressToken = prev.Fencing
+	}
 	// The head is written even if the owner has claimed the submission before: the new token
 	// fences the writes of its earlier run, and a head that is no longer current is noticed.
 	got, err := repo.putHead(ctx, claimed, prev.Fencing)
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -138,8 +138,8 @@
 	AcceptedAt      time.Time `json:"accepted_at"`
 	Owner           string    `json:"owner"`   // instance that runs it, or is to; empty if the owner gave it up
 	Claimed         bool      `json:"claimed"` // the owner has started to run it
-	// ProgressToken is the fencing token under which the last owner stored partial
-	// texts before it gave the submission up; 0 otherwise.
+	// ProgressToken is the fencing token under which an earlier owner stored partial
+	// texts; 0 if there is none. Those of the owner itself, under its own token, are newer.
 	ProgressToken uint64 `json:"progress,omitempty"`
 	Ended         bool   `json:"ended"`    // ended by its sender; requests in flight are cancelled
 	Complete      bool   `json:"complete"` // every result is written
