node: a submission that was taken over before its start is not started

What callers saw: reads at an instance that returned nothing at positions which had been read, and a run of an instance that no longer owned the submission. Cause: the event of an acceptance was judged by the head that it carries, although the followed table may have shown a newer one, if the instance was held up in between. The run started without prior work, under a token that is no longer valid, and lasted until its first write. Evidence: TestSubmissionTakenOverBeforeItsStartIsNotStarted, found by reading, failed before (1 of 1 run). Fix: a run starts only if the head of the acceptance is still the newest known. After: it passes, with all tests of pkg/node.

--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -34,6 +34,11 @@
 
 func (s State) Tick(at time.Time) []string { return effectTexts(s.s.reduce(tick{At: at})) }
 
+// Accepted applies the acceptance of a submission.
+func (s State) Accepted(head submission.HeadRow, spec submission.Spec) []string {
+	return effectTexts(s.s.reduce(accepted{head, spec}))
+}
+
 func (s State) TakenOver(head submission.HeadRow, at time.Time) []string {
 	return effectTexts(s.s.reduce(takenOver{ID: head.ID, Owned: head, At: at}))
 }
--- a/pkg/node/heads.go
+++ b/pkg/node/heads.go
@@ -48,6 +48,10 @@
 
 func (s *state) onAccepted(e accepted) []effect {
 	effs := s.setHead(e.HeadRow)
+	// The followed table may have shown that the submission has been taken over or ended since.
+	if s.heads[e.ID].Fencing != e.Fencing {
+		return effs
+	}
 	if s.draining || s.running[e.ID] || e.Owner != s.startID || !e.Claimed || !e.Open() {
 		return effs
 	}
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -404,3 +404,23 @@
 		t.Errorf("ConcurrentItems = %d for m and %d for n, want 80 and 15", m, n)
 	}
 }
+
+// Guards against a run without its prior work, whose readers would miss results that were
+// read, if a submission is taken over before the instance that accepted it has started it.
+func TestSubmissionTakenOverBeforeItsStartIsNotStarted(t *testing.T) {
+	now := baseTime()
+	s := node.NewState("a", "a#1", decoder)
+	s.Update(members(now, member(t, "a", "a#1", 1), member(t, "b", "b#1", 1)))
+	own := submission.Head{ID: "l1", Owner: "a#1", Claimed: true, Total: 1}
+	taken := own
+	taken.Owner = "b#1"
+	s.Update(heads(now, head(t, taken, 5)))
+	spec := submission.Spec{ID: "l1", Items: make([]submission.Item, 1)}
+	if effs := s.Accepted(submission.HeadRow{Head: own, Fencing: 3}, spec); len(effs) > 0 {
+		t.Errorf("got effects %v for a submission that b has taken over, want none", effs)
+	}
+	own.ID, spec.ID = "l2", "l2"
+	if effs := s.Accepted(submission.HeadRow{Head: own, Fencing: 6}, spec); !slices.Contains(effs, "start l2") {
+		t.Errorf("got effects %v for a submission that was accepted, want its start", effs)
+	}
+}
