submission: results are read under the positions of their rows

What callers would have seen: other items at positions that were read, while a submission is deleted after its retention time, or earlier by a clock that is off. Cause: the rows were numbered in the order in which they were read; a deletion removes the first ones first. Evidence: TestPositionsAreStableDuringDeletion, found by reading, failed before (12 results from position 0 on, of the items 48 to 59; 1 of 1 run). Fix: a row must have the key of its position, else the read fails as one that cannot be served now. After: it passes, with the tests of positions, deletions and submissions.

--- a/pkg/submission/repository.go
+++ b/pkg/submission/repository.go
@@ -192,7 +192,10 @@
 		return nil, fmt.Errorf("%w: %v", ErrStoreUnavailable, err)
 	}
 	out := make([]Result, 0, len(page.Rows))
-	for _, row := range page.Rows {
+	for i, row := range page.Rows {
+		if row.Key != resultKey(id, position+i) {
+			return nil, fmt.Errorf("%w: result %d is missing, the submission is being deleted", ErrStoreUnavailable, position+i)
+		}
 		r, err := repo.decodeResult(ctx, row)
 		if err != nil {
 			return nil, err
