entry: responses of services that are not JSON are errors

Callers of the entry role got 200 with an empty body, framed as whole and with the verdict ran, for a call whose response was cut off or was not JSON.

Cause: the client of services returned any body of a 2xx response, and a body without a length that is closed early is whole for HTTP. httpjson.Write sent the status before it encoded the value; a json.RawMessage that is not JSON cannot be encoded, and nothing followed.

TestUnencodableResponse guards Write.

Why this works: no proper part of a JSON array, object or string is JSON, so a cut body is an error after which the call may have run: it is repeated if it may be, else answered 502. Write encodes before it sends the status, so that no other value can become an empty 200.

--- a/internal/httpjson/client_test.go
+++ b/internal/httpjson/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -64,3 +65,16 @@
 		})
 	}
 }
+
+// Guards against status 200 with an empty body for a value that cannot be encoded.
+func TestUnencodableResponse(t *testing.T) {
+	w := httptest.NewRecorder()
+	httpjson.Write(w, http.StatusOK, json.RawMessage("{"))
+	if w.Code != http.StatusInternalServerError || w.Body.Len() == 0 {
+		t.Errorf("got status %d and body %q, want 500 and the reason", w.Code, w.Body)
+	}
+	w = httptest.NewRecorder()
+	if httpjson.Write(w, http.StatusCreated, map[string]int{"a": 1}); w.Code != http.StatusCreated || w.Body.String() != "{\"a\":1}\n" {
+		t.Errorf("got status %d and body %q", w.Code, w.Body)
+	}
+}
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -3,6 +3,7 @@
 package httpjson
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,11 +59,17 @@
 	return true
 }
 
-// Write responds with the JSON encoding of v and the given status.
+// Write responds with the JSON encoding of v and the given status, or with status 500 if v
+// cannot be encoded.
 func Write(w http.ResponseWriter, status int, v any) {
+	var b bytes.Buffer
+	if err := json.NewEncoder(&b).Encode(v); err != nil {
+		http.Error(w, fmt.Sprintf("encode response: %v", err), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_, _ = w.Write(b.Bytes()) // fails if the caller has disconnected
 }
 
 // StatusError is the error for a response with an unexpected status.
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -3,7 +3,8 @@
 //
 // The protocol is HTTP with JSON bodies:
 //
-//	POST /v1/calls/{method}   any JSON body; Idempotency-Key identifies the call
+//	POST /v1/calls/{method}   any JSON body; Idempotency-Key identifies the call;
+//	                          responds with any JSON body
 //
 // A service that refuses a call before running it responds with the header
 // Zinnia-Verdict: not_run. No other response means that the call was not run.
@@ -36,10 +37,10 @@
 	return &Client{server: httpjson.NewClient("http://"+addr, httpClient)}
 }
 
-// Call calls method with body under key and returns the response's body. Errors carry a
-// verdict (see verdict.Of): the call was not run if the service was not reached or says
-// so; it ran if the status is not 2xx or the body exceeds httpjson.MaxBody bytes; after any
-// other error it may have run.
+// Call calls method with body under key and returns the response's body, a JSON value.
+// Errors carry a verdict (see verdict.Of): the call was not run if the service was not
+// reached or says so; it ran if the status is not 2xx or the body exceeds httpjson.MaxBody
+// bytes; after any other error it may have run.
 //
 // A call that is not idempotent is sent at most once: net/http would otherwise resend a
 // request with an Idempotency-Key header on its own when a reused connection breaks
@@ -80,5 +81,8 @@
 	if tooLarge {
 		return nil, verdict.New(verdict.Ran, http.StatusBadGateway, fmt.Errorf("service: response body exceeds %d bytes", httpjson.MaxBody))
 	}
+	if !json.Valid(b) { // a body without a length may have been cut off
+		return nil, verdict.New(verdict.MayHaveRun, http.StatusBadGateway, fmt.Errorf("service: response of %d bytes is not JSON", len(b)))
+	}
 	return b, nil
 }
