node, submission: the line of a write tells the size of its largest result

Cause: "objects" tells that results were stored as objects, but not how near the others are to the limit of a row, so that the logs of a deployment do not tell whether it could happen there. Change: "listed" has the size of the largest result as encoded for a row, as "largest". Test: TestLogsIdentifyResults wants it and fails before.

--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -160,7 +160,7 @@
 	case submission.ResultsListed:
 		o.add("results.objects", e.Objects)
 		o.logLine(o.results, false, e.What, "submission", e.Submission, "position", e.Position, "events", e.Events, "fencing", e.Fencing,
-			"objects", e.Objects, "results", submission.Digests(e.Results))
+			"objects", e.Objects, "largest", e.Largest, "results", submission.Digests(e.Results))
 		return
 	}
 	budget := o.items
--- a/pkg/submission/append.go
+++ b/pkg/submission/append.go
@@ -76,7 +76,7 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 	r.mu.Unlock()
-	r.cfg.OnEvent(RunEvent{What: ResultsListed, Submission: r.spec.ID, Position: b.Position, Events: len(b.Results), Fencing: r.fencing, Results: b.Results, Objects: b.objects})
+	r.cfg.OnEvent(RunEvent{What: ResultsListed, Submission: r.spec.ID, Position: b.Position, Events: len(b.Results), Fencing: r.fencing, Results: b.Results, Objects: b.objects, Largest: b.largest})
 }
 
 // complete marks the submission as complete: every result is written and nothing runs.
--- a/pkg/submission/batch.go
+++ b/pkg/submission/batch.go
@@ -22,6 +22,7 @@
 	Results  []Result
 	ops      []platform.Op
 	objects  int // results that are stored as objects
+	largest  int // bytes of the largest result as encoded for a row
 }
 
 // PrepareBatch returns a Batch of the first of results, as many as fit into one
@@ -44,7 +45,7 @@
 	}
 	for len(b.Results) < min(len(results), maxBatchResults) {
 		r := results[len(b.Results)]
-		op, isObject, err := repo.resultOp(ctx, head.ID, b.Position+len(b.Results), r)
+		op, encoded, err := repo.resultOp(ctx, head.ID, b.Position+len(b.Results), r)
 		if err != nil && len(b.Results) == 0 {
 			return Batch{}, err
 		}
@@ -52,30 +53,32 @@
 			break
 		}
 		b.ops, b.Results = append(b.ops, op), append(b.Results, r)
-		if isObject {
+		if encoded > repo.MaxRowBytes {
 			b.objects++
 		}
+		b.largest = max(b.largest, encoded)
 	}
 	return b, nil
 }
 
-// resultOp returns the write of a result's row, and whether the result is stored as an
-// object.
-func (repo Repository) resultOp(ctx context.Context, id string, position int, r Result) (op platform.Op, isObject bool, err error) {
+// resultOp returns the write of a result's row, and how many bytes the result takes as
+// encoded for a row. If these are more than repo.MaxRowBytes, it is stored as an object.
+func (repo Repository) resultOp(ctx context.Context, id string, position int, r Result) (op platform.Op, encoded int, err error) {
 	op, err = platform.Put(resultKey(id, position), 0, storedResult{Result: r})
-	if err != nil || len(op.Value) <= repo.MaxRowBytes {
-		return op, false, err
+	encoded = len(op.Value)
+	if err != nil || encoded <= repo.MaxRowBytes {
+		return op, encoded, err
 	}
 	data, err := json.Marshal(r)
 	if err != nil {
-		return platform.Op{}, false, err
+		return platform.Op{}, 0, err
 	}
 	name := objectPrefix + id + "-result-" + r.Item
 	if err := repo.Store.PutObject(ctx, name, data); err != nil {
-		return platform.Op{}, false, err
+		return platform.Op{}, 0, err
 	}
 	op, err = platform.Put(resultKey(id, position), 0, storedResult{Result: Result{Item: r.Item, State: r.State}, Object: name})
-	return op, true, err
+	return op, encoded, err
 }
 
 // ErrNotOwner is returned by calls that write for a submission which has ended or has
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -116,6 +116,7 @@
 	Fencing    uint64        // fencing token under which results were written, for "listed"
 	Results    []Result      // that were written, for "listed"
 	Objects    int           // those of Results that are stored as objects
+	Largest    int           // bytes of the largest of Results, as encoded for a row
 	Err        error
 }
 
