explain: check that all instances agree on results

Cause: whether a result changed after it was read can be told from the lines "listed" and "results read" of all instances, but only by comparing thousands of digests.

--- a/cmd/zinnialadder/check_test.go
+++ b/cmd/zinnialadder/check_test.go
@@ -23,6 +23,8 @@
 	text := "node=a\nzone=z\nregion=r\nlisten.front=10.0.0.1:80\nlisten.ready=10.0.0.1:81\nlisten.directory=10.0.0.1:82\nprovider.address=10.0.0.2:90\nnew.key=1\n"
 	right, wrong := write("right.conf", text), write("wrong.conf", strings.Replace(text, "10.0.0.1:81", "here", 1))
 	noise := write("noise.log", "\x00\xff not a log\ntime=soon msg\n")
+	read := write("read.log", "time=10:00:00.000 level=info msg=\"results read\" node=a submission=l1 position=0 source=run results=x1:aa\n")
+	reread := write("reread.log", "time=10:00:01.000 level=info msg=\"results read\" node=b submission=l1 position=0 source=store results=x1:bb\n")
 	for name, c := range map[string]struct {
 		args []string
 		ok   bool
@@ -37,6 +39,8 @@
 		"completion": {[]string{"completion", "bash"}, true, "complete"},
 		"no logs":    {[]string{"explain", "r1", filepath.Join(p.dir, "none.log")}, false, "none.log"},
 		"odd logs":   {[]string{"explain", "r1", noise}, false, "no line names r1"},
+		"same":       {[]string{"explain", "--results", read, read}, true, "conflicts: 0"},
+		"changed":    {[]string{"explain", "--results", reread, read}, false, "1 conflicts"},
 		"a folder":   {[]string{"explain", "r1", p.dir}, false, p.dir},
 		"odd file":   {[]string{"ctl", "inspect", noise}, false, "noise.log"},
 		"no store":   {[]string{"ctl", "site", "--store", "127.0.0.1:9"}, false, "127.0.0.1:9"},
--- a/cmd/zinnialadder/explain.go
+++ b/cmd/zinnialadder/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -15,10 +16,10 @@
 // explainCmd returns the command that explains requests, items and submissions from
 // instances' logs.
 func explainCmd() *cobra.Command {
-	var summary bool
+	var summary, results bool
 	cmd := &cobra.Command{
-		Use:   "explain ID FILE... | --summary FILE...",
-		Short: "Print from instances' logs what happened to a request, item or submission, or what all submissions waited for",
+		Use:   "explain ID FILE... | --summary FILE... | --results FILE...",
+		Short: "Print from instances' logs what happened to a request, item or submission, what all submissions waited for, or whether results changed",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if summary {
@@ -28,6 +29,9 @@
 				}
 				return explain.Summarize(lines).Write(cmd.OutOrStdout(), slowestShown)
 			}
+			if results {
+				return checkResults(cmd.OutOrStdout(), args)
+			}
 			lines, err := readLogs(args[1:])
 			if err != nil {
 				return err
@@ -40,9 +44,30 @@
 		},
 	}
 	cmd.Flags().BoolVar(&summary, "summary", false, "print the time that all submissions, and the slowest ones, spent in each phase, and times by model, route, customer and upstream")
+	cmd.Flags().BoolVar(&results, "results", false, "check that all lines agree on the result and the position of each item, and print how often submissions ran; fails if lines disagree")
+	cmd.MarkFlagsMutuallyExclusive("summary", "results")
 	return cmd
 }
 
+// checkResults writes what the log files tell of results. It fails if they disagree.
+func checkResults(w io.Writer, names []string) error {
+	lines, err := readLogs(names)
+	if err != nil {
+		return err
+	}
+	if len(names) > 1 {
+		explain.SortByTime(lines) // the lines of one file are in the order of their output, whatever the clocks of instances say
+	}
+	check := explain.CheckResults(lines)
+	if err := check.Write(w); err != nil {
+		return err
+	}
+	if n := len(check.Conflicts); n > 0 {
+		return fmt.Errorf("%d conflicts between results", n)
+	}
+	return nil
+}
+
 // readLogs returns the lines of the log files. It fails if names is empty.
 func readLogs(names []string) ([]explain.Line, error) {
 	if len(names) == 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -69,6 +69,12 @@
 	return out, nil
 }
 
+// SortByTime sorts lines by time, as their instances' clocks tell it. Lines of the same
+// time keep their order.
+func SortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.at.Compare(b.at) })
+}
+
 // maxLine is the length limit of a line, in bytes.
 const maxLine = 1 << 20
 
@@ -148,8 +154,8 @@
 			e.Lines = append(e.Lines, l)
 		}
 	}
-	slices.SortStableFunc(e.Lines, func(a, b Line) int { return a.at.Compare(b.at) })
-	slices.SortStableFunc(own, func(a, b Line) int { return a.at.Compare(b.at) })
+	SortByTime(e.Lines)
+	SortByTime(own)
 	e.Steps, e.Cause = courseOf(own), cause(own)
 	return e, true
 }
