--- a/cmd/zinnialadder/soak.go
+++ b/cmd/zinnialadder/soak.go
@@ -20,11 +20,14 @@
 		Short: "Run instances as processes on loopback under random faults and check invariants",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			program, err := os.Executable()
-			if err != nil {
-				return err
+			if cfg.Program == "" {
+				program, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				cfg.Program = program
 			}
-			cfg.Program, cfg.Log = program, cmd.ErrOrStderr()
+			cfg.Log = cmd.ErrOrStderr()
 			ctx, stop := signalContext()
 			defer stop()
 			return runSoak(ctx, cmd, cfg, seeds)
@@ -37,6 +40,8 @@
 	f.DurationVar(&cfg.RecoveryTime, "calm", 4*time.Second, "time without faults after that, in which all accepted requests must be served")
 	f.IntVar(&cfg.Instances, "nodes", 4, "number of instances, each a process")
 	f.IntVar(&cfg.Engines, "engines", 4, "number of model engines")
+	f.IntVar(&cfg.RowBytes, "row-bytes", 2048, "largest value of a row of the store; larger results are stored as objects, with 65536 none")
+	f.StringVar(&cfg.Program, "program", "", "zinnialadder binary of the instances; by default this one")
 	f.IntVar(&cfg.Services, "services", 3, "number of plain services")
 	return cmd
 }
