soak: upstreams listen at ports that other processes do not get

The fake engines listened at ports that the kernel chose and gave them up for the 0.5 s between a crash and a restart.

--- a/internal/crashtest/server.go
+++ b/internal/crashtest/server.go
@@ -22,6 +22,9 @@
 // Config configures a Server.
 type Config struct {
 	Handler http.Handler
+	// Address is the IP:port to listen at; empty for a free port of 127.0.0.1. While the server
+	// is down, another process may take a port that the kernel chooses by itself.
+	Address string
 	// RestartDelay returns the time from a crash to the restart. If it is nil or returns
 	// 0, the server does not restart.
 	RestartDelay func() time.Duration
@@ -43,9 +46,13 @@
 	crashes []time.Time
 }
 
-// Serve starts a Server at a free port of 127.0.0.1.
+// Serve starts a Server.
 func Serve(cfg Config) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address := cfg.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
