--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -25,7 +25,7 @@
 	failureLines  = 40
 	requestLines  = 15
 	itemLines     = 25
-	resultLines   = 20
+	resultLines   = 40
 	upstreamLines = 10
 )
 
--- a/pkg/node/readers.go
+++ b/pkg/node/readers.go
@@ -54,8 +54,8 @@
 	estimators *fifoCache[*completion.Estimator]
 }
 
-// resultCache holds the first results of a submission. It needs no invalidation,
-// because the position of a result never changes.
+// resultCache holds the first results of a submission. It needs no invalidation, because a
+// position keeps its result until the submission is deleted.
 type resultCache struct {
 	reading sync.Mutex // held while the store is read, so that concurrent readers cause one read
 
@@ -202,10 +202,11 @@
 	}
 }
 
-// Sources of the results that a caller reads, for the log.
+// Sources of the results that a caller reads, for the log and metrics.
 const (
-	sourceRun   = "run"   // the run here
-	sourceCache = "cache" // an earlier read or run here
+	resultsFromRun   = "run"   // the run here
+	resultsFromCache = "cache" // an earlier read or run here
+	resultsFromStore = "store"
 )
 
 // resultsFrom returns results from a position on, their source and, if the submission runs
@@ -213,7 +214,7 @@
 func (r *submissionReader) resultsFrom(ctx context.Context, head submission.HeadRow, after int) (results []submission.Result, source string, changed <-chan struct{}, err error) {
 	if run := r.run(head.ID); run != nil {
 		results, changed := run.runner.Results(after)
-		return results, sourceRun, changed, nil
+		return results, resultsFromRun, changed, nil
 	}
 	r.mu.Lock()
 	c, ok := r.results.get(head.ID)
@@ -223,11 +224,11 @@
 	}
 	r.mu.Unlock()
 	if cached := c.all(); after < len(cached) {
-		return cached[after:], sourceCache, nil, nil // without waiting for a read of the store, which may be away
+		return cached[after:], resultsFromCache, nil, nil // without waiting for a read of the store, which may be away
 	}
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	cached, source := c.all(), sourceCache
+	cached, source := c.all(), resultsFromCache
 	for ; len(cached) <= after && len(cached) < head.Total; cached = c.all() {
 		more, err := r.node.submissions.Results(ctx, head.ID, len(cached), resultsPerRead)
 		if err != nil {
@@ -237,7 +238,7 @@
 			return nil, "", nil, nil
 		}
 		c.add(more)
-		source = sourceStore
+		source = resultsFromStore
 	}
 	return cached[min(after, len(cached)):], source, nil, nil
 }
