platform: conflicts with large rows are decoded from the whole response

At the entry role, a caller who repeated a call that may run once and had a response of 4 KB or more got 503 with the verdict not_run each time, instead of the recorded response, although the call had run.

Cause: the client of the platform decoded the row of a conflict from the body of a StatusError, which holds the first 4,096 bytes.

Why this works: httpjson.Client.MaxError sets how much of an error response is held, and the platform's client sets it to what a row takes.

--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -19,6 +19,9 @@
 	// MaxResponse is the largest response body that Do decodes, in bytes. 0 means 64 MB, which
 	// is enough for all rows of a platform.
 	MaxResponse int64
+	// MaxError is the largest part of an error response's body that a StatusError of Do
+	// holds, in bytes. 0 means 4,096 bytes, which is enough for messages.
+	MaxError int64
 }
 
 // defaultMaxResponse is the default of Client.MaxResponse.
@@ -73,7 +76,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return NewStatusError(resp)
+		return newStatusError(resp, cmp.Or(c.MaxError, maxErrorBody))
 	}
 	if out == nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
@@ -91,12 +94,16 @@
 	return nil
 }
 
-// maxErrorBody is the number of bytes of a response's body that a StatusError holds.
+// maxErrorBody is the number of bytes of a response's body that a StatusError holds by
+// default, and that its message has.
 const maxErrorBody = 4096
 
 // NewStatusError returns the error for a response with an unexpected status. It reads the
 // first maxErrorBody bytes of the body and does not close it.
-func NewStatusError(resp *http.Response) *StatusError {
-	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+func NewStatusError(resp *http.Response) *StatusError { return newStatusError(resp, maxErrorBody) }
+
+// newStatusError is NewStatusError with another limit.
+func newStatusError(resp *http.Response, limit int64) *StatusError {
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, limit)) // of a body that is cut off, its start
 	return &StatusError{Status: resp.StatusCode, Header: resp.Header, Body: string(bytes.TrimSpace(b))}
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -80,7 +80,7 @@
 }
 
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("status %d: %s", e.Status, e.Body)
+	return fmt.Sprintf("status %d: %s", e.Status, e.Body[:min(len(e.Body), maxErrorBody)])
 }
 
 // NotSent reports whether err is the error of a request for which no connection could be
--- a/pkg/entry/call_test.go
+++ b/pkg/entry/call_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,25 @@
 		t.Fatalf("got %d claims after more purges, want 450", n)
 	}
 }
+
+// Guards against a call that may run once and whose recorded response is not returned to a
+// caller who repeats it, because it is large.
+func TestLargeResponseIsReplayed(t *testing.T) {
+	s := startSite(t, 1, 1, enginetest.Config{})
+	body, err := json.Marshal(strings.Repeat("x", 8<<10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := entry.CallRequest{Customer: "minho", Entry: "plans", Method: "log_plan", Key: "large", Body: body}
+	client := entry.NewClient(s.Entries[0].Addr(), nil)
+	first, err := client.Call(t.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := client.Call(t.Context(), req); err != nil || !again.Replayed || string(again.Body) != string(first.Body) {
+		t.Errorf("repeated call: got %d bytes, replayed %v, %v, want the %d bytes of the first", len(again.Body), again.Replayed, err, len(first.Body))
+	}
+	if n := s.Executions()["large"]; n != 1 {
+		t.Errorf("the call ran %d times, want 1", n)
+	}
+}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -20,9 +20,15 @@
 // NewClient returns a Client for the platform at base, such as "http://127.0.0.1:7000".
 // A nil httpClient means http.DefaultClient.
 func NewClient(base string, httpClient *http.Client) *Client {
-	return &Client{server: httpjson.NewClient(base, httpClient)}
+	server := httpjson.NewClient(base, httpClient)
+	server.MaxError = maxConflict
+	return &Client{server: server}
 }
 
+// maxConflict limits the body of a response to a commit whose condition failed, in bytes. It
+// holds a row, whose value was written with a body of at most httpjson.MaxBody bytes.
+const maxConflict = 2 * httpjson.MaxBody
+
 // WithTimeout returns a copy of c whose calls end after timeout.
 func (c *Client) WithTimeout(timeout time.Duration) *Client {
 	copied := *c
