submission: a text of one version goes on only at engines that hold it

Cause: the engine was chosen by the submission's minimum version, but the request asked for the version of the text. A text started again only if no entry named its version, be the engine usable or not; an attempt at an engine whose entry is behind asked for the target version instead of the text's.

Why this works: placer.place is the only place that decides where a text goes on. Choice and request require the same version; Registry.SuitableSoon tells whether an engine that can continue the text may have room soon, and completion.Interrupted whether the text waits for it or starts again. A wait is no longer than generating its events again takes.

--- a/pkg/completion/estimator.go
+++ b/pkg/completion/estimator.go
@@ -54,6 +54,17 @@
 	return Rates{EventsPerUnit: e.eventsPerUnit(), EventTime: e.seconds / e.events}, true
 }
 
+// EventTime returns the estimated time that an engine takes for an event, or 0 while none is
+// known.
+func (e *Estimator) EventTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.events == 0 {
+		return 0
+	}
+	return time.Duration(e.seconds / e.events * float64(time.Second))
+}
+
 // EventsPerUnit returns the number of events of a text for each unit of its length hint,
 // or 0 while no text is known.
 func (e *Estimator) EventsPerUnit() float64 {
--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -20,61 +20,22 @@
 		Affinity: it.Affinity, NeedFreeSlot: true, Work: length.Work, Units: length.MeanEvents, Tokens: it.Tokens.Expected(it.Length)}
 }
 
-// startItem starts an attempt at item i, with the requirements req, and reports whether an
-// engine had room for it.
-func (r *Runner) startItem(ctx context.Context, i int, rt routetable.Route, req upstream.Requirements) bool {
-	after, versions := r.run.LastEvent(i)
-	expect := uint64(0)
-	now, target := req.Now, req.Newest
-	elsewhere := req // what a faster engine must offer for the text to be moved there
-	elsewhere.First = ""
-	rsv, ok := r.cfg.Registry.Acquire(req)
-	if !ok && target >= r.spec.MinVersion && target > 0 {
-		// An engine may hold the target version before its registry entry says so. The
-		// request names the version, and the engine refuses it if it does not hold it.
-		req.Outdated, expect = true, target
-		rsv, ok = r.cfg.Registry.Acquire(req)
-	}
-	if !ok {
-		return false
-	}
-	if rt.SingleVersion && len(versions) > 0 && r.versionLost(rt, versions[0]) {
-		r.run.Restart(i)
-		after, versions = r.run.LastEvent(i)
-	}
+// start starts an attempt at item i in a slot. elsewhere is what another engine must offer for
+// the text to be moved there.
+func (r *Runner) start(ctx context.Context, i int, rt routetable.Route, p placement, elsewhere upstream.Requirements) {
+	after, _ := r.run.LastEvent(i)
 	g := r.generation(i, after)
-	if rt.SingleVersion && len(versions) > 0 {
-		g.Version = versions[0]
-	}
-	if expect != 0 {
-		g.Version = expect
-	}
-	r.run.Started(i, now)
+	g.Version = p.version
+	r.run.Started(i, elsewhere.Now)
+	elsewhere.First = ""
 	m := &mover{runner: r, item: i, elsewhere: elsewhere, singleVersion: rt.SingleVersion}
+	rsv := p.rsv
 	r.group.Go(func() error {
 		for rsv != nil {
 			rsv = r.attempt(ctx, i, rt, rsv, m, &g)
 		}
 		return nil
 	})
-	return true
-}
-
-// versionLost reports whether engines hold newer versions than the given one and none
-// holds that.
-func (r *Runner) versionLost(rt routetable.Route, version uint64) bool {
-	newer := false
-	for _, s := range rt.Shares {
-		for _, e := range r.cfg.Registry.Entries(s.Pool) {
-			switch v := e.Versions[r.spec.Model]; {
-			case v == version:
-				return false
-			case v > version:
-				newer = true
-			}
-		}
-	}
-	return newer
 }
 
 // attempt makes one attempt at item i and posts what it produced. If the text moves to
--- a/pkg/submission/move.go
+++ b/pkg/submission/move.go
@@ -37,7 +37,14 @@
 
 // Length returns the estimated length of item i's text. An item without a length hint
 // counts as a mean one.
-func (r *Run) Length(i int) Length {
+func (r *Run) Length(i int) Length { return r.lengthAfter(i, r.items[i].lastEvent) }
+
+// WholeLength returns the estimated length of item i's text if it starts again.
+func (r *Run) WholeLength(i int) Length { return r.lengthAfter(i, 0) }
+
+// lengthAfter returns the estimated length of item i's text of which a number of events have
+// been generated.
+func (r *Run) lengthAfter(i, generated int) Length {
 	l := Length{Work: 1, MeanEvents: unknownMeanEvents}
 	if r.completeTexts > 0 {
 		l.MeanEvents = float64(r.completeEvents) / float64(r.completeTexts)
@@ -48,7 +55,7 @@
 	if hint := r.spec.Items[i].Length; hint > 0 {
 		l.Work = float64(hint) / r.meanHint
 	}
-	if generated := r.items[i].lastEvent; generated > 0 {
+	if generated > 0 {
 		l.Work = EventsLeft(l.Work*l.MeanEvents, generated) / l.MeanEvents
 	}
 	return l
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -61,7 +62,8 @@
 	text             []string
 	lastEvent        int // ID of the last event of the text
 	versions         []uint64
-	carried          bool // see Run.Carried
+	carried          bool      // see Run.Carried
+	unplacedSince    time.Time // see Run.Unplaced; zero while it does not wait so
 	timing           ItemTiming
 	attemptEvents    int // events of the attempt in flight that were added
 }
@@ -189,8 +191,37 @@
 	r.items[i].discard()
 }
 
+// Unplaced records that item i, which is waiting, has found no engine that can continue its
+// text at now, and returns when that was first so since the text got its last event.
+func (r *Run) Unplaced(i int, now time.Time) (since time.Time) {
+	it := &r.items[i]
+	if it.unplacedSince.IsZero() {
+		it.unplacedSince = now
+	}
+	return it.unplacedSince
+}
+
+// RoomAt estimates when the first of the texts in flight that have the given weight version is
+// complete, which gives room to another text with that version. It returns the zero time if none
+// is in flight or the time of events is unknown.
+func (r *Run) RoomAt(version uint64, now time.Time) time.Time {
+	least, perEvent := math.Inf(1), r.estimator.EventTime()
+	for i := range r.items {
+		if it := &r.items[i]; it.phase == running && len(it.versions) == 1 && it.versions[0] == version {
+			l := r.Length(i)
+			least = min(least, l.Work*l.MeanEvents)
+		}
+	}
+	if math.IsInf(least, 1) || perEvent == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(least * float64(perEvent)))
+}
+
 // discard discards the text, which then starts again.
-func (it *item) discard() { it.text, it.versions, it.lastEvent = nil, nil, 0 }
+func (it *item) discard() {
+	it.text, it.versions, it.lastEvent, it.unplacedSince = nil, nil, 0, time.Time{}
+}
 
 // AttemptOutput is what an attempt at an item's text produced, or a part of it.
 type AttemptOutput struct {
@@ -260,6 +291,7 @@
 		}
 		it.text = append(it.text, e.Data)
 		it.lastEvent = e.ID
+		it.unplacedSince = time.Time{}
 	}
 	if len(out.Events) > 0 { // a version without events has produced nothing of the text
 		for _, v := range out.Versions {
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -93,6 +93,10 @@
 // slot has been reserved for it.
 const TextMoved = "moved"
 
+// TextRestarted is the What of the event of a text that is discarded and starts again, as no
+// engine can continue it. Events is the number of events that are lost.
+const TextRestarted = "restarted"
+
 // ItemTooLarge is the What of the event of an item that fits into no engine's memory. It
 // waits, as engines with more memory may be configured.
 const ItemTooLarge = "too_large"
@@ -316,6 +320,7 @@
 // registry.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
 	room, first := math.MaxInt, true // room: most tokens that may fit
+	placer := r.newPlacer(rt)
 	for _, i := range r.waiting(rt, now) {
 		use := r.spec.Items[i].Tokens
 		if use.Expected(r.spec.Items[i].Length) > room {
@@ -331,7 +336,11 @@
 		if first {
 			req.First = r.spec.ID + "/" + r.spec.Items[i].ID
 		}
-		if r.startItem(ctx, i, fits, req) {
+		switch p, result := placer.place(i, fits.Shares, req); result {
+		case placed:
+			r.start(ctx, i, fits, p, req)
+			continue
+		case noEngineForText:
 			continue
 		}
 		left, lacking := r.cfg.Registry.MemoryRoom(req)
--- a/pkg/upstream/loading.go
+++ b/pkg/upstream/loading.go
@@ -31,6 +31,11 @@
 	version   uint64 // the load has ended once the engine holds this version
 }
 
+// leads reports whether the engine is loading a newer version than a request allows.
+func (l loading) leads(req Requirements) bool {
+	return req.MaxVersion != 0 && l.model == req.Model && l.version > req.MaxVersion && !l.refusedAt.IsZero() && req.Now.Sub(l.lastAt) <= maxLoadMemory
+}
+
 // loadTimes holds what this instance has seen of loads of weights.
 type loadTimes struct {
 	shortest time.Duration // 0 for none
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -589,19 +589,38 @@
 // eligible reports whether s may take a request unless another must be answered first.
 func (r *Registry) eligible(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
-	switch {
-	case s.Draining, local.addressReused, req.Now.Before(local.busyUntil), slices.Contains(req.Exclude, s.ID), !r.health.Usable(s.ID, req.Now):
+	if req.Now.Before(local.busyUntil) || !r.suitable(s, req) {
 		return false
-	case req.Model == "":
+	}
+	return req.Model == "" || !req.Outdated || req.Now.Sub(local.versionCheckedAt) >= recheckInterval && r.mayHaveLoaded(s, req)
+}
+
+// suitable reports whether s may take a request whenever it has capacity.
+func (r *Registry) suitable(s *upstreamState, req Requirements) bool {
+	local := s.localOrZero()
+	if s.Draining || local.addressReused || slices.Contains(req.Exclude, s.ID) || !r.health.Usable(s.ID, req.Now) {
+		return false
+	}
+	if req.Model == "" {
 		return true
-	case req.Outdated:
-		v := s.version(req.Model)
-		return v < req.MinVersion && v+maxRecheckLag >= req.MinVersion && req.Now.Sub(local.versionCheckedAt) >= recheckInterval && r.mayHaveLoaded(s, req)
 	}
 	v := s.version(req.Model)
+	if req.Outdated {
+		return v < req.MinVersion && req.MinVersion-v <= maxRecheckLag
+	}
 	return v >= req.MinVersion && (req.MaxVersion == 0 || v <= req.MaxVersion)
 }
 
+// SuitableSoon reports whether an upstream of the pool may take a request as soon as it has
+// capacity. One that is known to load a newer version than the request allows will not.
+func (r *Registry) SuitableSoon(req Requirements) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.members(req.Pool), func(s *upstreamState) bool {
+		return r.suitable(s, req) && !s.localOrZero().loading.leads(req)
+	})
+}
+
 // load returns the estimated number of requests at s.
 func (s *upstreamState) load(now time.Time) int {
 	local := s.localOrZero()
