upstream: an engine that refused a text for its version is not asked again at once

What callers saw: on a route with single_version, a text was sent every 50 ms to an engine that refused it with 421 each time, for as long as the engine's entry named a version that it did not hold, while other engines had room.

Cause: a refusal for the version was recorded only for requests that check whether an engine has loaded the target version. The registry went on believing the entry, and affinity and load chose the same engine again.

Why this works: the registry remembers the refusal for a second, in which the engine is not suitable for requests that allow only that version; and the version that the engine names in its response is learned, if it is newer.

Before: TestEngineThatRefusedVersionIsNotAskedAgain fails without the change of pkg/upstream (no result in 2 s). After: one refusal, then the text starts again.

--- a/pkg/submission/generate.go
+++ b/pkg/submission/generate.go
@@ -97,6 +97,7 @@
 	now := time.Now()
 	res := upstream.AttemptResult{At: now, Load: load, LoadAt: headerAt}
 	var se *StatusError
+	var mismatch *VersionMismatchError
 	switch {
 	case err == nil:
 		out.Complete = true
@@ -107,8 +108,8 @@
 	case errors.As(err, &se):
 		out.Status, res.Load = se.Status, se.Load
 		res.Failed = se.Status > http.StatusInternalServerError
-	case errors.Is(err, ErrVersionMismatch):
-		res.VersionRefused = true
+	case errors.As(err, &mismatch):
+		res.VersionRefused, res.Versions = true, r.observedVersions(mismatch.Held)
 	case forward.RecordRefusal(&res, err, refusalBackoff):
 		// An engine refuses with free slots while it loads weights.
 		res.Loading = res.Busy && load.FreeSlot() && rsv.Versions[r.spec.Model] < r.cfg.TargetVersion(r.spec.Model)
--- a/pkg/submission/move_test.go
+++ b/pkg/submission/move_test.go
@@ -174,7 +174,7 @@
 
 func (v versionedEngines) Generate(ctx context.Context, to upstream.Entry, g submission.GenerateRequest) (submission.Stream, *upstream.Load, error) {
 	if g.Version != 0 && g.Version != v.version {
-		return nil, nil, submission.ErrVersionMismatch
+		return nil, nil, &submission.VersionMismatchError{}
 	}
 	s, load, err := v.pacedEngines.Generate(ctx, to, g)
 	return versionedStream{s, v.version}, load, err
--- a/pkg/submission/place_test.go
+++ b/pkg/submission/place_test.go
@@ -49,7 +49,7 @@
 	case e.busy[to.ID]:
 		return nil, &upstream.Load{Running: 1, Slots: 1}, forward.ErrNotRun
 	case c.refused:
-		return nil, nil, submission.ErrVersionMismatch
+		return nil, nil, &submission.VersionMismatchError{}
 	}
 	s := &placedStream{version: held, last: g.After, end: cmp.Or(e.events, placedEvents)}
 	if to.ID == "slow" {
@@ -161,6 +161,20 @@
 	}
 }
 
+// Guards against a text that is sent every 50 ms to an engine that refuses it for its version,
+// because the engine's entry names a version that it does not hold.
+func TestEngineThatRefusedVersionIsNotAskedAgain(t *testing.T) {
+	e := &placingEngines{holds: map[string]uint64{"misnamed": 3, "new": 3}}
+	res, ok := e.run(t, registryOf(map[string]uint64{"misnamed": 2, "new": 3}, ""), 2*time.Second, 3, 2)
+	if !ok {
+		t.Fatalf("no result after calls %+v", e.calls)
+	}
+	checkText(t, res, 3, placedEvents)
+	if len(e.calls) != 2 || e.calls[0] != (call{"misnamed", 5, true}) || e.calls[1].after != 0 {
+		t.Fatalf("calls %+v, want one that is refused and one that starts again", e.calls)
+	}
+}
+
 // Guards against a text that is continued at an engine that may have loaded a newer version than
 // the text's meanwhile, which throws both parts away.
 func TestTextIsNotSentToEngineThatLoadsOtherVersion(t *testing.T) {
--- a/pkg/submission/submission.go
+++ b/pkg/submission/submission.go
@@ -163,9 +163,18 @@
 // allows.
 var ErrTextTooLong = errors.New("submission: text is longer than the request allows")
 
-// ErrVersionMismatch is a forward.ErrNotRun: the engine holds another weight version
-// than the request asked for.
-var ErrVersionMismatch = fmt.Errorf("%w: the engine holds another weight version", forward.ErrNotRun)
+// VersionMismatchError is a forward.ErrNotRun: the engine holds another weight version than the
+// request asked for.
+type VersionMismatchError struct {
+	Held uint64 // version that the engine holds; 0 if it did not say
+}
+
+func (e *VersionMismatchError) Error() string {
+	return fmt.Sprintf("%v: the engine holds another weight version", forward.ErrNotRun)
+}
+
+// Unwrap returns forward.ErrNotRun.
+func (e *VersionMismatchError) Unwrap() error { return forward.ErrNotRun }
 
 // Tables of submissions in the platform's store, and the prefix of their objects.
 const (
--- a/pkg/upstream/loading.go
+++ b/pkg/upstream/loading.go
@@ -12,6 +12,10 @@
 	// loadRetryInterval is the interval at which an engine is tried, with one request,
 	// once its load can have ended.
 	loadRetryInterval = 130 * time.Millisecond
+	// versionRefusalTime is how long an engine that refused a request for its version gets
+	// no other that allows only that version. Its entry, which says that it holds the
+	// version, is corrected within a heartbeat.
+	versionRefusalTime = time.Second
 	// maxLoadMemory is how long after its last refusal an engine is still taken to be
 	// in the same load. It may have ended unnoticed while nothing was sent to the engine.
 	maxLoadMemory = 3 * time.Second
@@ -36,6 +40,19 @@
 	return req.MaxVersion != 0 && l.model == req.Model && l.version > req.MaxVersion && !l.refusedAt.IsZero() && req.Now.Sub(l.lastAt) <= maxLoadMemory
 }
 
+// versionRefusal is an upstream's refusal of a request that allows only one weight version,
+// which the upstream's entry says that it holds. Its zero value means that there was none.
+type versionRefusal struct {
+	model   string
+	version uint64
+	until   time.Time // when such a request may be tried again
+}
+
+// covers reports whether the refusal holds for a request.
+func (v versionRefusal) covers(req Requirements) bool {
+	return req.MaxVersion != 0 && v.model == req.Model && v.version == req.MaxVersion && req.Now.Before(v.until)
+}
+
 // loadTimes holds what this instance has seen of loads of weights.
 type loadTimes struct {
 	shortest time.Duration // 0 for none
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -114,6 +114,7 @@
 	// no answers, since streams go on during a load.
 	answeredAt time.Time
 	loading    loading
+	refusal    versionRefusal
 	// observedVersions are the weight versions that responses have shown, by model.
 	observedVersions map[string]uint64
 }
@@ -441,6 +442,7 @@
 	acquiredAt time.Time
 	model      string // model of the request; empty for none
 	minVersion uint64 // version that the request requires
+	maxVersion uint64 // newest version that the request allows; 0 for any
 	outdated   bool   // the upstream was believed to be older than that
 	memory     memoryUse
 	single     bool // this request set singleInFlight and has not been answered
@@ -481,7 +483,7 @@
 		local.versionCheckedAt = req.Now
 	}
 	r.health.RecordAttempt(s.ID, req.Now)
-	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, outdated: req.Outdated,
+	return &Reservation{Entry: s.entry(), Alone: local.singleInFlight && r.isContended(s.Pool), single: local.singleInFlight, registry: r, state: s, acquiredAt: req.Now, model: req.Model, minVersion: req.MinVersion, maxVersion: req.MaxVersion, outdated: req.Outdated,
 		memory: r.addMemoryUse(s, req)}
 }
 
@@ -598,7 +600,7 @@
 // suitable reports whether s may take a request whenever it has capacity.
 func (r *Registry) suitable(s *upstreamState, req Requirements) bool {
 	local := s.localOrZero()
-	if s.Draining || local.addressReused || slices.Contains(req.Exclude, s.ID) || !r.health.Usable(s.ID, req.Now) {
+	if s.Draining || local.addressReused || local.refusal.covers(req) || slices.Contains(req.Exclude, s.ID) || !r.health.Usable(s.ID, req.Now) {
 		return false
 	}
 	if req.Model == "" {
@@ -770,6 +772,9 @@
 		r.endLoading(rsv.state, result.At)
 		return
 	}
+	if result.VersionRefused && !rsv.outdated && rsv.maxVersion != 0 {
+		local.refusal = versionRefusal{model: rsv.model, version: rsv.maxVersion, until: result.At.Add(versionRefusalTime)}
+	}
 	switch {
 	case contended && (result.Busy && result.Loading || result.VersionRefused && rsv.outdated):
 		r.recordLoading(rsv, result)
