submission: a text of one version leaves a slow engine only for one that holds it

What callers saw: on a route with single_version, in a pool that is not contended, a text at a slow engine was broken off after each six events because a faster engine, which holds another version, had room, and was continued at the slow one, which read prompt and text again each time.

Cause: mover.leave required the version of the text only in contended pools.

Why this works: the version is required before the branch for other pools.

Before: TestTextStaysAtSlowEngineWithItsVersion counts six requests.

--- a/pkg/submission/move.go
+++ b/pkg/submission/move.go
@@ -91,16 +91,17 @@
 	r := m.runner
 	req := m.elsewhere
 	req.Now = now
+	m.version = 0
+	if m.singleVersion && version != 0 {
+		req.MinVersion, req.MaxVersion = version, version
+		m.version = version
+	}
 	if !r.cfg.Registry.Contended(req.Pool) {
 		return rsv.FasterAvailable(req, SlowEngineFactor)
 	}
 	if now.Sub(m.movedAt) < MoveInterval {
 		return false
 	}
-	if m.singleVersion && version != 0 {
-		req.MinVersion, req.MaxVersion = version, version
-		m.version = version
-	}
 	expected := float64(r.spec.Items[m.item].Length) * math.Float64frombits(r.eventsPerUnit.Load())
 	req.Work, req.Units = 0, EventsLeft(expected, generated)
 	next, ok := rsv.AcquireSooner(req, RereadTime)
--- a/pkg/submission/place_test.go
+++ b/pkg/submission/place_test.go
@@ -213,3 +213,28 @@
 	}
 	checkText(t, res, 3, placedEvents)
 }
+
+// Guards against a text of a route with a single version that leaves a slow engine again and
+// again, because a faster one, which holds another version, has room.
+func TestTextStaysAtSlowEngineWithItsVersion(t *testing.T) {
+	registry := upstream.NewRegistry("")
+	registry.Set([]upstream.Entry{{ID: "fast", Pool: "p", Address: "f", Slots: 2, Versions: map[string]uint64{"m": 3}}, {ID: "slow", Pool: "p", Address: "s", Slots: 2, Versions: map[string]uint64{"m": 2}}})
+	for id, unit := range map[string]time.Duration{"fast": fastEvent, "slow": slowEvent} {
+		for range 30 {
+			rsv, ok := registry.Acquire(upstream.Requirements{Pool: "p", Now: time.Now(), Exclude: []string{map[string]string{"fast": "slow", "slow": "fast"}[id]}})
+			if !ok {
+				t.Fatal("no usable engine")
+			}
+			rsv.Done(upstream.AttemptResult{At: time.Now(), TimePerUnit: unit})
+		}
+	}
+	e := &placingEngines{holds: map[string]uint64{"fast": 3, "slow": 2}, events: 40}
+	res, ok := e.run(t, registry, 5*time.Second, 3, 2)
+	if !ok {
+		t.Fatalf("no result after calls %+v", e.calls)
+	}
+	checkText(t, res, 2, 40)
+	if want := []call{{engine: "slow", after: 5}}; !slices.Equal(e.calls, want) {
+		t.Fatalf("calls %+v, want %+v", e.calls, want)
+	}
+}
