boundedjson: a deeply nested row does not end the process

What callers saw: reported by other operators, and shown here: an entry of another writer with a field nested 4 million levels deep ended each instance that read the list of engines ("fatal error: stack overflow", which cannot be recovered), again after each start. At the row limit of the deployments an entry nests 32,500 levels at most; such an entry was taken for a good one.

Cause: the decoder of rows recurses for each level without a limit, in fields that are not used too.

Why this works: the nesting is checked, without recursion, before the decoder sees the value.

Before: the test's process ends. After: each row is refused with an error.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -12,6 +12,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"github.com/zinnialadder/zinnialadder/internal/boundedjson"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -94,7 +95,7 @@
 // Decode decodes a Lease from its row.
 func Decode(row platform.Row) (Lease, error) {
 	var l Lease
-	if err := json.Unmarshal(row.Value, &l); err != nil {
+	if err := boundedjson.Unmarshal(row.Value, &l); err != nil {
 		return Lease{}, fmt.Errorf("lease: decode row %s: %w", row.Key, err)
 	}
 	l.Name = row.Key
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -13,6 +13,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"github.com/zinnialadder/zinnialadder/internal/boundedjson"
 	"github.com/zinnialadder/zinnialadder/pkg/lease"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
@@ -206,7 +207,7 @@
 
 func decodeMember(key string, l lease.Lease) (Member, error) {
 	m := Member{}
-	if err := json.Unmarshal(l.Data, &m); err != nil {
+	if err := boundedjson.Unmarshal(l.Data, &m); err != nil {
 		return Member{}, fmt.Errorf("membership: decode row %s: %w", key, err)
 	}
 	m.Name, m.StartID = strings.TrimPrefix(key, Prefix()), l.Holder
--- a/pkg/membership/relayed.go
+++ b/pkg/membership/relayed.go
@@ -8,6 +8,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"github.com/zinnialadder/zinnialadder/internal/boundedjson"
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 )
 
@@ -56,7 +57,7 @@
 			continue
 		}
 		var m RelayedMember
-		if err := json.Unmarshal(ch.Value, &m); err != nil {
+		if err := boundedjson.Unmarshal(ch.Value, &m); err != nil {
 			first = errors.Join(first, fmt.Errorf("membership: decode relayed member %s: %w", name, err))
 			continue
 		}
