--- a/pkg/node/effects.go
+++ b/pkg/node/effects.go
@@ -100,11 +100,12 @@
 }
 
 func (e setTable) execute(_ context.Context, n *Node) {
-	memory := make(map[string]int, len(e.table.Pools))
+	memory, slots := make(map[string]int, len(e.table.Pools)), make(map[string]int, len(e.table.Pools))
 	for name, pool := range e.table.Pools {
-		memory[name] = pool.MemoryTokens
+		memory[name], slots[name] = pool.MemoryTokens, pool.MaxSlots
 	}
 	n.registry.SetMemory(memory)
+	n.registry.SetSlotLimits(slots)
 	n.table.Store(e.table)
 	n.cfg.Logger.Info("configuration in force", "version", e.table.Version, "routes", e.table.RouteCount())
 }
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -76,10 +76,12 @@
 
 // Pool is the configuration of a pool of upstreams.
 type Pool struct {
-	Name    string
-	Slots   int      // requests that an engine runs at once; 0 if not configured
-	Models  []string // models that the pool's engines can hold; empty for plain services
-	Scaling Scaling  // zero if engines cannot be ordered for the pool
+	Name  string
+	Slots int // requests that an engine runs at once; 0 if not configured
+	// MaxSlots is the most requests that an upstream of the pool can run at once; 0 if unknown.
+	MaxSlots int
+	Models   []string // models that the pool's engines can hold; empty for plain services
+	Scaling  Scaling  // zero if engines cannot be ordered for the pool
 	// MemoryTokens is how many tokens an engine holds in memory; 0 if unknown.
 	MemoryTokens int
 }
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -324,7 +324,7 @@
 	}
 	for _, s := range states {
 		room := r.roomAt(s, memory, req)
-		c := Candidate{Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: max(s.Slots, 1)}
+		c := Candidate{Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: r.slots(s)}
 		if req.Tokens > room && !c.full(req) {
 			l.upstreams, l.room = append(l.upstreams, s.ID), max(l.room, room)
 			l.keptFree = l.keptFree || req.Tokens <= r.freeMemory(s, memory, req.Now)
--- a/pkg/upstream/others.go
+++ b/pkg/upstream/others.go
@@ -55,12 +55,13 @@
 	return min(max(now.Sub(s.localOrZero().otherLoadAt).Seconds(), 0)/loadMaxAge.Seconds(), 1)
 }
 
-// expectedLoad returns the expected number of requests at s: this instance's own, and those
-// of other senders. For the latter, the last report counts less the older it is, and the mean
-// of others more; without a recent report it is the mean alone. Counting such an upstream as
-// empty would prefer it to upstreams that are known to have few requests.
-func (s *upstreamState) expectedLoad(others meanOthers, now time.Time) float64 {
+// expectedLoad returns the expected number of requests at s, which has the given slots: this
+// instance's own, and those of other senders. For the latter, the last report counts less the
+// older it is, and the mean of others more; without a recent report it is the mean alone.
+// Counting such an upstream as empty would prefer it to upstreams that are known to have few
+// requests.
+func (s *upstreamState) expectedLoad(others meanOthers, slots int, now time.Time) float64 {
 	local := s.localOrZero()
-	mean := others.mean(now) * float64(max(s.Slots, 1))
+	mean := others.mean(now) * float64(slots)
 	return float64(local.inFlight) + mean + (1-s.loadAge(now))*(float64(local.otherLoad)-mean)
 }
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -52,6 +52,7 @@
 	paceReports int64             // reports of upstreams' pace so far
 	failing     []failingUpstream // see FailureChanges
 	memory      memoryState
+	slotLimits  map[string]int    // by pool; see SetSlotLimits
 	onRelease   func(pool string) // nil for none
 }
 
@@ -154,6 +155,25 @@
 	r.contended = all
 }
 
+// SetSlotLimits sets how many slots an upstream of each pool has at most. One whose entry names
+// more counts as having that many. Pools that limits does not name, or names with 0, have no limit.
+func (r *Registry) SetSlotLimits(limits map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slotLimits = limits
+	for _, p := range r.pools {
+		p.nonDraining = nil
+	}
+}
+
+// slots returns how many requests s serves concurrently.
+func (r *Registry) slots(s *upstreamState) int {
+	if limit := r.slotLimits[s.Pool]; limit > 0 {
+		return min(max(s.Slots, 1), limit)
+	}
+	return max(s.Slots, 1)
+}
+
 // OnRelease has f called, without a lock held, after each reservation that ends, with the
 // pool of its upstream.
 func (r *Registry) OnRelease(f func(pool string)) {
@@ -368,7 +388,7 @@
 		for _, s := range p.members {
 			if !s.Draining {
 				p.nonDraining.ids = append(p.nonDraining.ids, s.ID)
-				p.nonDraining.slots += s.Slots
+				p.nonDraining.slots += r.slots(s)
 			}
 		}
 	}
@@ -423,8 +443,8 @@
 		if s.Draining || s.localOrZero().addressReused || !r.health.Usable(s.ID, req.Now) {
 			continue
 		}
-		if req.Model == "" || s.version(req.Model)+maxRecheckLag >= req.MinVersion {
-			slots += max(s.Slots, 1)
+		if v := s.version(req.Model); req.Model == "" || v >= req.MinVersion || req.MinVersion-v <= maxRecheckLag {
+			slots += r.slots(s)
 		}
 	}
 	return slots
@@ -521,7 +541,7 @@
 	slowness := r.slowness(req.Pool, req.Now)
 	out := make([]Candidate, 0, len(states))
 	for _, s := range states {
-		out = append(out, Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: max(s.Slots, 1),
+		out = append(out, Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: s.localOrZero().inFlight, Slots: r.slots(s),
 			Slowness: max(slowness[s.ID], 1), Local: s.DataCentre == r.dataCentre})
 	}
 	return out
@@ -570,8 +590,8 @@
 		}
 		local := s.localOrZero()
 		out = append(out, timedCandidate{
-			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: max(s.Slots, 1), Local: s.DataCentre == r.dataCentre},
-			Estimate:  e, hold: r.pace.Hold(), expectedLoad: s.expectedLoad(others[r.localityIndex(s)], req.Now), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now), loadAge: s.loadAge(req.Now)})
+			Candidate: Candidate{ID: s.ID, Load: s.load(req.Now), InFlight: local.inFlight, Slots: r.slots(s), Local: s.DataCentre == r.dataCentre},
+			Estimate:  e, hold: r.pace.Hold(), expectedLoad: s.expectedLoad(others[r.localityIndex(s)], r.slots(s), req.Now), refused: local.singleRequest, failureRate: r.failures.Rate(s.ID, req.Now), loadAge: s.loadAge(req.Now)})
 	}
 	return out
 }
@@ -728,7 +748,7 @@
 		local.otherLoadAt = result.At
 		if p := r.pools[s.Pool]; p != nil {
 			p.contended = p.contended || result.Load.Pace > 0
-			p.others[r.localityIndex(s)].observe(float64(local.otherLoad)/float64(max(s.Slots, 1)), result.At)
+			p.others[r.localityIndex(s)].observe(float64(local.otherLoad)/float64(r.slots(s)), result.At)
 		}
 	}
 	r.recordPace(s, result)
--- a/pkg/upstream/slots_test.go
+++ b/pkg/upstream/slots_test.go
@@ -42,3 +42,35 @@
 		t.Errorf("Slots() = %d after an engine became unreachable, want 6", got)
 	}
 }
+
+// Guards against an entry of another writer that names more slots than the engines of its pool
+// have: it would get nearly all requests, and change how many may wait.
+func TestSlotsAreLimited(t *testing.T) {
+	for _, contended := range []bool{false, true} {
+		r := upstream.NewRegistry("z")
+		r.SetContended(contended)
+		es := entries(3)
+		es[1].Slots = 1 << 16
+		r.Set(es)
+		r.SetSlotLimits(map[string]int{"p": 8})
+		count := map[string]int{}
+		for range 24 {
+			if rsv, ok := r.Acquire(upstream.Requirements{Pool: "p", Now: baseTime(), NeedFreeSlot: true}); ok {
+				count[rsv.ID]++
+			}
+		}
+		if count["i0"] != 8 || count["i1"] != 8 || count["i2"] != 8 {
+			t.Errorf("contended = %v: requests by upstream %v, want 8 each", contended, count)
+		}
+		if _, slots := r.NonDraining("p"); slots != 24 {
+			t.Errorf("contended = %v: %d slots in all, want 24", contended, slots)
+		}
+		if slots := r.Slots(upstream.Requirements{Pool: "p", Now: baseTime()}); slots != 24 {
+			t.Errorf("contended = %v: %d usable slots, want 24", contended, slots)
+		}
+		r.SetSlotLimits(map[string]int{"p": 0})
+		if _, slots := r.NonDraining("p"); slots != 16+1<<16 {
+			t.Errorf("contended = %v: %d slots without a limit, want those of the entries", contended, slots)
+		}
+	}
+}
