--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -13,6 +13,7 @@
 	"github.com/zinnialadder/zinnialadder/pkg/platform"
 	"github.com/zinnialadder/zinnialadder/pkg/routetable"
 	"github.com/zinnialadder/zinnialadder/pkg/submission"
+	"github.com/zinnialadder/zinnialadder/pkg/upstream"
 	"github.com/zinnialadder/zinnialadder/pkg/verdict"
 )
 
@@ -45,6 +46,9 @@
 // Owns reports whether the instance runs the submission.
 func (n *Node) Owns(id string) bool { return n.reader.run(id) != nil }
 
+// Upstream returns the upstream with the ID, and whether it is registered.
+func (n *Node) Upstream(id string) (upstream.Entry, bool) { return n.registry.Entry(id) }
+
 // Limits returns the limits in force for callers' requests.
 func (n *Node) Limits() routetable.Limits {
 	if t := n.table.Load(); t != nil {
