node: an entry that cannot be used is logged once while it stays

What operators saw: such an entry was logged each time its writer renewed it, about once a second; a few of them used up the budget of lines of upstreams, and no metric told how many there were.

Cause: rows that cannot be decoded have no digest that tells renewals apart.

Why this works: the control state remembers their keys, and logs a row when it becomes unusable. The gauge upstreams.unusable_entries counts them.

Before: TestUnusableEntryIsLoggedOnce has a line for each renewal.

--- a/pkg/node/entries.go
+++ b/pkg/node/entries.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -39,12 +40,14 @@
 			present[id] = true
 		}
 		if ch.Deleted {
+			delete(s.unusable, id)
 			s.entryRemoved(&c, id, u.At)
 			continue
 		}
 		s.onEntry(&c, id, ch.Row, u.At)
 	}
 	if u.Reset {
+		maps.DeleteFunc(s.unusable, func(id string, _ bool) bool { return !present[id] })
 		for id := range s.entries {
 			if !present[id] {
 				s.entryRemoved(&c, id, u.At)
@@ -69,10 +72,14 @@
 	e, err := s.decoder.Entry(row)
 	if err != nil {
 		s.entryRemoved(c, id, at)
-		c.logs = append(c.logs, logUpstream{"entry not usable", []any{"upstream", id, "err", err}})
+		if !s.unusable[id] {
+			s.unusable[id] = true
+			c.logs = append(c.logs, logUpstream{"entry not usable", []any{"upstream", id, "err", err}})
+		}
 		return
 	}
 	delete(s.missing, id)
+	delete(s.unusable, id)
 	if !known || !old.SameProcess(e) || old.Draining != e.Draining {
 		c.logs = append(c.logs, logUpstream{"upstream", []any{"upstream", id, "pool", e.Pool, "address", e.Address, "draining", e.Draining, "born", e.Born}})
 	}
--- a/pkg/node/export_test.go
+++ b/pkg/node/export_test.go
@@ -49,6 +49,20 @@
 
 func (s State) Drain() []string { return effectTexts(s.s.reduce(drain{})) }
 
+// UpdateLines applies a feed.Update and returns the messages that are logged of upstreams.
+func (s State) UpdateLines(u feed.Update) []string {
+	var out []string
+	for _, e := range s.s.reduce(u) {
+		if l, ok := e.(logUpstream); ok {
+			out = append(out, l.msg)
+		}
+	}
+	return out
+}
+
+// UnusableEntries returns the number of entries that cannot be decoded.
+func (s State) UnusableEntries() int { return len(s.s.unusable) }
+
 // Upstreams returns the number of registered upstreams.
 func (s State) Upstreams() int { return len(s.s.entries) }
 
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -232,6 +232,7 @@
 	o.gauge("submissions.open", int64(open))
 	o.gauge("submissions.running_here", int64(len(s.running)))
 	o.gauge("upstreams", int64(len(s.entries)))
+	o.gauge("upstreams.unusable_entries", int64(len(s.unusable)))
 	o.gauge("members", int64(s.members.Len()))
 	o.gauge("configuration.version", int64(o.node.configurationVersion()))
 	o.gauge("orders.fencing_token_held", int64(o.node.orders.current().Fencing))
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -91,6 +91,7 @@
 	entries    map[string]entryRecord
 	missing    map[string]time.Time // deadline until which a missing entry is kept, by ID
 	graceUntil time.Time            // entries removed before this time may be registered again
+	unusable   map[string]bool      // IDs of rows of the entries' table that cannot be decoded
 
 	targetVersions map[string]uint64  // target weight version, by model
 	lag            map[string]uint64  // how many versions behind the target requests accept, by model
@@ -117,7 +118,7 @@
 func newState(name, startID string, d Decoder, retention time.Duration) *state {
 	return &state{name: name, startID: startID, decoder: d, retention: retention, members: membership.NewView(),
 		heads: map[string]submission.HeadRow{}, orphans: map[string]time.Time{}, retryAt: map[string]time.Time{}, running: map[string]bool{},
-		entries: map[string]entryRecord{}, missing: map[string]time.Time{},
+		entries: map[string]entryRecord{}, missing: map[string]time.Time{}, unusable: map[string]bool{},
 		targetVersions: map[string]uint64{}, lag: map[string]uint64{}, work: map[string]float64{}, assignedWork: map[string]float64{}, tablesRead: map[string]bool{}, unavailableSince: map[string]time.Time{}}
 }
 
--- a/pkg/node/state_test.go
+++ b/pkg/node/state_test.go
@@ -424,3 +424,37 @@
 		t.Errorf("got effects %v for a submission that was accepted, want its start", effs)
 	}
 }
+
+// Guards against an odd row that fills the log as its writer renews it, and against one that
+// operators do not learn of, or that is still counted after it is gone.
+func TestUnusableEntryIsLoggedOnce(t *testing.T) {
+	s := node.NewState("a", "a#1", decoder)
+	version := uint64(0)
+	update := func(reset bool, rows map[string]string) []string {
+		u := feed.Update{Table: entries, At: baseTime(), Reset: reset}
+		for id, value := range rows {
+			version++
+			u.Changes = append(u.Changes, platform.Change{Row: platform.Row{Key: entries + "//" + id, Version: version, Value: json.RawMessage(value)}, Deleted: value == ""})
+		}
+		return s.UpdateLines(u)
+	}
+	for i, step := range []struct {
+		reset    bool
+		rows     map[string]string
+		lines    []string
+		unusable int
+	}{
+		{false, map[string]string{"odd": "bad"}, []string{"entry not usable"}, 1},
+		{false, map[string]string{"odd": "bad"}, nil, 1},
+		{false, map[string]string{"odd": "good"}, []string{"upstream"}, 0},
+		{false, map[string]string{"odd": "bad"}, []string{"entry not usable"}, 1},
+		{false, map[string]string{"other": "bad"}, []string{"entry not usable"}, 2},
+		{false, map[string]string{"odd": ""}, nil, 1},
+		{true, map[string]string{"other": "bad"}, nil, 1},
+		{true, map[string]string{"good": "good"}, []string{"upstream"}, 0},
+	} {
+		if lines := update(step.reset, step.rows); !slices.Equal(lines, step.lines) || s.UnusableEntries() != step.unusable {
+			t.Errorf("step %d: lines %q and %d unusable entries, want %q and %d", i, lines, s.UnusableEntries(), step.lines, step.unusable)
+		}
+	}
+}
