--- a/pkg/completion/continuation.go
+++ b/pkg/completion/continuation.go
@@ -6,8 +6,8 @@
 // been seen.
 const unknownEventTime = 50 * time.Millisecond
 
-// Interrupted is a text that only some of the engines can continue, for example those that hold
-// the weights that generated it. None of them has room at the moment, and another engine has.
+// Interrupted is a text that only some of the engines can continue, such as those that hold the
+// weights that generated it, and none of these has room at the moment.
 type Interrupted struct {
 	Events    int           // events that the text has
 	Left      float64       // estimated number of events that it lacks
@@ -19,8 +19,8 @@
 	Awaited bool
 }
 
-// StartsAgain reports whether the text should be discarded at now and start again at the
-// engine that has room, rather than wait for one that can continue it.
+// StartsAgain reports whether the text should be discarded at now and start again at any engine
+// that has room, rather than wait for one that can continue it.
 //
 // It does not wait if that is expected to take as long as generating the events again. The
 // estimate may be wrong, so a wait ends once it has taken as long as that: the text is then
--- a/pkg/submission/runner.go
+++ b/pkg/submission/runner.go
@@ -317,7 +317,7 @@
 
 // startWaiting starts waiting items while engines have free slots. Items for which engines
 // have too little memory are passed over; the first of them is given priority by the
-// registry.
+// registry. Items whose text waits for an engine with its weight version are passed over too.
 func (r *Runner) startWaiting(ctx context.Context, rt routetable.Route, now time.Time) {
 	room, first := math.MaxInt, true // room: most tokens that may fit
 	placer := r.newPlacer(rt)
