client: heads of requests do not exhaust the memory of a process

What callers saw: a process ended, out of memory, when clients sent heads over the limit or without end.

Cause: max_header_bytes was decoded and not applied; each server accepted heads of 1 MB. A head takes a multiple of its bytes once it is parsed and copied for the upstream, and the memory of heads was in no budget, so that it grew with the number of connections.

internal/client counts bytes and lines of a head while it arrives, on the connection itself, so that the limit in force may change. Over the limit: 431, before the first configuration 503. A narrower limit applies two minutes later. All heads together have an eighth of the process's memory, by an upper estimate of what they take, besides 8 KiB each; a head beyond it gets 503, which is true as nothing has run. With the sum bounded, neither the number of connections nor what they send matters. The times for a head and an idle connection are those of the configuration, too.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -21,6 +21,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/zinnialadder/zinnialadder/internal/client"
 	"github.com/zinnialadder/zinnialadder/internal/exposition"
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 	"github.com/zinnialadder/zinnialadder/pkg/node"
@@ -108,7 +109,17 @@
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines.dropped", registry, out.Dropped)
 	var group errgroup.Group
-	links, err := listenForPeers(&group, s.PeerAddress, store, logger, registry)
+	var n *node.Node
+	guard := client.NewGuard(client.GuardConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger, Limits: func() option.Of[client.Limits] { return requestLimits(n) }})
+	var peers net.Listener // a nil interface if there is no address
+	if s.PeerAddress != "" {
+		ln, err := guard.Listen(client.ListenerConfig{Name: "peers", Address: s.PeerAddress})
+		if err != nil {
+			return err
+		}
+		peers = ln
+	}
+	links, err := listenForPeers(&group, peers, store, logger, registry)
 	if err != nil {
 		return err
 	}
@@ -120,7 +131,7 @@
 	if s.MemoryLimited {
 		upstreams.Held = platform.NewHeldData(platform.HeldDataConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger})
 	}
-	n := node.New(node.Config{
+	n = node.New(node.Config{
 		Name: s.Node, DataCentre: s.DataCentre, Address: s.FrontAddress, PeerAddress: s.PeerAddress, Cores: s.Cores, Store: links, ObjectLister: store, StoreReachability: links, Dial: watch.DialPeer, Upstreams: upstreams,
 		Decoder: platform.Decoder(), Logger: logger, Metrics: registry, MaxRowBytes: s.MaxRowBytes, MinHolderInterval: s.MinHolderInterval, HeartbeatInterval: s.HeartbeatInterval, SubmissionRetention: s.SubmissionRetention, ShutdownGrace: s.ShutdownGrace,
 		CloudProvider: cloud, UsageSchedule: usage.Schedule{Length: s.UsageWindow, ReportDelay: s.UsageReportDelay}, Contended: s.Contended,
@@ -128,13 +139,18 @@
 	callers := platform.NewCallerAPI(platform.CallerConfig{Instance: n, MaxAddressTTL: option.Some(s.MaxAddressTTL), HeldData: upstreams.Held})
 	var servers []*http.Server
 	for _, endpoint := range []struct {
-		address string
+		client.ListenerConfig
 		handler http.Handler
-	}{{s.FrontAddress, callers.FrontHandler()}, {s.ReadyAddress, callers.ReadyHandler()}, {s.DirectoryAddress, callers.AddressHandler()}, {metricsAddress(s, opts.metricsPort), metricsHandler(registry, opts.profile)}} {
-		if endpoint.address == "" {
+	}{
+		{client.ListenerConfig{Name: "front", Address: s.FrontAddress}, callers.FrontHandler()},
+		{client.ListenerConfig{Name: "ready", Address: s.ReadyAddress}, callers.ReadyHandler()},
+		{client.ListenerConfig{Name: "directory", Address: s.DirectoryAddress}, callers.AddressHandler()},
+		{client.ListenerConfig{Name: "metrics", Address: metricsAddress(s, opts.metricsPort)}, metricsHandler(registry, opts.profile)},
+	} {
+		if endpoint.Address == "" {
 			continue
 		}
-		srv, err := startServer(&group, endpoint.address, endpoint.handler)
+		srv, err := startServer(&group, guard, endpoint.ListenerConfig, endpoint.handler)
 		if err != nil {
 			return err
 		}
@@ -143,6 +159,7 @@
 	reloadCtx, stopReloading := context.WithCancel(context.Background())
 	defer stopReloading()
 	group.Go(func() error { return reload(reloadCtx, logger, path, store) })
+	group.Go(func() error { return guard.Run(reloadCtx) })
 	links.Serve(reloadCtx, n.Peers, n)
 	err = n.Run(ctx)
 	stopReloading()
@@ -183,14 +200,14 @@
 	return mux
 }
 
-// startServer listens at address, which is host:port, and serves h in a goroutine of
-// group until the returned server is shut down.
-func startServer(group *errgroup.Group, address string, h http.Handler) (*http.Server, error) {
-	ln, err := net.Listen("tcp", address)
+// startServer listens as cfg says and serves h in a goroutine of group until the returned server
+// is shut down.
+func startServer(group *errgroup.Group, guard *client.Guard, cfg client.ListenerConfig, h http.Handler) (*http.Server, error) {
+	ln, err := guard.Listen(cfg)
 	if err != nil {
-		return nil, fmt.Errorf("listen %s: %w", address, err)
+		return nil, err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := ln.Server(h)
 	group.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -241,12 +258,3 @@
 		logger.Info("settings reloaded", "store", s.StoreAddress, "bytes", len(now))
 	}
 }
-
-const (
-	// headerTimeout limits how long a caller may take to send a request's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's idle connection is kept open. It is longer
-	// than callers keep idle connections, so that the server does not close one
-	// while a request is being sent on it.
-	idleTimeout = 2 * time.Minute
-)
--- a/cmd/zinnialadder/peers.go
+++ b/cmd/zinnialadder/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
@@ -12,11 +13,11 @@
 	"github.com/zinnialadder/zinnialadder/platform"
 )
 
-// listenForPeers listens for other instances at address and returns the store, which is
-// reached by direct or through another instance. Calls through other instances are
+// listenForPeers accepts other instances on listener, unless it is nil, and returns the store,
+// which is reached by direct or through another instance. Calls through other instances are
 // counted in registry, and each change of the access path is logged.
-func listenForPeers(group *errgroup.Group, address string, direct *platform.Store, logger *log.Logger, registry metrics.Registry) (*storepath.Links, error) {
-	return storepath.Listen(storepath.LinksConfig{Listen: address, Direct: direct, Ping: direct.Ping,
+func listenForPeers(group *errgroup.Group, listener net.Listener, direct *platform.Store, logger *log.Logger, registry metrics.Registry) (*storepath.Links, error) {
+	return storepath.Listen(storepath.LinksConfig{Listener: listener, Direct: direct, Ping: direct.Ping,
 		Go: func(f func() error) { group.Go(f) },
 		OnChange: func(from, to storepath.AccessPath, reason string) {
 			logger.Info("access path to the store changed", "from", from, "to", to, "why", reason)
--- /dev/null
+++ b/internal/client/conn.go
@@ -0,0 +1,250 @@
+package client
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/zinnialadder/zinnialadder/pkg/holding"
+)
+
+const (
+	// lingerTimeout and lingerBytes limit how long, and how much, is read from a client after a
+	// refusal was sent to it. A close with unread data resets the connection, and the reset may
+	// overtake the refusal.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 1 << 20
+	// retryAfter is the Retry-After time, in seconds, of requests refused for lack of memory.
+	retryAfter = "0.5"
+)
+
+// phase is what a connection does. Connections with another protocol than HTTP stay in waiting.
+type phase int
+
+const (
+	waiting       phase = iota // for the first byte of a request
+	receivingHead              // some of a head has arrived
+	receivingBody              // the head has arrived, the body has not
+	serving                    // the request has arrived
+	refusing                   // the request is refused
+)
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	listener *Listener
+
+	mu      sync.Mutex
+	phase   phase
+	since   time.Time // start of the phase; of receivingHead for a body; last byte received in another protocol
+	silent  bool      // nothing has been received
+	read    int64     // bytes of the head or the body
+	lines   int64     // of the head
+	hold    *holding.Hold[netip.Addr]
+	closed  bool   // closed for its time limit
+	refusal string // response that is sent before the connection is closed
+}
+
+// Read implements net.Conn. It fails with os.ErrDeadlineExceeded, to which net/http does not
+// respond, if the request is refused.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	ended := c.phase == refusing
+	c.mu.Unlock()
+	if ended {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.receive(p[:n], time.Now()) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// receive records bytes that have been received. It returns false if the request is refused.
+func (c *conn) receive(b []byte, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.listener.http {
+		c.silent, c.since = false, now
+		return true
+	}
+	switch c.phase {
+	case waiting:
+		c.phase, c.since, c.silent = receivingHead, now, false
+		c.read, c.lines = 0, 0
+		fallthrough
+	case receivingHead:
+		return c.receiveHead(b, now)
+	case receivingBody:
+		c.read += int64(len(b))
+	}
+	return true
+}
+
+// receiveHead is receive for bytes of a head.
+func (c *conn) receiveHead(b []byte, now time.Time) bool {
+	before := c.headCost()
+	c.read += int64(len(b))
+	c.lines += int64(bytes.Count(b, []byte{'\n'}))
+	cost := c.headCost()
+	if cost > headReserve { // the limits are at least as large
+		limits, known := c.listener.guard.limits(now)
+		switch {
+		case c.read <= limits.HeaderBytes+headSlack:
+		case known:
+			return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeadSize, now)
+		default: // the client may be inside limits that are not known yet
+			return c.refuse(http.StatusServiceUnavailable, reasonHeadSize, now)
+		}
+	}
+	var err error
+	switch {
+	case cost <= headReserve:
+	case c.hold == nil:
+		if c.hold, err = c.listener.guard.heads.Hold(c.remoteIP(), 0, cost, now); err == nil {
+			err = c.hold.MarkSent() // memory that is in use cannot be given to another head
+		}
+	default:
+		c.listener.guard.heads.Advance(now)
+		err = c.hold.TryGrow(cost - before)
+	}
+	switch {
+	case errors.Is(err, holding.ErrTooLarge):
+		return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeadSize, now)
+	case err != nil:
+		return c.refuse(http.StatusServiceUnavailable, reasonHeadMemory, now)
+	}
+	return true
+}
+
+// headCost returns an upper estimate of the memory that the head takes, in bytes.
+func (c *conn) headCost() int64 { return 2*c.read + lineCost*c.lines }
+
+func (c *conn) remoteIP() netip.Addr {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr()
+	}
+	return netip.Addr{}
+}
+
+// refuse makes Close send a response with the status. It returns false.
+func (c *conn) refuse(status int, reason string, now time.Time) bool {
+	header := ""
+	if status == http.StatusServiceUnavailable {
+		header = "Retry-After: " + retryAfter + "\r\n"
+	}
+	text := http.StatusText(status)
+	c.refusal = fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, text, header, len(text), text)
+	c.phase, c.since = refusing, now
+	c.listener.count(reason, now)
+	return false
+}
+
+// beginRequest records that the head of a request has been received. It returns false if the
+// connection has been closed: the request must not be served.
+func (c *conn) beginRequest(now time.Time, hasBody bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == waiting { // the head was received together with the request before
+		c.since = now
+	}
+	c.phase, c.read = receivingBody, 0
+	if !hasBody {
+		c.phase = serving
+	}
+	return !c.closed
+}
+
+// completeRequest records that the request has been received. It returns false if the connection
+// has been closed: the request must not be served.
+func (c *conn) completeRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == receivingBody {
+		c.phase = serving
+	}
+	return !c.closed
+}
+
+// endRequest records that the response has been sent and the next request is waited for.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = waiting, time.Now()
+	c.hold.Release()
+	c.hold = nil
+}
+
+// end closes the connection while its user may still use it.
+func (c *conn) end() {
+	c.closed = true
+	_ = c.Conn.Close() // the user closes it again
+}
+
+// expire ends what has exceeded its time limit at now, and returns the reason if something has.
+func (c *conn) expire(now time.Time, limits Limits) (reason string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := now.Sub(c.since)
+	switch {
+	case c.closed:
+		return "", false
+	case c.phase == waiting && !c.silent && age > limits.IdleTimeout:
+		c.end()
+		return reasonIdle, true
+	case (c.phase == receivingHead || c.phase == waiting && c.silent) && age > limits.HeaderTimeout:
+		c.end()
+		return reasonHeadTime, true
+	}
+	return "", false
+}
+
+// Close implements net.Conn. It sends the refusal, if there is one.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	refusal := c.refusal
+	c.refusal = ""
+	c.hold.Release()
+	c.hold = nil
+	ended := c.closed
+	c.mu.Unlock()
+	if refusal != "" && !ended {
+		until := time.Now().Add(lingerTimeout)
+		_ = c.SetDeadline(until) // if the client has disconnected, the write fails too
+		if _, err := io.WriteString(c.Conn, refusal); err == nil && c.CloseWrite() == nil {
+			_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+		}
+	}
+	err := c.Conn.Close()
+	c.listener.remove(c)
+	if ended {
+		return nil // the first close has had its result
+	}
+	return err
+}
+
+// CloseWrite closes the sending side of the connection, as net/http does before it closes a
+// connection whose client still sends.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets what Close does with data that the client has not acknowledged, as that of
+// net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/client/listener.go
@@ -0,0 +1,173 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinnialadder/zinnialadder/internal/logs"
+)
+
+// Reasons for which connections are closed, which are parts of the names of metrics.
+const (
+	reasonIdle       = "idle"         // no request for too long
+	reasonHeadTime   = "head_timeout" // a head was incomplete for too long
+	reasonHeadSize   = "head_size"    // a head exceeded its limit
+	reasonHeadMemory = "head_memory"  // heads took too much memory
+)
+
+// ListenerConfig configures a Listener.
+type ListenerConfig struct {
+	Name    string // of the address, in metrics and log lines, such as "front"
+	Address string // host:port
+}
+
+// Listener accepts connections at one address and limits what they hold.
+type Listener struct {
+	net.Listener
+	guard *Guard
+	cfg   ListenerConfig
+	lines *logs.Limiter
+	http  bool // set before the first connection is accepted
+
+	mu          sync.Mutex
+	connections map[*conn]struct{}
+}
+
+// Listen listens at an address.
+func (g *Guard) Listen(cfg ListenerConfig) (*Listener, error) {
+	ln, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen %s: %w", cfg.Address, err)
+	}
+	l := &Listener{Listener: ln, guard: g, cfg: cfg, lines: logs.NewLimiter(1), connections: map[*conn]struct{}{}}
+	metrics.NewRegisteredFunctionalGauge("clients."+cfg.Name+".connections", g.cfg.Metrics, func() int64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return int64(len(l.connections))
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listeners = append(g.listeners, l)
+	return l, nil
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// Server returns a server of h whose Serve must be called with l. It has no limits of its own.
+func (l *Listener) Server(h http.Handler) *http.Server {
+	l.http = true
+	return &http.Server{
+		Handler:        l.handler(h),
+		MaxHeaderBytes: 1 << 30, // the connections have a limit
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState: func(nc net.Conn, state http.ConnState) {
+			if c, ok := nc.(*conn); ok && state == http.StateIdle {
+				c.endRequest()
+			}
+		},
+	}
+}
+
+// handler returns h for requests that have been received in time.
+func (l *Listener) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if !c.beginRequest(time.Now(), hasBody) {
+			panic(http.ErrAbortHandler) // the connection was closed
+		}
+		if hasBody {
+			// r itself stays as it is, because net/http looks at its body after the response.
+			copied := *r
+			copied.Body = &body{ReadCloser: r.Body, conn: c}
+			r = &copied
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// body is the body of a request on a connection.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.completeRequest() {
+		return n, errClosed
+	}
+	return n, err
+}
+
+var errClosed = errors.New("client: connection closed")
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, listener: l, since: time.Now(), silent: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connections[c] = struct{}{}
+	return c, nil
+}
+
+// all returns the open connections.
+func (l *Listener) all() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]*conn, 0, len(l.connections))
+	for c := range l.connections {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.connections, c)
+}
+
+// sweep ends what has exceeded its time limit at now.
+func (l *Listener) sweep(now time.Time, limits Limits) {
+	if !l.http {
+		return // sessions of other protocols have time limits of their own
+	}
+	for _, c := range l.all() {
+		if reason, ok := c.expire(now, limits); ok {
+			l.count(reason, now)
+		}
+	}
+}
+
+// count counts a connection that is closed for a reason, and logs it at most once a second.
+func (l *Listener) count(reason string, now time.Time) {
+	metrics.GetOrRegisterCounter("clients."+l.cfg.Name+".closed."+reason, l.guard.cfg.Metrics).Inc(1)
+	if reason == reasonIdle || reason == reasonHeadTime {
+		return // also happens to ordinary clients
+	}
+	if skipped, ok := l.lines.Allow(now); ok {
+		l.mu.Lock()
+		open := len(l.connections)
+		l.mu.Unlock()
+		l.guard.cfg.Logger.Warn("client exceeded a limit, closing its connection", "listener", l.cfg.Name, "limit", reason, "connections", open, "skipped", skipped)
+	}
+}
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -49,6 +49,9 @@
 // Upstream returns the upstream with the ID, and whether it is registered.
 func (n *Node) Upstream(id string) (upstream.Entry, bool) { return n.registry.Entry(id) }
 
+// Configured reports whether the instance has a configuration.
+func (n *Node) Configured() bool { return n.table.Load() != nil }
+
 // Limits returns the limits in force for callers' requests.
 func (n *Node) Limits() routetable.Limits {
 	if t := n.table.Load(); t != nil {
--- a/pkg/storepath/links.go
+++ b/pkg/storepath/links.go
@@ -23,9 +23,11 @@
 // LinksConfig configures Links.
 type LinksConfig struct {
 	Listen string // IP:port to accept peers on; empty to accept none
-	Direct platform.Store
-	Ping   func(ctx context.Context) error // as in storepath.Config
-	Go     func(func() error)              // as in storepath.Config
+	// Listener accepts peers instead of a listener on Listen, unless it is nil.
+	Listener net.Listener
+	Direct   platform.Store
+	Ping     func(ctx context.Context) error // as in storepath.Config
+	Go       func(func() error)              // as in storepath.Config
 
 	OnCall   func(ap AccessPath, err error)           // as in storepath.Config
 	OnChange func(from, to AccessPath, reason string) // as in storepath.Config
@@ -47,8 +49,8 @@
 func Listen(cfg LinksConfig) (*Links, error) {
 	shared := &sharedPing{ping: cfg.Ping}
 	cfg.Ping = shared.Ping
-	l := &Links{cfg: cfg, sessions: peer.NewSessions(keepAlive), peers: func() []string { return nil }}
-	if cfg.Listen != "" {
+	l := &Links{cfg: cfg, listener: cfg.Listener, sessions: peer.NewSessions(keepAlive), peers: func() []string { return nil }}
+	if l.listener == nil && cfg.Listen != "" {
 		var err error
 		if l.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 			return nil, fmt.Errorf("listen for peers on %s: %w", cfg.Listen, err)
