client: connections that do nothing leave descriptors to others

What callers saw: with 450 idle connections at an instance that may have 400 descriptors, no ordinary request was answered for 30 s; with silent ones, at any of the five addresses, all descriptors were taken again and again, and the instance lost its way to the store.

Cause: limits.max_fds was not read; no address had a limit on connections, and nothing was kept for the store and the upstreams.

Each address has a share of the sockets, and a fourth stays for the connections that the instance opens. Beyond a share those connections are closed that have made no progress for the longest; a request that was received completely is served. So a client whose connection is closed for room knows that nothing was run, and one that sends a request at once is not the one that is closed. In client.TestConnectionsMakeRoom and TestRequestsInProgressAreServed a busy connection stays. Peers are accepted again after EMFILE, which ended the accept loop.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -111,9 +111,10 @@
 	var group errgroup.Group
 	var n *node.Node
 	guard := client.NewGuard(client.GuardConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger, Limits: func() option.Of[client.Limits] { return requestLimits(n) }})
+	most := connectionLimits(s.MaxSockets, s.MemoryMB)
 	var peers net.Listener // a nil interface if there is no address
 	if s.PeerAddress != "" {
-		ln, err := guard.Listen(client.ListenerConfig{Name: "peers", Address: s.PeerAddress})
+		ln, err := guard.Listen(client.ListenerConfig{Name: "peers", Address: s.PeerAddress, MaxConnections: most.peers})
 		if err != nil {
 			return err
 		}
@@ -142,10 +143,10 @@
 		client.ListenerConfig
 		handler http.Handler
 	}{
-		{client.ListenerConfig{Name: "front", Address: s.FrontAddress}, callers.FrontHandler()},
-		{client.ListenerConfig{Name: "ready", Address: s.ReadyAddress}, callers.ReadyHandler()},
-		{client.ListenerConfig{Name: "directory", Address: s.DirectoryAddress}, callers.AddressHandler()},
-		{client.ListenerConfig{Name: "metrics", Address: metricsAddress(s, opts.metricsPort)}, metricsHandler(registry, opts.profile)},
+		{client.ListenerConfig{Name: "front", Address: s.FrontAddress, MaxConnections: most.front}, callers.FrontHandler()},
+		{client.ListenerConfig{Name: "ready", Address: s.ReadyAddress, MaxConnections: most.ready}, callers.ReadyHandler()},
+		{client.ListenerConfig{Name: "directory", Address: s.DirectoryAddress, MaxConnections: most.directory}, callers.AddressHandler()},
+		{client.ListenerConfig{Name: "metrics", Address: metricsAddress(s, opts.metricsPort), MaxConnections: most.metrics}, metricsHandler(registry, opts.profile)},
 	} {
 		if endpoint.Address == "" {
 			continue
--- a/internal/client/bench_test.go
+++ b/internal/client/bench_test.go
@@ -28,8 +28,8 @@
 			var ln net.Listener
 			srv := &http.Server{Handler: handler}
 			if limits {
-				s := serveWith(b, 256*mib, limited(client.Limits{HeaderBytes: 16384}))
-				l, err := s.guard.Listen(client.ListenerConfig{Name: "bench", Address: "127.0.0.1:0"})
+				s := serveWith(b, 256*mib, 100, limited(client.Limits{HeaderBytes: 16384}))
+				l, err := s.guard.Listen(client.ListenerConfig{Name: "bench", Address: "127.0.0.1:0", MaxConnections: 100})
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -48,7 +48,7 @@
 	read    int64     // bytes of the head or the body
 	lines   int64     // of the head
 	hold    *holding.Hold[netip.Addr]
-	closed  bool   // closed for its time limit
+	closed  bool   // closed to make room, or for its time limit
 	refusal string // response that is sent before the connection is closed
 }
 
@@ -183,6 +183,40 @@
 	c.hold = nil
 }
 
+// unproductiveSince returns since when the connection has made no progress. It returns false if
+// the connection must not be closed to make room: a request that has been received completely is
+// served.
+func (c *conn) unproductiveSince(now time.Time) (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lockedUnproductiveSince(now)
+}
+
+// lockedUnproductiveSince is unproductiveSince with c locked.
+func (c *conn) lockedUnproductiveSince(now time.Time) (since time.Time, ok bool) {
+	switch {
+	case c.closed:
+		return time.Time{}, false
+	case c.phase == serving:
+		return time.Time{}, false
+	case c.phase == receivingBody:
+		return c.since, true
+	default:
+		return c.since, true
+	}
+}
+
+// evict closes the connection to make room. It returns false if that is no longer allowed.
+func (c *conn) evict(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.lockedUnproductiveSince(now); !ok {
+		return false
+	}
+	c.end()
+	return true
+}
+
 // end closes the connection while its user may still use it.
 func (c *conn) end() {
 	c.closed = true
--- a/internal/client/guard_test.go
+++ b/internal/client/guard_test.go
@@ -33,12 +33,12 @@
 }
 
 // serveWith starts a server whose limits are those that limits returns.
-func serveWith(t testing.TB, memory int64, limits func() option.Of[client.Limits]) *server {
+func serveWith(t testing.TB, memory int64, connections int, limits func() option.Of[client.Limits]) *server {
 	t.Helper()
 	s := &server{t: t, metrics: metrics.NewRegistry(), release: make(chan struct{}), waiting: make(chan struct{}, 100)}
 	s.guard = client.NewGuard(client.GuardConfig{MemoryLimit: memory, Limits: limits, Metrics: s.metrics, Logger: log.New(io.Discard)})
 	var err error
-	s.listener, err = s.guard.Listen(client.ListenerConfig{Name: "test", Address: "127.0.0.1:0"})
+	s.listener, err = s.guard.Listen(client.ListenerConfig{Name: "test", Address: "127.0.0.1:0", MaxConnections: connections})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -153,7 +153,7 @@
 
 // Guards against heads over the limit that are served, and heads inside it that are not.
 func TestHeadOverLimit(t *testing.T) {
-	s := serveWith(t, 256*mib, limited(client.Limits{HeaderBytes: 16384}))
+	s := serveWith(t, 256*mib, 10, limited(client.Limits{HeaderBytes: 16384}))
 	for size, want := range map[int]int{100: http.StatusOK, 16000: http.StatusOK, 30000: http.StatusRequestHeaderFieldsTooLarge, 3 * mib: http.StatusRequestHeaderFieldsTooLarge} {
 		p := s.connect()
 		_, _ = io.WriteString(p, head(size)) // may be refused before its end
@@ -169,7 +169,7 @@
 
 // Guards against a refusal that is final for a client inside limits that are not known yet.
 func TestHeadBeforeLimitsAreKnown(t *testing.T) {
-	s := serveWith(t, 256*mib, func() option.Of[client.Limits] { return option.Of[client.Limits]{} })
+	s := serveWith(t, 256*mib, 10, func() option.Of[client.Limits] { return option.Of[client.Limits]{} })
 	p := s.connect()
 	_, _ = io.WriteString(p, head(mib+200_000)) // is refused before its end
 	if status, header, _ := p.response(); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
@@ -180,7 +180,7 @@
 // Guards against a client that is refused because the limit has just become narrower.
 func TestNarrowedLimitAppliesLater(t *testing.T) {
 	var narrow atomic.Bool
-	s := serveWith(t, 256*mib, func() option.Of[client.Limits] {
+	s := serveWith(t, 256*mib, 10, func() option.Of[client.Limits] {
 		if narrow.Load() {
 			return option.Some(client.Limits{HeaderBytes: 1000})
 		}
@@ -204,7 +204,7 @@
 // Guards against heads whose sum exceeds the memory for them, and against memory that is not
 // given back.
 func TestMemoryOfHeads(t *testing.T) {
-	s := serveWith(t, 4*mib, nil) // heads may take 512 KiB
+	s := serveWith(t, 4*mib, 100, nil) // heads may take 512 KiB
 	var held []*peer
 	for n := range 3 {
 		p := s.connect()
@@ -251,7 +251,7 @@
 		"second head stops": {get + "GET /x HTTP/1.1\r\n", 18 * time.Second, "idle"}, // was received with the first
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := serveWith(t, 256*mib, limited(client.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}))
+			s := serveWith(t, 256*mib, 10, limited(client.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}))
 			p := s.connect()
 			p.send(c.send)
 			if strings.HasPrefix(c.send, get) {
@@ -269,3 +269,95 @@
 		})
 	}
 }
+
+// Guards against connections that keep newer ones out, and against the loss of a request that
+// was received before its connection was closed for room.
+func TestConnectionsMakeRoom(t *testing.T) {
+	s := serveWith(t, 256*mib, 3, nil)
+	busy := s.connect()
+	busy.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-s.waiting
+	idle := s.connect()
+	idle.send(get)
+	idle.response()
+	time.Sleep(50 * time.Millisecond) // the server waits for the next request before it has the next connection
+	silent := s.connect()
+	eventually(t, "three connections", func() bool { return s.open() == 3 })
+	newer := s.connect()
+	newer.send(get)
+	if status, _, _ := newer.response(); status != http.StatusOK {
+		t.Errorf("newer connection: got status %d, want 200", status)
+	}
+	if !idle.isClosed() || s.count("room") != 1 {
+		t.Errorf("%d connections closed for room, want the one that was idle for longest", s.count("room"))
+	}
+	silent.send(get)
+	if status, _, _ := silent.response(); status != http.StatusOK {
+		t.Errorf("silent connection: got status %d, want 200", status)
+	}
+	close(s.release)
+	if status, _, _ := busy.response(); status != http.StatusOK {
+		t.Errorf("request in progress: got status %d, want 200", status)
+	}
+}
+
+// Guards against a request in progress that is cut off for a newer connection.
+func TestRequestsInProgressAreServed(t *testing.T) {
+	s := serveWith(t, 256*mib, 2, nil)
+	var busy []*peer
+	for range 2 {
+		p := s.connect()
+		p.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-s.waiting
+		busy = append(busy, p)
+	}
+	if !s.connect().isClosed() || s.served.Load() != 2 {
+		t.Error("a connection beyond the limit is open, want it closed without a response")
+	}
+	close(s.release)
+	for _, p := range busy {
+		if status, _, _ := p.response(); status != http.StatusOK {
+			t.Errorf("request in progress: got status %d, want 200", status)
+		}
+	}
+}
+
+// Guards against sessions of another protocol that take all connections, and against the loss of
+// one that is in use.
+func TestOtherProtocolMakesRoom(t *testing.T) {
+	g := client.NewGuard(client.GuardConfig{MemoryLimit: 256 * mib, Metrics: metrics.NewRegistry(), Logger: log.New(io.Discard)})
+	l, err := g.Listen(client.ListenerConfig{Name: "peers", Address: "127.0.0.1:0", MaxConnections: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dial := func() (dialed, accepted net.Conn) {
+		d, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { d.Close() })
+		a, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d, a
+	}
+	used, accepted := dial()
+	silent, _ := dial()
+	buf := make([]byte, 1)
+	if _, err := used.Write(buf); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := accepted.Read(buf); err != nil {
+		t.Fatal(err)
+	}
+	dial()
+	_ = silent.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test that waits in vain
+	if _, err := silent.Read(buf); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("silent session: got error %v, want it closed", err)
+	}
+	if _, err := accepted.Write(buf); err != nil {
+		t.Errorf("session in use: %v", err)
+	}
+}
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,8 +17,18 @@
 	"github.com/zinnialadder/zinnialadder/internal/logs"
 )
 
+const (
+	// evictedFraction is the fraction of a listener's connections that are closed at once when
+	// there are too many, so that their order is not determined anew for each new connection.
+	evictedFraction = 1.0 / 32
+	// acceptPause is how long a listener does not accept connections when the process has no
+	// descriptor for one.
+	acceptPause = 20 * time.Millisecond
+)
+
 // Reasons for which connections are closed, which are parts of the names of metrics.
 const (
+	reasonRoom       = "room"         // closed for newer connections
 	reasonIdle       = "idle"         // no request for too long
 	reasonHeadTime   = "head_timeout" // a head was incomplete for too long
 	reasonHeadSize   = "head_size"    // a head exceeded its limit
@@ -25,11 +37,14 @@
 
 // ListenerConfig configures a Listener.
 type ListenerConfig struct {
-	Name    string // of the address, in metrics and log lines, such as "front"
-	Address string // host:port
+	Name           string // of the address, in metrics and log lines, such as "front"
+	Address        string // host:port
+	MaxConnections int    // at a time
 }
 
-// Listener accepts connections at one address and limits what they hold.
+// Listener accepts connections at one address and limits them. Beyond the largest number of
+// connections it closes those that have made no progress for the longest: silent and idle ones,
+// and those with an incomplete request.
 type Listener struct {
 	net.Listener
 	guard *Guard
@@ -87,7 +102,7 @@
 		}
 		hasBody := r.Body != nil && r.Body != http.NoBody
 		if !c.beginRequest(time.Now(), hasBody) {
-			panic(http.ErrAbortHandler) // the connection was closed
+			panic(http.ErrAbortHandler) // the connection was closed for room
 		}
 		if hasBody {
 			// r itself stays as it is, because net/http looks at its body after the response.
@@ -109,24 +124,73 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && !b.conn.completeRequest() {
-		return n, errClosed
+		return n, errClosedForRoom
 	}
 	return n, err
 }
 
-var errClosed = errors.New("client: connection closed")
+var errClosedForRoom = errors.New("client: connection closed to make room")
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			l.makeRoom(time.Now())
+			time.Sleep(acceptPause)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(nc, time.Now()); c != nil {
+			return c, nil
+		}
 	}
-	c := &conn{Conn: nc, listener: l, since: time.Now(), silent: true}
+}
+
+// admit returns the connection that limits nc, or nil if there is no room for it. It closes nc
+// then.
+func (l *Listener) admit(nc net.Conn, now time.Time) *conn {
+	l.mu.Lock()
+	full := len(l.connections) >= l.cfg.MaxConnections
+	l.mu.Unlock()
+	if full && !l.makeRoom(now) {
+		l.count(reasonRoom, now)
+		_ = nc.Close() // nothing was read from it
+		return nil
+	}
+	c := &conn{Conn: nc, listener: l, since: now, silent: true}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.connections[c] = struct{}{}
-	return c, nil
+	return c
+}
+
+// makeRoom closes the connections that have made no progress for the longest. It reports whether
+// there were any.
+func (l *Listener) makeRoom(now time.Time) bool {
+	type candidate struct {
+		*conn
+		since time.Time
+	}
+	var candidates []candidate
+	for _, c := range l.all() {
+		if since, ok := c.unproductiveSince(now); ok {
+			candidates = append(candidates, candidate{c, since})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return a.since.Compare(b.since) })
+	most := max(1, int(evictedFraction*float64(l.cfg.MaxConnections)))
+	made := false
+	for _, c := range candidates[:min(most, len(candidates))] {
+		if c.evict(now) {
+			l.remove(c.conn)
+			l.count(reasonRoom, now)
+			made = true
+		}
+	}
+	return made
 }
 
 // all returns the open connections.
@@ -168,6 +232,6 @@
 		l.mu.Lock()
 		open := len(l.connections)
 		l.mu.Unlock()
-		l.guard.cfg.Logger.Warn("client exceeded a limit, closing its connection", "listener", l.cfg.Name, "limit", reason, "connections", open, "skipped", skipped)
+		l.guard.cfg.Logger.Warn("client exceeded a limit, closing its connection", "listener", l.cfg.Name, "limit", reason, "connections", open, "max_connections", l.cfg.MaxConnections, "skipped", skipped)
 	}
 }
--- a/internal/client/pieces_test.go
+++ b/internal/client/pieces_test.go
@@ -19,7 +19,7 @@
 // Guards against requests inside the limits that are refused or changed because of how their
 // bytes are divided, and against requests that are counted together.
 func TestRequestsInPieces(t *testing.T) {
-	s := serveWith(t, 64*mib, limited(client.Limits{HeaderBytes: 16384}))
+	s := serveWith(t, 64*mib, 50, limited(client.Limits{HeaderBytes: 16384}))
 	rapid.Check(t, func(rt *rapid.T) {
 		var text strings.Builder
 		var want []string
@@ -81,7 +81,7 @@
 		if strings.Contains(string(b), "/wait") || strings.Contains(string(b), "/large") {
 			t.Skip("the handler of the test waits, or sends much")
 		}
-		s := serveWith(t, 64*mib, limited(client.Limits{HeaderBytes: 16384}))
+		s := serveWith(t, 64*mib, 8, limited(client.Limits{HeaderBytes: 16384}))
 		p := s.connect()
 		_, _ = p.Write(b) // the server may have closed the connection
 		p.Close()
