client: a body that arrives byte by byte has a time limit

What callers saw: clients that sent a body a byte every half second kept their connections, with a deadline of 20 s or without, also where nobody reads the body; 450 of them took all descriptors, and no ordinary request was answered.

Cause: the limit for a body started again with each byte, and applied only where a handler read it. net/http reads the rest of a body after the handler, without a limit.

The connection limits the time of a body as a whole, whoever reads it: until the deadline of its request, and 30 s and a second for each 16 KiB received at most. The handler that reads it responds with 408, which is true as nothing has run. client.TestBodyHasTimeLimit moves the clock instead of waiting; without the limit no body times out. A body that arrives steadily has more time (TestSteadyBodyHasMoreTime).

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -143,7 +143,7 @@
 		client.ListenerConfig
 		handler http.Handler
 	}{
-		{client.ListenerConfig{Name: "front", Address: s.FrontAddress, MaxConnections: most.front}, callers.FrontHandler()},
+		{client.ListenerConfig{Name: "front", Address: s.FrontAddress, MaxConnections: most.front, RequestDeadline: platform.CallerDeadline}, callers.FrontHandler()},
 		{client.ListenerConfig{Name: "ready", Address: s.ReadyAddress, MaxConnections: most.ready}, callers.ReadyHandler()},
 		{client.ListenerConfig{Name: "directory", Address: s.DirectoryAddress, MaxConnections: most.directory}, callers.AddressHandler()},
 		{client.ListenerConfig{Name: "metrics", Address: metricsAddress(s, opts.metricsPort), MaxConnections: most.metrics}, metricsHandler(registry, opts.profile)},
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -41,22 +41,24 @@
 	net.Conn
 	listener *Listener
 
-	mu      sync.Mutex
-	phase   phase
-	since   time.Time // start of the phase; of receivingHead for a body; last byte received in another protocol
-	silent  bool      // nothing has been received
-	read    int64     // bytes of the head or the body
-	lines   int64     // of the head
-	hold    *holding.Hold[netip.Addr]
-	closed  bool   // closed to make room, or for its time limit
-	refusal string // response that is sent before the connection is closed
+	mu       sync.Mutex
+	phase    phase
+	since    time.Time // start of the phase; of receivingHead for a body; last byte received in another protocol
+	silent   bool      // nothing has been received
+	read     int64     // bytes of the head or the body
+	lines    int64     // of the head
+	hold     *holding.Hold[netip.Addr]
+	deadline time.Time // of the request; zero if it is not known
+	expired  bool      // the body was not received in time
+	closed   bool      // closed to make room, or for its time limit
+	refusal  string    // response that is sent before the connection is closed
 }
 
 // Read implements net.Conn. It fails with os.ErrDeadlineExceeded, to which net/http does not
-// respond, if the request is refused.
+// respond, if the request is refused or has exceeded its time limit.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
-	ended := c.phase == refusing
+	ended := c.expired || c.phase == refusing
 	c.mu.Unlock()
 	if ended {
 		return 0, os.ErrDeadlineExceeded
@@ -150,13 +152,13 @@
 
 // beginRequest records that the head of a request has been received. It returns false if the
 // connection has been closed: the request must not be served.
-func (c *conn) beginRequest(now time.Time, hasBody bool) bool {
+func (c *conn) beginRequest(now, deadline time.Time, hasBody bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == waiting { // the head was received together with the request before
 		c.since = now
 	}
-	c.phase, c.read = receivingBody, 0
+	c.phase, c.deadline, c.read = receivingBody, deadline, 0
 	if !hasBody {
 		c.phase = serving
 	}
@@ -200,12 +202,17 @@
 	case c.phase == serving:
 		return time.Time{}, false
 	case c.phase == receivingBody:
-		return c.since, true
+		return c.since.Add(c.bodyCredit()), true
 	default:
 		return c.since, true
 	}
 }
 
+// bodyCredit returns the time that is allowed for the part of the body that has been received.
+func (c *conn) bodyCredit() time.Duration {
+	return time.Duration(float64(c.read) / minBodyRate * float64(time.Second))
+}
+
 // evict closes the connection to make room. It returns false if that is no longer allowed.
 func (c *conn) evict(now time.Time) bool {
 	c.mu.Lock()
@@ -237,6 +244,10 @@
 	case (c.phase == receivingHead || c.phase == waiting && c.silent) && age > limits.HeaderTimeout:
 		c.end()
 		return reasonHeadTime, true
+	case c.phase == receivingBody && !c.expired && (age > bodyTimeout+c.bodyCredit() || !c.deadline.IsZero() && now.After(c.deadline)):
+		c.expired = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends the read in progress; fails if the connection is closed
+		return reasonBodyTime, true
 	}
 	return "", false
 }
--- a/internal/client/guard.go
+++ b/internal/client/guard.go
@@ -50,6 +50,10 @@
 	// to clients that know the one before.
 	limitsRetention = 2 * time.Minute
 
+	// bodyTimeout limits the time for a body, and minBodyRate, in bytes per second, adds time
+	// for what has arrived of it.
+	bodyTimeout = 30 * time.Second
+	minBodyRate = 16 << 10
 	// sweepInterval is how often the time limits are checked.
 	sweepInterval = time.Second
 )
--- a/internal/client/guard_test.go
+++ b/internal/client/guard_test.go
@@ -38,7 +38,13 @@
 	s := &server{t: t, metrics: metrics.NewRegistry(), release: make(chan struct{}), waiting: make(chan struct{}, 100)}
 	s.guard = client.NewGuard(client.GuardConfig{MemoryLimit: memory, Limits: limits, Metrics: s.metrics, Logger: log.New(io.Discard)})
 	var err error
-	s.listener, err = s.guard.Listen(client.ListenerConfig{Name: "test", Address: "127.0.0.1:0", MaxConnections: connections})
+	s.listener, err = s.guard.Listen(client.ListenerConfig{Name: "test", Address: "127.0.0.1:0", MaxConnections: connections,
+		RequestDeadline: func(r *http.Request, now time.Time) time.Time {
+			if d, err := time.ParseDuration(r.Header.Get("Deadline")); err == nil {
+				return now.Add(d)
+			}
+			return time.Time{}
+		}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,6 +65,9 @@
 	case "/wait":
 		s.waiting <- struct{}{}
 		<-s.release
+	case "/unread": // the body is not read
+		w.WriteHeader(http.StatusNotFound)
+		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -237,6 +246,55 @@
 	}
 }
 
+// Guards against bodies whose time starts again with each byte.
+func TestBodyHasTimeLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		header string
+		after  time.Duration
+		path   string
+		want   int
+	}{
+		"no deadline":                 {"", 40 * time.Second, "/x", http.StatusRequestTimeout},
+		"deadline":                    {"Deadline: 5s\r\n", 6 * time.Second, "/x", http.StatusRequestTimeout},
+		"distant deadline":            {"Deadline: 5000s\r\n", 40 * time.Second, "/x", http.StatusRequestTimeout},
+		"body that is read by nobody": {"", 40 * time.Second, "/unread", http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveWith(t, 256*mib, 10, nil)
+			p := s.connect()
+			p.send("POST " + c.path + " HTTP/1.1\r\nHost: h\r\n" + c.header + "Content-Length: 100\r\n\r\n")
+			eventually(t, "the request", func() bool { return s.served.Load() == 1 })
+			p.send("x")
+			s.guard.Sweep(time.Now().Add(c.after / 2))
+			if s.count("body_timeout") != 0 {
+				t.Errorf("timed out after %v, want later", c.after/2)
+			}
+			s.guard.Sweep(time.Now().Add(c.after))
+			if status, _, _ := p.response(); status != c.want {
+				t.Errorf("got status %d, want %d", status, c.want)
+			}
+			if !p.isClosed() || s.count("body_timeout") != 1 {
+				t.Errorf("%d bodies timed out, want 1 and a closed connection", s.count("body_timeout"))
+			}
+		})
+	}
+}
+
+// Guards against a large body that arrives steadily and is cut off.
+func TestSteadyBodyHasMoreTime(t *testing.T) {
+	s := serveWith(t, 256*mib, 10, nil)
+	p := s.connect()
+	const size = 2 << 20 // 128 s at the least rate
+	p.send(fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size+1, strings.Repeat("x", size)))
+	eventually(t, "the request", func() bool { return s.served.Load() == 1 })
+	time.Sleep(100 * time.Millisecond) // most of the body has been read
+	s.guard.Sweep(time.Now().Add(100 * time.Second))
+	p.send("y")
+	if status, _, _ := p.response(); status != http.StatusOK {
+		t.Errorf("got status %d, want 200", status)
+	}
+}
+
 // Guards against silent and idle connections and heads that stop, without a time limit.
 func TestConnectionsWithoutRequest(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -33,6 +33,7 @@
 	reasonHeadTime   = "head_timeout" // a head was incomplete for too long
 	reasonHeadSize   = "head_size"    // a head exceeded its limit
 	reasonHeadMemory = "head_memory"  // heads took too much memory
+	reasonBodyTime   = "body_timeout" // a body was incomplete for too long
 )
 
 // ListenerConfig configures a Listener.
@@ -40,6 +41,9 @@
 	Name           string // of the address, in metrics and log lines, such as "front"
 	Address        string // host:port
 	MaxConnections int    // at a time
+	// RequestDeadline returns when the client of a request received at now no longer waits for
+	// the response, or zero if it is not known. Nil means that it is not known.
+	RequestDeadline func(r *http.Request, now time.Time) time.Time
 }
 
 // Listener accepts connections at one address and limits them. Beyond the largest number of
@@ -100,8 +104,13 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		now := time.Now()
+		var deadline time.Time
+		if l.cfg.RequestDeadline != nil {
+			deadline = l.cfg.RequestDeadline(r, now)
+		}
 		hasBody := r.Body != nil && r.Body != http.NoBody
-		if !c.beginRequest(time.Now(), hasBody) {
+		if !c.beginRequest(now, deadline, hasBody) {
 			panic(http.ErrAbortHandler) // the connection was closed for room
 		}
 		if hasBody {
