client: a client that never reads a response is disconnected at each address

What callers saw: clients that sent requests and never read a response kept their connections at the addresses of the list of instances, readiness and metrics.

Cause: only the writer of callers' responses set a time limit for writes.

The connection is closed if its client accepts nothing, or less than 64 KiB, of a response for 15 s; beyond the limit of connections already after a second. The limit at callers' address (10 s) stays. client.TestUnreadResponseIsCutOff moves the clock; without the limit the connection stays open and the test times out.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -51,6 +51,7 @@
 	deadline time.Time // of the request; zero if it is not known
 	expired  bool      // the body was not received in time
 	closed   bool      // closed to make room, or for its time limit
+	writing  time.Time // start of the write in progress; zero if there is none
 	refusal  string    // response that is sent before the connection is closed
 }
 
@@ -185,6 +186,25 @@
 	c.hold = nil
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	defer c.setWriting(time.Time{})
+	for written := 0; ; {
+		c.setWriting(time.Now())
+		n, err := c.Conn.Write(p[written:min(written+writeChunk, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) setWriting(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = at
+}
+
 // unproductiveSince returns since when the connection has made no progress. It returns false if
 // the connection must not be closed to make room: a request that has been received completely is
 // served.
@@ -199,6 +219,8 @@
 	switch {
 	case c.closed:
 		return time.Time{}, false
+	case !c.writing.IsZero() && now.Sub(c.writing) >= minWriteStall:
+		return c.writing, true
 	case c.phase == serving:
 		return time.Time{}, false
 	case c.phase == receivingBody:
@@ -238,6 +260,9 @@
 	switch {
 	case c.closed:
 		return "", false
+	case !c.writing.IsZero() && now.Sub(c.writing) > writeTimeout:
+		c.end()
+		return reasonUnread, true
 	case c.phase == waiting && !c.silent && age > limits.IdleTimeout:
 		c.end()
 		return reasonIdle, true
--- a/internal/client/guard.go
+++ b/internal/client/guard.go
@@ -4,7 +4,8 @@
 // process listens on.
 //
 // A connection that exceeds a limit is closed. Requests that have been received completely are
-// served: a connection is closed for room, or because its client is slow, only before that.
+// served: a connection is closed for room, or because its client is slow, only before that or
+// when the client does not read the response.
 package client
 
 import (
@@ -54,6 +55,13 @@
 	// for what has arrived of it.
 	bodyTimeout = 30 * time.Second
 	minBodyRate = 16 << 10
+	// writeTimeout limits the time in which a client accepts writeChunk bytes of a response.
+	writeTimeout = 15 * time.Second
+	writeChunk   = 64 << 10
+	// minWriteStall is the time after which a client that accepts nothing of a response may be
+	// disconnected to make room.
+	minWriteStall = time.Second
+
 	// sweepInterval is how often the time limits are checked.
 	sweepInterval = time.Second
 )
--- a/internal/client/guard_test.go
+++ b/internal/client/guard_test.go
@@ -68,6 +68,9 @@
 	case "/unread": // the body is not read
 		w.WriteHeader(http.StatusNotFound)
 		return
+	case "/large":
+		_, _ = w.Write(make([]byte, 64<<20)) // the client does not read it
+		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -295,6 +298,19 @@
 	}
 }
 
+// Guards against a client that never reads its response and keeps the connection.
+func TestUnreadResponseIsCutOff(t *testing.T) {
+	s := serveWith(t, 256*mib, 10, nil)
+	p := s.connect()
+	p.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	eventually(t, "the request", func() bool { return s.served.Load() == 1 })
+	eventually(t, "a response that is not read", func() bool {
+		s.guard.Sweep(time.Now().Add(20 * time.Second))
+		return s.count("unread") == 1
+	})
+	eventually(t, "the connection closed", func() bool { return s.open() == 0 })
+}
+
 // Guards against silent and idle connections and heads that stop, without a time limit.
 func TestConnectionsWithoutRequest(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -34,6 +34,7 @@
 	reasonHeadSize   = "head_size"    // a head exceeded its limit
 	reasonHeadMemory = "head_memory"  // heads took too much memory
 	reasonBodyTime   = "body_timeout" // a body was incomplete for too long
+	reasonUnread     = "unread"       // a response was not read for too long
 )
 
 // ListenerConfig configures a Listener.
@@ -48,7 +49,7 @@
 
 // Listener accepts connections at one address and limits them. Beyond the largest number of
 // connections it closes those that have made no progress for the longest: silent and idle ones,
-// and those with an incomplete request.
+// those with an incomplete request, and those whose client does not read a response.
 type Listener struct {
 	net.Listener
 	guard *Guard
