client: an incomplete request is refused before its connection is closed for room

A client whose connection is closed after a part of its request was read cannot know that nothing has run, and does not send a non-idempotent request again.

Cause: connections were closed for room without a response, whatever had been read.

The client of an incomplete head or body now gets 503 with Retry-After first, which is true: the request is not served after it. A handler that does anything else than wait for the body may have run something; its connection is closed without a response, as a silent or idle one. client.TestIncompleteRequestsAreRefusedForRoom is new; without the response its cases "head" and "body" fail.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -21,6 +21,9 @@
 	// overtake the refusal.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
+	// evictionTimeout limits the time for sending a refusal on a connection that is closed for
+	// room. The send buffer of a client that has sent a part of a request has room for it.
+	evictionTimeout = 10 * time.Millisecond
 	// retryAfter is the Retry-After time, in seconds, of requests refused for lack of memory.
 	retryAfter = "0.5"
 )
@@ -50,6 +53,8 @@
 	hold     *holding.Hold[netip.Addr]
 	deadline time.Time // of the request; zero if it is not known
 	expired  bool      // the body was not received in time
+	reading  bool      // the handler waits for the body, and has done nothing else yet
+	answered bool      // some of the response has been written
 	closed   bool      // closed to make room, or for its time limit
 	writing  time.Time // start of the write in progress; zero if there is none
 	refusal  string    // response that is sent before the connection is closed
@@ -140,15 +145,20 @@
 
 // refuse makes Close send a response with the status. It returns false.
 func (c *conn) refuse(status int, reason string, now time.Time) bool {
+	c.refusal = response(status)
+	c.phase, c.since = refusing, now
+	c.listener.count(reason, now)
+	return false
+}
+
+// response returns the response of a request that is refused with the status.
+func response(status int) string {
 	header := ""
 	if status == http.StatusServiceUnavailable {
 		header = "Retry-After: " + retryAfter + "\r\n"
 	}
 	text := http.StatusText(status)
-	c.refusal = fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, text, header, len(text), text)
-	c.phase, c.since = refusing, now
-	c.listener.count(reason, now)
-	return false
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status, text, header, len(text), text)
 }
 
 // beginRequest records that the head of a request has been received. It returns false if the
@@ -160,12 +170,20 @@
 		c.since = now
 	}
 	c.phase, c.deadline, c.read = receivingBody, deadline, 0
+	c.answered = false
 	if !hasBody {
 		c.phase = serving
 	}
 	return !c.closed
 }
 
+// setReading records whether the handler waits for the body.
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 // completeRequest records that the request has been received. It returns false if the connection
 // has been closed: the request must not be served.
 func (c *conn) completeRequest() bool {
@@ -202,7 +220,7 @@
 func (c *conn) setWriting(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = at
+	c.writing, c.answered = at, true
 }
 
 // unproductiveSince returns since when the connection has made no progress. It returns false if
@@ -235,13 +253,19 @@
 	return time.Duration(float64(c.read) / minBodyRate * float64(time.Second))
 }
 
-// evict closes the connection to make room. It returns false if that is no longer allowed.
+// evict closes the connection to make room. It returns false if that is no longer allowed. The
+// client of a request of which a part has been received gets a response first: from a close alone
+// it could not know that nothing has run.
 func (c *conn) evict(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, ok := c.lockedUnproductiveSince(now); !ok {
 		return false
 	}
+	if c.phase == receivingHead || c.phase == receivingBody && c.reading && !c.answered {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionTimeout)) // if the client has disconnected, the write fails too
+		_, _ = io.WriteString(c.Conn, response(http.StatusServiceUnavailable))
+	}
 	c.end()
 	return true
 }
--- a/internal/client/guard_test.go
+++ b/internal/client/guard_test.go
@@ -375,6 +375,46 @@
 	}
 }
 
+// Guards against clients that cannot know that nothing of their request has run, because its
+// connection is closed for room after a part of it was read.
+func TestIncompleteRequestsAreRefusedForRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		send, path string
+		refused    bool
+	}{
+		"head":                            {"POST /x HTTP/1.1\r\nHost: h\r\n", "", true},
+		"body":                            {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab", "", true},
+		"body of a request being handled": {"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab", "/wait", false},
+		"silent":                          {"", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveWith(t, 256*mib, 1, nil)
+			defer close(s.release)
+			p := s.connect()
+			p.send(c.send)
+			if c.path == "/wait" {
+				<-s.waiting
+			}
+			eventually(t, "the connection", func() bool { return s.open() == 1 })
+			time.Sleep(50 * time.Millisecond) // what was sent has been received, and the handler waits for more
+			q := s.connect()
+			q.send(get)
+			if status, _, _ := q.response(); status != http.StatusOK {
+				t.Errorf("newer connection: got status %d, want 200", status)
+			}
+			if !c.refused {
+				if !p.isClosed() {
+					t.Error("got a response, want a closed connection")
+				}
+				return
+			}
+			if status, header, _ := p.response(); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+				t.Errorf("got status %d with Retry-After %q, want 503 and a time", status, header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
 // Guards against a request in progress that is cut off for a newer connection.
 func TestRequestsInProgressAreServed(t *testing.T) {
 	s := serveWith(t, 256*mib, 2, nil)
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -132,7 +132,9 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	b.conn.setReading(true)
 	n, err := b.ReadCloser.Read(p)
+	b.conn.setReading(false)
 	if errors.Is(err, io.EOF) && !b.conn.completeRequest() {
 		return n, errClosedForRoom
 	}
