client: a client whose head is refused does not get the next connection at once

What callers saw: found by our own test. TestCrowdsOfSeveralKinds took 72 MB in one of four runs on a busy machine, with 64 allowed: clients that were refused connected again at once, and the garbage of their heads grew faster than it was collected.

Cause: a connection was closed as soon as 1 MB had been read after the refusal.

A client that sends more than that after its refusal keeps the connection for half a second, unless it is closed for room. One that has read the response and closes is not delayed.

Bound and crowd as before.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -18,7 +18,8 @@
 const (
 	// lingerTimeout and lingerBytes limit how long, and how much, is read from a client after a
 	// refusal was sent to it. A close with unread data resets the connection, and the reset may
-	// overtake the refusal.
+	// overtake the refusal. A client that sends more keeps its connection as long, so that it
+	// cannot send the next head at once.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
 	// evictionTimeout limits the time for sending a refusal on a connection that is closed for
@@ -314,7 +315,9 @@
 		until := time.Now().Add(lingerTimeout)
 		_ = c.SetDeadline(until) // if the client has disconnected, the write fails too
 		if _, err := io.WriteString(c.Conn, refusal); err == nil && c.CloseWrite() == nil {
-			_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+			if _, err := io.CopyN(io.Discard, c.Conn, lingerBytes); err == nil {
+				time.Sleep(time.Until(until))
+			}
 		}
 	}
 	err := c.Conn.Close()
