peer: calls that stop do not take the memory of an instance

What callers saw: found by a search at each address that a process listens on, not by a caller. 64 clients that speak the protocol of other instances and send a part of a call on each of 16 streams took a process with memory_mb=64 to 650 MB.

Cause: a call of up to 9 MB was read without a limit on its time, on the number of streams or on the sum; what is sent on a stream that nobody reads stayed in memory, too.

--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -120,7 +120,7 @@
 		}
 		peers = ln
 	}
-	links, err := listenForPeers(&group, peers, store, logger, registry)
+	links, err := listenForPeers(&group, peers, int64(s.MemoryMB)<<20, store, logger, registry)
 	if err != nil {
 		return err
 	}
--- a/cmd/zinnialadder/peers.go
+++ b/cmd/zinnialadder/peers.go
@@ -16,8 +16,8 @@
 // listenForPeers accepts other instances on listener, unless it is nil, and returns the store,
 // which is reached by direct or through another instance. Calls through other instances are
 // counted in registry, and each change of the access path is logged.
-func listenForPeers(group *errgroup.Group, listener net.Listener, direct *platform.Store, logger *log.Logger, registry metrics.Registry) (*storepath.Links, error) {
-	return storepath.Listen(storepath.LinksConfig{Listener: listener, Direct: direct, Ping: direct.Ping,
+func listenForPeers(group *errgroup.Group, listener net.Listener, memoryLimit int64, direct *platform.Store, logger *log.Logger, registry metrics.Registry) (*storepath.Links, error) {
+	return storepath.Listen(storepath.LinksConfig{Listener: listener, MemoryLimit: memoryLimit, Direct: direct, Ping: direct.Ping,
 		Go: func(f func() error) { group.Go(f) },
 		OnChange: func(from, to storepath.AccessPath, reason string) {
 			logger.Info("access path to the store changed", "from", from, "to", to, "why", reason)
--- a/pkg/peer/hints.go
+++ b/pkg/peer/hints.go
@@ -90,13 +90,13 @@
 }
 
 // receive passes the hints of one stream to Receive.
-func (hs *Hints) receive(ctx context.Context, stream net.Conn) {
+func (hs *Hints) receive(ctx context.Context, stream net.Conn) error {
 	r := protodelim.UnmarshalOptions{MaxSize: maxHint}
 	br := newByteReader(stream)
 	for {
 		var h peerpb.Hint
 		if err := r.UnmarshalFrom(br, &h); err != nil {
-			return
+			return nil // the stream has ended
 		}
 		hs.cfg.Receive(ctx, &h)
 	}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -12,11 +12,13 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"github.com/zinnialadder/zinnialadder/internal/tcp"
+	"github.com/zinnialadder/zinnialadder/pkg/clock"
 )
 
 // dialTimeout bounds dialing a peer: a round trip takes milliseconds, and an unreachable
@@ -163,8 +165,11 @@
 }
 
 // Accept accepts sessions on ln and calls serve for each of their streams, until ctx ends
-// or ln fails. start starts a goroutine of the instance's group.
-func Accept(ctx context.Context, ln net.Listener, keepAlive time.Duration, start func(func() error), serve func(context.Context, net.Conn)) error {
+// or ln fails. start starts a goroutine of the instance's group. A session is closed when serve
+// fails for one of its streams, because data that its peer sends on streams that nobody reads
+// takes memory, too. Each such session delays the acceptance of the next one.
+func Accept(ctx context.Context, ln net.Listener, keepAlive time.Duration, start func(func() error), serve func(context.Context, net.Conn) error) error {
+	var refused atomic.Int64 // sessions closed since the last one was accepted
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -173,11 +178,16 @@
 			}
 			return err
 		}
+		clock.Sleep(ctx, min(time.Duration(refused.Swap(0))*refusedPause, maxRefusedPause))
 		session, err := yamux.Server(conn, yamuxConfig(keepAlive))
 		if err != nil {
 			conn.Close()
 			continue
 		}
+		refuse := sync.OnceFunc(func() {
+			refused.Add(1)
+			_ = session.Close() // fails if it has ended
+		})
 		start(func() error {
 			stop := context.AfterFunc(ctx, func() { session.Close() })
 			defer stop()
@@ -186,9 +196,15 @@
 				if err != nil {
 					return nil // the session has ended
 				}
+				if session.NumStreams() > maxSessionStreams {
+					refuse()
+					return nil
+				}
 				start(func() error {
 					defer stream.Close()
-					serve(ctx, stream)
+					if serve(ctx, stream) != nil {
+						refuse()
+					}
 					return nil
 				})
 			}
@@ -196,6 +212,18 @@
 	}
 }
 
+const (
+	// refusedPause is the time by which each session that was closed for its peer's behaviour
+	// delays the acceptance of the next one, up to maxRefusedPause together.
+	refusedPause    = 20 * time.Millisecond
+	maxRefusedPause = 200 * time.Millisecond
+)
+
+// maxSessionStreams limits the open streams of a session. A peer has a few calls and watches at a
+// time. Data that a peer sends on a stream that has been closed here takes memory until the peer
+// closes it, too, so that the whole session is closed beyond the limit.
+const maxSessionStreams = 64
+
 // byteReader adds ReadByte to a stream, as protodelim needs it. It reads one byte at a
 // time so that nothing is buffered past a message.
 type byteReader struct {
--- a/pkg/storepath/links.go
+++ b/pkg/storepath/links.go
@@ -26,8 +26,10 @@
 	// Listener accepts peers instead of a listener on Listen, unless it is nil.
 	Listener net.Listener
 	Direct   platform.Store
-	Ping     func(ctx context.Context) error // as in storepath.Config
-	Go       func(func() error)              // as in storepath.Config
+	// MemoryLimit is the memory limit of the process, in bytes, as in peer.StoreServerConfig.
+	MemoryLimit int64
+	Ping        func(ctx context.Context) error // as in storepath.Config
+	Go          func(func() error)              // as in storepath.Config
 
 	OnCall   func(ap AccessPath, err error)           // as in storepath.Config
 	OnChange func(from, to AccessPath, reason string) // as in storepath.Config
@@ -93,6 +95,6 @@
 		return
 	}
 	context.AfterFunc(ctx, func() { l.listener.Close() })
-	server := peer.NewStoreServer(l.cfg.Direct, l.cfg.Ping, watch, l.cfg.Go)
+	server := peer.NewStoreServer(peer.StoreServerConfig{Store: l.cfg.Direct, Ping: l.cfg.Ping, Watch: watch, Go: l.cfg.Go, MemoryLimit: l.cfg.MemoryLimit})
 	l.cfg.Go(func() error { return peer.Accept(ctx, l.listener, acceptedKeepAlive, l.cfg.Go, server.Serve) })
 }
