peer: only sessions that exceed a limit are closed

A session was also closed, and delayed the next one, for each other error while a call was received, as when its peer had ended it. Now only calls that are too large, too many, too late, malformed or without room in memory close it.

--- a/pkg/peer/receive.go
+++ b/pkg/peer/receive.go
@@ -37,8 +37,9 @@
 )
 
 var (
-	errTooLarge = errors.New("peer: call exceeds its limit")
-	errTooMany  = errors.New("peer: too many streams")
+	errTooLarge  = errors.New("peer: call exceeds its limit")
+	errTooMany   = errors.New("peer: too many streams")
+	errMalformed = errors.New("peer: malformed call")
 )
 
 // receiver receives calls of peers and limits the memory that they take. Its peers may be any
@@ -85,20 +86,20 @@
 		return release, err
 	}
 	if err = proto.Unmarshal(b, call); err != nil {
-		return release, err
+		return release, fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	return release, stream.SetReadDeadline(time.Time{})
 }
 
-// limitError returns err, an error of receive, or nil if it only means that the caller has closed the
-// stream or the session.
+// limitError returns err, an error of receive, if the caller has exceeded a limit. Otherwise it
+// returns nil: the caller has closed the stream, or the session has ended.
 func limitError(err error) error {
-	for _, ended := range []error{io.EOF, io.ErrUnexpectedEOF, yamux.ErrStreamClosed, yamux.ErrConnectionReset, yamux.ErrSessionShutdown} {
-		if errors.Is(err, ended) {
-			return nil
+	for _, exceeded := range []error{errTooLarge, errTooMany, errMalformed, holding.ErrNoRoom, yamux.ErrTimeout} {
+		if errors.Is(err, exceeded) {
+			return err
 		}
 	}
-	return err
+	return nil
 }
 
 // readDelimited reads a message with its length before it. The bytes of the message, and of the
