client: a refusal before a close for room does not wait for the client

A client that does not read could delay the acceptance of other connections by 10 ms for each of its connections that was closed for room, as the refusal was written with a deadline. Found by reading. It is now written once, as far as the send buffer has room.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zinnialadder/zinnialadder/pkg/holding"
@@ -22,9 +23,6 @@
 	// cannot send the next head at once.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
-	// evictionTimeout limits the time for sending a refusal on a connection that is closed for
-	// room. The send buffer of a client that has sent a part of a request has room for it.
-	evictionTimeout = 10 * time.Millisecond
 	// retryAfter is the Retry-After time, in seconds, of requests refused for lack of memory.
 	retryAfter = "0.5"
 )
@@ -230,11 +228,11 @@
 func (c *conn) unproductiveSince(now time.Time) (since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lockedUnproductiveSince(now)
+	return c.unproductiveSinceLocked(now)
 }
 
-// lockedUnproductiveSince is unproductiveSince with c locked.
-func (c *conn) lockedUnproductiveSince(now time.Time) (since time.Time, ok bool) {
+// unproductiveSinceLocked is unproductiveSince with c locked.
+func (c *conn) unproductiveSinceLocked(now time.Time) (since time.Time, ok bool) {
 	switch {
 	case c.closed:
 		return time.Time{}, false
@@ -260,17 +258,33 @@
 func (c *conn) evict(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.lockedUnproductiveSince(now); !ok {
+	if _, ok := c.unproductiveSinceLocked(now); !ok {
 		return false
 	}
 	if c.phase == receivingHead || c.phase == receivingBody && c.reading && !c.answered {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionTimeout)) // if the client has disconnected, the write fails too
-		_, _ = io.WriteString(c.Conn, response(http.StatusServiceUnavailable))
+		c.writeWithoutWaiting(response(http.StatusServiceUnavailable))
 	}
 	c.end()
 	return true
 }
 
+// writeWithoutWaiting writes as much of text as the send buffer has room for. A client that does
+// not read cannot delay the acceptance of other connections by it.
+func (c *conn) writeWithoutWaiting(text string) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return // the connection is closed
+	}
+	_ = raw.Write(func(fd uintptr) bool { // fails if the connection is closed
+		_, _ = syscall.Write(int(fd), []byte(text)) // fails if the buffer is full or the client has disconnected
+		return true
+	})
+}
+
 // end closes the connection while its user may still use it.
 func (c *conn) end() {
 	c.closed = true
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -94,8 +94,8 @@
 	Prices    map[string]float64 // relative price of an engine's time, by data centre
 }
 
-// Limits are the limits on requests of callers, in bytes and time. Zero fields are
-// unlimited.
+// Limits are the limits on requests of callers, in bytes and time. Zero fields are those that the
+// configuration does not set.
 type Limits struct {
 	HeaderBytes, BodyBytes int64
 	HeaderTimeout          time.Duration
