pkg/peer: report a refused session before it is closed

An operator who follows a peer's closed session may find it neither counted nor logged yet.

Cause: the session was closed first and OnRefused called afterwards, so that the peer saw the close while the report was still to come.

The report now comes before the close.

--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -170,8 +170,8 @@
 	Go        func(func() error) // starts a goroutine of the instance's group
 	// Serve is called for each stream. It fails if the peer exceeds a limit.
 	Serve func(context.Context, net.Conn) error
-	// OnRefused is called when a session is closed because its peer exceeded a limit. Nil to
-	// ignore it.
+	// OnRefused is called before a session is closed because its peer exceeded a limit, so that a
+	// peer that sees the close has been counted. Nil to ignore it.
 	OnRefused func(err error)
 }
 
@@ -198,10 +198,10 @@
 		refuse := func(err error) {
 			once.Do(func() {
 				refused.Add(1)
-				_ = session.Close() // fails if it has ended
 				if cfg.OnRefused != nil {
 					cfg.OnRefused(err)
 				}
+				_ = session.Close() // fails if it has ended
 			})
 		}
 		cfg.Go(func() error {
--- a/pkg/peer/receive_test.go
+++ b/pkg/peer/receive_test.go
@@ -27,9 +27,13 @@
 	var group errgroup.Group
 	start := func(f func() error) { group.Go(f) }
 	var refused atomic.Int64
+	onRefused := func(error) {
+		time.Sleep(20 * time.Millisecond) // a session that is closed before the report is seen as unreported
+		refused.Add(1)
+	}
 	server := peer.NewStoreServer(peer.StoreServerConfig{Ping: func(context.Context) error { return nil }, Go: start, MemoryLimit: 16 << 20})
 	group.Go(func() error {
-		return peer.Accept(ctx, ln, peer.AcceptConfig{KeepAlive: time.Second, Go: start, Serve: server.Serve, OnRefused: func(error) { refused.Add(1) }})
+		return peer.Accept(ctx, ln, peer.AcceptConfig{KeepAlive: time.Second, Go: start, Serve: server.Serve, OnRefused: onRefused})
 	})
 	sessions := peer.NewSessions(time.Second)
 	t.Cleanup(func() {
