pkg/peer: calls count by their fields, too

Seen: 64 connections with 16 whole transactions of 131,072 empty operations each took an instance with 64 MB to 769,576 KB (platform/crowd, TestManyOperationsAtPeers).

Cause: an empty operation has two bytes on the wire and about a hundred once decoded, and as many as a copy for the store; the budget counted twice the bytes.

Fix: the fields of a call, also of the messages in it, are counted before it is decoded and take 192 bytes each of the budget. A call that does not fit ends its session.

--- a/pkg/peer/receive.go
+++ b/pkg/peer/receive.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/zinnialadder/zinnialadder/internal/peerpb"
 	"github.com/zinnialadder/zinnialadder/pkg/holding"
@@ -26,6 +28,9 @@
 	streamMemory       = 16 << 10
 	// callCopies is how often the bytes of a call are in memory while it is decoded.
 	callCopies = 2
+	// fieldMemory is an upper estimate of the memory that a field of a call takes beside its bytes,
+	// once it is decoded and copied for the store.
+	fieldMemory = 192
 	// callPeerShare is the share of the memory for calls that one peer may have while others
 	// hold or request some of it.
 	callPeerShare = 0.5
@@ -85,6 +90,13 @@
 	if err != nil {
 		return release, err
 	}
+	fields, err := countFields(b, call.ProtoReflect().Descriptor())
+	if err != nil {
+		return release, err
+	}
+	if err = hold.TryGrow(int64(fields) * fieldMemory); err != nil {
+		return release, err
+	}
 	if err = proto.Unmarshal(b, call); err != nil {
 		return release, fmt.Errorf("%w: %w", errMalformed, err)
 	}
@@ -128,6 +140,33 @@
 	return b, nil
 }
 
+// countFields returns the number of fields in b, an encoded message, and in the messages that it
+// contains.
+func countFields(b []byte, message protoreflect.MessageDescriptor) (int, error) {
+	count := 0
+	for len(b) > 0 {
+		number, wireType, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return 0, fmt.Errorf("%w: %w", errMalformed, protowire.ParseError(n))
+		}
+		b = b[n:]
+		if n = protowire.ConsumeFieldValue(number, wireType, b); n < 0 {
+			return 0, fmt.Errorf("%w: %w", errMalformed, protowire.ParseError(n))
+		}
+		count++
+		if field := message.Fields().ByNumber(number); field != nil && field.Message() != nil && wireType == protowire.BytesType {
+			value, _ := protowire.ConsumeBytes(b)
+			inner, err := countFields(value, field.Message())
+			if err != nil {
+				return 0, err
+			}
+			count += inner
+		}
+		b = b[n:]
+	}
+	return count, nil
+}
+
 // peerIP returns the address of the peer of a stream.
 func peerIP(stream net.Conn) netip.Addr {
 	if a, ok := stream.RemoteAddr().(*net.TCPAddr); ok {
