--- a/cmd/zinnialadder/node.go
+++ b/cmd/zinnialadder/node.go
@@ -109,7 +109,7 @@
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines.dropped", registry, out.Dropped)
 	var group errgroup.Group
-	var n *node.Node
+	var n *node.Node // is set before any connection is accepted
 	guard := client.NewGuard(client.GuardConfig{MemoryLimit: int64(s.MemoryMB) << 20, Metrics: registry, Logger: logger, Limits: func() option.Of[client.Limits] { return requestLimits(n) }})
 	most := connectionLimits(s.MaxSockets, s.MemoryMB)
 	var peers net.Listener // a nil interface if there is no address
