--- a/internal/client/guard.go
+++ b/internal/client/guard.go
@@ -31,7 +31,7 @@
 	// headReserve is how much memory, in bytes, a head may take whatever others take, so that
 	// ordinary requests are not refused because of large heads.
 	headReserve = 8 << 10
-	// headRate is how often per second the memory for heads may be taken anew. What a head has
+	// headRate is how often per second the memory for heads may be taken. What a head has
 	// taken is garbage after its request, and must not arise faster than it is collected.
 	headRate = 8
 	// headBurstFraction is the fraction of the memory for heads that may be taken at once.
--- a/internal/client/guard_test.go
+++ b/internal/client/guard_test.go
@@ -109,7 +109,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { conn.Close() })
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // ends a test that waits in vain
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // ends a test whose peer does not answer
 	return &peer{Conn: conn, t: s.t, r: bufio.NewReader(conn)}
 }
 
@@ -467,7 +467,7 @@
 		t.Fatal(err)
 	}
 	dial()
-	_ = silent.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test that waits in vain
+	_ = silent.SetReadDeadline(time.Now().Add(10 * time.Second)) // ends a test whose peer does not answer
 	if _, err := silent.Read(buf); err == nil || strings.Contains(err.Error(), "timeout") {
 		t.Errorf("silent session: got error %v, want it closed", err)
 	}
--- a/internal/client/listener.go
+++ b/internal/client/listener.go
@@ -19,7 +19,7 @@
 
 const (
 	// evictedFraction is the fraction of a listener's connections that are closed at once when
-	// there are too many, so that their order is not determined anew for each new connection.
+	// there are too many, so that their order is not determined again for each new connection.
 	evictedFraction = 1.0 / 32
 	// acceptPause is how long a listener does not accept connections when the process has no
 	// descriptor for one.
